--- /dev/null
+++ b/Source/Core/Common/clock.h
@@ -0,0 +1,36 @@
+#ifndef COMMON_CLOCK_H_
+#define COMMON_CLOCK_H_
+
+#include <chrono>
+
+namespace figflow {
+
+// Time that only moves forward within one process. Used for deadlines and
+// waits; never stored or sent to another process.
+using MonoTime = std::chrono::steady_clock::time_point;
+
+// Time of day in UTC. Used in durable documents and logs.
+using WallTime = std::chrono::system_clock::time_point;
+
+// The only reader of the system's clocks. Deciding functions take `now` as an
+// argument instead of a Clock.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual MonoTime Now() const = 0;
+  virtual WallTime WallNow() const = 0;
+};
+
+class SystemClock : public Clock {
+ public:
+  MonoTime Now() const override;
+  WallTime WallNow() const override;
+};
+
+// Whole milliseconds since the Unix epoch, the form in durable documents.
+std::chrono::milliseconds SinceEpoch(WallTime time);
+WallTime FromEpoch(std::chrono::milliseconds since_epoch);
+
+}  // namespace figflow
+
+#endif  // COMMON_CLOCK_H_
--- /dev/null
+++ b/Source/Core/Common/metrics.cc
@@ -0,0 +1,100 @@
+#include "Common/metrics.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr double kLowestSeconds = 1e-5;
+constexpr double kHighestSeconds = 1e3;
+// 16 buckets per factor of ten: a quantile is at most 16% too high.
+constexpr unsigned kBuckets = 128;
+
+double Seconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+LatencyHistogram::LatencyHistogram()
+    : histogram_(boost::histogram::make_histogram(
+          Axis(kBuckets, kLowestSeconds, kHighestSeconds))) {}
+
+void LatencyHistogram::Record(std::chrono::nanoseconds duration) {
+  absl::MutexLock lock(&mutex_);
+  histogram_(std::max(Seconds(duration), kLowestSeconds));
+  sum_ += duration;
+  ++count_;
+}
+
+uint64_t LatencyHistogram::Count() const {
+  absl::MutexLock lock(&mutex_);
+  return count_;
+}
+
+std::chrono::nanoseconds LatencyHistogram::Sum() const {
+  absl::MutexLock lock(&mutex_);
+  return sum_;
+}
+
+std::chrono::nanoseconds LatencyHistogram::Quantile(double q) const {
+  absl::MutexLock lock(&mutex_);
+  if (count_ == 0) {
+    return std::chrono::nanoseconds::zero();
+  }
+  const double wanted = q * static_cast<double>(count_);
+  double seen = 0;
+  for (auto&& cell :
+       boost::histogram::indexed(histogram_, boost::histogram::coverage::all)) {
+    seen += static_cast<double>(*cell);
+    if (seen >= wanted && seen > 0) {
+      const double upper = std::min(cell.bin().upper(), kHighestSeconds);
+      return std::chrono::duration_cast<std::chrono::nanoseconds>(
+          std::chrono::duration<double>(upper));
+    }
+  }
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::duration<double>(kHighestSeconds));
+}
+
+Counter& MetricsRegistry::GetCounter(absl::string_view name) {
+  absl::MutexLock lock(&mutex_);
+  auto it = counters_.find(name);
+  if (it == counters_.end()) {
+    it =
+        counters_.emplace(std::string(name), std::make_unique<Counter>()).first;
+  }
+  return *it->second;
+}
+
+LatencyHistogram& MetricsRegistry::GetHistogram(absl::string_view name) {
+  absl::MutexLock lock(&mutex_);
+  auto it = histograms_.find(name);
+  if (it == histograms_.end()) {
+    it = histograms_
+             .emplace(std::string(name), std::make_unique<LatencyHistogram>())
+             .first;
+  }
+  return *it->second;
+}
+
+std::string MetricsRegistry::Expose() const {
+  absl::MutexLock lock(&mutex_);
+  std::string text;
+  for (const auto& [name, counter] : counters_) {
+    absl::StrAppend(&text, name, " ", counter->value(), "\n");
+  }
+  for (const auto& [name, histogram] : histograms_) {
+    for (const double q : {0.5, 0.9, 0.99}) {
+      absl::StrAppend(&text, name, "_seconds{quantile=\"", q, "\"} ",
+                      Seconds(histogram->Quantile(q)), "\n");
+    }
+    absl::StrAppend(&text, name, "_seconds_sum ", Seconds(histogram->Sum()),
+                    "\n", name, "_seconds_count ", histogram->Count(), "\n");
+  }
+  return text;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Http/http_message.h
@@ -0,0 +1,30 @@
+#ifndef HTTP_HTTP_MESSAGE_H_
+#define HTTP_HTTP_MESSAGE_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace figflow {
+
+// Header fields in the order received. Names compare without regard to case.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpRequest {
+  std::string method;
+  // Path with query, starting with "/".
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+};
+
+// A complete response: the body has been checked against its framing.
+struct HttpResponse {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+};
+
+}  // namespace figflow
+
+#endif  // HTTP_HTTP_MESSAGE_H_
--- /dev/null
+++ b/Tools/test.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds figflow and runs all its checks: format and
+# linter, the tests, and the unit tests under AddressSanitizer with UBSan and
+# under ThreadSanitizer.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Tools/install_deps.sh
+
+# Runs one labelled command and prints how long it took.
+step() {
+  local label=$1 start=$SECONDS
+  shift
+  echo "== $label"
+  "$@"
+  echo "== $label: done in $((SECONDS - start)) s"
+}
+
+build() {
+  cmake -S . -B "$1" -G Ninja -DFIGFLOW_SANITIZER="$2" -DCMAKE_BUILD_TYPE="$3" >/dev/null
+  cmake --build "$1" --parallel "$(nproc)"
+}
+
+run_tests() {
+  ctest --test-dir "$1" --output-on-failure --parallel 4 "${@:2}"
+}
+
+step "build" build build "" RelWithDebInfo
+step "lint" Tools/lint.sh build
+step "build for AddressSanitizer" build build-asan address Debug
+step "build for ThreadSanitizer" build build-tsan thread RelWithDebInfo
+step "unit tests under AddressSanitizer and UBSan" run_tests build-asan -LE process
+step "unit tests under ThreadSanitizer" run_tests build-tsan -LE process
+step "all tests" run_tests build
