--- /dev/null
+++ b/Source/Core/Peer/dial_schedule.h
@@ -0,0 +1,45 @@
+#ifndef PEER_DIAL_SCHEDULE_H_
+#define PEER_DIAL_SCHEDULE_H_
+
+#include <chrono>
+#include <map>
+#include <random>
+#include <string>
+
+#include "Common/clock.h"
+
+namespace figflow {
+
+// When an address may be dialled: exponential backoff with jitter. Holds no
+// clock or lock.
+class DialSchedule {
+ public:
+  using Random = std::mt19937_64;
+
+  // True if no link to the address is open or being opened and its pause is
+  // over; the address then counts as being opened.
+  bool Begin(const std::string& address, MonoTime now);
+  // The link failed to open or closed. A link that was useful restarts the
+  // backoff from its first step.
+  void OnEnded(const std::string& address,
+               bool was_useful,
+               MonoTime now,
+               Random& random);
+  // The address leads to this daemon itself.
+  void Exclude(const std::string& address);
+  void Forget(const std::string& address);
+
+ private:
+  struct Target {
+    bool busy = false;
+    bool excluded = false;
+    unsigned failures = 0;
+    MonoTime not_before;
+  };
+
+  std::map<std::string, Target> targets_;
+};
+
+}  // namespace figflow
+
+#endif  // PEER_DIAL_SCHEDULE_H_
--- /dev/null
+++ b/Source/Core/Peer/peer_message.cc
@@ -0,0 +1,456 @@
+#include "Peer/peer_message.h"
+
+#include <array>
+#include <limits>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kParseStep[] = "peer.parse";
+constexpr size_t kMaxIdBytes = 200;
+constexpr size_t kMaxListItems = 10'000;
+constexpr uint64_t kMaxRemainingMs = 24ULL * 3600 * 1000;
+constexpr uint64_t kMaxHops = 16;
+constexpr uint64_t kMaxStatus = 599;
+// The deepest valid message has lists of pairs in the map.
+constexpr int kMaxDepth = 4;
+
+// Accepts any document up to kMaxDepth. The CBOR parser of the library
+// recurses for each level, so a hostile message could exhaust the stack.
+class DepthCheck : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool /*value*/) override { return true; }
+  bool number_integer(number_integer_t /*value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return true;
+  }
+  bool string(string_t& /*value*/) override { return true; }
+  bool binary(binary_t& /*value*/) override { return true; }
+  bool start_object(std::size_t /*size*/) override { return Enter(); }
+  bool key(string_t& /*value*/) override { return true; }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t /*size*/) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t /*position*/,
+                   const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  bool Enter() { return ++depth_ <= kMaxDepth; }
+  bool Leave() {
+    --depth_;
+    return true;
+  }
+
+  int depth_ = 0;
+};
+
+// Reads the fields of one message and remembers the first fault.
+class FieldReader {
+ public:
+  explicit FieldReader(const Json& map) : map_(map) {}
+
+  bool ok() const { return fault_.empty(); }
+  const std::string& fault() const { return fault_; }
+
+  uint64_t Number(const char* name,
+                  uint64_t max = std::numeric_limits<uint64_t>::max()) {
+    const Json* value = Find(name);
+    return value == nullptr ? 0 : NumberOf(*value, name, max);
+  }
+
+  bool Flag(const char* name) {
+    const Json* value = Find(name);
+    if (value == nullptr || !value->is_boolean()) {
+      Refuse(name);
+      return false;
+    }
+    return value->get<bool>();
+  }
+
+  std::string Text(const char* name, size_t max_bytes = kMaxIdBytes) {
+    const Json* value = Find(name);
+    return value == nullptr ? "" : TextOf(*value, name, max_bytes);
+  }
+
+  std::string Bytes(const char* name) {
+    const Json* value = Find(name);
+    if (value == nullptr || !value->is_binary()) {
+      Refuse(name);
+      return "";
+    }
+    const Json::binary_t& bytes = value->get_binary();
+    return {bytes.begin(), bytes.end()};
+  }
+
+  std::vector<PeerHint> Hints(const char* name) {
+    std::vector<PeerHint> hints;
+    for (const Json* item : Items(name, 4)) {
+      hints.push_back(HintOf(*item, name));
+    }
+    return hints;
+  }
+
+  PeerHint Hint(const char* name) {
+    const Json* value = Find(name);
+    if (value == nullptr || !value->is_array() || value->size() != 4) {
+      Refuse(name);
+      return {};
+    }
+    return HintOf(*value, name);
+  }
+
+  // A list of [text, number].
+  template <typename Key, typename Value>
+  std::vector<std::pair<Key, Value>> Pairs(const char* name) {
+    std::vector<std::pair<Key, Value>> pairs;
+    for (const Json* item : Items(name, 2)) {
+      std::string key = TextOf((*item)[0], name, kMaxIdBytes);
+      const uint64_t number =
+          NumberOf((*item)[1], name,
+                   static_cast<uint64_t>(std::numeric_limits<Value>::max()));
+      pairs.emplace_back(Key(std::move(key)), static_cast<Value>(number));
+    }
+    return pairs;
+  }
+
+  // A list of [name, value].
+  std::vector<std::pair<std::string, std::string>> Headers(const char* name) {
+    std::vector<std::pair<std::string, std::string>> headers;
+    for (const Json* item : Items(name, 2)) {
+      std::string key = TextOf((*item)[0], name, kMaxPeerMessageBytes);
+      std::string value = TextOf((*item)[1], name, kMaxPeerMessageBytes);
+      headers.emplace_back(std::move(key), std::move(value));
+    }
+    return headers;
+  }
+
+ private:
+  void Refuse(const char* name) {
+    if (fault_.empty()) {
+      fault_ = absl::StrCat("field \"", name, "\" is missing or invalid");
+    }
+  }
+
+  const Json* Find(const char* name) {
+    const auto it = map_.find(name);
+    if (it == map_.end()) {
+      Refuse(name);
+      return nullptr;
+    }
+    return &*it;
+  }
+
+  uint64_t NumberOf(const Json& value, const char* name, uint64_t max) {
+    if (!value.is_number_unsigned() || value.get<uint64_t>() > max) {
+      Refuse(name);
+      return 0;
+    }
+    return value.get<uint64_t>();
+  }
+
+  std::string TextOf(const Json& value, const char* name, size_t max_bytes) {
+    if (!value.is_string() ||
+        value.get_ref<const std::string&>().size() > max_bytes) {
+      Refuse(name);
+      return "";
+    }
+    return value.get<std::string>();
+  }
+
+  PeerHint HintOf(const Json& value, const char* name) {
+    PeerHint hint;
+    hint.entry = EntryId(TextOf(value[0], name, kMaxIdBytes));
+    hint.incarnation =
+        NumberOf(value[1], name, std::numeric_limits<uint64_t>::max());
+    hint.data_centre = DataCentreId(TextOf(value[2], name, kMaxIdBytes));
+    hint.address = TextOf(value[3], name, kMaxIdBytes);
+    if (hint.entry.empty() || hint.address.empty()) {
+      Refuse(name);
+    }
+    return hint;
+  }
+
+  // The items of a list whose items are lists of `width`.
+  std::vector<const Json*> Items(const char* name, size_t width) {
+    const Json* list = Find(name);
+    std::vector<const Json*> items;
+    if (list == nullptr || !list->is_array() || list->size() > kMaxListItems) {
+      Refuse(name);
+      return items;
+    }
+    for (const Json& item : *list) {
+      if (!item.is_array() || item.size() != width) {
+        Refuse(name);
+        return {};
+      }
+      items.push_back(&item);
+    }
+    return items;
+  }
+
+  const Json& map_;
+  std::string fault_;
+};
+
+Json Binary(const std::string& bytes) {
+  return Json::binary(
+      Json::binary_t::container_type(bytes.begin(), bytes.end()));
+}
+
+Json ToJson(const PeerHint& hint) {
+  return Json::array({hint.entry.value(), hint.incarnation,
+                      hint.data_centre.value(), hint.address});
+}
+
+Json ToJson(const std::vector<PeerHint>& hints) {
+  Json list = Json::array();
+  for (const PeerHint& hint : hints) {
+    list.push_back(ToJson(hint));
+  }
+  return list;
+}
+
+template <typename Key, typename Value>
+Json ToJson(const std::vector<std::pair<Key, Value>>& pairs) {
+  Json list = Json::array();
+  for (const auto& [key, value] : pairs) {
+    // Negative counts are never sent: they have no meaning to a peer.
+    const Value sent = value < 0 ? 0 : value;
+    list.push_back(Json::array({key.value(), static_cast<uint64_t>(sent)}));
+  }
+  return list;
+}
+
+Json HeadersToJson(
+    const std::vector<std::pair<std::string, std::string>>& headers) {
+  Json list = Json::array();
+  for (const auto& [name, value] : headers) {
+    list.push_back(Json::array({name, value}));
+  }
+  return list;
+}
+
+Json Fields(const HelloMessage& hello) {
+  return {{"e", ToJson(hello.self)}, {"p", ToJson(hello.peers)}};
+}
+
+PeerMessage ParseHello(FieldReader* reader) {
+  HelloMessage hello;
+  hello.self = reader->Hint("e");
+  hello.peers = reader->Hints("p");
+  return hello;
+}
+
+Json Fields(const DigestMessage& message) {
+  const PeerDigest& digest = message.digest;
+  return {{"e", ToJson(PeerHint{digest.entry, digest.incarnation,
+                                digest.data_centre, digest.address})},
+          {"c", digest.config_revision},
+          {"s", digest.stopping},
+          {"f", ToJson(digest.free_slots)},
+          {"fp", message.partial},
+          {"l", ToJson(digest.leaving)},
+          {"b", message.beat},
+          {"bs", Binary(message.beats)},
+          {"p", ToJson(message.peers)}};
+}
+
+PeerMessage ParseDigest(FieldReader* reader) {
+  DigestMessage message;
+  const PeerHint self = reader->Hint("e");
+  message.digest.entry = self.entry;
+  message.digest.incarnation = self.incarnation;
+  message.digest.data_centre = self.data_centre;
+  message.digest.address = self.address;
+  message.digest.config_revision = reader->Number("c");
+  message.digest.stopping = reader->Flag("s");
+  message.digest.free_slots = reader->Pairs<PoolId, int>("f");
+  message.partial = reader->Flag("fp");
+  message.digest.leaving = reader->Pairs<InstanceId, uint64_t>("l");
+  message.beat = reader->Number("b");
+  message.beats = reader->Bytes("bs");
+  message.peers = reader->Hints("p");
+  return message;
+}
+
+Json Fields(const ConfigPullMessage& pull) {
+  return {{"c", pull.revision}};
+}
+
+PeerMessage ParseConfigPull(FieldReader* reader) {
+  return ConfigPullMessage{reader->Number("c")};
+}
+
+Json Fields(const ConfigDeltaMessage& message) {
+  return {{"from", message.delta.from_revision},
+          {"to", message.delta.to_revision},
+          {"d", Binary(message.delta.payload)}};
+}
+
+PeerMessage ParseConfigDelta(FieldReader* reader) {
+  ConfigDeltaMessage message;
+  message.delta.from_revision = reader->Number("from");
+  message.delta.to_revision = reader->Number("to");
+  message.delta.payload = reader->Bytes("d");
+  return message;
+}
+
+Json Fields(const LeavingMessage& message) {
+  return {{"l", ToJson(message.leaving)}};
+}
+
+PeerMessage ParseLeaving(FieldReader* reader) {
+  return LeavingMessage{reader->Pairs<InstanceId, uint64_t>("l")};
+}
+
+Json Fields(const RelayRequestMessage& message) {
+  const RelayRequest& request = message.request;
+  return {{"id", message.id},
+          {"p", request.project.value()},
+          {"m", request.method},
+          {"u", request.target},
+          {"h", HeadersToJson(request.headers)},
+          {"d", Binary(request.body)},
+          {"ms", static_cast<uint64_t>(request.remaining.count())},
+          {"n", static_cast<uint64_t>(request.hops)}};
+}
+
+PeerMessage ParseRelayRequest(FieldReader* reader) {
+  RelayRequestMessage message;
+  RelayRequest& request = message.request;
+  message.id = reader->Number("id");
+  request.project = ProjectId(reader->Text("p"));
+  request.method = reader->Text("m");
+  request.target = reader->Text("u", kMaxPeerMessageBytes);
+  request.headers = reader->Headers("h");
+  request.body = reader->Bytes("d");
+  request.remaining =
+      std::chrono::milliseconds(reader->Number("ms", kMaxRemainingMs));
+  request.hops = static_cast<int>(reader->Number("n", kMaxHops));
+  request.relay_id = message.id;
+  return message;
+}
+
+Json Fields(const RelayAnswerMessage& message) {
+  return {{"id", message.id},
+          {"i", message.incarnation},
+          {"st", static_cast<uint64_t>(message.answer.status)},
+          {"h", HeadersToJson(message.answer.headers)},
+          {"d", Binary(message.answer.body)},
+          {"nr", message.answer.not_run},
+          {"err", message.failure}};
+}
+
+PeerMessage ParseRelayAnswer(FieldReader* reader) {
+  RelayAnswerMessage message;
+  message.id = reader->Number("id");
+  message.incarnation = reader->Number("i");
+  message.answer.status = static_cast<int>(reader->Number("st", kMaxStatus));
+  message.answer.headers = reader->Headers("h");
+  message.answer.body = reader->Bytes("d");
+  message.answer.not_run = reader->Flag("nr");
+  message.failure = reader->Text("err", kMaxPeerMessageBytes);
+  return message;
+}
+
+Json Fields(const RelayCancelMessage& message) {
+  return {{"id", message.id}};
+}
+
+PeerMessage ParseRelayCancel(FieldReader* reader) {
+  return RelayCancelMessage{reader->Number("id")};
+}
+
+struct MessageType {
+  const char* name;
+  PeerMessage (*parse)(FieldReader* reader);
+};
+
+// In the order of the alternatives of PeerMessage.
+constexpr std::array<MessageType, std::variant_size_v<PeerMessage>> kTypes = {{
+    {"hello", ParseHello},
+    {"digest", ParseDigest},
+    {"config_pull", ParseConfigPull},
+    {"config_delta", ParseConfigDelta},
+    {"leaving", ParseLeaving},
+    {"relay_request", ParseRelayRequest},
+    {"relay_answer", ParseRelayAnswer},
+    {"relay_cancel", ParseRelayCancel},
+}};
+
+tl::unexpected<Error> Bad(ErrorCode code, std::string message) {
+  return Fail(code, kParseStep, "", std::move(message));
+}
+
+}  // namespace
+
+Result<std::string> FormatPeerMessage(const PeerMessage& message) {
+  Json map =
+      std::visit([](const auto& typed) { return Fields(typed); }, message);
+  map["v"] = kPeerProtocolVersion;
+  map["t"] = kTypes[message.index()].name;
+  // Only relays are answered, so other messages need no id of their own.
+  map.emplace("id", uint64_t{0});
+  std::string bytes;
+  Json::to_cbor(map, bytes);
+  if (bytes.size() > kMaxPeerMessageBytes) {
+    return Fail(
+        ErrorCode::kInvalid, "peer.format", "",
+        absl::StrCat("the message has ", bytes.size(), " bytes; at most ",
+                     kMaxPeerMessageBytes, " are allowed"));
+  }
+  return bytes;
+}
+
+Result<PeerMessage> ParsePeerMessage(absl::string_view bytes) {
+  if (bytes.size() > kMaxPeerMessageBytes) {
+    return Bad(ErrorCode::kInvalid, "the message is too large");
+  }
+  DepthCheck depth;
+  if (!Json::sax_parse(bytes.begin(), bytes.end(), &depth,
+                       Json::input_format_t::cbor)) {
+    return Bad(ErrorCode::kInvalid, "not valid CBOR or nested too deeply");
+  }
+  const Json map = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  if (!map.is_object()) {
+    return Bad(ErrorCode::kInvalid, "not a CBOR map");
+  }
+  FieldReader reader(map);
+  const uint64_t version = reader.Number("v");
+  const std::string type = reader.Text("t");
+  reader.Number("id");
+  if (!reader.ok()) {
+    return Bad(ErrorCode::kInvalid, reader.fault());
+  }
+  if (version != kPeerProtocolVersion) {
+    return Bad(ErrorCode::kNotFound,
+               absl::StrCat("unknown protocol version ", version));
+  }
+  for (const MessageType& known : kTypes) {
+    if (type == known.name) {
+      PeerMessage message = known.parse(&reader);
+      if (!reader.ok()) {
+        return Bad(ErrorCode::kInvalid,
+                   absl::StrCat(type, ": ", reader.fault()));
+      }
+      return message;
+    }
+  }
+  return Bad(ErrorCode::kNotFound,
+             absl::StrCat("unknown message type \"", type, "\""));
+}
+
+}  // namespace figflow
--- a/Source/Core/Peer/peer_service.h
+++ b/Source/Core/Peer/peer_service.h
@@ -49,6 +49,9 @@
   std::chrono::milliseconds remaining{0};
   // Relays so far; a relayed request is not relayed again.
   int hops = 0;
+  // Set by PeerService on receipt: the id that OnRelayCancelled names, unique
+  // for one sending daemon and incarnation.
+  uint64_t relay_id = 0;
 };
 
 struct RelayAnswer {
--- /dev/null
+++ b/Source/Core/Peer/peer_transport.cc
@@ -0,0 +1,495 @@
+#include "Peer/peer_transport.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "Common/constant_time.h"
+#include "Peer/peer_message.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr char kScheme[] = "Bearer ";
+constexpr std::chrono::milliseconds kConnectTimeout{3'000};
+constexpr long kOpenHandshakeTimeoutMs = 5'000;
+constexpr long kCloseHandshakeTimeoutMs = 1'000;
+// Pause after a failed accept, which mostly means that no descriptor is free.
+constexpr std::chrono::milliseconds kAcceptPause{100};
+
+// One configuration for both roles, so that both have the same connection
+// type. The smaller read buffer limits the memory of a link.
+struct LinkConfig : public websocketpp::config::asio_client {
+  // NOLINTNEXTLINE(readability-identifier-naming): the name is the library's.
+  static const size_t connection_read_buffer_size = 4096;
+};
+
+using Server = websocketpp::server<LinkConfig>;
+using Client = websocketpp::client<LinkConfig>;
+using Connection = websocketpp::connection<LinkConfig>;
+using ConnectionPtr = Connection::ptr;
+
+Result<tcp::endpoint> ParseAddress(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code error;
+  const asio::ip::address ip = asio::ip::make_address(host, error);
+  uint32_t port = 0;
+  if (colon == std::string::npos || error ||
+      !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65535) {
+    return Fail(ErrorCode::kInvalid, "peer.address", address,
+                "not an ip:port address");
+  }
+  return tcp::endpoint(ip, static_cast<uint16_t>(port));
+}
+
+std::string ToText(const tcp::endpoint& endpoint) {
+  const std::string ip = endpoint.address().to_string();
+  return endpoint.address().is_v6()
+             ? absl::StrCat("[", ip, "]:", endpoint.port())
+             : absl::StrCat(ip, ":", endpoint.port());
+}
+
+// Bytes of a message with its frame header; clients mask their frames.
+size_t WireBytes(size_t payload, bool masked) {
+  const size_t length = payload < 126 ? 2 : payload < 65536 ? 4 : 10;
+  return payload + length + (masked ? 4 : 0);
+}
+
+}  // namespace
+
+// websocketpp reads a connection's state without its lock in some places.
+// Every call on a connection is therefore made on the connection's strand.
+class PeerTransport::Impl {
+ public:
+  Impl(PeerTransportSettings settings, LinkHandler* handler)
+      : settings_(std::move(settings)),
+        handler_(handler),
+        control_(io_),
+        work_(asio::make_work_guard(io_)),
+        acceptor_(io_) {
+    Prepare(&server_);
+    Prepare(&client_);
+  }
+
+  ~Impl() { Stop(); }
+
+  Result<void> Start() {
+    const Result<tcp::endpoint> endpoint = ParseAddress(settings_.listen);
+    if (!endpoint) {
+      return tl::unexpected<Error>(endpoint.error());
+    }
+    boost::system::error_code error;
+    acceptor_.open(endpoint->protocol(), error);
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+      acceptor_.bind(*endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return Fail(ErrorCode::kUnavailable, "peer.listen", settings_.listen,
+                  error.message());
+    }
+    address_ = ToText(acceptor_.local_endpoint());
+    asio::post(control_, [this] { Accept(); });
+    for (int i = 0; i < settings_.io_threads; ++i) {
+      threads_.emplace_back([this] { io_.run(); });
+    }
+    return {};
+  }
+
+  const std::string& address() const { return address_; }
+
+  void Dial(const std::string& address) {
+    asio::post(control_, [this, address] { StartDial(address); });
+  }
+
+  void Send(LinkId link, OutgoingMessage message) {
+    const ConnectionPtr connection = Find(link);
+    if (!connection) {
+      Post([message = std::move(message)] { NotSent(message); });
+      return;
+    }
+    connection->get_strand()->post(
+        [this, link, connection, message = std::move(message)] {
+          SendOnStrand(link, connection, message);
+        });
+  }
+
+  void Ping(LinkId link) {
+    OnStrand(link, [](Connection& connection) {
+      websocketpp::lib::error_code ignored;
+      connection.ping("", ignored);
+    });
+  }
+
+  void Close(LinkId link, LinkCloseCode code, const std::string& reason) {
+    OnStrand(link, [code, reason](Connection& connection) {
+      websocketpp::lib::error_code error;
+      connection.close(static_cast<uint16_t>(code), reason, error);
+      if (error) {
+        connection.terminate(error);
+      }
+    });
+  }
+
+  void Post(std::function<void()> task) {
+    {
+      absl::MutexLock lock(&mutex_);
+      if (!stopped_) {
+        tasks_.push_back(std::move(task));
+        asio::post(control_, [this] { RunTask(); });
+        return;
+      }
+    }
+    task();
+  }
+
+  void After(std::chrono::nanoseconds delay, std::function<void()> task) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+    timer->async_wait(asio::bind_executor(
+        control_, [timer, task = std::move(task)](
+                      const boost::system::error_code& error) {
+          if (!error) {
+            task();
+          }
+        }));
+  }
+
+  void StopAccepting() {
+    asio::post(control_, [this] {
+      boost::system::error_code ignored;
+      acceptor_.close(ignored);
+    });
+  }
+
+  void Stop() {
+    io_.stop();
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+    threads_.clear();
+    {
+      absl::MutexLock lock(&mutex_);
+      stopped_ = true;
+      connections_.clear();
+    }
+    while (RunTask()) {
+    }
+  }
+
+ private:
+  // Runs the oldest task; false if there is none.
+  bool RunTask() {
+    std::function<void()> task;
+    {
+      absl::MutexLock lock(&mutex_);
+      if (tasks_.empty()) {
+        return false;
+      }
+      task = std::move(tasks_.front());
+      tasks_.pop_front();
+    }
+    task();
+    return true;
+  }
+
+  template <typename Endpoint>
+  void Prepare(Endpoint* endpoint) {
+    endpoint->clear_access_channels(websocketpp::log::alevel::all);
+    endpoint->clear_error_channels(websocketpp::log::elevel::all);
+    endpoint->init_asio(&io_);
+    endpoint->set_max_message_size(kMaxPeerMessageBytes);
+    endpoint->set_open_handshake_timeout(kOpenHandshakeTimeoutMs);
+    endpoint->set_close_handshake_timeout(kCloseHandshakeTimeoutMs);
+    endpoint->set_user_agent("");
+  }
+
+  ConnectionPtr Find(LinkId link) {
+    absl::MutexLock lock(&mutex_);
+    const auto it = connections_.find(link);
+    return it == connections_.end() ? nullptr : it->second;
+  }
+
+  template <typename Task>
+  void OnStrand(LinkId link, Task task) {
+    const ConnectionPtr connection = Find(link);
+    if (connection) {
+      connection->get_strand()->post([connection, task] { task(*connection); });
+    }
+  }
+
+  static void NotSent(const OutgoingMessage& message) {
+    if (message.not_sent) {
+      message.not_sent();
+    }
+  }
+
+  void SendOnStrand(LinkId link,
+                    const ConnectionPtr& connection,
+                    const OutgoingMessage& message) {
+    if (connection->get_state() != websocketpp::session::state::open ||
+        connection->get_buffered_amount() + message.payload.size() >
+            settings_.max_buffered_bytes) {
+      NotSent(message);
+      return;
+    }
+    if (message.may_send && !message.may_send()) {
+      return;
+    }
+    const websocketpp::lib::error_code error =
+        connection->send(message.payload.data(), message.payload.size(),
+                         websocketpp::frame::opcode::binary);
+    if (error) {
+      NotSent(message);
+      return;
+    }
+    handler_->OnLinkSent(
+        link, message.relay,
+        WireBytes(message.payload.size(), !connection->is_server()));
+  }
+
+  // Control strand.
+  void Accept() {
+    const ConnectionPtr connection = server_.get_connection();
+    Attach(connection, "");
+    acceptor_.async_accept(
+        connection->get_raw_socket(),
+        asio::bind_executor(
+            control_,
+            [this, connection](const boost::system::error_code& error) {
+              OnAccepted(connection, error);
+            }));
+  }
+
+  void OnAccepted(const ConnectionPtr& connection,
+                  const boost::system::error_code& error) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (error) {
+      After(kAcceptPause, [this] { Accept(); });
+      return;
+    }
+    if (LinkCount() < settings_.max_links) {
+      connection->get_strand()->post([connection] { Begin(connection); });
+    }
+    Accept();
+  }
+
+  // Control strand. Numeric addresses need no resolver, which would start a
+  // thread of its own.
+  void StartDial(const std::string& address) {
+    const Result<tcp::endpoint> endpoint = ParseAddress(address);
+    websocketpp::lib::error_code error;
+    const ConnectionPtr connection =
+        endpoint ? client_.get_connection(
+                       absl::StrCat("ws://", address, "/figflow/peer"), error)
+                 : nullptr;
+    if (!connection) {
+      handler_->OnDialFailed(address, false, "not a valid address");
+      return;
+    }
+    connection->append_header("Authorization",
+                              absl::StrCat(kScheme, settings_.credential));
+    Attach(connection, address);
+    auto timer = std::make_shared<asio::steady_timer>(io_, kConnectTimeout);
+    timer->async_wait(connection->get_strand()->wrap(
+        [connection](const boost::system::error_code& cancelled) {
+          if (!cancelled) {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().close(ignored);
+          }
+        }));
+    connection->get_raw_socket().async_connect(
+        *endpoint,
+        connection->get_strand()->wrap(
+            [connection, timer](const boost::system::error_code& failed) {
+              timer->cancel();
+              if (failed) {
+                connection->terminate(websocketpp::lib::error_code(
+                    failed.value(), std::generic_category()));
+              } else {
+                Begin(connection);
+              }
+            }));
+  }
+
+  static void Begin(const ConnectionPtr& connection) {
+    boost::system::error_code ignored;
+    connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
+    connection->start();
+  }
+
+  // Sets the handlers. They hold no reference to the connection, which owns
+  // them.
+  void Attach(const ConnectionPtr& connection, const std::string& address) {
+    const LinkId link = ++last_link_;
+    const std::weak_ptr<Connection> weak = connection;
+    connection->set_validate_handler(
+        [this, weak](auto /*handle*/) { return IsAuthorized(*weak.lock()); });
+    connection->set_open_handler([this, weak, link, address](auto /*handle*/) {
+      {
+        absl::MutexLock lock(&mutex_);
+        connections_[link] = weak.lock();
+      }
+      handler_->OnLinkOpen(link, address);
+    });
+    connection->set_message_handler(
+        [this, weak, link](auto /*handle*/, const auto& message) {
+          OnMessage(link, *weak.lock(), message);
+        });
+    connection->set_ping_handler(
+        [this, link](auto /*handle*/, const auto& /*text*/) {
+          handler_->OnLinkAlive(link);
+          return true;
+        });
+    connection->set_pong_handler(
+        [this, link](auto /*handle*/, const auto& /*text*/) {
+          handler_->OnLinkAlive(link);
+        });
+    connection->set_close_handler(
+        [this, weak, link](auto /*handle*/) { OnClosed(link, *weak.lock()); });
+    connection->set_fail_handler([this, weak, address](auto /*handle*/) {
+      const ConnectionPtr failed = weak.lock();
+      if (!address.empty()) {
+        handler_->OnDialFailed(address,
+                               failed->get_response_code() ==
+                                   websocketpp::http::status_code::unauthorized,
+                               failed->get_ec().message());
+      }
+    });
+  }
+
+  bool IsAuthorized(Connection& connection) {
+    const std::string& header = connection.get_request_header("Authorization");
+    if (CredentialMatches(absl::StrCat(kScheme, settings_.credential),
+                          header) &&
+        !settings_.credential.empty()) {
+      return true;
+    }
+    connection.set_status(websocketpp::http::status_code::unauthorized);
+    handler_->OnCredentialRefused();
+    return false;
+  }
+
+  template <typename MessagePtr>
+  void OnMessage(LinkId link,
+                 Connection& connection,
+                 const MessagePtr& message) {
+    const std::string& payload = message->get_payload();
+    const size_t wire = WireBytes(payload.size(), connection.is_server());
+    // An empty payload is malformed, and a text message is as well.
+    const bool binary =
+        message->get_opcode() == websocketpp::frame::opcode::binary;
+    handler_->OnLinkMessage(link, binary ? payload : std::string(), wire);
+  }
+
+  void OnClosed(LinkId link, Connection& connection) {
+    {
+      absl::MutexLock lock(&mutex_);
+      connections_.erase(link);
+    }
+    LinkClosed closed;
+    closed.local_code = connection.get_local_close_code();
+    closed.remote_code = connection.get_remote_close_code();
+    closed.reason = connection.get_remote_close_reason().empty()
+                        ? connection.get_local_close_reason()
+                        : connection.get_remote_close_reason();
+    handler_->OnLinkClosed(link, closed);
+  }
+
+  size_t LinkCount() {
+    absl::MutexLock lock(&mutex_);
+    return connections_.size();
+  }
+
+  const PeerTransportSettings settings_;
+  LinkHandler* const handler_;
+  std::string address_;
+  // Destroyed after everything whose handlers it may hold.
+  asio::io_context io_;
+  asio::io_context::strand control_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  tcp::acceptor acceptor_;
+  Server server_;
+  Client client_;
+  std::atomic<LinkId> last_link_{0};
+  absl::Mutex mutex_;
+  bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+  std::deque<std::function<void()>> tasks_ ABSL_GUARDED_BY(mutex_);
+  // Open links.
+  std::map<LinkId, ConnectionPtr> connections_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::thread> threads_;
+};
+
+PeerTransport::PeerTransport(PeerTransportSettings settings,
+                             LinkHandler* handler)
+    : impl_(std::make_unique<Impl>(std::move(settings), handler)) {}
+
+PeerTransport::~PeerTransport() = default;
+
+Result<void> PeerTransport::Start() {
+  return impl_->Start();
+}
+
+const std::string& PeerTransport::address() const {
+  return impl_->address();
+}
+
+void PeerTransport::Dial(const std::string& address) {
+  impl_->Dial(address);
+}
+
+void PeerTransport::Send(LinkId link, OutgoingMessage message) {
+  impl_->Send(link, std::move(message));
+}
+
+void PeerTransport::Ping(LinkId link) {
+  impl_->Ping(link);
+}
+
+void PeerTransport::Close(LinkId link,
+                          LinkCloseCode code,
+                          const std::string& reason) {
+  impl_->Close(link, code, reason);
+}
+
+void PeerTransport::Post(std::function<void()> task) {
+  impl_->Post(std::move(task));
+}
+
+void PeerTransport::After(std::chrono::nanoseconds delay,
+                          std::function<void()> task) {
+  impl_->After(delay, std::move(task));
+}
+
+void PeerTransport::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+void PeerTransport::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Peer/relay_table.cc
@@ -0,0 +1,196 @@
+#include "Peer/relay_table.h"
+
+#include "absl/time/time.h"
+
+namespace figflow {
+namespace {
+
+constexpr char kStep[] = "peer.relay";
+// One incarnation is at least one millisecond apart from the next, and no
+// daemon starts a million relays in that time.
+constexpr unsigned kIncarnationShift = 20;
+
+}  // namespace
+
+RelayTable::RelayTable(uint64_t incarnation, size_t max_in_flight_per_peer)
+    : first_id_(incarnation << kIncarnationShift),
+      max_in_flight_per_peer_(max_in_flight_per_peer),
+      last_id_(first_id_) {}
+
+Result<uint64_t> RelayTable::Add(const RelayRoute& route,
+                                 MonoTime deadline,
+                                 RelayCallback* done) {
+  absl::MutexLock lock(&mutex_);
+  size_t& in_flight = in_flight_[route.entry];
+  if (in_flight >= max_in_flight_per_peer_) {
+    return figflow::Fail(ErrorCode::kResourceExhausted, kStep,
+                         route.entry.value(), "too many relays in flight");
+  }
+  ++in_flight;
+  const uint64_t id = ++last_id_;
+  pending_.emplace(id, Pending{route, deadline, false, std::move(*done)});
+  deadlines_.emplace(deadline, id);
+  return id;
+}
+
+RelayTable::Pending RelayTable::Take(Map::iterator it) {
+  Pending pending = std::move(it->second);
+  deadlines_.erase({pending.deadline, it->first});
+  pending_.erase(it);
+  const auto count = in_flight_.find(pending.route.entry);
+  if (--count->second == 0) {
+    in_flight_.erase(count);
+  }
+  return pending;
+}
+
+void RelayTable::Fail(const Pending& pending, const std::string& reason) {
+  pending.done(figflow::Fail(
+      pending.sent ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
+      kStep, pending.route.entry.value(), reason));
+}
+
+bool RelayTable::MarkSent(uint64_t id) {
+  absl::MutexLock lock(&mutex_);
+  const auto it = pending_.find(id);
+  if (it == pending_.end()) {
+    return false;
+  }
+  it->second.sent = true;
+  return true;
+}
+
+void RelayTable::NotSent(uint64_t id, const std::string& reason) {
+  Pending pending;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto it = pending_.find(id);
+    if (it == pending_.end()) {
+      return;
+    }
+    pending = Take(it);
+  }
+  pending.sent = false;
+  Fail(pending, reason);
+}
+
+AnswerFate RelayTable::OnAnswer(const EntryId& from,
+                                RelayAnswerMessage message) {
+  Pending pending;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto it = pending_.find(message.id);
+    if (it == pending_.end()) {
+      return message.id > first_id_ && message.id <= last_id_
+                 ? AnswerFate::kLate
+                 : AnswerFate::kUnmatched;
+    }
+    if (it->second.route.entry != from ||
+        it->second.route.incarnation != message.incarnation) {
+      return AnswerFate::kUnmatched;
+    }
+    pending = Take(it);
+  }
+  if (message.failure.empty()) {
+    pending.done(std::move(message.answer));
+  } else {
+    pending.done(figflow::Fail(ErrorCode::kUnknownOutcome, kStep, from.value(),
+                               message.failure));
+  }
+  return AnswerFate::kDelivered;
+}
+
+void RelayTable::FailLink(LinkId link, const std::string& reason) {
+  std::vector<Pending> failed;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (auto it = pending_.begin(); it != pending_.end();) {
+      const auto current = it++;
+      if (current->second.route.link == link) {
+        failed.push_back(Take(current));
+      }
+    }
+  }
+  for (const Pending& pending : failed) {
+    Fail(pending, reason);
+  }
+}
+
+void RelayTable::FailAll(const std::string& reason) {
+  std::vector<Pending> failed;
+  {
+    absl::MutexLock lock(&mutex_);
+    while (!pending_.empty()) {
+      failed.push_back(Take(pending_.begin()));
+    }
+  }
+  for (const Pending& pending : failed) {
+    Fail(pending, reason);
+  }
+}
+
+std::vector<RelayToCancel> RelayTable::Expire(MonoTime now) {
+  std::vector<Pending> expired;
+  std::vector<RelayToCancel> to_cancel;
+  {
+    absl::MutexLock lock(&mutex_);
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+      const uint64_t id = deadlines_.begin()->second;
+      expired.push_back(Take(pending_.find(id)));
+      if (expired.back().sent) {
+        to_cancel.push_back({expired.back().route.link, id});
+      }
+    }
+  }
+  for (const Pending& pending : expired) {
+    Fail(pending, "no answer within the time bound");
+  }
+  return to_cancel;
+}
+
+std::optional<RelayToCancel> RelayTable::Cancel(uint64_t id) {
+  Pending pending;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto it = pending_.find(id);
+    if (it == pending_.end()) {
+      return std::nullopt;
+    }
+    if (it->second.sent) {
+      return RelayToCancel{it->second.route.link, id};
+    }
+    pending = Take(it);
+  }
+  Fail(pending, "cancelled before it was sent");
+  return std::nullopt;
+}
+
+std::optional<MonoTime> RelayTable::NextDeadline() const {
+  absl::MutexLock lock(&mutex_);
+  if (deadlines_.empty()) {
+    return std::nullopt;
+  }
+  return deadlines_.begin()->first;
+}
+
+bool RelayTable::AwaitNone(MonoTime deadline, MonoTime now) const {
+  absl::MutexLock lock(&mutex_);
+  const auto none = [this] {
+    mutex_.AssertHeld();
+    return pending_.empty();
+  };
+  return mutex_.AwaitWithTimeout(absl::Condition(&none),
+                                 absl::FromChrono(deadline - now));
+}
+
+bool RelayTable::UsesLink(LinkId link) const {
+  absl::MutexLock lock(&mutex_);
+  for (const auto& [id, pending] : pending_) {
+    if (pending.route.link == link) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Peer/served_relays.h
@@ -0,0 +1,41 @@
+#ifndef PEER_SERVED_RELAYS_H_
+#define PEER_SERVED_RELAYS_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Peer/peer_transport.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+// Relays that this daemon runs for its peers. Thread-safe.
+class ServedRelays {
+ public:
+  enum class Admission { kAdmitted, kDuplicate, kFull };
+
+  explicit ServedRelays(size_t max_per_link) : max_per_link_(max_per_link) {}
+
+  Admission Begin(LinkId link, uint64_t id);
+  // False: the link has closed, or the relay has ended already.
+  bool IsServed(LinkId link, uint64_t id) const;
+  void End(LinkId link, uint64_t id);
+  // Ends all relays of a closed link and returns their ids.
+  std::vector<uint64_t> DropLink(LinkId link);
+  bool UsesLink(LinkId link) const;
+  // Waits until no relay is left, at most until the deadline.
+  bool AwaitNone(MonoTime deadline, MonoTime now) const;
+
+ private:
+  const size_t max_per_link_;
+  mutable absl::Mutex mutex_;
+  std::map<LinkId, std::set<uint64_t>> served_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace figflow
+
+#endif  // PEER_SERVED_RELAYS_H_
--- /dev/null
+++ b/Source/UnitTests/Peer/peer_node_test.cc
@@ -0,0 +1,374 @@
+#include "Peer/peer_node.h"
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Peer/peer_test_node.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace figflow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::Await;
+using test::kCredential;
+using test::TestHandler;
+using test::TestNode;
+
+constexpr int kRelays = 200;
+constexpr size_t kNodes = 6;
+
+// Collects the results of relays by name.
+class Results {
+ public:
+  RelayCallback For(const std::string& name) {
+    return [this, name](const Result<RelayAnswer>& result) {
+      absl::MutexLock lock(&mutex_);
+      results_[name].push_back(
+          result ? absl::StrCat(result->status, " ", result->body,
+                                result->not_run ? " not-run" : "")
+                 : std::string(ErrorCodeName(result.error().code)));
+    };
+  }
+  // All results of one relay; a correct one has exactly one.
+  std::string Get(const std::string& name) {
+    absl::MutexLock lock(&mutex_);
+    return absl::StrJoin(results_[name], "|");
+  }
+  bool Has(const std::string& name) { return !Get(name).empty(); }
+
+ private:
+  absl::Mutex mutex_;
+  std::map<std::string, std::vector<std::string>> results_;
+};
+
+RelayRequest Request(const std::string& body, milliseconds remaining) {
+  RelayRequest request;
+  request.project = ProjectId("p");
+  request.method = "POST";
+  request.target = "/x";
+  request.body = body;
+  request.remaining = remaining;
+  return request;
+}
+
+class PeerNodeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerNodeTest);
+  CPPUNIT_TEST(RelaysRoundTrip);
+  CPPUNIT_TEST(AnswersOutOfOrderReachTheirRequests);
+  CPPUNIT_TEST(TimeBoundIsHonoured);
+  CPPUNIT_TEST(CancellationReachesThePeer);
+  CPPUNIT_TEST(PeerThatStopsFinishesItsRelays);
+  CPPUNIT_TEST(NewerStartOfAnEntryWins);
+  CPPUNIT_TEST(LinkIsRestoredAfterARestart);
+  CPPUNIT_TEST(ChangesSpreadWithOneNodeFrozen);
+  CPPUNIT_TEST(LeavingMarksAreSentAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against lost or altered bodies, and against relays to peers that
+  // are not there.
+  void RelaysRoundTrip() {
+    Results results;
+    TestNode a("a");
+    TestNode b("b", {a.node->address()});
+    CPPUNIT_ASSERT(Await([&] { return a.Sees("b") && b.Sees("a"); }));
+    const std::string large(900'000, '\xfe');
+    a.node->Relay(EntryId("b"), Request("from a", seconds(5)),
+                  results.For("ab"));
+    b.node->Relay(EntryId("a"), Request(large, seconds(5)), results.For("ba"));
+    a.node->Relay(EntryId("b"),
+                  Request(std::string(kMaxPeerMessageBytes, 'x'), seconds(5)),
+                  results.For("too large"));
+    a.node->Relay(EntryId("c"), Request("", seconds(5)), results.For("absent"));
+    a.node->Relay(EntryId("b"), Request("", seconds(0)), results.For("late"));
+    b.handler.on_relay = [](const RelayRequest&,
+                            const TestHandler::Done& done) {
+      done(RelayAnswer{200, {}, std::string(kMaxPeerMessageBytes, 'x'), false});
+    };
+    CPPUNIT_ASSERT(Await([&] { return results.Has("ab"); }));
+    a.node->Relay(EntryId("b"), Request("", seconds(5)),
+                  results.For("large answer"));
+    for (const auto& [name, expected] : std::map<std::string, std::string>{
+             {"ab", "200 from a"},
+             {"ba", "200 " + large},
+             {"too large", "unavailable"},
+             {"absent", "unavailable"},
+             {"late", "unavailable"},
+             {"large answer", "unknown-outcome"}}) {
+      CPPUNIT_ASSERT_MESSAGE(
+          name, Await([&, &name = name] { return results.Has(name); }));
+      CPPUNIT_ASSERT_MESSAGE(name, expected == results.Get(name));
+    }
+    const PeerTraffic traffic = a.node->Traffic()[EntryId("b")];
+    CPPUNIT_ASSERT(traffic.relay_received > large.size());
+    CPPUNIT_ASSERT(traffic.control_sent > 0);
+  }
+
+  // Guards against an answer that reaches the caller of another request.
+  void AnswersOutOfOrderReachTheirRequests() {
+    absl::Mutex mutex;
+    std::vector<std::pair<std::string, TestHandler::Done>> waiting;
+    Results results;
+    TestNode a("a");
+    TestNode b("b", {a.node->address()});
+    b.handler.on_relay = [&](const RelayRequest& request,
+                             const TestHandler::Done& done) {
+      absl::MutexLock lock(&mutex);
+      waiting.emplace_back(request.body, done);
+    };
+    CPPUNIT_ASSERT(Await([&] { return a.Sees("b"); }));
+    for (int i = 0; i < kRelays; ++i) {
+      a.node->Relay(EntryId("b"), Request(absl::StrCat(i), seconds(10)),
+                    results.For(absl::StrCat(i)));
+    }
+    CPPUNIT_ASSERT(Await([&] {
+      absl::MutexLock lock(&mutex);
+      return waiting.size() == kRelays;
+    }));
+    {
+      absl::MutexLock lock(&mutex);
+      std::shuffle(waiting.begin(), waiting.end(), std::mt19937(3));
+      for (const auto& [body, done] : waiting) {
+        done(RelayAnswer{200, {}, body, false});
+      }
+    }
+    for (int i = 0; i < kRelays; ++i) {
+      const std::string name = absl::StrCat(i);
+      CPPUNIT_ASSERT(Await([&] { return results.Has(name); }));
+      CPPUNIT_ASSERT_EQUAL("200 " + name, results.Get(name));
+    }
+  }
+
+  // Guards against callers that wait for an answer beyond their deadline, and
+  // against late answers that are taken for others.
+  void TimeBoundIsHonoured() {
+    absl::Mutex mutex;
+    TestHandler::Done late;
+    Results results;
+    TestNode a("a");
+    TestNode b("b", {a.node->address()});
+    b.handler.on_relay = [&](const RelayRequest&,
+                             const TestHandler::Done& done) {
+      absl::MutexLock lock(&mutex);
+      late = done;
+    };
+    CPPUNIT_ASSERT(Await([&] { return a.Sees("b"); }));
+    const MonoTime start = a.clock.Now();
+    a.node->Relay(EntryId("b"), Request("", milliseconds(150)),
+                  results.For("x"));
+    CPPUNIT_ASSERT(Await([&] { return results.Has("x"); }));
+    const auto taken = a.clock.Now() - start;
+    CPPUNIT_ASSERT(taken >= milliseconds(150) && taken < milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown-outcome"), results.Get("x"));
+    // The peer is told to stop working on it.
+    CPPUNIT_ASSERT(Await([&] { return b.handler.Cancelled().size() == 1; }));
+    {
+      absl::MutexLock lock(&mutex);
+      late(RelayAnswer{200, {}, "late", false});
+    }
+    CPPUNIT_ASSERT(
+        Await([&] { return a.Count("figflow_peer_answers_late_total") == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown-outcome"), results.Get("x"));
+  }
+
+  // Guards against cancellations with an id that the peer does not know.
+  void CancellationReachesThePeer() {
+    absl::Mutex mutex;
+    std::map<uint64_t, TestHandler::Done> running;
+    Results results;
+    TestNode a("a");
+    TestNode b("b", {a.node->address()});
+    b.handler.on_relay = [&](const RelayRequest& request,
+                             const TestHandler::Done& done) {
+      absl::MutexLock lock(&mutex);
+      running[request.relay_id] = done;
+    };
+    CPPUNIT_ASSERT(Await([&] { return a.Sees("b"); }));
+    const uint64_t id =
+        a.node->Relay(EntryId("b"), Request("", seconds(10)), results.For("x"));
+    CPPUNIT_ASSERT(Await([&] {
+      absl::MutexLock lock(&mutex);
+      return running.size() == 1;
+    }));
+    a.node->CancelRelay(id);
+    CPPUNIT_ASSERT(Await([&] { return b.handler.Cancelled().size() == 1; }));
+    absl::MutexLock lock(&mutex);
+    running.at(b.handler.Cancelled()[0])(RelayAnswer{499, {}, "", true});
+    CPPUNIT_ASSERT(Await([&] { return results.Has("x"); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("499  not-run"), results.Get("x"));
+  }
+
+  // Guards against a planned stop that interrupts a request, and against new
+  // work for a daemon that stops.
+  void PeerThatStopsFinishesItsRelays() {
+    absl::Mutex mutex;
+    TestHandler::Done pending;
+    Results results;
+    TestNode a("a");
+    TestNode b("b", {a.node->address()});
+    b.handler.on_relay = [&](const RelayRequest&,
+                             const TestHandler::Done& done) {
+      absl::MutexLock lock(&mutex);
+      pending = done;
+    };
+    CPPUNIT_ASSERT(Await([&] { return a.Sees("b"); }));
+    a.node->Relay(EntryId("b"), Request("", seconds(10)), results.For("x"));
+    CPPUNIT_ASSERT(Await([&] {
+      absl::MutexLock lock(&mutex);
+      return pending != nullptr;
+    }));
+    std::thread stop([&] { b.node->Stop(seconds(10)); });
+    const bool announced =
+        Await([&] { return a.node->Peers().at(EntryId("b")).digest.stopping; });
+    a.node->Relay(EntryId("b"), Request("", seconds(10)), results.For("new"));
+    const bool refused = Await([&] { return results.Has("new"); });
+    {
+      absl::MutexLock lock(&mutex);
+      pending(RelayAnswer{200, {}, "whole", false});
+    }
+    stop.join();
+    CPPUNIT_ASSERT(announced && refused);
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"), results.Get("new"));
+    CPPUNIT_ASSERT(Await([&] { return results.Has("x"); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("200 whole"), results.Get("x"));
+    b.node->Relay(EntryId("a"), Request("", seconds(10)), results.For("after"));
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"), results.Get("after"));
+  }
+
+  // Guards against two processes that both act as the same entry.
+  void NewerStartOfAnEntryWins() {
+    TestNode a("a");
+    TestNode b1("b", {a.node->address()}, 1);
+    CPPUNIT_ASSERT(Await([&] { return a.Sees("b"); }));
+    TestNode b2("b", {a.node->address()}, 2);
+    CPPUNIT_ASSERT(Await([&] { return b1.node->superseded(); }));
+    CPPUNIT_ASSERT(Await([&] { return b2.Sees("a"); }));
+    // Several reconnection attempts of the older process later.
+    std::this_thread::sleep_for(milliseconds(800));
+    const PeerDigest digest = a.node->Peers().at(EntryId("b")).digest;
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, digest.incarnation);
+    CPPUNIT_ASSERT_EQUAL(b2.node->address(), digest.address);
+    CPPUNIT_ASSERT(!b2.node->superseded());
+    Results results;
+    b2.handler.on_relay = [](const RelayRequest&,
+                             const TestHandler::Done& done) {
+      done(RelayAnswer{200, {}, "b2", false});
+    };
+    a.node->Relay(EntryId("b"), Request("", seconds(5)), results.For("x"));
+    CPPUNIT_ASSERT(Await([&] { return results.Has("x"); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("200 b2"), results.Get("x"));
+  }
+
+  // Guards against peers that stay apart after a daemon was replaced.
+  void LinkIsRestoredAfterARestart() {
+    auto a = std::make_unique<TestNode>("a");
+    TestNode b("b", {a->node->address()});
+    TestNode c("c", {b.node->address()});
+    CPPUNIT_ASSERT(Await([&] { return a->Sees("c") && c.Sees("a"); }));
+    a.reset();
+    a = std::make_unique<TestNode>("a", std::vector{c.node->address()}, 2);
+    CPPUNIT_ASSERT(Await([&] {
+      return a->Sees("b") && a->Sees("c") && b.Sees("a") &&
+             b.node->Peers().at(EntryId("a")).digest.incarnation == 2;
+    }));
+  }
+
+  // Guards against changes that need longer than 4 s, against a frozen daemon
+  // that holds up the others, and against control traffic above 4 KB/s. Runs
+  // with the real gossip interval.
+  void ChangesSpreadWithOneNodeFrozen() {
+    std::vector<std::unique_ptr<TestNode>> nodes;
+    for (size_t i = 0; i < kNodes; ++i) {
+      nodes.push_back(std::make_unique<TestNode>(
+          absl::StrCat("entry-", i),
+          i == 0 ? std::vector<std::string>()
+                 : std::vector{nodes[0]->node->address()},
+          1, kCredential, seconds(1)));
+    }
+    const auto all_see = [&](const TestNode& node, size_t count) {
+      size_t live = 0;
+      for (const auto& [peer, view] : node.node->Peers()) {
+        live += view.suspect ? 0 : 1;
+      }
+      return live == count;
+    };
+    CPPUNIT_ASSERT(Await([&] {
+      return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+        return all_see(*node, kNodes - 1);
+      });
+    }));
+    nodes[5]->handler.SetFrozen(true);
+    const MonoTime start = nodes[0]->clock.Now();
+    nodes[0]->handler.SetRevision(7);
+    const bool spread = Await([&] {
+      return std::all_of(nodes.begin(), nodes.end() - 1, [](const auto& node) {
+        return node->handler.Revision() == 7;
+      });
+    });
+    const auto taken =
+        std::chrono::duration_cast<milliseconds>(nodes[0]->clock.Now() - start);
+    const auto bytes = [&] {
+      uint64_t sum = 0;
+      for (size_t i = 0; i < kNodes - 1; ++i) {
+        sum += nodes[i]->Count("figflow_peer_control_sent_bytes_total") +
+               nodes[i]->Count("figflow_peer_control_received_bytes_total");
+      }
+      return sum;
+    };
+    const uint64_t before = bytes();
+    const MonoTime measured_from = nodes[0]->clock.Now();
+    const bool suspected = Await([&] { return all_see(*nodes[0], 4); });
+    std::this_thread::sleep_for(seconds(2));
+    const double rate =
+        static_cast<double>(bytes() - before) / (kNodes - 1) /
+        std::chrono::duration<double>(nodes[0]->clock.Now() - measured_from)
+            .count();
+    // No live node may have become suspect meanwhile.
+    const bool others_alive =
+        std::all_of(nodes.begin(), nodes.end() - 1,
+                    [&](const auto& node) { return all_see(*node, 4); });
+    nodes[5]->handler.SetFrozen(false);
+    const bool caught_up =
+        Await([&] { return nodes[5]->handler.Revision() == 7; });
+    std::cerr << "spread in " << taken.count() << " ms, control traffic "
+              << static_cast<int>(rate)
+              << " bytes/s sent and received per node\n";
+    CPPUNIT_ASSERT(spread && taken < seconds(4));
+    CPPUNIT_ASSERT(suspected && others_alive && caught_up);
+    CPPUNIT_ASSERT(rate > 0 && rate < 4000);
+  }
+
+  // Guards against leaving marks that wait for the gossip rounds of all pairs.
+  void LeavingMarksAreSentAtOnce() {
+    TestNode a("a");
+    std::vector<std::unique_ptr<TestNode>> others;
+    for (const char* name : {"b", "c", "d", "e", "f"}) {
+      others.push_back(
+          std::make_unique<TestNode>(name, std::vector{a.node->address()}));
+    }
+    CPPUNIT_ASSERT(Await([&] {
+      return std::all_of(others.begin(), others.end(),
+                         [&](const auto& node) { return node->Sees("a"); });
+    }));
+    a.handler.SetLeaving({{InstanceId("i"), 3}});
+    CPPUNIT_ASSERT(Await(
+        [&] {
+          return std::all_of(
+              others.begin(), others.end(),
+              [](const auto& node) { return node->handler.MarksSeen() > 0; });
+        },
+        milliseconds(1000)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerNodeTest);
+
+}  // namespace
+}  // namespace figflow
