--- /dev/null
+++ b/Source/Core/Http/client_loop.cc
@@ -0,0 +1,436 @@
+#include "Http/client_loop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace figflow {
+namespace {
+
+constexpr int kEventsPerWait = 128;
+// Idle easy handles kept for reuse; each holds a 16 KB receive buffer.
+constexpr size_t kFreeTransfers = 64;
+constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
+// Deadlines of transfers that wait for a connection are checked this often.
+constexpr int kWaitingPollMs = 5;
+
+MonoTime Now() {
+  return SystemClock().Now();
+}
+
+}  // namespace
+
+ClientLoop::ClientLoop(const HttpClientOptions& options,
+                       MetricsRegistry& metrics)
+    : options_(options),
+      transfers_(metrics.GetCounter("figflow_http_transfers_total")),
+      failures_(metrics.GetCounter("figflow_http_transfer_failures_total")),
+      stale_connections_(
+          metrics.GetCounter("figflow_http_stale_connections_total")),
+      epoll_fd_(epoll_create1(EPOLL_CLOEXEC)),
+      wake_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = wake_fd_;
+  epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, wake_fd_, &event);
+  thread_ = std::thread([this] { Run(); });
+}
+
+ClientLoop::~ClientLoop() {
+  {
+    absl::MutexLock lock(&mutex_);
+    stop_ = true;
+  }
+  eventfd_write(wake_fd_, 1);
+  thread_.join();
+  close(wake_fd_);
+  close(epoll_fd_);
+}
+
+void ClientLoop::Start(uint64_t id,
+                       TransferRequest request,
+                       TransferCallback done) {
+  Command command;
+  command.id = id;
+  command.request = std::move(request);
+  command.done = std::move(done);
+  Post(std::move(command));
+}
+
+void ClientLoop::Cancel(uint64_t id) {
+  Command command;
+  command.kind = Command::Kind::kCancel;
+  command.id = id;
+  Post(std::move(command));
+}
+
+void ClientLoop::SetConnectionLimit(const std::string& address, int limit) {
+  Command command;
+  command.kind = Command::Kind::kLimit;
+  command.address = address;
+  command.limit = limit;
+  Post(std::move(command));
+}
+
+void ClientLoop::Post(Command command) {
+  bool wake = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    mailbox_.push_back(std::move(command));
+    wake = !awake_;
+    awake_ = true;
+  }
+  if (wake) {
+    eventfd_write(wake_fd_, 1);
+  }
+}
+
+void ClientLoop::Run() {
+  epoll_event events[kEventsPerWait];
+  std::vector<Command> commands;
+  while (true) {
+    int wait_ms = 0;
+    {
+      absl::MutexLock lock(&mutex_);
+      if (stop_) {
+        break;
+      }
+      commands.swap(mailbox_);
+      awake_ = !commands.empty();
+    }
+    RunCommands(commands);
+    RunTimers();
+    wait_ms = commands.empty() ? WaitMilliseconds() : 0;
+    commands.clear();
+    const int count = epoll_wait(epoll_fd_, events, kEventsPerWait, wait_ms);
+    for (int i = 0; i < count; ++i) {
+      const int fd = events[i].data.fd;
+      if (fd == wake_fd_) {
+        eventfd_t ignored = 0;
+        eventfd_read(wake_fd_, &ignored);
+        continue;
+      }
+      // An earlier event of this round may have closed the socket.
+      AddressPool* pool = static_cast<size_t>(fd) < pool_by_fd_.size()
+                              ? pool_by_fd_[fd]
+                              : nullptr;
+      if (pool == nullptr) {
+        continue;
+      }
+      int flags = 0;
+      flags |= (events[i].events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+      flags |= (events[i].events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+      flags |= (events[i].events & (EPOLLERR | EPOLLHUP)) != 0
+                   ? CURL_CSELECT_ERR
+                   : 0;
+      int running = 0;
+      curl_multi_socket_action(pool->multi, fd, flags, &running);
+      Collect(*pool);
+    }
+    RunHousekeeping(Now());
+  }
+
+  std::vector<uint64_t> left;
+  for (const auto& [id, transfer] : transfers_by_id_) {
+    left.push_back(id);
+  }
+  for (const uint64_t id : left) {
+    CancelTransfer(id);
+  }
+  {
+    absl::MutexLock lock(&mutex_);
+    commands.swap(mailbox_);
+  }
+  for (Command& command : commands) {
+    if (command.kind == Command::Kind::kStart) {
+      TransferResult result;
+      result.response = Fail(ErrorCode::kCancelled, "http.connect",
+                             command.request.address, "the client stops");
+      command.done(std::move(result));
+    }
+  }
+  for (auto& [address, pool] : pools_) {
+    curl_multi_cleanup(pool->multi);
+  }
+}
+
+void ClientLoop::RunCommands(std::vector<Command>& commands) {
+  for (Command& command : commands) {
+    switch (command.kind) {
+      case Command::Kind::kStart: {
+        std::unique_ptr<ClientTransfer> transfer;
+        if (free_transfers_.empty()) {
+          transfer = std::make_unique<ClientTransfer>(options_);
+        } else {
+          transfer = std::move(free_transfers_.back());
+          free_transfers_.pop_back();
+        }
+        transfers_.Add();
+        transfer->Assign(command.id, std::move(command.request),
+                         std::move(command.done));
+        ClientTransfer* raw = transfer.get();
+        transfers_by_id_.emplace(command.id, std::move(transfer));
+        Launch(raw, Now());
+        break;
+      }
+      case Command::Kind::kCancel:
+        CancelTransfer(command.id);
+        break;
+      case Command::Kind::kLimit: {
+        limits_[command.address] = command.limit;
+        auto it = pools_.find(command.address);
+        if (it != pools_.end()) {
+          AddressPool& pool = *it->second;
+          pool.limit = command.limit;
+          curl_multi_setopt(pool.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                            static_cast<long>(pool.limit));
+          curl_multi_setopt(pool.multi, CURLMOPT_MAXCONNECTS,
+                            static_cast<long>(pool.limit));
+          LaunchWaiting(pool, Now());
+        }
+        break;
+      }
+    }
+  }
+}
+
+AddressPool& ClientLoop::PoolOf(const std::string& address) {
+  std::unique_ptr<AddressPool>& pool = pools_[address];
+  if (pool == nullptr) {
+    pool = std::make_unique<AddressPool>();
+    auto limit = limits_.find(address);
+    pool->loop = this;
+    pool->limit = limit == limits_.end() ? options_.connections_per_address
+                                         : limit->second;
+    pool->multi = curl_multi_init();
+    curl_multi_setopt(pool->multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+    curl_multi_setopt(pool->multi, CURLMOPT_SOCKETDATA, pool.get());
+    curl_multi_setopt(pool->multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(pool->multi, CURLMOPT_TIMERDATA, pool.get());
+    curl_multi_setopt(pool->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      static_cast<long>(pool->limit));
+    curl_multi_setopt(pool->multi, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(pool->limit));
+  }
+  return *pool;
+}
+
+void ClientLoop::Launch(ClientTransfer* transfer, MonoTime now) {
+  AddressPool& pool = PoolOf(transfer->address());
+  transfer->pool = &pool;
+  pool.last_used = now;
+  if (pool.active >= pool.limit) {
+    transfer->queued = true;
+    pool.waiting.push_back(transfer);
+    ++waiting_;
+    return;
+  }
+  Attach(transfer, now);
+}
+
+void ClientLoop::Attach(ClientTransfer* transfer, MonoTime now) {
+  if (now >= transfer->deadline()) {
+    Complete(transfer, transfer->MakeFailure(ErrorCode::kDeadlineExceeded,
+                                             "the deadline has passed"));
+    return;
+  }
+  if (!transfer->Prepare(now)) {
+    Complete(transfer, transfer->MakeFailure(
+                           ErrorCode::kInvalid,
+                           "the request holds characters that HTTP forbids"));
+    return;
+  }
+  ++transfer->pool->active;
+  // Sets a timer for now, which RunTimers serves before the next wait.
+  curl_multi_add_handle(transfer->pool->multi, transfer->easy());
+}
+
+void ClientLoop::Detach(ClientTransfer* transfer) {
+  if (transfer->queued) {
+    auto& waiting = transfer->pool->waiting;
+    waiting.erase(std::find(waiting.begin(), waiting.end(), transfer));
+    transfer->queued = false;
+    --waiting_;
+    return;
+  }
+  curl_multi_remove_handle(transfer->pool->multi, transfer->easy());
+  --transfer->pool->active;
+}
+
+void ClientLoop::CancelTransfer(uint64_t id) {
+  auto it = transfers_by_id_.find(id);
+  if (it == transfers_by_id_.end()) {
+    return;
+  }
+  ClientTransfer* transfer = it->second.get();
+  AddressPool& pool = *transfer->pool;
+  Detach(transfer);
+  Complete(transfer, transfer->MakeFailure(ErrorCode::kCancelled,
+                                           "the transfer was cancelled"));
+  LaunchWaiting(pool, Now());
+}
+
+void ClientLoop::Complete(ClientTransfer* transfer, TransferResult result) {
+  if (!result.response) {
+    failures_.Add();
+  }
+  const TransferCallback done = transfer->TakeCallback();
+  auto it = transfers_by_id_.find(transfer->id());
+  std::unique_ptr<ClientTransfer> owned = std::move(it->second);
+  transfers_by_id_.erase(it);
+  if (free_transfers_.size() < kFreeTransfers) {
+    free_transfers_.push_back(std::move(owned));
+  }
+  done(std::move(result));
+}
+
+void ClientLoop::Collect(AddressPool& pool) {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(pool.multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode code = message->data.result;
+    ClientTransfer* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    const MonoTime now = Now();
+    Detach(transfer);
+    if (transfer->TakeStaleConnection()) {
+      stale_connections_.Add();
+      Attach(transfer, now);
+      continue;
+    }
+    Complete(transfer, transfer->MakeResult(code, now));
+    pool.last_used = now;
+  }
+  if (!pool.waiting.empty()) {
+    LaunchWaiting(pool, Now());
+  }
+}
+
+void ClientLoop::LaunchWaiting(AddressPool& pool, MonoTime now) {
+  while (!pool.waiting.empty() && pool.active < pool.limit) {
+    ClientTransfer* transfer = pool.waiting.front();
+    pool.waiting.pop_front();
+    transfer->queued = false;
+    --waiting_;
+    Attach(transfer, now);
+  }
+}
+
+void ClientLoop::SetTimer(AddressPool& pool, MonoTime at) {
+  if (pool.timer == at) {
+    return;
+  }
+  if (pool.timer != MonoTime::max()) {
+    timers_.erase({pool.timer, &pool});
+  }
+  pool.timer = at;
+  if (at != MonoTime::max()) {
+    timers_.insert({at, &pool});
+  }
+}
+
+void ClientLoop::RunTimers() {
+  if (timers_.empty()) {
+    return;
+  }
+  const MonoTime now = Now();
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    AddressPool* pool = timers_.begin()->second;
+    SetTimer(*pool, MonoTime::max());
+    int running = 0;
+    curl_multi_socket_action(pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    Collect(*pool);
+  }
+}
+
+int ClientLoop::WaitMilliseconds() {
+  // Rounded up: waking before the timer would only wait again.
+  const MonoTime now = Now();
+  MonoTime wake = next_housekeeping_;
+  if (!timers_.empty()) {
+    wake = std::min(wake, timers_.begin()->first);
+  }
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(wake - now);
+  int milliseconds = static_cast<int>(std::max<int64_t>(0, wait.count()));
+  if (waiting_ > 0) {
+    milliseconds = std::min(milliseconds, kWaitingPollMs);
+  }
+  return milliseconds;
+}
+
+void ClientLoop::RunHousekeeping(MonoTime now) {
+  if (waiting_ > 0) {
+    std::vector<ClientTransfer*> late;
+    for (auto& [address, pool] : pools_) {
+      std::copy_if(pool->waiting.begin(), pool->waiting.end(),
+                   std::back_inserter(late), [now](ClientTransfer* transfer) {
+                     return transfer->deadline() <= now;
+                   });
+    }
+    for (ClientTransfer* transfer : late) {
+      Detach(transfer);
+      Complete(transfer,
+               transfer->MakeFailure(ErrorCode::kDeadlineExceeded,
+                                     "no free connection before the deadline"));
+    }
+  }
+  if (now < next_housekeeping_) {
+    return;
+  }
+  next_housekeeping_ = now + kHousekeepingInterval;
+  // An address without transfers for the idle time gives up its connections.
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    AddressPool& pool = *it->second;
+    if (pool.active > 0 || !pool.waiting.empty() ||
+        now - pool.last_used < options_.idle_timeout) {
+      ++it;
+      continue;
+    }
+    curl_multi_cleanup(pool.multi);
+    SetTimer(pool, MonoTime::max());
+    pools_.erase(it++);
+  }
+}
+
+int ClientLoop::OnSocket(CURL* /*easy*/,
+                         curl_socket_t fd,
+                         int what,
+                         void* pool,
+                         void* known) {
+  auto* address = static_cast<AddressPool*>(pool);
+  ClientLoop* loop = address->loop;
+  if (what == CURL_POLL_REMOVE) {
+    epoll_ctl(loop->epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
+    loop->pool_by_fd_[fd] = nullptr;
+    return 0;
+  }
+  epoll_event event{};
+  event.data.fd = fd;
+  event.events |= (what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
+  event.events |= (what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
+  if (known != nullptr) {
+    epoll_ctl(loop->epoll_fd_, EPOLL_CTL_MOD, fd, &event);
+    return 0;
+  }
+  if (static_cast<size_t>(fd) >= loop->pool_by_fd_.size()) {
+    loop->pool_by_fd_.resize(fd + 1, nullptr);
+  }
+  loop->pool_by_fd_[fd] = address;
+  curl_multi_assign(address->multi, fd, address);
+  epoll_ctl(loop->epoll_fd_, EPOLL_CTL_ADD, fd, &event);
+  return 0;
+}
+
+int ClientLoop::OnTimer(CURLM* /*multi*/, long timeout_ms, void* pool) {
+  auto* address = static_cast<AddressPool*>(pool);
+  address->loop->SetTimer(
+      *address, timeout_ms < 0 ? MonoTime::max()
+                               : Now() + std::chrono::milliseconds(timeout_ms));
+  return 0;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Http/client_loop.h
@@ -0,0 +1,102 @@
+#ifndef HTTP_CLIENT_LOOP_H_
+#define HTTP_CLIENT_LOOP_H_
+
+#include <curl/curl.h>
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Common/metrics.h"
+#include "Http/address_pool.h"
+#include "Http/client_transfer.h"
+#include "Http/http_client.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+// One event thread of HttpClient: an epoll loop that drives libcurl.
+class ClientLoop {
+ public:
+  ClientLoop(const HttpClientOptions& options, MetricsRegistry& metrics);
+  ~ClientLoop();
+  ClientLoop(const ClientLoop&) = delete;
+  ClientLoop& operator=(const ClientLoop&) = delete;
+
+  void Start(uint64_t id, TransferRequest request, TransferCallback done);
+  void Cancel(uint64_t id);
+  void SetConnectionLimit(const std::string& address, int limit);
+
+ private:
+  struct Command {
+    enum class Kind { kStart, kCancel, kLimit } kind = Kind::kStart;
+    uint64_t id = 0;
+    TransferRequest request;
+    TransferCallback done;
+    std::string address;
+    int limit = 0;
+  };
+
+  static int OnSocket(CURL* easy,
+                      curl_socket_t fd,
+                      int what,
+                      void* pool,
+                      void* known);
+  static int OnTimer(CURLM* multi, long timeout_ms, void* pool);
+
+  void Post(Command command);
+  void Run();
+  void RunCommands(std::vector<Command>& commands);
+  void RunTimers();
+  void RunHousekeeping(MonoTime now);
+  int WaitMilliseconds();
+
+  AddressPool& PoolOf(const std::string& address);
+  void SetTimer(AddressPool& pool, MonoTime at);
+  void Launch(ClientTransfer* transfer, MonoTime now);
+  void Attach(ClientTransfer* transfer, MonoTime now);
+  void Detach(ClientTransfer* transfer);
+  // Takes the results that libcurl has ready and starts waiting transfers.
+  void Collect(AddressPool& pool);
+  void LaunchWaiting(AddressPool& pool, MonoTime now);
+  void Complete(ClientTransfer* transfer, TransferResult result);
+  void CancelTransfer(uint64_t id);
+
+  const HttpClientOptions options_;
+  Counter& transfers_;
+  Counter& failures_;
+  Counter& stale_connections_;
+  int epoll_fd_ = -1;
+  int wake_fd_ = -1;
+
+  absl::Mutex mutex_;
+  std::vector<Command> mailbox_ ABSL_GUARDED_BY(mutex_);
+  // The thread is or will be awake and will read the mailbox.
+  bool awake_ ABSL_GUARDED_BY(mutex_) = true;
+  bool stop_ ABSL_GUARDED_BY(mutex_) = false;
+
+  // Used by the thread of the loop only.
+  absl::flat_hash_map<std::string, std::unique_ptr<AddressPool>> pools_;
+  absl::flat_hash_map<std::string, int> limits_;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<ClientTransfer>>
+      transfers_by_id_;
+  std::vector<std::unique_ptr<ClientTransfer>> free_transfers_;
+  std::set<std::pair<MonoTime, AddressPool*>> timers_;
+  // Pool of each registered socket, indexed by descriptor.
+  std::vector<AddressPool*> pool_by_fd_;
+  size_t waiting_ = 0;
+  MonoTime next_housekeeping_;
+
+  std::thread thread_;
+};
+
+}  // namespace figflow
+
+#endif  // HTTP_CLIENT_LOOP_H_
--- /dev/null
+++ b/Source/Core/Http/client_transfer.h
@@ -0,0 +1,88 @@
+#ifndef HTTP_CLIENT_TRANSFER_H_
+#define HTTP_CLIENT_TRANSFER_H_
+
+#include <curl/curl.h>
+
+#include <cstdint>
+#include <string>
+
+#include "Common/clock.h"
+#include "Http/address_pool.h"
+#include "Http/http_client.h"
+
+namespace figflow {
+
+// One transfer with its easy handle. Transfers are reused: preparing an easy
+// handle anew costs more than the options that differ between requests. Used
+// on the thread of its loop only.
+class ClientTransfer {
+ public:
+  explicit ClientTransfer(const HttpClientOptions& options);
+  ~ClientTransfer();
+  ClientTransfer(const ClientTransfer&) = delete;
+  ClientTransfer& operator=(const ClientTransfer&) = delete;
+
+  void Assign(uint64_t id, TransferRequest request, TransferCallback done);
+
+  // Sets the options for an attempt at `now`. Returns false if the request
+  // holds characters that cannot be sent.
+  bool Prepare(MonoTime now);
+
+  // True if the attempt ended before sending because the reused connection was
+  // closed by the target or had stray bytes on it; prepares a fresh one.
+  bool TakeStaleConnection();
+
+  // The result of an attempt that libcurl ended with `code`.
+  TransferResult MakeResult(CURLcode code, MonoTime now);
+  TransferResult MakeFailure(ErrorCode code, const char* message);
+
+  // Moves the callback out and releases the request.
+  TransferCallback TakeCallback();
+
+  CURL* easy() const { return easy_; }
+  uint64_t id() const { return id_; }
+  const std::string& address() const { return request_.address; }
+  MonoTime deadline() const { return request_.deadline; }
+
+  AddressPool* pool = nullptr;
+  // Waits for a connection of its address.
+  bool queued = false;
+
+ private:
+  static size_t OnHeader(char* data, size_t size, size_t count, void* self);
+  static size_t OnBody(char* data, size_t size, size_t count, void* self);
+  static int OnRequest(void* self,
+                       char* remote_ip,
+                       char* local_ip,
+                       int remote_port,
+                       int local_port);
+
+  bool ReadHeaderLine(absl::string_view line);
+  bool CheckFraming();
+  bool BodyAllowed() const;
+
+  CURL* const easy_;
+  const HttpClientOptions& options_;
+  uint64_t id_ = 0;
+  TransferRequest request_;
+  TransferCallback done_;
+  curl_slist* headers_ = nullptr;
+
+  bool sent_ = false;
+  MonoTime sent_at_;
+  bool stale_ = false;
+  bool resend_refused_ = false;
+  bool use_fresh_ = false;
+  bool head_ended_ = false;
+  bool too_large_ = false;
+  // Body length by Content-Length; -1 for none.
+  int64_t length_ = -1;
+  bool chunked_ = false;
+  // What is wrong with the framing; null if nothing.
+  const char* framing_fault_ = nullptr;
+  HttpResponse response_;
+};
+
+}  // namespace figflow
+
+#endif  // HTTP_CLIENT_TRANSFER_H_
--- /dev/null
+++ b/Source/Core/Http/http_server.cc
@@ -0,0 +1,255 @@
+#include "Http/http_server.h"
+
+#include <microhttpd.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "Http/close_watcher.h"
+#include "Http/listen_address.h"
+#include "Http/server_exchange.h"
+#include "absl/container/flat_hash_set.h"
+
+namespace figflow {
+namespace {
+
+// libmicrohttpd keeps header fields and its read buffer in one block a
+// connection; the rest beyond the header limit is the read buffer.
+constexpr size_t kReadBufferBytes = size_t{32} << 10;
+constexpr std::chrono::milliseconds kIdlePoll{2};
+// Time for the event threads to pick up the last responses in Stop.
+constexpr std::chrono::milliseconds kStopBound{2000};
+
+// Per connection, in libmicrohttpd's socket context. The shared pointer comes
+// first: ServerExchange reads the context as a pointer to it.
+struct ConnectionContext {
+  std::shared_ptr<WatchedConnection> watched;
+  uint64_t watch_id = 0;
+};
+
+}  // namespace
+
+struct HttpServer::OpenExchanges {
+  absl::Mutex mutex;
+  absl::flat_hash_set<ServerExchange*> dispatched ABSL_GUARDED_BY(mutex);
+};
+
+// Functions called by libmicrohttpd; `cls` is the server.
+struct HttpServerCallbacks {
+  static void* OnTarget(void* /*cls*/,
+                        const char* uri,
+                        MHD_Connection* connection) {
+    // The raw target: libmicrohttpd passes the handler a decoded path without
+    // the query.
+    auto exchange = std::make_shared<ServerExchange>(connection, uri);
+    ServerExchange* raw = exchange.get();
+    raw->KeepAlive(std::move(exchange));
+    return raw;
+  }
+
+  static MHD_Result OnRequest(void* cls,
+                              MHD_Connection* /*connection*/,
+                              const char* /*url*/,
+                              const char* method,
+                              const char* /*version*/,
+                              const char* data,
+                              size_t* size,
+                              void** context) {
+    auto* server = static_cast<HttpServer*>(cls);
+    auto* exchange = static_cast<ServerExchange*>(*context);
+    const HttpServerOptions& options = server->options_;
+    if (!exchange->head_read()) {
+      FigflowAnswer refusal;
+      if (exchange->ReadHead(method, options.max_header_bytes,
+                             options.max_body_bytes, &refusal)) {
+        return MHD_YES;
+      }
+      server->refused_.Add();
+      return exchange->Send(MakeFigflowResponse(refusal), true);
+    }
+    if (*size > 0) {
+      const bool keep = exchange->ReadBody(data, *size, options.max_body_bytes);
+      *size = 0;
+      return keep ? MHD_YES : MHD_NO;
+    }
+    if (exchange->dispatched()) {
+      return exchange->SendStored(server->stopping_);
+    }
+    if (exchange->body_too_large()) {
+      server->refused_.Add();
+    }
+    server->requests_.Add();
+    server->in_flight_.fetch_add(1);
+    {
+      absl::MutexLock lock(&server->open_->mutex);
+      server->open_->dispatched.insert(exchange);
+    }
+    return exchange->Dispatch(server->handler_, server->stopping_);
+  }
+
+  static void OnCompleted(void* cls,
+                          MHD_Connection* /*connection*/,
+                          void** context,
+                          MHD_RequestTerminationCode code) {
+    auto* server = static_cast<HttpServer*>(cls);
+    auto* exchange = static_cast<ServerExchange*>(*context);
+    if (exchange == nullptr) {
+      return;
+    }
+    *context = nullptr;
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+      server->closed_early_.Add();
+    }
+    const bool dispatched = exchange->dispatched();
+    if (dispatched) {
+      absl::MutexLock lock(&server->open_->mutex);
+      server->open_->dispatched.erase(exchange);
+    }
+    exchange->Release();
+    if (dispatched) {
+      server->in_flight_.fetch_sub(1);
+    }
+  }
+
+  static void OnConnection(void* cls,
+                           MHD_Connection* connection,
+                           void** socket_context,
+                           MHD_ConnectionNotificationCode code) {
+    auto* server = static_cast<HttpServer*>(cls);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      const MHD_ConnectionInfo* info = MHD_get_connection_info(
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      const int no_delay = 1;
+      setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &no_delay,
+                 sizeof(no_delay));
+      auto* context = new ConnectionContext;
+      context->watched = std::make_shared<WatchedConnection>();
+      context->watch_id =
+          server->watcher_->Add(info->connect_fd, context->watched);
+      *socket_context = context;
+      return;
+    }
+    auto* context = static_cast<ConnectionContext*>(*socket_context);
+    if (context != nullptr) {
+      server->watcher_->Remove(context->watch_id);
+      delete context;
+      *socket_context = nullptr;
+    }
+  }
+};
+
+HttpServer::HttpServer(const HttpServerOptions& options,
+                       HttpHandler handler,
+                       MetricsRegistry& metrics)
+    : options_(options),
+      handler_(std::move(handler)),
+      requests_(metrics.GetCounter("figflow_http_requests_total")),
+      refused_(metrics.GetCounter("figflow_http_refused_total")),
+      closed_early_(metrics.GetCounter("figflow_http_closed_early_total")),
+      watcher_(std::make_unique<CloseWatcher>()),
+      open_(std::make_unique<OpenExchanges>()) {}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Start(
+    const HttpServerOptions& options,
+    HttpHandler handler,
+    MetricsRegistry& metrics) {
+  std::unique_ptr<HttpServer> server(
+      new HttpServer(options, std::move(handler), metrics));
+  if (Result<void> listening = server->Listen(); !listening) {
+    return tl::unexpected<Error>(std::move(listening.error()));
+  }
+  return server;
+}
+
+Result<void> HttpServer::Listen() {
+  Result<sockaddr_storage> address = ParseListenAddress(options_.address);
+  if (!address) {
+    return tl::unexpected<Error>(std::move(address.error()));
+  }
+  unsigned flags =
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO;
+  if (address->ss_family == AF_INET6) {
+    flags |= MHD_USE_IPv6;
+  }
+  std::vector<MHD_OptionItem> items;
+  // A pool of one thread is the plain single-thread mode.
+  if (options_.threads > 1) {
+    items.push_back({MHD_OPTION_THREAD_POOL_SIZE,
+                     static_cast<intptr_t>(options_.threads), nullptr});
+  }
+  items.push_back({MHD_OPTION_END, 0, nullptr});
+  daemon_ = MHD_start_daemon(
+      flags, 0, nullptr, nullptr, &HttpServerCallbacks::OnRequest, this,
+      MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&*address),
+      MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<unsigned>(options_.idle_timeout.count()),
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      2 * options_.max_header_bytes + kReadBufferBytes,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_URI_LOG_CALLBACK,
+      &HttpServerCallbacks::OnTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
+      &HttpServerCallbacks::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+      &HttpServerCallbacks::OnConnection, this, MHD_OPTION_ARRAY, items.data(),
+      MHD_OPTION_END);
+  if (daemon_ == nullptr) {
+    return Fail(ErrorCode::kUnavailable, "http.listen", options_.address,
+                "cannot listen on the address");
+  }
+  port_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return {};
+}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+void HttpServer::StopAccepting() {
+  if (daemon_ == nullptr || stopping_.exchange(true)) {
+    return;
+  }
+  listen_fd_ = MHD_quiesce_daemon(daemon_);
+  // New connections are refused at once instead of waiting in a queue that
+  // nobody reads. The descriptor stays open until the threads have ended.
+  shutdown(listen_fd_, SHUT_RDWR);
+}
+
+bool HttpServer::WaitIdle(std::chrono::milliseconds bound) const {
+  for (std::chrono::milliseconds waited{0}; waited < bound;
+       waited += kIdlePoll) {
+    if (in_flight_ == 0) {
+      return true;
+    }
+    std::this_thread::sleep_for(kIdlePoll);
+  }
+  return in_flight_ == 0;
+}
+
+void HttpServer::Stop() {
+  if (daemon_ == nullptr) {
+    return;
+  }
+  StopAccepting();
+  std::vector<std::shared_ptr<ServerExchange>> left;
+  {
+    absl::MutexLock lock(&open_->mutex);
+    for (ServerExchange* exchange : open_->dispatched) {
+      left.push_back(exchange->Share());
+    }
+  }
+  for (const auto& exchange : left) {
+    exchange->Respond(MakeFigflowResponse(
+        {503, Disposition::kUnknown, "stopping", "http.stop", "",
+         "the server stopped before the request ended"}));
+  }
+  // libmicrohttpd must not be stopped with suspended connections.
+  WaitIdle(kStopBound);
+  MHD_stop_daemon(daemon_);
+  daemon_ = nullptr;
+  close(listen_fd_);
+}
+
+}  // namespace figflow
