Add the request service

Cause: callers need one place that admits a request, makes attempts and states truthfully whether it may have run. Ruled out: holding a permit while a key is claimed, which takes a slot for the time of a store write.

--- /dev/null
+++ b/Source/Core/Requests/attempt_decision.cc
@@ -0,0 +1,107 @@
+#include "Requests/attempt_decision.h"
+
+#include "Http/http_headers.h"
+
+namespace figflow {
+namespace {
+
+constexpr int kClientClosed = 499;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Another attempt would fail in the same way.
+bool FailsAgain(ErrorCode error) {
+  return error == ErrorCode::kInvalid ||
+         error == ErrorCode::kResourceExhausted ||
+         error == ErrorCode::kCancelled;
+}
+
+}  // namespace
+
+NextStep DecideNextStep(const AttemptFacts& facts) {
+  if (facts.complete) {
+    return NextStep::kDeliver;
+  }
+  const bool sent = facts.sent_now || facts.sent_before;
+  const NextStep give_up =
+      sent ? NextStep::kAnswerUnknown : NextStep::kAnswerNotRun;
+  if (facts.cancelled || facts.deadline_passed || FailsAgain(facts.error) ||
+      facts.attempts >= facts.max_attempts) {
+    return give_up;
+  }
+  if (sent && !facts.repeatable) {
+    return NextStep::kAnswerUnknown;
+  }
+  return facts.sent_now ? NextStep::kRetryWithToken : NextStep::kRetry;
+}
+
+Disposition DispositionOf(bool sent) {
+  return sent ? Disposition::kUnknown : Disposition::kNotRun;
+}
+
+FailureName NameFailure(ErrorCode error, bool sent) {
+  switch (error) {
+    case ErrorCode::kDeadlineExceeded:
+      return {kGatewayTimeout, "deadline-passed"};
+    case ErrorCode::kCancelled:
+      return {kClientClosed, "cancelled"};
+    case ErrorCode::kResourceExhausted:
+      return {kBadGateway, "answer-too-large"};
+    case ErrorCode::kInvalid:
+      return {400, "malformed-request"};
+    default:
+      return sent ? FailureName{kBadGateway, "target-failed"}
+                  : FailureName{kServiceUnavailable, "target-unreachable"};
+  }
+}
+
+FailureName NameRefusal(Refusal refusal, bool sent) {
+  // After an attempt that may have run, a refused retry leaves the outcome of
+  // that attempt open.
+  const int unavailable = sent ? kBadGateway : kServiceUnavailable;
+  switch (refusal) {
+    case Refusal::kUnknownPool:
+      return {unavailable, "unknown-pool"};
+    case Refusal::kNoTarget:
+      return {unavailable, "no-target"};
+    case Refusal::kQueueFull:
+      return {unavailable, "queue-full"};
+    case Refusal::kWouldMissDeadline:
+      return {unavailable, "would-miss-deadline"};
+    case Refusal::kDeadlinePassed:
+      return {kGatewayTimeout, "deadline-passed"};
+    case Refusal::kCancelled:
+      return {kClientClosed, "cancelled"};
+    case Refusal::kStopping:
+      return {unavailable, "stopping"};
+  }
+  return {unavailable, "refused"};
+}
+
+bool MayRelayAfter(Refusal refusal) {
+  return refusal == Refusal::kUnknownPool || refusal == Refusal::kNoTarget ||
+         refusal == Refusal::kQueueFull ||
+         refusal == Refusal::kWouldMissDeadline;
+}
+
+AttemptEnd EndOfFailure(ErrorCode error, bool sent) {
+  if (error == ErrorCode::kCancelled) {
+    return AttemptEnd::kCancelled;
+  }
+  if (error == ErrorCode::kDeadlineExceeded) {
+    return AttemptEnd::kTimedOut;
+  }
+  return sent ? AttemptEnd::kFailed : AttemptEnd::kRefused;
+}
+
+bool ShowsLeaving(const HttpResponse& response) {
+  const std::string* leaving = FindHeader(response.headers, "figflow-leaving");
+  if (leaving != nullptr && *leaving == "1") {
+    return true;
+  }
+  return response.status == kServiceUnavailable &&
+         HeaderHasToken(response.headers, "connection", "close");
+}
+
+}  // namespace figflow
