Add checked daemon settings

Cause: a daemon must refuse a wrong settings file whole, with one line for each fault, before it opens a socket. Ruled out: stopping at the first fault, which costs an operator one restart per fault; host names in addresses, since daemons talk by IP numbers.

--- /dev/null
+++ b/Source/Core/Settings/settings.h
@@ -0,0 +1,77 @@
+#ifndef SETTINGS_SETTINGS_H_
+#define SETTINGS_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Common/error.h"
+#include "Common/socket_address.h"
+#include "absl/strings/string_view.h"
+
+namespace figflow {
+
+// All settings of one daemon. Names, units, ranges and defaults are declared
+// once in settings_table.cc.
+struct Settings {
+  std::string entry;
+  std::string data_centre;
+
+  SocketAddress caller_listen;
+  SocketAddress admin_listen;
+  SocketAddress peer_listen;
+  SocketAddress platform_address;
+  std::vector<SocketAddress> peer_seeds;
+
+  std::string shared_credential;
+  std::string operator_credential;
+
+  std::chrono::milliseconds default_deadline{0};
+  std::chrono::milliseconds max_deadline{0};
+  std::chrono::milliseconds drain_timeout{0};
+  std::chrono::milliseconds claim_retention{0};
+  std::chrono::milliseconds ticket_lifetime{0};
+  std::chrono::milliseconds platform_timeout{0};
+  std::chrono::milliseconds watch_wait{0};
+  std::chrono::milliseconds control_interval{0};
+  std::chrono::milliseconds instance_drain_timeout{0};
+  std::chrono::milliseconds reboot_timeout{0};
+
+  int64_t max_body_bytes = 0;
+  int64_t max_answer_bytes = 0;
+  int64_t max_queue = 0;
+  int64_t max_open_requests = 0;
+  int64_t caller_threads = 0;
+  int64_t target_threads = 0;
+
+  double weight_buffer = 0;
+  double weight_moves = 0;
+  double weight_short_wait = 0;
+};
+
+// Longest time a request of a lost daemon may still run at a target: the
+// longest deadline plus a grace for clocks and the network.
+std::chrono::milliseconds RequestBound(const Settings& settings);
+
+// One fault in a settings file.
+struct SettingsFault {
+  // Path of the setting, such as "platform.timeout_ms"; "$" for the whole file.
+  std::string path;
+  std::string message;
+};
+
+// Parses and checks the text of a settings file. Reports all faults, not just
+// the first.
+tl::expected<Settings, std::vector<SettingsFault>> ParseSettings(
+    absl::string_view json_text);
+
+// Reads the file at `path`. Errors: kNotFound, kInvalid.
+Result<std::string> ReadSettingsFile(const std::string& path);
+
+// The settings reference as a Markdown table, from the settings table.
+std::string SettingsReference();
+
+}  // namespace figflow
+
+#endif  // SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/Source/Core/Settings/settings_table.cc
@@ -0,0 +1,81 @@
+#include "Settings/settings_table.h"
+
+namespace figflow {
+namespace {
+
+constexpr double kDayMs = 24.0 * 3600 * 1000;
+
+std::vector<SettingInfo> MakeTable() {
+  return {
+      {"entry", &Settings::entry, 0, 0, 0, true,
+       "Id of this entry instance, unique in the fleet."},
+      {"data_centre", &Settings::data_centre, 0, 0, 0, true,
+       "Data centre of this instance, as in the sheet."},
+      {"listen.callers", &Settings::caller_listen, 0, 0, 0, true,
+       "Address for callers."},
+      {"listen.admin", &Settings::admin_listen, 0, 0, 0, true,
+       "Address of the administration API."},
+      {"listen.peers", &Settings::peer_listen, 0, 0, 0, true,
+       "Address for other daemons."},
+      {"peers.seeds", &Settings::peer_seeds, 0, 0, 0, true,
+       "Peer addresses to contact first; others are learnt. May be empty."},
+      {"peers.credential", &Settings::shared_credential, 0, 0, 0, true,
+       "Secret shared by all daemons, at least 16 characters."},
+      {"admin.credential", &Settings::operator_credential, 0, 0, 0, true,
+       "Bearer credential of operators, at least 16 characters."},
+      {"platform.address", &Settings::platform_address, 0, 0, 0, true,
+       "Address of the platform's service."},
+      {"platform.timeout_ms", &Settings::platform_timeout, 1000, 10, 60000,
+       false, "Longest wait for one call of the platform."},
+      {"platform.watch_ms", &Settings::watch_wait, 10000, 100, 600000, false,
+       "Longest time one watch stays open."},
+      {"requests.default_deadline_ms", &Settings::default_deadline, 10000, 1,
+       3600000, false, "Deadline of a request that names none."},
+      {"requests.max_deadline_ms", &Settings::max_deadline, 60000, 1, 3600000,
+       false, "Longest deadline that a request may name."},
+      {"requests.max_body_bytes", &Settings::max_body_bytes, 900000, 0, 900000,
+       false,
+       "Largest request body. Bounded by the inner protocol's message size."},
+      {"requests.max_answer_bytes", &Settings::max_answer_bytes, 900000, 1024,
+       900000, false,
+       "Largest response body. Bounded by the inner protocol's message size."},
+      {"requests.max_queue", &Settings::max_queue, 10000, 1, 1000000, false,
+       "Queued requests per pool and size class."},
+      {"requests.max_open", &Settings::max_open_requests, 20000, 1, 1000000,
+       false, "Caller connections that may be open at once."},
+      {"requests.claim_retention_ms", &Settings::claim_retention, kDayMs, 1000,
+       30 * kDayMs, false,
+       "How long a caller's idempotency key is remembered."},
+      {"requests.ticket_lifetime_ms", &Settings::ticket_lifetime, 3600000, 1000,
+       kDayMs, false, "How long a ticket can be redeemed."},
+      {"drain_timeout_ms", &Settings::drain_timeout, 60000, 0, 3600000, false,
+       "Longest time that requests in flight may take after SIGTERM."},
+      {"control.interval_ms", &Settings::control_interval, 250, 10, 10000,
+       false, "Time between two rounds of the control loop."},
+      {"maintenance.drain_timeout_ms", &Settings::instance_drain_timeout,
+       120000, 0, 3600000, false,
+       "Longest drain of an instance before maintenance."},
+      {"maintenance.reboot_timeout_ms", &Settings::reboot_timeout, 600000, 0,
+       7200000, false, "Longest reboot of an instance."},
+      {"threads.callers", &Settings::caller_threads, 2, 1, 64, false,
+       "Threads that serve callers."},
+      {"threads.targets", &Settings::target_threads, 2, 1, 64, false,
+       "Threads that talk to targets."},
+      {"weights.buffer", &Settings::weight_buffer, 1, 0, 1000, false,
+       "Weight of capacity held idle in placement and move decisions."},
+      {"weights.moves", &Settings::weight_moves, 1, 0, 1000, false,
+       "Weight of one instance move."},
+      {"weights.short_wait", &Settings::weight_short_wait, 1, 0, 1000, false,
+       "Weight of the wait of short work behind long work."},
+  };
+}
+
+}  // namespace
+
+const std::vector<SettingInfo>& SettingsTable() {
+  static const std::vector<SettingInfo>* const table =
+      new std::vector<SettingInfo>(MakeTable());
+  return *table;
+}
+
+}  // namespace figflow
