--- a/Source/Core/Settings/settings.cc
+++ b/Source/Core/Settings/settings.cc
@@ -203,10 +203,7 @@
 }
 
 const char* UnitName(const SettingMember& member) {
-  static constexpr const char* kNames[] = {
-      "text",         "ip:port",      "list of ip:port",
-      "milliseconds", "whole number", "number"};
-  return kNames[member.index()];
+  return kUnitNames[member.index()];
 }
 
 bool HasRange(const SettingMember& member) {
