--- a/Source/Core/Admin/admin_backend.h
+++ b/Source/Core/Admin/admin_backend.h
@@ -32,7 +32,7 @@
   virtual Result<SheetInForce> GetSheet() = 0;
   // A sheet with faults is a successful check; errors are for other failures.
   virtual Result<SheetCheck> CheckSheet(absl::string_view csv) = 0;
-  virtual Result<SheetDiff> DiffSheet(absl::string_view csv) = 0;
+  virtual Result<SheetDiffView> DiffSheet(absl::string_view csv) = 0;
   // Returns when the revision is durable. A repeated call with the same
   // `apply_id` reports the revision of the first; an empty id is replaced by
   // a new one.
--- a/Source/Core/Admin/admin_json.cc
+++ b/Source/Core/Admin/admin_json.cc
@@ -25,12 +25,12 @@
   return Fail(ErrorCode::kInvalid, kParseStep, "", std::move(message));
 }
 
-Json ToJson(const SheetFault& fault) {
+Json ToJson(const SheetFaultView& fault) {
   return {
       {"row", fault.row}, {"column", fault.column}, {"message", fault.message}};
 }
 
-Json ToJson(const SheetChange& change) {
+Json ToJson(const SheetChangeView& change) {
   return {{"kind", change.kind},
           {"project", change.project.value()},
           {"pool", change.pool.value()},
@@ -185,7 +185,7 @@
           {"faults", ListToJson(check.faults)}};
 }
 
-Json ToJson(const SheetDiff& diff) {
+Json ToJson(const SheetDiffView& diff) {
   return {{"base_revision", diff.base_revision},
           {"revision", diff.revision},
           {"changes", ListToJson(diff.changes)}};
--- a/Source/Core/Admin/admin_json.h
+++ b/Source/Core/Admin/admin_json.h
@@ -14,7 +14,7 @@
 
 nlohmann::json ToJson(const SheetInForce& sheet);
 nlohmann::json ToJson(const SheetCheck& check);
-nlohmann::json ToJson(const SheetDiff& diff);
+nlohmann::json ToJson(const SheetDiffView& diff);
 nlohmann::json ToJson(const SheetApplied& applied);
 nlohmann::json ToJson(const StatusReport& status);
 nlohmann::json ToJson(const ProjectRow& row);
--- a/Source/Core/Admin/admin_router.h
+++ b/Source/Core/Admin/admin_router.h
@@ -11,7 +11,7 @@
 
 // Largest sheet accepted; a sheet of 194 pools in 15 data centres has about
 // 300 KB.
-inline constexpr size_t kMaxSheetBytes = 4'000'000;
+inline constexpr size_t kMaxUploadBytes = 4'000'000;
 inline constexpr size_t kMaxAdminJsonBytes = 100'000;
 
 struct AdminRequest {
--- a/Source/Core/Admin/admin_types.h
+++ b/Source/Core/Admin/admin_types.h
@@ -27,7 +27,7 @@
   std::string csv;
 };
 
-struct SheetFault {
+struct SheetFaultView {
   // Line of the file, counted from 1; 0 for the file as a whole.
   int row = 0;
   // Column name; empty for the whole row.
@@ -40,10 +40,10 @@
   uint64_t base_revision = 0;
   int rows = 0;
   // Empty when the sheet may be applied.
-  std::vector<SheetFault> faults;
+  std::vector<SheetFaultView> faults;
 };
 
-struct SheetChange {
+struct SheetChangeView {
   // "added", "removed" or "changed".
   std::string kind;
   ProjectId project;
@@ -55,11 +55,11 @@
   std::string after;
 };
 
-struct SheetDiff {
+struct SheetDiffView {
   uint64_t base_revision = 0;
   // Revision in force that the sheet was compared with.
   uint64_t revision = 0;
-  std::vector<SheetChange> changes;
+  std::vector<SheetChangeView> changes;
 };
 
 struct SheetApplied {
--- a/Source/UnitTests/Admin/admin_router_test.cc
+++ b/Source/UnitTests/Admin/admin_router_test.cc
@@ -63,7 +63,7 @@
     {"GET", "/v1/pools?pool=", "", 400, "", "not a valid id"},
     {"GET", "/v1/status", "x", 413, "", "takes no body"},
     {"POST", "/v1/sheet/apply", "", 400, "", "empty"},
-    {"POST", "/v1/sheet/apply", std::string(kMaxSheetBytes + 1, 'a'), 413, "",
+    {"POST", "/v1/sheet/apply", std::string(kMaxUploadBytes + 1, 'a'), 413, "",
      "at most 4000000"},
     {"POST", "/v1/jobs", std::string(kMaxAdminJsonBytes + 1, ' '), 413, "", ""},
     {"POST", "/v1/jobs", "{", 400, "", "not valid JSON"},
--- a/Source/UnitTests/Admin/fake_admin_backend.h
+++ b/Source/UnitTests/Admin/fake_admin_backend.h
@@ -28,12 +28,12 @@
   Result<SheetCheck> CheckSheet(absl::string_view csv) override {
     SheetCheck check{7, 1, {}};
     if (csv == "bad") {
-      check.faults.push_back(SheetFault{2, "pool", "tab\there"});
+      check.faults.push_back(SheetFaultView{2, "pool", "tab\there"});
     }
     return Answer(absl::StrCat("check ", csv), check);
   }
-  Result<SheetDiff> DiffSheet(absl::string_view csv) override {
-    return Answer(absl::StrCat("diff ", csv), SheetDiff{7, 7, {}});
+  Result<SheetDiffView> DiffSheet(absl::string_view csv) override {
+    return Answer(absl::StrCat("diff ", csv), SheetDiffView{7, 7, {}});
   }
   Result<SheetApplied> ApplySheet(absl::string_view csv,
                                   const std::string& id) override {
