--- /dev/null
+++ b/Source/Core/Pools/data_centre_store.cc
@@ -0,0 +1,178 @@
+#include "Pools/data_centre_store.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+DataCentreDocument EmptyDocument(const DataCentreId& data_centre) {
+  DataCentreDocument document;
+  document.data_centre = data_centre;
+  return document;
+}
+
+bool SameText(absl::string_view stored, absl::string_view written) {
+  return stored == written;
+}
+
+}  // namespace
+
+DataCentreStore::DataCentreStore(KeyValueStore& store,
+                                 DataCentreId data_centre,
+                                 std::string writer,
+                                 std::chrono::milliseconds timeout)
+    : store_(store),
+      confirm_prefix_(absl::StrCat("confirm/", data_centre.value(), "/")),
+      timeout_(timeout),
+      client_(store,
+              absl::StrCat("dc/", data_centre.value()),
+              std::move(writer),
+              EmptyDocument(data_centre),
+              {&ParseDataCentreDocument, &FormatDataCentreDocument},
+              timeout) {}
+
+std::optional<DataCentreDocument> DataCentreStore::Current() const {
+  absl::MutexLock lock(&mutex_);
+  return known_;
+}
+
+bool DataCentreStore::StoreIsBehind() const {
+  absl::MutexLock lock(&mutex_);
+  return behind_;
+}
+
+DataCentreStore::Versioned DataCentreStore::Adopt(Versioned read) {
+  absl::MutexLock lock(&mutex_);
+  behind_ = known_ && read.document.change < known_->change;
+  if (behind_) {
+    return Versioned{*known_, read.revision};
+  }
+  known_ = read.document;
+  return read;
+}
+
+Result<DataCentreStore::Versioned> DataCentreStore::Read() {
+  Result<Versioned> read = client_.Read();
+  if (!read) {
+    return read;
+  }
+  return Adopt(std::move(*read));
+}
+
+Result<void> DataCentreStore::Refresh() {
+  const Result<Versioned> read = Read();
+  if (!read) {
+    return tl::unexpected<Error>(read.error());
+  }
+  return {};
+}
+
+Result<bool> DataCentreStore::Watch(std::chrono::milliseconds wait) {
+  uint64_t after = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    after = watched_;
+  }
+  const Result<WatchResult> result = store_.Watch(client_.key(), after, wait);
+  if (!result) {
+    return tl::unexpected<Error>(result.error());
+  }
+  bool changed = false;
+  for (const KeyValue& change : result->changes) {
+    // The prefix also matches keys of data centres with a longer name.
+    if (change.key != client_.key() || change.versioned.value.empty()) {
+      continue;
+    }
+    Result<DataCentreDocument> document =
+        ParseDataCentreDocument(change.versioned.value);
+    if (!document) {
+      return tl::unexpected<Error>(document.error());
+    }
+    absl::MutexLock lock(&mutex_);
+    // Only a read tells a restored store from an answer that was overtaken.
+    if (!known_ || document->change > known_->change) {
+      known_ = std::move(*document);
+      changed = true;
+    }
+  }
+  absl::MutexLock lock(&mutex_);
+  watched_ = result->revision;
+  return changed;
+}
+
+Result<DataCentreDocument> DataCentreStore::Update(const Change& change) {
+  Result<Versioned> written = client_.Update(
+      [this] { return Read(); },
+      [this, &change](DataCentreDocument& next,
+                      const std::string& write_id) -> Result<bool> {
+        const Result<bool> changed = change(next, write_id);
+        if (!changed) {
+          return changed;
+        }
+        ++next.change;
+        return *changed || StoreIsBehind();
+      });
+  if (!written) {
+    return tl::unexpected<Error>(written.error());
+  }
+  return Adopt(std::move(*written)).document;
+}
+
+Result<void> DataCentreStore::WriteOnce(const Versioned& base,
+                                        DataCentreDocument next) {
+  next.write_id = client_.NewWriteId();
+  ++next.change;
+  Result<Versioned> written = client_.Write(base.revision, std::move(next));
+  if (!written) {
+    return tl::unexpected<Error>(written.error());
+  }
+  Adopt(std::move(*written));
+  return {};
+}
+
+Result<Confirmations> DataCentreStore::ReadConfirmations() {
+  const Result<std::vector<KeyValue>> listed =
+      store_.List(confirm_prefix_, timeout_);
+  if (!listed) {
+    return tl::unexpected<Error>(listed.error());
+  }
+  Confirmations confirmations;
+  for (const KeyValue& entry : *listed) {
+    Result<Confirmation> confirmation =
+        ParseConfirmation(entry.versioned.value);
+    if (confirmation &&
+        entry.key == confirm_prefix_ + confirmation->entry.value()) {
+      confirmations[confirmation->entry] = std::move(*confirmation);
+    }
+  }
+  return confirmations;
+}
+
+Result<void> DataCentreStore::WriteConfirmation(
+    const Confirmation& confirmation) {
+  const std::string key = confirm_prefix_ + confirmation.entry.value();
+  const Result<std::optional<VersionedValue>> stored =
+      store_.Get(key, timeout_);
+  if (!stored) {
+    return tl::unexpected<Error>(stored.error());
+  }
+  if (*stored) {
+    const Result<Confirmation> old = ParseConfirmation((*stored)->value);
+    if (old && old->incarnation > confirmation.incarnation) {
+      return Fail(ErrorCode::kConflict, "pools.confirm",
+                  confirmation.entry.value(),
+                  "a newer incarnation of this entry instance confirms");
+    }
+  }
+  const Result<uint64_t> written = CompareAndSwapSettled(
+      store_, key, *stored ? (*stored)->revision : 0,
+      FormatConfirmation(confirmation), timeout_, SameText);
+  if (!written) {
+    return tl::unexpected<Error>(written.error());
+  }
+  return {};
+}
+
+}  // namespace figflow
