Add the sharded dispatcher with admission, size classes and health

Requests need a slot of the daemon's share before they are sent, and short work must not wait behind long work. One shard per pool holds bounded EDF queues, a size-class learner, slot accounts, target health, a wait predictor and a retry budget, each a small class with `now` as an argument. Callbacks are collected under the shard's lock and called after its release.

Decisions: an operation is long relative to the fastest operations of its pool (4 times, back at 3 times), because absolute limits do not fit services that differ by orders of magnitude. While short work waits, long work gets new slots only up to an eighth of its capacity.

--- /dev/null
+++ b/Source/Core/Routing/edf_queue.cc
@@ -0,0 +1,101 @@
+#include "Routing/edf_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figflow {
+namespace {
+
+// Fine enough for waits of seconds; a queue with deadlines up to a minute away
+// has fewer than 500 steps to add up.
+constexpr std::chrono::milliseconds kStep{128};
+constexpr size_t kMinDeadEntries = 64;
+
+int64_t StepOf(MonoTime deadline) {
+  return deadline.time_since_epoch() / kStep;
+}
+
+}  // namespace
+
+EdfQueue::EdfQueue(size_t capacity) : capacity_(capacity) {}
+
+bool EdfQueue::Later(const HeapEntry& a, const HeapEntry& b) {
+  return a.deadline != b.deadline ? a.deadline > b.deadline
+                                  : a.sequence > b.sequence;
+}
+
+bool EdfQueue::IsLive(const HeapEntry& entry) const {
+  const auto it = items_.find(entry.id);
+  return it != items_.end() && it->second.sequence == entry.sequence;
+}
+
+void EdfQueue::Push(QueuedWork work) {
+  const uint64_t id = work.item.id;
+  const MonoTime deadline = work.item.deadline;
+  const uint64_t sequence = next_sequence_++;
+  const auto step = steps_.try_emplace(StepOf(deadline), 0).first;
+  ++step->second;
+  items_.emplace(id, Entry{std::move(work), sequence, step});
+  heap_.push_back(HeapEntry{deadline, sequence, id});
+  std::push_heap(heap_.begin(), heap_.end(), Later);
+}
+
+QueuedWork EdfQueue::Take(uint64_t id) {
+  const auto it = items_.find(id);
+  QueuedWork work = std::move(it->second.work);
+  if (--it->second.step->second == 0) {
+    steps_.erase(it->second.step);
+  }
+  items_.erase(it);
+  return work;
+}
+
+void EdfQueue::DropDeadEntries() {
+  while (!heap_.empty() && !IsLive(heap_.front())) {
+    std::pop_heap(heap_.begin(), heap_.end(), Later);
+    heap_.pop_back();
+  }
+}
+
+std::optional<QueuedWork> EdfQueue::Pop() {
+  return PopExpired(MonoTime::max());
+}
+
+std::optional<QueuedWork> EdfQueue::PopExpired(MonoTime now) {
+  DropDeadEntries();
+  if (heap_.empty() || heap_.front().deadline > now) {
+    return std::nullopt;
+  }
+  const uint64_t id = heap_.front().id;
+  std::pop_heap(heap_.begin(), heap_.end(), Later);
+  heap_.pop_back();
+  return Take(id);
+}
+
+std::optional<QueuedWork> EdfQueue::Cancel(uint64_t id) {
+  if (!Contains(id)) {
+    return std::nullopt;
+  }
+  QueuedWork work = Take(id);
+  // Rebuilding once per `size` cancellations keeps the cost of each constant
+  // and bounds the memory held by dropped entries.
+  if (heap_.size() > 2 * items_.size() + kMinDeadEntries) {
+    heap_.erase(
+        std::remove_if(heap_.begin(), heap_.end(),
+                       [this](const HeapEntry& e) { return !IsLive(e); }),
+        heap_.end());
+    std::make_heap(heap_.begin(), heap_.end(), Later);
+  }
+  return work;
+}
+
+size_t EdfQueue::CountAhead(MonoTime deadline) const {
+  size_t ahead = 0;
+  const auto end = steps_.upper_bound(StepOf(deadline));
+  for (auto it = steps_.begin(); it != end; ++it) {
+    ahead += it->second;
+  }
+  return ahead;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Routing/pool_shard.cc
@@ -0,0 +1,355 @@
+#include "Routing/pool_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+// While short work waits, long work gets new slots only up to this part of its
+// capacity. It is not zero, so that a lasting overload of short work does not
+// stop long work.
+constexpr int kLongFloorDivisor = 8;
+
+constexpr std::array<SizeClass, kSizeClasses> kClasses = {SizeClass::kShort,
+                                                          SizeClass::kLong};
+
+absl::string_view ClassName(SizeClass size_class) {
+  return size_class == SizeClass::kShort ? "short" : "long";
+}
+
+int LongFloor(int capacity) {
+  return capacity == 0 ? 0 : std::max(1, capacity / kLongFloorDivisor);
+}
+
+}  // namespace
+
+RoutingMetrics::RoutingMetrics(MetricsRegistry& registry) {
+  for (size_t i = 0; i < kRefusals; ++i) {
+    refusals[i] = &registry.GetCounter(
+        absl::StrCat("figflow_routing_refusals_total{reason=\"",
+                     RefusalName(static_cast<Refusal>(i)), "\"}"));
+  }
+  for (const SizeClass size_class : kClasses) {
+    const absl::string_view name = ClassName(size_class);
+    grants[Index(size_class)] = &registry.GetCounter(
+        absl::StrCat("figflow_routing_grants_total{class=\"", name, "\"}"));
+    // The exposition appends its own labels to a histogram's name.
+    waits[Index(size_class)] =
+        &registry.GetHistogram(absl::StrCat("figflow_routing_wait_", name));
+  }
+  unknown_finishes =
+      &registry.GetCounter("figflow_routing_unknown_finishes_total");
+  promotions = &registry.GetCounter("figflow_routing_promotions_total");
+}
+
+PoolShard::PoolShard(PoolId pool,
+                     const RoutingOptions& options,
+                     RoutingMetrics metrics)
+    : pool_(std::move(pool)),
+      metrics_(metrics),
+      learner_(options.size_class),
+      queues_{EdfQueue(options.queue_capacity[0]),
+              EdfQueue(options.queue_capacity[1])} {
+  for (const auto& [operation, time] : options.declared_times) {
+    learner_.Declare(operation, time, MonoTime());
+  }
+}
+
+void PoolShard::Update(const PoolTable& table,
+                       const LeavingMarks& marks,
+                       MonoTime now,
+                       Outcomes& outcomes) {
+  listed_ = true;
+  accounts_.Update(table, marks);
+  Tick(now, outcomes);
+}
+
+void PoolShard::Remove(MonoTime now, Outcomes& outcomes) {
+  listed_ = false;
+  accounts_.Update(PoolTable(), LeavingMarks());
+  for (const SizeClass size_class : kClasses) {
+    RefuseQueued(size_class, Refusal::kUnknownPool, outcomes);
+  }
+  Tick(now, outcomes);
+}
+
+void PoolShard::Submit(const WorkItem& item,
+                       MonoTime now,
+                       PermitCallback done,
+                       Outcomes& outcomes) {
+  latest_ = std::max(latest_, now);
+  const SizeClass size_class = learner_.Classify(item.operation);
+  EdfQueue& queue = QueueOf(size_class);
+  if (queue.full()) {
+    RefuseExpired(now, outcomes);
+  }
+  if (const auto refusal = CheckAdmission(item, size_class, now)) {
+    Refuse(std::move(done), *refusal, outcomes);
+    return;
+  }
+  queue.Push(QueuedWork{item, now, std::move(done)});
+  ServeQueues(now, outcomes);
+}
+
+std::optional<Refusal> PoolShard::CheckAdmission(const WorkItem& item,
+                                                 SizeClass size_class,
+                                                 MonoTime now) const {
+  if (stopping_) {
+    return Refusal::kStopping;
+  }
+  if (!listed_) {
+    return Refusal::kUnknownPool;
+  }
+  if (item.deadline <= now) {
+    return Refusal::kDeadlinePassed;
+  }
+  // A second submission of an id that is still in use would make the two
+  // indistinguishable to Cancel and Finish.
+  if (grants_.count(item.id) != 0 || queues_[0].Contains(item.id) ||
+      queues_[1].Contains(item.id)) {
+    return Refusal::kCancelled;
+  }
+  if (!accounts_.TakesWork(size_class, now)) {
+    return Refusal::kNoTarget;
+  }
+  const EdfQueue& queue = queues_[Index(size_class)];
+  if (queue.empty() && accounts_.Choose(size_class, now) != nullptr) {
+    return std::nullopt;
+  }
+  if (queue.full()) {
+    return Refusal::kQueueFull;
+  }
+  const std::chrono::nanoseconds wait = predictors_[Index(size_class)].Predict(
+      queue.CountAhead(item.deadline), SlotsFor(size_class, now));
+  if (wait + learner_.Typical(item.operation) > item.deadline - now) {
+    return Refusal::kWouldMissDeadline;
+  }
+  return std::nullopt;
+}
+
+int PoolShard::SlotsFor(SizeClass size_class, MonoTime now) const {
+  const int usable = accounts_.UsableSlots(now);
+  if (size_class == SizeClass::kShort) {
+    return usable - accounts_.InFlight(SizeClass::kLong);
+  }
+  const int capacity = accounts_.LongCapacity(now);
+  return queues_[Index(SizeClass::kShort)].empty() ? capacity
+                                                   : LongFloor(capacity);
+}
+
+std::optional<SizeClass> PoolShard::NextClass(MonoTime now) const {
+  const bool short_waits = !queues_[Index(SizeClass::kShort)].empty();
+  const bool long_waits = !queues_[Index(SizeClass::kLong)].empty();
+  const bool long_can =
+      long_waits && accounts_.Choose(SizeClass::kLong, now) != nullptr;
+  if (long_can &&
+      (!short_waits || accounts_.InFlight(SizeClass::kLong) <
+                           LongFloor(accounts_.LongCapacity(now)))) {
+    return SizeClass::kLong;
+  }
+  if (short_waits && accounts_.Choose(SizeClass::kShort, now) != nullptr) {
+    return SizeClass::kShort;
+  }
+  return std::nullopt;
+}
+
+void PoolShard::ServeQueues(MonoTime now, Outcomes& outcomes) {
+  while (const auto next = NextClass(now)) {
+    QueuedWork work = *QueueOf(*next).Pop();
+    if (work.item.deadline <= now) {
+      Refuse(std::move(work.done), Refusal::kDeadlinePassed, outcomes);
+      continue;
+    }
+    // A request that waited and now has less time left than its kind typically
+    // takes would probably end as unknown after holding a slot for nothing. One
+    // that did not wait is tried regardless: a measured time that is too high
+    // would otherwise never be corrected.
+    if (work.queued_at != now &&
+        learner_.Typical(work.item.operation) > work.item.deadline - now) {
+      Refuse(std::move(work.done), Refusal::kWouldMissDeadline, outcomes);
+      continue;
+    }
+    // The operation may have been found to be long since the item was queued.
+    const SizeClass size_class = learner_.Classify(work.item.operation);
+    if (*next == SizeClass::kShort && size_class == SizeClass::kLong) {
+      if (QueueOf(SizeClass::kLong).full()) {
+        Refuse(std::move(work.done), Refusal::kQueueFull, outcomes);
+      } else {
+        QueueOf(SizeClass::kLong).Push(std::move(work));
+      }
+      continue;
+    }
+    Give(std::move(work), *next, now, outcomes);
+  }
+}
+
+void PoolShard::Give(QueuedWork work,
+                     SizeClass size_class,
+                     MonoTime now,
+                     Outcomes& outcomes) {
+  const TargetState& target = *accounts_.Choose(size_class, now);
+  Permit permit{work.item.id, pool_, target.share.id, target.share.address,
+                target.health.boot()};
+  const bool probe = accounts_.OnGrant(permit.target, size_class);
+  retry_budget_.OnGrant(now);
+  ++granted_[Index(size_class)];
+  metrics_.grants[Index(size_class)]->Add();
+  metrics_.waits[Index(size_class)]->Record(now - work.queued_at);
+  grants_.emplace(work.item.id, Grant{permit, std::move(work.item.operation),
+                                      size_class, now, probe, false});
+  outcomes.push_back(Outcome{std::move(work.done), std::move(permit)});
+}
+
+void PoolShard::Refuse(PermitCallback done,
+                       Refusal refusal,
+                       Outcomes& outcomes) {
+  ++refused_[static_cast<size_t>(refusal)];
+  metrics_.refusals[static_cast<size_t>(refusal)]->Add();
+  outcomes.push_back(Outcome{std::move(done), tl::make_unexpected(refusal)});
+}
+
+bool PoolShard::Cancel(uint64_t item, Outcomes& outcomes) {
+  for (EdfQueue& queue : queues_) {
+    if (auto work = queue.Cancel(item)) {
+      Refuse(std::move(work->done), Refusal::kCancelled, outcomes);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool PoolShard::Finish(const Permit& permit,
+                       const AttemptReport& report,
+                       MonoTime now,
+                       Outcomes& outcomes) {
+  latest_ = std::max(latest_, now);
+  const auto it = grants_.find(permit.item);
+  if (it == grants_.end() || it->second.permit.target != permit.target) {
+    metrics_.unknown_finishes->Add();
+    return false;
+  }
+  const Grant grant = std::move(it->second);
+  grants_.erase(it);
+  accounts_.OnFinish(grant.permit, grant.size_class, grant.probe, report, now);
+  Learn(grant, report, now);
+  RefuseUnservable(now, outcomes);
+  ServeQueues(now, outcomes);
+  return true;
+}
+
+void PoolShard::Learn(const Grant& grant,
+                      const AttemptReport& report,
+                      MonoTime now) {
+  if (report.end == AttemptEnd::kRefused) {
+    return;
+  }
+  // Failed and cancelled requests held their slot as well.
+  predictors_[Index(grant.size_class)].Observe(now - grant.at);
+  // A timeout shows a lower bound of the service time; other failures show
+  // nothing.
+  if (report.end == AttemptEnd::kAnswered ||
+      report.end == AttemptEnd::kTimedOut) {
+    learner_.Observe(grant.operation, report.service_time, now);
+  }
+}
+
+void PoolShard::MarkLeaving(const LeavingMark& mark,
+                            MonoTime now,
+                            Outcomes& outcomes) {
+  accounts_.MarkLeaving(mark);
+  RefuseUnservable(now, outcomes);
+}
+
+void PoolShard::Tick(MonoTime now, Outcomes& outcomes) {
+  latest_ = std::max(latest_, now);
+  RefuseExpired(now, outcomes);
+  PromoteOverlong(now);
+  RefuseUnservable(now, outcomes);
+  ServeQueues(now, outcomes);
+}
+
+void PoolShard::Stop(Outcomes& outcomes) {
+  stopping_ = true;
+  for (const SizeClass size_class : kClasses) {
+    RefuseQueued(size_class, Refusal::kStopping, outcomes);
+  }
+}
+
+void PoolShard::RefuseExpired(MonoTime now, Outcomes& outcomes) {
+  for (EdfQueue& queue : queues_) {
+    while (auto work = queue.PopExpired(now)) {
+      Refuse(std::move(work->done), Refusal::kDeadlinePassed, outcomes);
+    }
+  }
+}
+
+void PoolShard::RefuseQueued(SizeClass size_class,
+                             Refusal refusal,
+                             Outcomes& outcomes) {
+  while (auto work = QueueOf(size_class).Pop()) {
+    Refuse(std::move(work->done), refusal, outcomes);
+  }
+}
+
+// Queued work is refused as soon as no target is left for it, so that its
+// caller can still try a peer before the deadline.
+void PoolShard::RefuseUnservable(MonoTime now, Outcomes& outcomes) {
+  for (const SizeClass size_class : kClasses) {
+    if (!QueueOf(size_class).empty() && !accounts_.TakesWork(size_class, now)) {
+      RefuseQueued(size_class, Refusal::kNoTarget, outcomes);
+    }
+  }
+}
+
+// Work that was taken for short and runs long counts as long from then on, and
+// its operation learns from it before it ends.
+void PoolShard::PromoteOverlong(MonoTime now) {
+  for (auto& [item, grant] : grants_) {
+    if (grant.overlong || now - grant.at < learner_.LongLimit()) {
+      continue;
+    }
+    grant.overlong = true;
+    if (grant.size_class == SizeClass::kShort) {
+      grant.size_class = SizeClass::kLong;
+      accounts_.Promote(grant.permit.target);
+      metrics_.promotions->Add();
+      learner_.Observe(grant.operation, now - grant.at, now);
+    }
+  }
+}
+
+int PoolShard::FreeSlots() const {
+  const int queued = static_cast<int>(queues_[0].size() + queues_[1].size());
+  return stopping_ ? 0 : std::max(0, accounts_.FreeSlots(latest_) - queued);
+}
+
+nlohmann::json PoolShard::Dump() const {
+  nlohmann::json dump = {{"listed", listed_},
+                         {"stopping", stopping_},
+                         {"free_slots", FreeSlots()},
+                         {"usable_slots", accounts_.UsableSlots(latest_)},
+                         {"long_capacity", accounts_.LongCapacity(latest_)},
+                         {"retry_tokens", retry_budget_.tokens()},
+                         {"targets", accounts_.Dump()},
+                         {"operations", learner_.Dump()}};
+  for (const SizeClass size_class : kClasses) {
+    const size_t i = Index(size_class);
+    dump[std::string(ClassName(size_class))] = {
+        {"queued", queues_[i].size()},
+        {"in_flight", accounts_.InFlight(size_class)},
+        {"granted", granted_[i]},
+        {"mean_ms",
+         std::chrono::duration<double, std::milli>(predictors_[i].mean())
+             .count()}};
+  }
+  for (size_t i = 0; i < kRefusals; ++i) {
+    dump["refused"][std::string(RefusalName(static_cast<Refusal>(i)))] =
+        refused_[i];
+  }
+  return dump;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Routing/pool_shard.h
@@ -0,0 +1,137 @@
+#ifndef ROUTING_POOL_SHARD_H_
+#define ROUTING_POOL_SHARD_H_
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/clock.h"
+#include "Common/metrics.h"
+#include "Routing/dispatcher.h"
+#include "Routing/edf_queue.h"
+#include "Routing/leaving_marks.h"
+#include "Routing/retry_budget.h"
+#include "Routing/size_class.h"
+#include "Routing/size_class_learner.h"
+#include "Routing/slot_accounts.h"
+#include "Routing/wait_predictor.h"
+#include "absl/container/flat_hash_map.h"
+
+namespace figflow {
+
+inline constexpr size_t kRefusals = static_cast<size_t>(Refusal::kStopping) + 1;
+
+struct RoutingOptions {
+  SizeClassOptions size_class;
+  // Queued requests per pool and class. Admission by predicted wait is what
+  // keeps queues short; these bound the memory when service times are unknown.
+  std::array<size_t, kSizeClasses> queue_capacity{50'000, 10'000};
+  // Initial service times by operation.
+  std::map<std::string, std::chrono::milliseconds> declared_times;
+};
+
+// Counters of all pools of one dispatcher.
+struct RoutingMetrics {
+  explicit RoutingMetrics(MetricsRegistry& registry);
+
+  std::array<Counter*, kRefusals> refusals{};
+  std::array<Counter*, kSizeClasses> grants{};
+  // From Submit to the grant.
+  std::array<LatencyHistogram*, kSizeClasses> waits{};
+  Counter* unknown_finishes = nullptr;
+  Counter* promotions = nullptr;
+};
+
+// A callback that is due. The caller invokes it after releasing its lock.
+struct Outcome {
+  PermitCallback done;
+  tl::expected<Permit, Refusal> result;
+};
+using Outcomes = std::vector<Outcome>;
+
+// All decisions for one pool. Not thread-safe; calls no callback itself.
+class PoolShard {
+ public:
+  PoolShard(PoolId pool, const RoutingOptions& options, RoutingMetrics metrics);
+
+  void Update(const PoolTable& table,
+              const LeavingMarks& marks,
+              MonoTime now,
+              Outcomes& outcomes);
+  // The pool is no longer in the table.
+  void Remove(MonoTime now, Outcomes& outcomes);
+  void Submit(const WorkItem& item,
+              MonoTime now,
+              PermitCallback done,
+              Outcomes& outcomes);
+  bool Cancel(uint64_t item, Outcomes& outcomes);
+  // Returns false if the permit is not in flight.
+  bool Finish(const Permit& permit,
+              const AttemptReport& report,
+              MonoTime now,
+              Outcomes& outcomes);
+  bool TakeRetryToken(MonoTime now) { return retry_budget_.Take(now); }
+  void MarkLeaving(const LeavingMark& mark, MonoTime now, Outcomes& outcomes);
+  void Tick(MonoTime now, Outcomes& outcomes);
+  void Stop(Outcomes& outcomes);
+
+  int InFlight(const InstanceId& target) const {
+    return accounts_.InFlightAt(target);
+  }
+  // Free slots less queued requests, as of the latest `now` seen.
+  int FreeSlots() const;
+  bool removed_and_idle() const { return !listed_ && accounts_.idle(); }
+  nlohmann::json Dump() const;
+
+ private:
+  struct Grant {
+    Permit permit;
+    std::string operation;
+    SizeClass size_class = SizeClass::kShort;
+    MonoTime at;
+    bool probe = false;
+    // Has run longer than the limit for long work.
+    bool overlong = false;
+  };
+
+  EdfQueue& QueueOf(SizeClass size_class) { return queues_[Index(size_class)]; }
+  std::optional<Refusal> CheckAdmission(const WorkItem& item,
+                                        SizeClass size_class,
+                                        MonoTime now) const;
+  int SlotsFor(SizeClass size_class, MonoTime now) const;
+  // Class to serve next, or nullopt if no slot is free to queued work.
+  std::optional<SizeClass> NextClass(MonoTime now) const;
+  void ServeQueues(MonoTime now, Outcomes& outcomes);
+  void Give(QueuedWork work,
+            SizeClass size_class,
+            MonoTime now,
+            Outcomes& outcomes);
+  void Refuse(PermitCallback done, Refusal refusal, Outcomes& outcomes);
+  void RefuseExpired(MonoTime now, Outcomes& outcomes);
+  void RefuseQueued(SizeClass size_class, Refusal refusal, Outcomes& outcomes);
+  void RefuseUnservable(MonoTime now, Outcomes& outcomes);
+  void PromoteOverlong(MonoTime now);
+  void Learn(const Grant& grant, const AttemptReport& report, MonoTime now);
+
+  PoolId pool_;
+  RoutingMetrics metrics_;
+  bool listed_ = false;
+  bool stopping_ = false;
+  MonoTime latest_{};
+  SizeClassLearner learner_;
+  SlotAccounts accounts_;
+  std::array<EdfQueue, kSizeClasses> queues_;
+  std::array<WaitPredictor, kSizeClasses> predictors_;
+  RetryBudget retry_budget_;
+  absl::flat_hash_map<uint64_t, Grant> grants_;
+  std::array<uint64_t, kRefusals> refused_{};
+  std::array<uint64_t, kSizeClasses> granted_{};
+};
+
+}  // namespace figflow
+
+#endif  // ROUTING_POOL_SHARD_H_
--- /dev/null
+++ b/Source/Core/Routing/sharded_dispatcher.cc
@@ -0,0 +1,231 @@
+#include "Routing/sharded_dispatcher.h"
+
+#include <algorithm>
+#include <string>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace figflow {
+
+ShardedDispatcher::ShardedDispatcher(RoutingOptions options,
+                                     MetricsRegistry& registry)
+    : options_(std::move(options)), metrics_(registry) {}
+
+std::shared_ptr<ShardedDispatcher::Shard> ShardedDispatcher::Find(
+    const PoolId& pool) const {
+  absl::ReaderMutexLock lock(&shards_mutex_);
+  const auto it = shards_.find(pool);
+  return it == shards_.end() ? nullptr : it->second;
+}
+
+std::shared_ptr<ShardedDispatcher::Shard> ShardedDispatcher::FindOrAdd(
+    const PoolId& pool) {
+  absl::MutexLock lock(&shards_mutex_);
+  std::shared_ptr<Shard>& shard = shards_[pool];
+  if (shard == nullptr) {
+    shard = std::make_shared<Shard>(pool, options_, metrics_);
+    if (stopping_) {
+      Outcomes none;
+      absl::MutexLock shard_lock(&shard->mutex);
+      shard->state.Stop(none);
+    }
+  }
+  return shard;
+}
+
+ShardedDispatcher::Shards ShardedDispatcher::AllShards() const {
+  Shards shards;
+  {
+    absl::ReaderMutexLock lock(&shards_mutex_);
+    shards.assign(shards_.begin(), shards_.end());
+  }
+  std::sort(shards.begin(), shards.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  return shards;
+}
+
+void ShardedDispatcher::Deliver(Outcomes outcomes) {
+  for (Outcome& outcome : outcomes) {
+    outcome.done(std::move(outcome.result));
+  }
+}
+
+void ShardedDispatcher::UpdateTable(const RoutingTable& table, MonoTime now) {
+  Outcomes outcomes;
+  {
+    absl::MutexLock update_lock(&update_mutex_);
+    absl::flat_hash_set<PoolId> listed;
+    for (const PoolTable& pool : table.pools) {
+      listed.insert(pool.pool);
+      // The shard is published before it reads the marks, so that a mark set at
+      // the same time reaches it one way or the other.
+      const std::shared_ptr<Shard> shard = FindOrAdd(pool.pool);
+      absl::MutexLock lock(&shard->mutex);
+      absl::MutexLock marks_lock(&marks_mutex_);
+      shard->state.Update(pool, marks_, now, outcomes);
+    }
+    Shards gone = AllShards();
+    gone.erase(std::remove_if(gone.begin(), gone.end(),
+                              [&listed](const auto& entry) {
+                                return listed.count(entry.first) != 0;
+                              }),
+               gone.end());
+    for (const auto& [pool, shard] : gone) {
+      absl::MutexLock lock(&shard->mutex);
+      shard->state.Remove(now, outcomes);
+    }
+    RemoveIdleShards(gone);
+  }
+  Deliver(std::move(outcomes));
+}
+
+void ShardedDispatcher::RemoveIdleShards(const Shards& gone) {
+  absl::MutexLock lock(&shards_mutex_);
+  for (const auto& [pool, shard] : gone) {
+    absl::MutexLock shard_lock(&shard->mutex);
+    if (shard->state.removed_and_idle()) {
+      shards_.erase(pool);
+    }
+  }
+}
+
+void ShardedDispatcher::Submit(const WorkItem& item,
+                               MonoTime now,
+                               PermitCallback done) {
+  const std::shared_ptr<Shard> shard = Find(item.pool);
+  if (shard == nullptr) {
+    const Refusal refusal = [this] {
+      absl::ReaderMutexLock lock(&shards_mutex_);
+      return stopping_ ? Refusal::kStopping : Refusal::kUnknownPool;
+    }();
+    metrics_.refusals[static_cast<size_t>(refusal)]->Add();
+    done(tl::make_unexpected(refusal));
+    return;
+  }
+  Outcomes outcomes;
+  {
+    absl::MutexLock lock(&shard->mutex);
+    shard->state.Submit(item, now, std::move(done), outcomes);
+  }
+  Deliver(std::move(outcomes));
+}
+
+bool ShardedDispatcher::Cancel(const PoolId& pool, uint64_t item) {
+  const std::shared_ptr<Shard> shard = Find(pool);
+  if (shard == nullptr) {
+    return false;
+  }
+  Outcomes outcomes;
+  bool cancelled = false;
+  {
+    absl::MutexLock lock(&shard->mutex);
+    cancelled = shard->state.Cancel(item, outcomes);
+  }
+  Deliver(std::move(outcomes));
+  return cancelled;
+}
+
+void ShardedDispatcher::Finish(const Permit& permit,
+                               const AttemptReport& report,
+                               MonoTime now) {
+  const std::shared_ptr<Shard> shard = Find(permit.pool);
+  if (shard == nullptr) {
+    metrics_.unknown_finishes->Add();
+    return;
+  }
+  Outcomes outcomes;
+  {
+    absl::MutexLock lock(&shard->mutex);
+    shard->state.Finish(permit, report, now, outcomes);
+  }
+  if (report.leaving) {
+    MarkLeaving(LeavingMark{permit.target, permit.boot}, now);
+  }
+  Deliver(std::move(outcomes));
+}
+
+bool ShardedDispatcher::TakeRetryToken(const PoolId& pool, MonoTime now) {
+  const std::shared_ptr<Shard> shard = Find(pool);
+  if (shard == nullptr) {
+    return false;
+  }
+  absl::MutexLock lock(&shard->mutex);
+  return shard->state.TakeRetryToken(now);
+}
+
+void ShardedDispatcher::MarkLeaving(const LeavingMark& mark, MonoTime now) {
+  {
+    absl::MutexLock lock(&marks_mutex_);
+    if (!marks_.Add(mark, now)) {
+      return;
+    }
+  }
+  Outcomes outcomes;
+  for (const auto& [pool, shard] : AllShards()) {
+    absl::MutexLock lock(&shard->mutex);
+    shard->state.MarkLeaving(mark, now, outcomes);
+  }
+  Deliver(std::move(outcomes));
+}
+
+std::vector<LeavingMark> ShardedDispatcher::RecentLeavingMarks(
+    MonoTime now) const {
+  absl::MutexLock lock(&marks_mutex_);
+  return marks_.Recent(now);
+}
+
+int ShardedDispatcher::InFlight(const PoolId& pool,
+                                const InstanceId& target) const {
+  const std::shared_ptr<Shard> shard = Find(pool);
+  if (shard == nullptr) {
+    return 0;
+  }
+  absl::MutexLock lock(&shard->mutex);
+  return shard->state.InFlight(target);
+}
+
+std::vector<std::pair<PoolId, int>> ShardedDispatcher::FreeSlots() const {
+  std::vector<std::pair<PoolId, int>> free;
+  for (const auto& [pool, shard] : AllShards()) {
+    absl::MutexLock lock(&shard->mutex);
+    free.emplace_back(pool, shard->state.FreeSlots());
+  }
+  return free;
+}
+
+void ShardedDispatcher::Tick(MonoTime now) {
+  Outcomes outcomes;
+  for (const auto& [pool, shard] : AllShards()) {
+    absl::MutexLock lock(&shard->mutex);
+    shard->state.Tick(now, outcomes);
+  }
+  {
+    absl::MutexLock lock(&marks_mutex_);
+    marks_.Prune(now);
+  }
+  Deliver(std::move(outcomes));
+}
+
+void ShardedDispatcher::Stop(MonoTime /*now*/) {
+  {
+    absl::MutexLock lock(&shards_mutex_);
+    stopping_ = true;
+  }
+  Outcomes outcomes;
+  for (const auto& [pool, shard] : AllShards()) {
+    absl::MutexLock lock(&shard->mutex);
+    shard->state.Stop(outcomes);
+  }
+  Deliver(std::move(outcomes));
+}
+
+nlohmann::json ShardedDispatcher::Dump() const {
+  nlohmann::json dump = nlohmann::json::object();
+  for (const auto& [pool, shard] : AllShards()) {
+    absl::MutexLock lock(&shard->mutex);
+    dump[pool.value()] = shard->state.Dump();
+  }
+  return dump;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Routing/sharded_dispatcher.h
@@ -0,0 +1,78 @@
+#ifndef ROUTING_SHARDED_DISPATCHER_H_
+#define ROUTING_SHARDED_DISPATCHER_H_
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/metrics.h"
+#include "Routing/dispatcher.h"
+#include "Routing/leaving_marks.h"
+#include "Routing/pool_shard.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+// The dispatcher of a daemon: one shard per pool, each under its own lock.
+// Call Tick every 50 ms or so: it refuses expired requests, notices requests
+// that run long and starts probes.
+class ShardedDispatcher : public Dispatcher {
+ public:
+  // `registry` must outlive the dispatcher.
+  ShardedDispatcher(RoutingOptions options, MetricsRegistry& registry);
+
+  void UpdateTable(const RoutingTable& table, MonoTime now) override;
+  void Submit(const WorkItem& item, MonoTime now, PermitCallback done) override;
+  bool Cancel(const PoolId& pool, uint64_t item) override;
+  void Finish(const Permit& permit,
+              const AttemptReport& report,
+              MonoTime now) override;
+  bool TakeRetryToken(const PoolId& pool, MonoTime now) override;
+  void MarkLeaving(const LeavingMark& mark, MonoTime now) override;
+  std::vector<LeavingMark> RecentLeavingMarks(MonoTime now) const override;
+  int InFlight(const PoolId& pool, const InstanceId& target) const override;
+  std::vector<std::pair<PoolId, int>> FreeSlots() const override;
+  void Tick(MonoTime now) override;
+  void Stop(MonoTime now) override;
+
+  // State by pool: targets, queues, learned operations, refusals by reason.
+  nlohmann::json Dump() const;
+
+ private:
+  struct Shard {
+    Shard(PoolId pool, const RoutingOptions& options, RoutingMetrics metrics)
+        : state(std::move(pool), options, metrics) {}
+    mutable absl::Mutex mutex;
+    PoolShard state ABSL_GUARDED_BY(mutex);
+  };
+  using Shards = std::vector<std::pair<PoolId, std::shared_ptr<Shard>>>;
+
+  std::shared_ptr<Shard> Find(const PoolId& pool) const;
+  std::shared_ptr<Shard> FindOrAdd(const PoolId& pool);
+  // All shards in the order of their ids.
+  Shards AllShards() const;
+  void RemoveIdleShards(const Shards& gone);
+  static void Deliver(Outcomes outcomes);
+
+  const RoutingOptions options_;
+  const RoutingMetrics metrics_;
+
+  // Serialises UpdateTable, so that two tables are not mixed.
+  absl::Mutex update_mutex_;
+  mutable absl::Mutex shards_mutex_ ABSL_ACQUIRED_AFTER(update_mutex_);
+  absl::flat_hash_map<PoolId, std::shared_ptr<Shard>> shards_
+      ABSL_GUARDED_BY(shards_mutex_);
+  bool stopping_ ABSL_GUARDED_BY(shards_mutex_) = false;
+
+  // Taken after a shard's lock, never before it.
+  mutable absl::Mutex marks_mutex_;
+  LeavingMarks marks_ ABSL_GUARDED_BY(marks_mutex_);
+};
+
+}  // namespace figflow
+
+#endif  // ROUTING_SHARDED_DISPATCHER_H_
--- /dev/null
+++ b/Source/Core/Routing/size_class.h
@@ -0,0 +1,18 @@
+#ifndef ROUTING_SIZE_CLASS_H_
+#define ROUTING_SIZE_CLASS_H_
+
+#include <cstddef>
+
+namespace figflow {
+
+enum class SizeClass { kShort, kLong };
+
+inline constexpr size_t kSizeClasses = 2;
+
+inline constexpr size_t Index(SizeClass size_class) {
+  return static_cast<size_t>(size_class);
+}
+
+}  // namespace figflow
+
+#endif  // ROUTING_SIZE_CLASS_H_
--- /dev/null
+++ b/Source/Core/Routing/target_health.cc
@@ -0,0 +1,114 @@
+#include "Routing/target_health.h"
+
+#include <algorithm>
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kFirstDelay{250};
+constexpr std::chrono::milliseconds kLongestDelay{4000};
+constexpr std::chrono::seconds kQueueDuringProbation{1};
+// A target that fails every request at once would otherwise look least loaded
+// and attract all work.
+constexpr int kFailuresUntilProbation = 3;
+
+}  // namespace
+
+void TargetHealth::SetBoot(uint64_t boot) {
+  if (boot <= boot_) {
+    return;
+  }
+  *this = TargetHealth();
+  boot_ = boot;
+}
+
+void TargetHealth::MarkLeaving(uint64_t boot) {
+  if (boot >= boot_) {
+    leaving_ = true;
+  }
+}
+
+bool TargetHealth::CanGrant(MonoTime now) const {
+  if (leaving_) {
+    return false;
+  }
+  return !probation_ || (!probing_ && now >= probe_at_);
+}
+
+bool TargetHealth::TakesWork(MonoTime now) const {
+  return CanGrant(now) || (!leaving_ && probation_ &&
+                           now - probation_since_ < kQueueDuringProbation);
+}
+
+bool TargetHealth::OnGrant() {
+  probing_ = probation_;
+  return probing_;
+}
+
+void TargetHealth::StartProbation(MonoTime now) {
+  if (!probation_) {
+    probation_ = true;
+    probation_since_ = now;
+    delay_ = kFirstDelay;
+  } else {
+    delay_ = std::min(2 * delay_, kLongestDelay);
+  }
+  probe_at_ = now + delay_;
+}
+
+void TargetHealth::OnFinish(uint64_t boot,
+                            bool probe,
+                            AttemptEnd end,
+                            MonoTime now) {
+  if (boot < boot_) {
+    return;
+  }
+  if (probe) {
+    probing_ = false;
+  }
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      // Only a probe ends probation: an answer to an older request may have
+      // been sent before the target closed its listener.
+      if (probe) {
+        probation_ = false;
+      }
+      failures_in_a_row_ = 0;
+      return;
+    case AttemptEnd::kRefused:
+      // Requests that were granted together are refused together; only the
+      // first of them and each probe count.
+      if (probe || !probation_) {
+        StartProbation(now);
+      }
+      return;
+    case AttemptEnd::kTimedOut:
+      // A caller's short deadline says nothing about a healthy target, but a
+      // probe has to be answered.
+      if (probe) {
+        StartProbation(now);
+      }
+      return;
+    case AttemptEnd::kFailed:
+      if (probe ||
+          (!probation_ && ++failures_in_a_row_ >= kFailuresUntilProbation)) {
+        StartProbation(now);
+        failures_in_a_row_ = 0;
+      }
+      return;
+    case AttemptEnd::kCancelled:
+      return;
+  }
+}
+
+absl::string_view TargetHealth::StateName() const {
+  if (leaving_) {
+    return "leaving";
+  }
+  if (!probation_) {
+    return "ok";
+  }
+  return probing_ ? "probing" : "probation";
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Routing/wait_predictor.cc
@@ -0,0 +1,26 @@
+#include "Routing/wait_predictor.h"
+
+#include <algorithm>
+
+namespace figflow {
+namespace {
+
+// The mean follows about the last 100 requests, which is a second or two under
+// load; waits are predicted only under load.
+constexpr int kWindow = 100;
+
+}  // namespace
+
+void WaitPredictor::Observe(std::chrono::nanoseconds held) {
+  samples_ = std::min(samples_ + 1, kWindow);
+  mean_ += (held - mean_) / samples_;
+}
+
+std::chrono::nanoseconds WaitPredictor::Predict(size_t ahead, int slots) const {
+  const double rounds =
+      static_cast<double>(ahead + 1) / static_cast<double>(std::max(slots, 1));
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(
+      rounds * std::chrono::duration<double, std::nano>(mean_));
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Routing/wait_predictor.h
@@ -0,0 +1,26 @@
+#ifndef ROUTING_WAIT_PREDICTOR_H_
+#define ROUTING_WAIT_PREDICTOR_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace figflow {
+
+// Predicts the wait in one queue from the mean time that requests hold a slot.
+// Not thread-safe.
+class WaitPredictor {
+ public:
+  void Observe(std::chrono::nanoseconds held);
+  // Wait of a request with `ahead` queued requests before it while all `slots`
+  // are taken. Zero while nothing has been measured.
+  std::chrono::nanoseconds Predict(size_t ahead, int slots) const;
+  std::chrono::nanoseconds mean() const { return mean_; }
+
+ private:
+  std::chrono::nanoseconds mean_{0};
+  int samples_ = 0;
+};
+
+}  // namespace figflow
+
+#endif  // ROUTING_WAIT_PREDICTOR_H_
--- /dev/null
+++ b/Source/UnitTests/Routing/decisions_test.cc
@@ -0,0 +1,358 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Routing/edf_queue.h"
+#include "Routing/retry_budget.h"
+#include "Routing/routing_fixture.h"
+#include "Routing/size_class_learner.h"
+#include "Routing/slot_accounts.h"
+#include "Routing/target_health.h"
+#include "Routing/wait_predictor.h"
+
+namespace figflow {
+namespace {
+
+using test::At;
+using test::MakePool;
+using test::Ms;
+
+struct HealthStep {
+  char what;  // g: grant, a/r/f/t/c: end, l: leaving mark, b: boot seen
+  double at;
+  uint64_t boot;
+};
+
+struct HealthCase {
+  const char* name;
+  std::vector<HealthStep> steps;
+  double at;
+  bool can_grant;
+  bool takes_work;
+};
+
+const HealthCase kHealthCases[] = {
+    {"fresh", {}, 0, true, true},
+    {"refused: nothing before the delay", {{'r', 0, 5}}, 0.2, false, true},
+    {"refused: probe after the delay", {{'r', 0, 5}}, 0.3, true, true},
+    {"one probe at a time", {{'r', 0, 5}, {'g', 1, 5}}, 1.1, false, false},
+    {"probe refused: the delay doubles",
+     {{'r', 0, 5}, {'g', 1, 5}, {'r', 1, 5}},
+     1.4,
+     false,
+     false},
+    {"probe answered", {{'r', 0, 5}, {'g', 1, 5}, {'a', 1, 5}}, 1, true, true},
+    {"probe timed out stays on probation",
+     {{'r', 0, 5}, {'g', 1, 5}, {'t', 1, 5}},
+     1.1,
+     false,
+     false},
+    {"probe cancelled: the next one at once",
+     {{'r', 0, 5}, {'g', 1, 5}, {'c', 1, 5}},
+     1,
+     true,
+     true},
+    {"old answer does not end probation",
+     {{'g', 0, 5}, {'r', 0, 5}, {'A', 0.1, 5}},
+     0.1,
+     false,
+     true},
+    {"refusal by an earlier boot", {{'r', 0, 4}}, 0, true, true},
+    {"restart ends probation", {{'r', 0, 5}, {'b', 0, 6}}, 0, true, true},
+    {"three failures in a row",
+     {{'f', 0, 5}, {'f', 0, 5}, {'f', 0, 5}},
+     0,
+     false,
+     true},
+    {"failures with answers between",
+     {{'f', 0, 5}, {'f', 0, 5}, {'a', 0, 5}, {'f', 0, 5}},
+     0,
+     true,
+     true},
+    {"timeouts are no sign",
+     {{'t', 0, 5}, {'t', 0, 5}, {'t', 0, 5}},
+     0,
+     true,
+     true},
+    {"leaving is sticky", {{'l', 0, 5}, {'a', 1, 5}}, 9999, false, false},
+    {"leaving mark of an earlier boot", {{'l', 0, 4}}, 0, true, true},
+    {"stale list keeps the mark", {{'l', 0, 5}, {'b', 0, 4}}, 1, false, false},
+    {"restart clears the mark", {{'l', 0, 5}, {'b', 0, 6}}, 1, true, true},
+};
+
+struct LearnStep {
+  const char* operation;
+  double ms;
+  int count;
+};
+
+struct LearnCase {
+  const char* name;
+  std::vector<LearnStep> declared;
+  std::vector<LearnStep> observed;
+  const char* asked;
+  SizeClass expected;
+};
+
+const LearnCase kLearnCases[] = {
+    {"unknown", {}, {{"a", 10, 50}}, "x", SizeClass::kShort},
+    {"four times the base",
+     {},
+     {{"a", 10, 50}, {"b", 50, 50}},
+     "b",
+     SizeClass::kLong},
+    {"three times the base",
+     {},
+     {{"a", 10, 50}, {"b", 28, 50}},
+     "b",
+     SizeClass::kShort},
+    {"alone in its pool", {}, {{"b", 5000, 50}}, "b", SizeClass::kShort},
+    {"below the floor",
+     {},
+     {{"a", 0.2, 50}, {"b", 5, 50}},
+     "b",
+     SizeClass::kShort},
+    {"rare fast operation is no base",
+     {},
+     {{"a", 1, 2}, {"b", 50, 200}},
+     "b",
+     SizeClass::kShort},
+    {"declared", {{"a", 10, 1}, {"b", 500, 1}}, {}, "b", SizeClass::kLong},
+    {"declared wrongly",
+     {{"a", 10, 1}, {"b", 500, 1}},
+     {{"a", 10, 20}, {"b", 10, 20}},
+     "b",
+     SizeClass::kShort},
+    {"slower than before",
+     {},
+     {{"a", 10, 99}, {"b", 10, 9}, {"b", 500, 9}},
+     "b",
+     SizeClass::kLong},
+    {"one slow request in many",
+     {},
+     {{"a", 10, 99}, {"b", 10, 9}, {"b", 500, 1}},
+     "b",
+     SizeClass::kShort},
+};
+
+struct CapacityCase {
+  const char* name;
+  int targets;
+  int slots;
+  double long_share;
+  // Long grants that fit, then short grants that fit beside them.
+  int longs;
+  int shorts;
+};
+
+constexpr CapacityCase kCapacityCases[] = {
+    {"share binds", 10, 8, 0.25, 20, 60},
+    {"one slot a target left", 4, 2, 1.0, 4, 4},
+    {"0.29 of 100 slots", 10, 10, 0.29, 29, 71},
+    {"single slots: one for long work", 4, 1, 0.5, 1, 3},
+    {"small share of few slots", 2, 2, 0.1, 1, 3},
+    {"no long work", 4, 2, 0, 0, 8},
+    {"no slots", 4, 0, 0.5, 0, 0},
+};
+
+class DecisionsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DecisionsTest);
+  CPPUNIT_TEST(HealthFollowsMarksAndProbes);
+  CPPUNIT_TEST(ClassesFollowMeasuredTimes);
+  CPPUNIT_TEST(LearnedOperationsAreBounded);
+  CPPUNIT_TEST(SketchFollowsAChange);
+  CPPUNIT_TEST(LongWorkLeavesSlots);
+  CPPUNIT_TEST(LongWorkLeavesSlotAtEachTarget);
+  CPPUNIT_TEST(TargetsAreSpread);
+  CPPUNIT_TEST(QueueServesByDeadline);
+  CPPUNIT_TEST(RetriesStayBelowTenPercent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against new work for a leaving or refusing target, and against a
+  // target that is never tried again.
+  void HealthFollowsMarksAndProbes() {
+    const std::map<char, AttemptEnd> ends = {
+        {'a', AttemptEnd::kAnswered}, {'A', AttemptEnd::kAnswered},
+        {'r', AttemptEnd::kRefused},  {'f', AttemptEnd::kFailed},
+        {'t', AttemptEnd::kTimedOut}, {'c', AttemptEnd::kCancelled}};
+    for (const HealthCase& c : kHealthCases) {
+      TargetHealth health;
+      health.SetBoot(5);
+      bool probe = false;
+      for (const HealthStep& step : c.steps) {
+        switch (step.what) {
+          case 'g':
+            probe = health.OnGrant();
+            break;
+          case 'l':
+            health.MarkLeaving(step.boot);
+            break;
+          case 'b':
+            health.SetBoot(step.boot);
+            break;
+          default:
+            health.OnFinish(step.boot, probe, ends.at(step.what), At(step.at));
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.can_grant,
+                                   health.CanGrant(At(c.at)));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.takes_work,
+                                   health.TakesWork(At(c.at)));
+    }
+  }
+
+  // Guards against long work in the short queue, and against a pool whose
+  // requests all take equally long being held to the long share.
+  void ClassesFollowMeasuredTimes() {
+    for (const LearnCase& c : kLearnCases) {
+      SizeClassLearner learner((SizeClassOptions()));
+      for (const LearnStep& step : c.declared) {
+        learner.Declare(step.operation, Ms(step.ms), At(0));
+      }
+      for (const LearnStep& step : c.observed) {
+        for (int i = 0; i < step.count; ++i) {
+          learner.Observe(step.operation, Ms(step.ms), At(0));
+        }
+      }
+      CPPUNIT_ASSERT_MESSAGE(c.name, c.expected == learner.Classify(c.asked));
+    }
+  }
+
+  // Guards against memory that grows with invented paths.
+  void LearnedOperationsAreBounded() {
+    SizeClassLearner learner((SizeClassOptions()));
+    for (int i = 0; i < 5000; ++i) {
+      learner.Observe("op" + std::to_string(i), Ms(1), At(i));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{128}, learner.Dump().size());
+    CPPUNIT_ASSERT(learner.Dump().contains("op4999"));
+  }
+
+  // Guards against old samples that outvote new ones, and against a quantile
+  // that is off by more than a bucket.
+  void SketchFollowsAChange() {
+    QuantileSketch sketch(std::chrono::seconds(30));
+    for (int i = 0; i < 1000; ++i) {
+      sketch.Add(Ms(100), 1, At(i * 0.01));
+    }
+    CPPUNIT_ASSERT(sketch.Quantile(0.5) > Ms(81));
+    CPPUNIT_ASSERT(sketch.Quantile(0.5) < Ms(119));
+    for (int i = 0; i < 100; ++i) {
+      sketch.Add(Ms(10), 1, At(300 + i * 0.01));
+    }
+    CPPUNIT_ASSERT(sketch.Quantile(0.75) < Ms(12));
+  }
+
+  // Guards against long work that takes more than its share or a target's last
+  // slot, and against long work that can never run.
+  void LongWorkLeavesSlots() {
+    for (const CapacityCase& c : kCapacityCases) {
+      SlotAccounts accounts;
+      accounts.Update(MakePool(c.targets, c.slots, c.long_share), {});
+      int granted[kSizeClasses] = {};
+      for (const SizeClass size_class : {SizeClass::kLong, SizeClass::kShort}) {
+        while (const auto* target = accounts.Choose(size_class, At(0))) {
+          accounts.OnGrant(target->share.id, size_class);
+          ++granted[Index(size_class)];
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.longs,
+                                   granted[Index(SizeClass::kLong)]);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.shorts,
+                                   granted[Index(SizeClass::kShort)]);
+    }
+  }
+
+  // Guards against a small target whose slots are all held by long work while
+  // a large one still has room for it.
+  void LongWorkLeavesSlotAtEachTarget() {
+    SlotAccounts accounts;
+    PoolTable table = MakePool(3, 2, 1.0);
+    table.targets[0].slots = 16;
+    accounts.Update(table, {});
+    std::map<InstanceId, int> granted;
+    while (const auto* target = accounts.Choose(SizeClass::kLong, At(0))) {
+      ++granted[target->share.id];
+      accounts.OnGrant(target->share.id, SizeClass::kLong);
+    }
+    CPPUNIT_ASSERT_EQUAL(15, granted[InstanceId("t0")]);
+    CPPUNIT_ASSERT_EQUAL(1, granted[InstanceId("t1")]);
+    CPPUNIT_ASSERT_EQUAL(1, granted[InstanceId("t2")]);
+  }
+
+  // Guards against hot targets and hot racks.
+  void TargetsAreSpread() {
+    SlotAccounts accounts;
+    PoolTable table = MakePool(4, 4);
+    table.targets[3].slots = 8;
+    accounts.Update(table, {});
+    std::string order;
+    for (int i = 0; i < 5; ++i) {
+      const InstanceId target =
+          accounts.Choose(SizeClass::kShort, At(0))->share.id;
+      accounts.OnGrant(target, SizeClass::kShort);
+      order += target.value() + " ";
+    }
+    // t0 and t1 share a rack, t2 and t3 the other; t3 has twice the slots.
+    CPPUNIT_ASSERT_EQUAL(std::string("t0 t2 t1 t3 t3 "), order);
+  }
+
+  // Guards against serving by arrival, losing items to cancelled ones, and a
+  // cancelled item that still counts.
+  void QueueServesByDeadline() {
+    EdfQueue queue(100);
+    const auto push = [&queue](uint64_t id, double deadline) {
+      queue.Push(QueuedWork{WorkItem{id, {}, "", At(deadline)}, {}, {}});
+    };
+    for (uint64_t id = 0; id < 100; ++id) {
+      push(id, static_cast<double>((id * 37) % 100));
+    }
+    CPPUNIT_ASSERT(queue.full());
+    CPPUNIT_ASSERT_EQUAL(size_t{100}, queue.CountAhead(At(200)));
+    CPPUNIT_ASSERT_EQUAL(size_t{51}, queue.CountAhead(At(50)));
+    for (uint64_t id = 0; id < 100; ++id) {
+      if (id % 10 != 0) {
+        CPPUNIT_ASSERT(queue.Cancel(id).has_value());
+        CPPUNIT_ASSERT(!queue.Cancel(id).has_value());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{10}, queue.CountAhead(At(200)));
+    push(1, 45);  // The id of a cancelled item may be used again.
+    CPPUNIT_ASSERT(!queue.PopExpired(At(-1)));
+    std::vector<uint64_t> order;
+    while (const auto work = queue.Pop()) {
+      order.push_back(work->item.id);
+    }
+    const std::vector<uint64_t> expected = {0,  30, 60, 90, 20, 1,
+                                            50, 80, 10, 40, 70};
+    CPPUNIT_ASSERT(expected == order);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, queue.CountAhead(At(200)));
+  }
+
+  // Guards against retries that multiply an overload.
+  void RetriesStayBelowTenPercent() {
+    RetryBudget budget;
+    int requests = 0;
+    int retries = 0;
+    for (int i = 0; i < 10000; ++i) {
+      budget.OnGrant(At(i * 0.001));
+      ++requests;
+      while (budget.Take(At(i * 0.001))) {
+        ++retries;
+        budget.OnGrant(At(i * 0.001));
+      }
+    }
+    CPPUNIT_ASSERT(retries <= requests / 10);
+    CPPUNIT_ASSERT(retries >= requests / 12);
+    // Budget saved in a busy period expires.
+    for (int i = 0; i < 10000; ++i) {
+      budget.OnGrant(At(10));
+    }
+    CPPUNIT_ASSERT(!budget.Take(At(200)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DecisionsTest);
+
+}  // namespace
+}  // namespace figflow
