--- a/Source/Core/Platform/document_client.h
+++ b/Source/Core/Platform/document_client.h
@@ -15,6 +15,10 @@
 
 namespace figflow {
 
+// Writers of a document are few; more lost races than this in a row point to a
+// fault, and the caller tries again in its next step.
+inline constexpr int kUpdateAttempts = 8;
+
 // A document and the store revision it was read at; 0 when the key is absent.
 template <typename Document>
 struct VersionedDocument {
@@ -95,11 +99,8 @@
 
   template <typename Reader>
   Result<Versioned> Update(const Reader& read, const Change& change) const {
-    // Writers of a document are few; more lost races than this in a row point
-    // to a fault, and the caller tries again in its next step.
-    constexpr int kAttempts = 8;
     Error last;
-    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    for (int attempt = 0; attempt < kUpdateAttempts; ++attempt) {
       Result<Versioned> current = read();
       if (!current) {
         return current;
--- a/Source/Core/Platform/json_fields.h
+++ b/Source/Core/Platform/json_fields.h
@@ -19,6 +19,9 @@
 
 namespace figflow {
 
+// In the year 2255; later times overflow the nanoseconds of WallTime.
+inline constexpr int64_t kMaxDocumentTimeMs = 9'000'000'000'000;
+
 // Keeps the first fault found while a durable document is parsed.
 struct JsonFault {
   std::string step;
@@ -92,9 +95,8 @@
   }
 
   WallTime Time(const char* name) {
-    // Year 9999; the product with nanoseconds would overflow beyond 2262.
-    constexpr int64_t kMaxMs = 9'000'000'000'000;
-    return FromEpoch(std::chrono::milliseconds(Integer(name, 0, kMaxMs)));
+    return FromEpoch(
+        std::chrono::milliseconds(Integer(name, 0, kMaxDocumentTimeMs)));
   }
 
   std::chrono::milliseconds Duration(const char* name) {
@@ -115,12 +117,12 @@
   }
 
   JsonFields Object(const char* name) {
-    static const nlohmann::json kEmpty = nlohmann::json::object();
+    static const nlohmann::json empty = nlohmann::json::object();
     const nlohmann::json* field = Find(name);
     if (field == nullptr) {
       fault_->Add(PathOf(name), "is missing");
     }
-    return {field == nullptr ? kEmpty : *field, PathOf(name), *fault_};
+    return {field == nullptr ? empty : *field, PathOf(name), *fault_};
   }
 
   std::vector<JsonFields> Objects(const char* name) {
--- a/Source/Core/Pools/data_centre_document.cc
+++ b/Source/Core/Pools/data_centre_document.cc
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr int kVersion = 1;
+constexpr int64_t kDayMs = 86'400'000;
 constexpr int kMaxInt = std::numeric_limits<int>::max();
 
 // In the order of MemberState.
@@ -250,7 +251,6 @@
 }
 
 int64_t UtcDay(WallTime time) {
-  constexpr int64_t kDayMs = 86'400'000;
   const int64_t ms = SinceEpoch(time).count();
   return ms >= 0 ? ms / kDayMs : (ms + 1) / kDayMs - 1;
 }
--- a/Source/Core/Pools/data_centre_store.cc
+++ b/Source/Core/Pools/data_centre_store.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 DataCentreStore::DataCentreStore(KeyValueStore& store,
-                                 DataCentreId data_centre,
+                                 const DataCentreId& data_centre,
                                  std::string writer,
                                  std::chrono::milliseconds timeout)
     : store_(store),
@@ -107,7 +107,7 @@
       [this] { return Read(); },
       [this, &change](DataCentreDocument& next,
                       const std::string& write_id) -> Result<bool> {
-        const Result<bool> changed = change(next, write_id);
+        Result<bool> changed = change(next, write_id);
         if (!changed) {
           return changed;
         }
--- a/Source/Core/Pools/data_centre_store.h
+++ b/Source/Core/Pools/data_centre_store.h
@@ -27,7 +27,7 @@
 
   // `writer` is unique among processes, such as "<entry>/<incarnation>".
   DataCentreStore(KeyValueStore& store,
-                  DataCentreId data_centre,
+                  const DataCentreId& data_centre,
                   std::string writer,
                   std::chrono::milliseconds timeout);
 
