Wire the daemon; add process tests

Cause: the modules need one process that starts, drives and stops them. Ruled out: running the administration API on the event threads, since its operations block on the store.

--- /dev/null
+++ b/Source/Core/Daemon/daemon.cc
@@ -0,0 +1,286 @@
+#include "Daemon/daemon.h"
+
+#include <utility>
+
+#include "Admin/admin_router.h"
+#include "Budget/budget_store.h"
+#include "Common/log.h"
+#include "Common/metrics.h"
+#include "Daemon/admin_service.h"
+#include "Daemon/control_loop.h"
+#include "Daemon/peer_bridge.h"
+#include "Daemon/project_map.h"
+#include "Daemon/target_traffic.h"
+#include "Daemon/task_queue.h"
+#include "FleetConfig/config_store.h"
+#include "Http/http_client.h"
+#include "Http/http_server.h"
+#include "Idempotency/signed_ticket_book.h"
+#include "Idempotency/store_claim_registry.h"
+#include "Peer/peer_node.h"
+#include "Platform/http_fleet_service.h"
+#include "Platform/http_key_value_store.h"
+#include "Pools/data_centre_store.h"
+#include "Pools/pools_controller.h"
+#include "Requests/request_service.h"
+#include "Routing/sharded_dispatcher.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr unsigned kAdminConnections = 64;
+constexpr int kAdminThreads = 2;
+constexpr size_t kAdminQueue = 64;
+// Time to give the share back at a stop. It is a few calls of the store; if it
+// is down, the share is reused after the request bound.
+constexpr std::chrono::seconds kReleaseBound{3};
+// Peers learn of the stop by the next digest, one gossip round later.
+constexpr std::chrono::seconds kPeerGrace{2};
+
+uint64_t NewIncarnation(const Clock& clock) {
+  return static_cast<uint64_t>(SinceEpoch(clock.WallNow()).count());
+}
+
+PeerNodeSettings PeerSettings(const Settings& settings, uint64_t incarnation) {
+  PeerNodeSettings peer;
+  peer.entry = EntryId(settings.entry);
+  peer.incarnation = incarnation;
+  peer.data_centre = DataCentreId(settings.data_centre);
+  for (const SocketAddress& seed : settings.peer_seeds) {
+    peer.seeds.push_back(seed.ToString());
+  }
+  peer.transport.listen = settings.peer_listen.ToString();
+  peer.transport.credential = settings.shared_credential;
+  return peer;
+}
+
+HttpClientOptions ClientOptions(const Settings& settings) {
+  HttpClientOptions options;
+  options.threads = static_cast<unsigned>(settings.target_threads);
+  return options;
+}
+
+RoutingOptions DispatcherOptions(const Settings& settings) {
+  RoutingOptions options;
+  options.queue_capacity.fill(static_cast<size_t>(settings.max_queue));
+  return options;
+}
+
+PoolsOptions ControllerOptions(const Settings& settings, uint64_t incarnation) {
+  PoolsOptions options;
+  options.self = EntryId(settings.entry);
+  options.incarnation = incarnation;
+  options.request_bound = RequestBound(settings);
+  return options;
+}
+
+ControlOptions LoopOptions(const Settings& settings) {
+  ControlOptions options;
+  options.data_centre = DataCentreId(settings.data_centre);
+  options.interval = settings.control_interval;
+  options.call_timeout = settings.platform_timeout;
+  options.watch_wait = settings.watch_wait;
+  return options;
+}
+
+ClaimOptions KeyClaimOptions(const Settings& settings, uint64_t incarnation) {
+  ClaimOptions options;
+  options.entry = EntryId(settings.entry);
+  options.incarnation = incarnation;
+  options.retention = settings.claim_retention;
+  return options;
+}
+
+TicketOptions BookOptions(const Settings& settings, uint64_t incarnation) {
+  TicketOptions options;
+  options.entry = EntryId(settings.entry);
+  options.incarnation = incarnation;
+  options.credential = settings.shared_credential;
+  options.lifetime = settings.ticket_lifetime;
+  return options;
+}
+
+RequestServiceOptions ServiceOptions(const Settings& settings) {
+  RequestServiceOptions options;
+  options.data_centre = DataCentreId(settings.data_centre);
+  options.default_deadline = settings.default_deadline;
+  options.max_deadline = settings.max_deadline;
+  options.max_answer_bytes = static_cast<size_t>(settings.max_answer_bytes);
+  return options;
+}
+
+ConfigStoreOptions FollowOptions(const Settings& settings) {
+  ConfigStoreOptions options;
+  options.bootstrap.expected_peers = settings.peer_seeds.size();
+  options.watch_wait = settings.watch_wait;
+  return options;
+}
+
+}  // namespace
+
+// Declared in the order of construction: each part uses only earlier ones.
+struct Daemon::Parts {
+  Parts(const Settings& settings, const Clock& clock, uint64_t incarnation);
+
+  MetricsRegistry metrics;
+  PlatformClient platform;
+  HttpKeyValueStore store;
+  HttpFleetService fleet;
+  ConfigStore config;
+  ShardedDispatcher dispatcher;
+  HttpClient client;
+  TargetTraffic traffic;
+  DataCentreStore data_centre;
+  PoolsController pools;
+  BudgetStore budgets;
+  ControlLoop control;
+  PeerBridge bridge;
+  PeerNode peers;
+  SignedTicketBook tickets;
+  StoreClaimRegistry claims;
+  ProjectMap projects;
+  RequestService requests;
+  AdminService admin;
+  AdminRouter router;
+  TaskQueue admin_tasks;
+  std::unique_ptr<HttpServer> admin_server;
+  std::unique_ptr<HttpServer> caller_server;
+};
+
+Daemon::Parts::Parts(const Settings& settings,
+                     const Clock& clock,
+                     uint64_t incarnation)
+    : platform(settings.platform_address.ToString(), metrics),
+      store(platform),
+      fleet(platform),
+      config(store, clock, metrics, FollowOptions(settings)),
+      dispatcher(DispatcherOptions(settings), metrics),
+      client(ClientOptions(settings), metrics),
+      traffic(dispatcher, client),
+      data_centre(store,
+                  DataCentreId(settings.data_centre),
+                  absl::StrCat(settings.entry, "/", incarnation),
+                  settings.platform_timeout),
+      pools(data_centre, traffic, ControllerOptions(settings, incarnation)),
+      budgets(store,
+              absl::StrCat(settings.entry, "/", incarnation),
+              settings.platform_timeout),
+      control({clock, config, data_centre, pools, dispatcher, fleet, metrics},
+              LoopOptions(settings)),
+      bridge({EntryId(settings.entry), incarnation,
+              DataCentreId(settings.data_centre),
+              settings.peer_listen.ToString()},
+             clock,
+             dispatcher,
+             config),
+      peers(PeerSettings(settings, incarnation), &bridge, &clock, &metrics),
+      tickets(BookOptions(settings, incarnation)),
+      claims(KeyClaimOptions(settings, incarnation), store, clock, metrics),
+      requests(ServiceOptions(settings),
+               {clock, dispatcher, client, peers, tickets, claims, projects,
+                metrics}),
+      admin({clock, metrics, store, config, data_centre, budgets, control,
+             dispatcher, peers, bridge},
+            settings.platform_timeout),
+      router(admin, settings.operator_credential),
+      admin_tasks(kAdminThreads, kAdminQueue) {}
+
+Daemon::Daemon(Settings settings, const Clock& clock)
+    : settings_(std::move(settings)), clock_(clock) {}
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::Start() {
+  const uint64_t incarnation = NewIncarnation(clock_);
+  parts_ = std::make_unique<Parts>(settings_, clock_, incarnation);
+  Parts& parts = *parts_;
+
+  parts.config.SetPeers(&parts.peers);
+  parts.config.SetOnChange([&parts, this] {
+    parts.projects.Update(*parts.config.InForce(),
+                          DataCentreId(settings_.data_centre));
+    parts.control.Wake();
+  });
+  parts.bridge.SetRequests(&parts.requests);
+  parts.admin.AddDump("config", [&parts] { return parts.config.DumpState(); });
+  parts.admin.AddDump("routing", [&parts] { return parts.dispatcher.Dump(); });
+
+  // All listeners are bound before this daemon joins its data centre's
+  // members: a second daemon started by mistake on the same instance fails
+  // here and takes over no share of the first.
+  HttpServerOptions caller;
+  caller.address = settings_.caller_listen.ToString();
+  caller.threads = static_cast<unsigned>(settings_.caller_threads);
+  caller.max_connections = static_cast<unsigned>(settings_.max_open_requests);
+  caller.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+  Result<std::unique_ptr<HttpServer>> caller_server = HttpServer::Start(
+      caller,
+      [&parts](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+        parts.requests.Handle(std::move(request), std::move(exchange));
+      },
+      parts.metrics);
+  if (!caller_server) {
+    return tl::unexpected<Error>(caller_server.error());
+  }
+  parts.caller_server = std::move(*caller_server);
+
+  HttpServerOptions admin;
+  admin.address = settings_.admin_listen.ToString();
+  admin.threads = 1;
+  admin.max_connections = kAdminConnections;
+  admin.max_body_bytes = kMaxUploadBytes;
+  Result<std::unique_ptr<HttpServer>> admin_server = HttpServer::Start(
+      admin,
+      [&parts](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+        auto task = [&parts, request = std::move(request), exchange] {
+          exchange->Respond(parts.router.Handle(request));
+        };
+        if (!parts.admin_tasks.Post(std::move(task))) {
+          exchange->Respond(HttpResponse{503, {}, "too many requests\n"});
+        }
+      },
+      parts.metrics);
+  if (!admin_server) {
+    return tl::unexpected<Error>(admin_server.error());
+  }
+  parts.admin_server = std::move(*admin_server);
+
+  const Result<void> peers = parts.peers.Start();
+  if (!peers) {
+    return peers;
+  }
+  parts.config.Start();
+  parts.control.Start();
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
+           {{"entry", settings_.entry},
+            {"incarnation", absl::StrCat(incarnation)},
+            {"data_centre", settings_.data_centre}});
+  return {};
+}
+
+void Daemon::Stop() {
+  if (!parts_) {
+    return;
+  }
+  Parts& parts = *parts_;
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "stopping",
+           {{"in_flight", absl::StrCat(parts.requests.InFlight())}});
+  parts.admin.SetStopping();
+  parts.bridge.SetStopping();
+  parts.caller_server->StopAccepting();
+  parts.requests.Stop(settings_.drain_timeout);
+  parts.caller_server->WaitIdle(std::chrono::seconds(1));
+  parts.caller_server->Stop();
+  parts.peers.Stop(kPeerGrace);
+
+  parts.dispatcher.Stop(clock_.Now());
+  const bool released = parts.control.Release(kReleaseBound);
+  parts.control.Stop();
+  parts.config.Stop();
+  parts.admin_server->Stop();
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "stopped",
+           {{"share_released", released ? "yes" : "no"}});
+}
+
+}  // namespace figflow
--- a/Source/Core/Http/address_pool.cc
+++ b/Source/Core/Http/address_pool.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "Http/client_loop.h"
+
 namespace figflow {
 namespace {
 
@@ -41,17 +43,22 @@
   if (fd < 0) {
     return CURL_SOCKET_BAD;
   }
-  static_cast<AddressPool*>(pool)->sockets.push_back({fd, 0});
+  auto* address_pool = static_cast<AddressPool*>(pool);
+  address_pool->sockets.push_back({fd, 0});
+  address_pool->loop->PublishOpenConnections(*address_pool);
   return fd;
 }
 
 int AddressPool::OnClose(void* pool, curl_socket_t fd) {
-  auto& sockets = static_cast<AddressPool*>(pool)->sockets;
+  auto* address_pool = static_cast<AddressPool*>(pool);
+  auto& sockets = address_pool->sockets;
   sockets.erase(
       std::remove_if(sockets.begin(), sockets.end(),
                      [fd](const Socket& socket) { return socket.fd == fd; }),
       sockets.end());
-  return close(fd);
+  const int status = close(fd);
+  address_pool->loop->PublishOpenConnections(*address_pool);
+  return status;
 }
 
 }  // namespace figflow
--- a/Source/Core/Http/address_pool.h
+++ b/Source/Core/Http/address_pool.h
@@ -4,6 +4,7 @@
 #include <curl/curl.h>
 
 #include <deque>
+#include <string>
 #include <vector>
 
 #include "Common/clock.h"
@@ -18,6 +19,7 @@
 // multi handle. Used on the thread of its loop only.
 struct AddressPool {
   ClientLoop* loop = nullptr;
+  std::string address;
   CURLM* multi = nullptr;
   int limit = 0;
   int active = 0;
--- a/Source/Core/Http/client_loop.cc
+++ b/Source/Core/Http/client_loop.cc
@@ -188,7 +188,9 @@
                             static_cast<long>(pool.limit));
           curl_multi_setopt(pool.multi, CURLMOPT_MAXCONNECTS,
                             static_cast<long>(pool.limit));
-          LaunchWaiting(pool, Now());
+          if (!EraseIfOverLimit(pool)) {
+            LaunchWaiting(pool, Now());
+          }
         }
         break;
       }
@@ -196,12 +198,43 @@
   }
 }
 
+int ClientLoop::OpenConnections(const std::string& address) const {
+  absl::MutexLock lock(&mutex_);
+  auto it = open_connections_.find(address);
+  return it == open_connections_.end() ? 0 : it->second;
+}
+
+void ClientLoop::PublishOpenConnections(const AddressPool& pool) {
+  absl::MutexLock lock(&mutex_);
+  if (pool.sockets.empty()) {
+    open_connections_.erase(pool.address);
+  } else {
+    open_connections_[pool.address] = static_cast<int>(pool.sockets.size());
+  }
+}
+
+bool ClientLoop::EraseIfOverLimit(AddressPool& pool) {
+  if (pool.active > 0 || !pool.waiting.empty() ||
+      pool.sockets.size() <= static_cast<size_t>(pool.limit)) {
+    return false;
+  }
+  ErasePool(pool);
+  return true;
+}
+
+void ClientLoop::ErasePool(AddressPool& pool) {
+  curl_multi_cleanup(pool.multi);
+  SetTimer(pool, MonoTime::max());
+  pools_.erase(pool.address);
+}
+
 AddressPool& ClientLoop::PoolOf(const std::string& address) {
   std::unique_ptr<AddressPool>& pool = pools_[address];
   if (pool == nullptr) {
     pool = std::make_unique<AddressPool>();
     auto limit = limits_.find(address);
     pool->loop = this;
+    pool->address = address;
     pool->limit = limit == limits_.end() ? options_.connections_per_address
                                          : limit->second;
     pool->multi = curl_multi_init();
@@ -384,15 +417,14 @@
   next_housekeeping_ = now + kHousekeepingInterval;
   // An address without transfers for the idle time gives up its connections.
   for (auto it = pools_.begin(); it != pools_.end();) {
-    AddressPool& pool = *it->second;
-    if (pool.active > 0 || !pool.waiting.empty() ||
-        now - pool.last_used < options_.idle_timeout) {
-      ++it;
-      continue;
+    AddressPool& pool = *it++->second;
+    const bool idle = pool.active == 0 && pool.waiting.empty() &&
+                      now - pool.last_used >= options_.idle_timeout;
+    if (idle) {
+      ErasePool(pool);
+    } else {
+      EraseIfOverLimit(pool);
     }
-    curl_multi_cleanup(pool.multi);
-    SetTimer(pool, MonoTime::max());
-    pools_.erase(it++);
   }
 }
 
--- a/Source/Core/Http/client_loop.h
+++ b/Source/Core/Http/client_loop.h
@@ -33,6 +33,13 @@
   void Start(uint64_t id, TransferRequest request, TransferCallback done);
   void Cancel(uint64_t id);
   void SetConnectionLimit(const std::string& address, int limit);
+  // Open connections to `address`, idle ones included. Never lower than the
+  // true number: a connection is counted before it is made and until it is
+  // closed.
+  int OpenConnections(const std::string& address) const;
+
+  // For AddressPool, on the thread of the loop.
+  void PublishOpenConnections(const AddressPool& pool);
 
  private:
   struct Command {
@@ -58,6 +65,11 @@
   void RunHousekeeping(MonoTime now);
   int WaitMilliseconds();
 
+  // Closes the pool's connections if there are more than its limit and none is
+  // in use. Returns whether the pool was erased.
+  bool EraseIfOverLimit(AddressPool& pool);
+  void ErasePool(AddressPool& pool);
+
   AddressPool& PoolOf(const std::string& address);
   void SetTimer(AddressPool& pool, MonoTime at);
   void Launch(ClientTransfer* transfer, MonoTime now);
@@ -76,7 +88,9 @@
   int epoll_fd_ = -1;
   int wake_fd_ = -1;
 
-  absl::Mutex mutex_;
+  mutable absl::Mutex mutex_;
+  absl::flat_hash_map<std::string, int> open_connections_
+      ABSL_GUARDED_BY(mutex_);
   std::vector<Command> mailbox_ ABSL_GUARDED_BY(mutex_);
   // The thread is or will be awake and will read the mailbox.
   bool awake_ ABSL_GUARDED_BY(mutex_) = true;
--- a/Source/Core/Http/http_client.cc
+++ b/Source/Core/Http/http_client.cc
@@ -43,8 +43,15 @@
 }
 
 void HttpClient::SetConnectionLimit(const std::string& address, int limit) {
-  const size_t loop = absl::Hash<std::string>()(address) % loops_.size();
-  loops_[loop]->SetConnectionLimit(address, limit);
+  LoopOf(address).SetConnectionLimit(address, limit);
+}
+
+int HttpClient::OpenConnections(const std::string& address) const {
+  return LoopOf(address).OpenConnections(address);
+}
+
+ClientLoop& HttpClient::LoopOf(const std::string& address) const {
+  return *loops_[absl::Hash<std::string>()(address) % loops_.size()];
 }
 
 }  // namespace figflow
--- a/Source/Core/Http/http_client.h
+++ b/Source/Core/Http/http_client.h
@@ -45,8 +45,12 @@
   // Open connections to `address`, idle ones included, stay within `limit`.
   // Transfers beyond it wait in order of arrival.
   void SetConnectionLimit(const std::string& address, int limit);
+  // Connections to `address` that are open now, idle ones included.
+  int OpenConnections(const std::string& address) const;
 
  private:
+  ClientLoop& LoopOf(const std::string& address) const;
+
   std::atomic<uint64_t> next_id_{1};
   std::vector<std::unique_ptr<ClientLoop>> loops_;
 };
--- a/Source/UnitTests/Process/cluster.cc
+++ b/Source/UnitTests/Process/cluster.cc
@@ -126,10 +126,17 @@
 }
 
 void Cluster::SetPlatformFault(const json& fault) {
-  const CallResult result =
-      Call("POST", Url(kPlatformPort) + "/standin/fault", {}, fault.dump());
+  PostToPlatform("/standin/fault", fault.dump());
+}
+
+void Cluster::PlatformCall(const std::string& path) {
+  PostToPlatform(path, "");
+}
+
+void Cluster::PostToPlatform(const std::string& path, const std::string& body) {
+  const CallResult result = Call("POST", Url(kPlatformPort) + path, {}, body);
   if (result.status != 200) {
-    throw std::runtime_error("the platform refused a fault: " + result.body);
+    throw std::runtime_error("the platform refused a call: " + result.body);
   }
 }
 
--- a/Source/UnitTests/Process/cluster.h
+++ b/Source/UnitTests/Process/cluster.h
@@ -53,6 +53,9 @@
   // Sets faults of the platform stand-in, such as {"down": true}.
   void SetPlatformFault(const nlohmann::json& fault);
 
+  // POST without a body to the platform stand-in, such as "/standin/restore".
+  void PlatformCall(const std::string& path);
+
   std::string EntryId(int entry) const;
   std::string TargetId(int target) const;
   std::string CallerUrl(int entry) const;
@@ -79,6 +82,7 @@
 
  private:
   std::string DataCentreOf(int index, int per_data_centre) const;
+  void PostToPlatform(const std::string& path, const std::string& body);
   std::string WriteFleetFile() const;
   std::string WriteSettingsFile(int entry) const;
 
