--- /dev/null
+++ b/Source/Core/Http/address_pool.cc
@@ -0,0 +1,64 @@
+#include "Http/address_pool.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "Http/client_loop.h"
+
+namespace figflow {
+namespace {
+
+int LocalPort(curl_socket_t fd) {
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return 0;
+  }
+  // The port is at the same place for both families.
+  return ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+}
+
+}  // namespace
+
+curl_socket_t AddressPool::FindSocket(int local_port) {
+  for (Socket& socket : sockets) {
+    if (socket.local_port == 0) {
+      socket.local_port = LocalPort(socket.fd);
+    }
+    if (socket.local_port == local_port) {
+      return socket.fd;
+    }
+  }
+  return CURL_SOCKET_BAD;
+}
+
+curl_socket_t AddressPool::OnOpen(void* pool,
+                                  curlsocktype /*purpose*/,
+                                  curl_sockaddr* address) {
+  const curl_socket_t fd = socket(
+      address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+  if (fd < 0) {
+    return CURL_SOCKET_BAD;
+  }
+  auto* address_pool = static_cast<AddressPool*>(pool);
+  address_pool->sockets.push_back({fd, 0});
+  address_pool->loop->PublishOpenConnections(*address_pool);
+  return fd;
+}
+
+int AddressPool::OnClose(void* pool, curl_socket_t fd) {
+  auto* address_pool = static_cast<AddressPool*>(pool);
+  auto& sockets = address_pool->sockets;
+  sockets.erase(
+      std::remove_if(sockets.begin(), sockets.end(),
+                     [fd](const Socket& socket) { return socket.fd == fd; }),
+      sockets.end());
+  const int status = close(fd);
+  address_pool->loop->PublishOpenConnections(*address_pool);
+  return status;
+}
+
+}  // namespace figflow
