Drive maintenance and budgets from the control loop

Cause: grants of the sheet, unplanned failures and roll-outs had no driver. Ruled out: every daemon reading every wave document each second (194 x 100 reads a second); one watch per daemon tells which roll-outs need steps. Every daemon writing grants; the first member of a data centre does, by idempotent calls.

--- a/Source/Core/Daemon/admin_service.cc
+++ b/Source/Core/Daemon/admin_service.cc
@@ -1,5 +1,6 @@
 #include "Daemon/admin_service.h"
 
+#include <random>
 #include <utility>
 
 #include "Daemon/admin_views.h"
@@ -21,6 +22,16 @@
   return text;
 }
 
+// 32 hexadecimal digits.
+std::string RandomId() {
+  std::random_device random;
+  std::string id;
+  for (int i = 0; i < 4; ++i) {
+    absl::StrAppend(&id, absl::Hex(random(), absl::kZeroPad8));
+  }
+  return id;
+}
+
 Result<SheetDocument> ParseWhole(absl::string_view csv) {
   ParsedSheet parsed = ParseSheet(csv);
   if (!parsed.ok()) {
@@ -104,10 +115,7 @@
   request.sheet = std::move(*sheet);
   request.apply_id = apply_id;
   if (request.apply_id.empty()) {
-    const PeerDigest local = parts_.local.LocalDigest();
-    request.apply_id =
-        absl::StrCat(local.entry.value(), "/", local.incarnation, "/",
-                     next_apply_.fetch_add(1));
+    request.apply_id = RandomId();
   }
   Result<ApplyOutcome> outcome =
       parts_.config.Apply(request, 4 * store_timeout_);
@@ -130,25 +138,39 @@
   return report;
 }
 
-std::vector<DataCentreDocument> AdminService::Documents() {
-  std::vector<DataCentreDocument> documents;
+Result<std::vector<DataCentreDocument>> AdminService::ReadDocuments() {
   const Result<std::vector<KeyValue>> stored =
       parts_.store.List(kDocumentPrefix, store_timeout_);
-  if (stored) {
-    for (const KeyValue& entry : *stored) {
-      Result<DataCentreDocument> document =
-          ParseDataCentreDocument(entry.versioned.value);
-      if (document) {
-        documents.push_back(std::move(*document));
-      }
+  if (!stored) {
+    return tl::unexpected<Error>(stored.error());
+  }
+  std::vector<DataCentreDocument> documents;
+  for (const KeyValue& entry : *stored) {
+    Result<DataCentreDocument> document =
+        ParseDataCentreDocument(entry.versioned.value);
+    if (!document) {
+      return tl::unexpected<Error>(document.error());
     }
-  } else if (std::optional<DataCentreDocument> known =
-                 parts_.data_centre.Current()) {
-    documents.push_back(std::move(*known));
+    documents.push_back(std::move(*document));
   }
   return documents;
 }
 
+std::vector<DataCentreDocument> AdminService::Documents() {
+  Result<std::vector<DataCentreDocument>> documents = ReadDocuments();
+  if (documents) {
+    return std::move(*documents);
+  }
+  std::optional<DataCentreDocument> known = parts_.data_centre.Current();
+  return known ? std::vector<DataCentreDocument>{std::move(*known)}
+               : std::vector<DataCentreDocument>();
+}
+
+std::string AdminService::WriterName() {
+  const PeerDigest local = parts_.local.LocalDigest();
+  return absl::StrCat(local.entry.value(), "/", local.incarnation);
+}
+
 Result<std::vector<ProjectRow>> AdminService::Projects(
     const AdminFilter& filter) {
   const auto in_force = parts_.config.InForce();
--- a/Source/Core/Daemon/admin_service.h
+++ b/Source/Core/Daemon/admin_service.h
@@ -14,6 +14,7 @@
 #include "Common/metrics.h"
 #include "Daemon/control_loop.h"
 #include "FleetConfig/config_store.h"
+#include "Maintenance/wave_store.h"
 #include "Peer/peer_service.h"
 #include "Platform/key_value_store.h"
 #include "Pools/data_centre_store.h"
@@ -79,12 +80,18 @@
   // All data centres' documents. While the store is down, only this data
   // centre's last known one.
   std::vector<DataCentreDocument> Documents();
+  // All data centres' documents, or why the store did not answer.
+  Result<std::vector<DataCentreDocument>> ReadDocuments();
+  // Name of this process in durable documents.
+  std::string WriterName();
+  Result<RolloutRow> ChangeRollout(
+      const ProjectId& project,
+      const std::function<Result<void>(WaveStore&)>& change);
 
   const AdminParts parts_;
   const std::chrono::milliseconds store_timeout_;
   std::map<std::string, std::function<nlohmann::json()>> dumps_;
   std::atomic<bool> stopping_{false};
-  std::atomic<uint64_t> next_apply_{1};
 };
 
 }  // namespace figflow
--- a/Source/Core/Daemon/daemon.cc
+++ b/Source/Core/Daemon/daemon.cc
@@ -7,7 +7,9 @@
 #include "Common/log.h"
 #include "Common/metrics.h"
 #include "Daemon/admin_service.h"
+#include "Daemon/budget_keeper.h"
 #include "Daemon/control_loop.h"
+#include "Daemon/maintenance_driver.h"
 #include "Daemon/peer_bridge.h"
 #include "Daemon/project_map.h"
 #include "Daemon/target_traffic.h"
@@ -84,11 +86,25 @@
   return options;
 }
 
+MaintenanceOptions OperationOptions(const Settings& settings,
+                                    uint64_t incarnation) {
+  MaintenanceOptions options;
+  options.data_centre = DataCentreId(settings.data_centre);
+  options.writer = absl::StrCat(settings.entry, "/", incarnation);
+  options.drain_timeout = settings.instance_drain_timeout;
+  options.reboot_timeout = settings.reboot_timeout;
+  options.request_bound = RequestBound(settings);
+  options.call_timeout = settings.platform_timeout;
+  return options;
+}
+
 ClaimOptions KeyClaimOptions(const Settings& settings, uint64_t incarnation) {
   ClaimOptions options;
   options.entry = EntryId(settings.entry);
   options.incarnation = incarnation;
-  options.retention = settings.claim_retention;
+  options.retention =
+      std::chrono::duration_cast<std::chrono::seconds>(settings.claim_retention);
+  options.call_timeout = settings.platform_timeout;
   return options;
 }
 
@@ -135,6 +151,8 @@
   PoolsController pools;
   BudgetStore budgets;
   ControlLoop control;
+  BudgetKeeper budget_keeper;
+  MaintenanceDriver maintenance;
   PeerBridge bridge;
   PeerNode peers;
   SignedTicketBook tickets;
@@ -168,6 +186,14 @@
               settings.platform_timeout),
       control({clock, config, data_centre, pools, dispatcher, fleet, metrics},
               LoopOptions(settings)),
+      budget_keeper(budgets,
+                    data_centre,
+                    metrics,
+                    EntryId(settings.entry),
+                    incarnation),
+      maintenance({store, data_centre, budgets, fleet},
+                  OperationOptions(settings, incarnation),
+                  settings.watch_wait),
       bridge({EntryId(settings.entry), incarnation,
               DataCentreId(settings.data_centre),
               settings.peer_listen.ToString()},
@@ -204,6 +230,8 @@
   });
   parts.bridge.SetRequests(&parts.requests);
   parts.admin.AddDump("config", [&parts] { return parts.config.DumpState(); });
+  parts.admin.AddDump("maintenance",
+                      [&parts] { return parts.maintenance.DumpState(); });
   parts.admin.AddDump("routing", [&parts] { return parts.dispatcher.Dump(); });
 
   // All listeners are bound before this daemon joins its data centre's
@@ -250,7 +278,12 @@
   if (!peers) {
     return peers;
   }
+  parts.control.AddStep(
+      [&parts](const ControlRound& round) { parts.budget_keeper.Step(round); });
+  parts.control.AddStep(
+      [&parts](const ControlRound& round) { parts.maintenance.Step(round); });
   parts.config.Start();
+  parts.maintenance.Start();
   parts.control.Start();
   LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
            {{"entry", settings_.entry},
@@ -275,6 +308,7 @@
   parts.peers.Stop(kPeerGrace);
 
   parts.dispatcher.Stop(clock_.Now());
+  parts.maintenance.Stop();
   const bool released = parts.control.Release(kReleaseBound);
   parts.control.Stop();
   parts.config.Stop();
--- a/Source/Core/Peer/peer_service.h
+++ b/Source/Core/Peer/peer_service.h
@@ -40,9 +40,6 @@
 
 // A caller's request passed on to another entry instance.
 struct RelayRequest {
-  // Set by the receiving PeerService: the sender's relay id, which
-  // OnRelayCancelled names.
-  uint64_t id = 0;
   ProjectId project;
   std::string method;
   std::string target;
--- a/Source/Core/Requests/request_service.cc
+++ b/Source/Core/Requests/request_service.cc
@@ -243,7 +243,7 @@
   flow_request.hops = std::max(1, relay.hops);
 
   std::shared_ptr<RequestFlow> flow =
-      Register(std::move(flow_request), RelayName(from, relay.id),
+      Register(std::move(flow_request), RelayName(from, relay.relay_id),
                [done](FlowResult result) {
                  const bool not_run =
                      result.own && result.disposition == Disposition::kNotRun;
--- a/Source/UnitTests/Process/cluster.cc
+++ b/Source/UnitTests/Process/cluster.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
 #include <thread>
 
@@ -241,14 +242,18 @@
       "priority,long_share,max_move\n");
   for (const std::string& data_centre : options_.data_centres) {
     for (const auto& [project, instances] : projects) {
+      // A project without instances can have no availability budget.
       absl::StrAppend(&csv, project, ",team,", project, ",", data_centre, ",",
-                      instances, ",1,240,normal,0.5,100\n");
+                      instances, instances > 0 ? ",1,240" : ",0,0",
+                      ",normal,0.5,100\n");
     }
     absl::StrAppend(&csv, "spare,team,spare,", data_centre,
-                    ",0,1,240,low,0,100\n");
+                    ",0,0,0,low,0,100\n");
   }
   const CallResult applied = Admin(entry, "POST", "/v1/sheet/apply", csv);
   if (applied.status != 200) {
+    std::cerr << "apply refused: " << applied.status << " " << applied.body
+              << "\n";
     return 0;
   }
   return json::parse(applied.body).value("revision", uint64_t{0});
--- a/Source/UnitTests/Requests/request_service_test.cc
+++ b/Source/UnitTests/Requests/request_service_test.cc
@@ -590,7 +590,7 @@
   }
   std::shared_ptr<RelayAnswer> Relay(const HttpHeaders& headers) {
     RelayRequest relay;
-    relay.id = 5;
+    relay.relay_id = 5;
     relay.project = ProjectId("shop");
     relay.method = "GET";
     relay.target = "/a";
