--- a/Source/Core/Routing/sharded_dispatcher.cc
+++ b/Source/Core/Routing/sharded_dispatcher.cc
@@ -13,20 +13,20 @@
 
 std::shared_ptr<ShardedDispatcher::Shard> ShardedDispatcher::Find(
     const PoolId& pool) const {
-  absl::ReaderMutexLock lock(&shards_mutex_);
+  std::shared_lock<std::shared_mutex> lock(shards_mutex_);
   const auto it = shards_.find(pool);
   return it == shards_.end() ? nullptr : it->second;
 }
 
 std::shared_ptr<ShardedDispatcher::Shard> ShardedDispatcher::FindOrAdd(
     const PoolId& pool) {
-  absl::MutexLock lock(&shards_mutex_);
+  std::unique_lock<std::shared_mutex> lock(shards_mutex_);
   std::shared_ptr<Shard>& shard = shards_[pool];
   if (shard == nullptr) {
     shard = std::make_shared<Shard>(pool, options_, metrics_);
     if (stopping_) {
       Outcomes none;
-      absl::MutexLock shard_lock(&shard->mutex);
+      std::lock_guard<std::mutex> shard_lock(shard->mutex);
       shard->state.Stop(none);
     }
   }
@@ -36,7 +36,7 @@
 ShardedDispatcher::Shards ShardedDispatcher::AllShards() const {
   Shards shards;
   {
-    absl::ReaderMutexLock lock(&shards_mutex_);
+    std::shared_lock<std::shared_mutex> lock(shards_mutex_);
     shards.assign(shards_.begin(), shards_.end());
   }
   std::sort(shards.begin(), shards.end(),
@@ -53,15 +53,15 @@
 void ShardedDispatcher::UpdateTable(const RoutingTable& table, MonoTime now) {
   Outcomes outcomes;
   {
-    absl::MutexLock update_lock(&update_mutex_);
+    std::lock_guard<std::mutex> update_lock(update_mutex_);
     absl::flat_hash_set<PoolId> listed;
     for (const PoolTable& pool : table.pools) {
       listed.insert(pool.pool);
       // The shard is published before it reads the marks, so that a mark set at
       // the same time reaches it one way or the other.
       const std::shared_ptr<Shard> shard = FindOrAdd(pool.pool);
-      absl::MutexLock lock(&shard->mutex);
-      absl::MutexLock marks_lock(&marks_mutex_);
+      std::lock_guard<std::mutex> lock(shard->mutex);
+      std::lock_guard<std::mutex> marks_lock(marks_mutex_);
       shard->state.Update(pool, marks_, now, outcomes);
     }
     Shards gone = AllShards();
@@ -71,7 +71,7 @@
                               }),
                gone.end());
     for (const auto& [pool, shard] : gone) {
-      absl::MutexLock lock(&shard->mutex);
+      std::lock_guard<std::mutex> lock(shard->mutex);
       shard->state.Remove(now, outcomes);
     }
     RemoveIdleShards(gone);
@@ -80,9 +80,9 @@
 }
 
 void ShardedDispatcher::RemoveIdleShards(const Shards& gone) {
-  absl::MutexLock lock(&shards_mutex_);
+  std::unique_lock<std::shared_mutex> lock(shards_mutex_);
   for (const auto& [pool, shard] : gone) {
-    absl::MutexLock shard_lock(&shard->mutex);
+    std::lock_guard<std::mutex> shard_lock(shard->mutex);
     if (shard->state.removed_and_idle()) {
       shards_.erase(pool);
     }
@@ -95,7 +95,7 @@
   const std::shared_ptr<Shard> shard = Find(item.pool);
   if (shard == nullptr) {
     const Refusal refusal = [this] {
-      absl::ReaderMutexLock lock(&shards_mutex_);
+      std::shared_lock<std::shared_mutex> lock(shards_mutex_);
       return stopping_ ? Refusal::kStopping : Refusal::kUnknownPool;
     }();
     metrics_.refusals[static_cast<size_t>(refusal)]->Add();
@@ -104,7 +104,7 @@
   }
   Outcomes outcomes;
   {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     shard->state.Submit(item, now, std::move(done), outcomes);
   }
   Deliver(std::move(outcomes));
@@ -118,7 +118,7 @@
   Outcomes outcomes;
   bool cancelled = false;
   {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     cancelled = shard->state.Cancel(item, outcomes);
   }
   Deliver(std::move(outcomes));
@@ -135,7 +135,7 @@
   }
   Outcomes outcomes;
   {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     shard->state.Finish(permit, report, now, outcomes);
   }
   if (report.leaving) {
@@ -149,20 +149,20 @@
   if (shard == nullptr) {
     return false;
   }
-  absl::MutexLock lock(&shard->mutex);
+  std::lock_guard<std::mutex> lock(shard->mutex);
   return shard->state.TakeRetryToken(now);
 }
 
 void ShardedDispatcher::MarkLeaving(const LeavingMark& mark, MonoTime now) {
   {
-    absl::MutexLock lock(&marks_mutex_);
+    std::lock_guard<std::mutex> lock(marks_mutex_);
     if (!marks_.Add(mark, now)) {
       return;
     }
   }
   Outcomes outcomes;
   for (const auto& [pool, shard] : AllShards()) {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     shard->state.MarkLeaving(mark, now, outcomes);
   }
   Deliver(std::move(outcomes));
@@ -170,7 +170,7 @@
 
 std::vector<LeavingMark> ShardedDispatcher::RecentLeavingMarks(
     MonoTime now) const {
-  absl::MutexLock lock(&marks_mutex_);
+  std::lock_guard<std::mutex> lock(marks_mutex_);
   return marks_.Recent(now);
 }
 
@@ -180,14 +180,14 @@
   if (shard == nullptr) {
     return 0;
   }
-  absl::MutexLock lock(&shard->mutex);
+  std::lock_guard<std::mutex> lock(shard->mutex);
   return shard->state.InFlight(target);
 }
 
 std::vector<std::pair<PoolId, int>> ShardedDispatcher::FreeSlots() const {
   std::vector<std::pair<PoolId, int>> free;
   for (const auto& [pool, shard] : AllShards()) {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     free.emplace_back(pool, shard->state.FreeSlots());
   }
   return free;
@@ -196,11 +196,11 @@
 void ShardedDispatcher::Tick(MonoTime now) {
   Outcomes outcomes;
   for (const auto& [pool, shard] : AllShards()) {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     shard->state.Tick(now, outcomes);
   }
   {
-    absl::MutexLock lock(&marks_mutex_);
+    std::lock_guard<std::mutex> lock(marks_mutex_);
     marks_.Prune(now);
   }
   Deliver(std::move(outcomes));
@@ -208,12 +208,12 @@
 
 void ShardedDispatcher::Stop(MonoTime /*now*/) {
   {
-    absl::MutexLock lock(&shards_mutex_);
+    std::unique_lock<std::shared_mutex> lock(shards_mutex_);
     stopping_ = true;
   }
   Outcomes outcomes;
   for (const auto& [pool, shard] : AllShards()) {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     shard->state.Stop(outcomes);
   }
   Deliver(std::move(outcomes));
@@ -222,7 +222,7 @@
 nlohmann::json ShardedDispatcher::Dump() const {
   nlohmann::json dump = nlohmann::json::object();
   for (const auto& [pool, shard] : AllShards()) {
-    absl::MutexLock lock(&shard->mutex);
+    std::lock_guard<std::mutex> lock(shard->mutex);
     dump[pool.value()] = shard->state.Dump();
   }
   return dump;
--- a/Source/Core/Routing/sharded_dispatcher.h
+++ b/Source/Core/Routing/sharded_dispatcher.h
@@ -2,6 +2,8 @@
 #define ROUTING_SHARDED_DISPATCHER_H_
 
 #include <memory>
+#include <mutex>
+#include <shared_mutex>
 #include <utility>
 #include <vector>
 
@@ -13,13 +15,15 @@
 #include "Routing/pool_shard.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
 
 namespace figflow {
 
 // The dispatcher of a daemon: one shard per pool, each under its own lock.
 // Call Tick every 50 ms or so: it refuses expired requests, notices requests
 // that run long and starts probes.
+//
+// Uses std::mutex because ThreadSanitizer does not see absl::Mutex, which
+// Debian builds without its annotations.
 class ShardedDispatcher : public Dispatcher {
  public:
   // `registry` must outlive the dispatcher.
@@ -46,7 +50,7 @@
   struct Shard {
     Shard(PoolId pool, const RoutingOptions& options, RoutingMetrics metrics)
         : state(std::move(pool), options, metrics) {}
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     PoolShard state ABSL_GUARDED_BY(mutex);
   };
   using Shards = std::vector<std::pair<PoolId, std::shared_ptr<Shard>>>;
@@ -62,14 +66,14 @@
   const RoutingMetrics metrics_;
 
   // Serialises UpdateTable, so that two tables are not mixed.
-  absl::Mutex update_mutex_;
-  mutable absl::Mutex shards_mutex_ ABSL_ACQUIRED_AFTER(update_mutex_);
+  std::mutex update_mutex_;
+  mutable std::shared_mutex shards_mutex_ ABSL_ACQUIRED_AFTER(update_mutex_);
   absl::flat_hash_map<PoolId, std::shared_ptr<Shard>> shards_
       ABSL_GUARDED_BY(shards_mutex_);
   bool stopping_ ABSL_GUARDED_BY(shards_mutex_) = false;
 
   // Taken after a shard's lock, never before it.
-  mutable absl::Mutex marks_mutex_;
+  mutable std::mutex marks_mutex_;
   LeavingMarks marks_ ABSL_GUARDED_BY(marks_mutex_);
 };
 
--- /dev/null
+++ b/Source/UnitTests/Idempotency/claims_test.cc
@@ -0,0 +1,536 @@
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Idempotency/store_claim_registry.h"
+#include "Support/fake_key_value_store.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::FakeKeyValueStore;
+using WriteFault = FakeKeyValueStore::WriteFault;
+
+const ProjectId kScope("bookings");
+
+class ShiftedClock : public Clock {
+ public:
+  MonoTime Now() const override { return system_.Now(); }
+  WallTime WallNow() const override {
+    return system_.WallNow() + hours(shift_hours.load());
+  }
+  std::atomic<int> shift_hours{0};
+
+ private:
+  SystemClock system_;
+};
+
+// Passes calls on one at a time, in a form that ThreadSanitizer sees, and adds
+// faults that the fake does not have: writes that arrive late and a gate.
+class FaultyStore : public FakeKeyValueStore {
+ public:
+  // The next `count` writes are held back; their callers get kUnknownOutcome.
+  void HoldBackWrites(int count) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    hold_back_ = count;
+  }
+  // Writes held back arrive now.
+  void ReleaseWrites() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& write : held_back_) {
+      write();
+    }
+    held_back_.clear();
+  }
+  // Writes are refused, after those that are held back.
+  void SetWritesFail(bool fail) { writes_fail_ = fail; }
+  // From any thread, also during a write.
+  void SetReadsFail(bool fail) { reads_fail_ = fail; }
+  // Calls block while the gate is shut.
+  void SetGate(bool open) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    open_ = open;
+    opened_.notify_all();
+  }
+
+  Result<std::optional<VersionedValue>> Get(absl::string_view key,
+                                            milliseconds timeout) override {
+    std::unique_lock<std::mutex> lock(mutex_);
+    opened_.wait(lock, [this] { return open_; });
+    if (reads_fail_) {
+      return Fail(ErrorCode::kUnavailable, "kv.get", "", "no answer");
+    }
+    return FakeKeyValueStore::Get(key, timeout);
+  }
+  Result<uint64_t> CompareAndSwap(absl::string_view key,
+                                  uint64_t expected,
+                                  absl::string_view value,
+                                  milliseconds timeout,
+                                  LeaseId lease) override {
+    std::unique_lock<std::mutex> lock(mutex_);
+    opened_.wait(lock, [this] { return open_; });
+    if (hold_back_ > 0) {
+      --hold_back_;
+      held_back_.emplace_back([this, key = std::string(key), expected,
+                               value = std::string(value), timeout] {
+        (void)FakeKeyValueStore::CompareAndSwap(key, expected, value, timeout);
+      });
+      return Fail(ErrorCode::kUnknownOutcome, "kv.compare_and_swap", "",
+                  "no answer");
+    }
+    if (writes_fail_) {
+      return Fail(ErrorCode::kUnavailable, "kv.compare_and_swap", "",
+                  "not accepted");
+    }
+    return FakeKeyValueStore::CompareAndSwap(key, expected, value, timeout,
+                                             lease);
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable opened_;
+  bool open_ = true;
+  int hold_back_ = 0;
+  std::atomic<bool> reads_fail_{false};
+  std::atomic<bool> writes_fail_{false};
+  std::vector<std::function<void()>> held_back_;
+};
+
+// One daemon's registry and the answers to its claims.
+class Daemon {
+ public:
+  Daemon(KeyValueStore& store,
+         const Clock& clock,
+         const std::string& entry,
+         uint64_t incarnation = 1,
+         size_t max_bytes = 900'000)
+      : clock_(clock),
+        registry_(Options(entry, incarnation, max_bytes),
+                  store,
+                  clock,
+                  metrics) {}
+
+  std::future<std::string> Start(const std::string& key,
+                                 milliseconds patience = seconds(20)) {
+    auto answer = std::make_shared<std::promise<std::string>>();
+    registry_.Claim(kScope, key, clock_.Now() + patience,
+                    [answer](const Result<ClaimVerdict>& result) {
+                      answer->set_value(Name(result));
+                    });
+    return answer->get_future();
+  }
+  std::string Claim(const std::string& key,
+                    milliseconds patience = seconds(20)) {
+    return Start(key, patience).get();
+  }
+
+  MetricsRegistry metrics;
+
+ private:
+  static ClaimOptions Options(const std::string& entry,
+                              uint64_t incarnation,
+                              size_t max_bytes) {
+    ClaimOptions options;
+    options.entry = EntryId(entry);
+    options.incarnation = incarnation;
+    options.max_document_bytes = max_bytes;
+    options.threads = 4;
+    return options;
+  }
+  static std::string Name(const Result<ClaimVerdict>& result) {
+    if (!result) {
+      return std::string(ErrorCodeName(result.error().code));
+    }
+    return *result == ClaimVerdict::kClaimed ? "claimed" : "already";
+  }
+
+  const Clock& clock_;
+  StoreClaimRegistry registry_;
+};
+
+// Faults of the first claim's writes, and what the claimer and a second daemon
+// that claims afterwards are told.
+struct FaultCase {
+  const char* name;
+  std::vector<WriteFault> faults;
+  int held_back;
+  bool down;
+  // Reads, or writes after the held-back ones, fail until the second claim.
+  enum { kNever, kFromStart, kFromFirstWrite, kWrites } fails;
+  // Held-back writes arrive before the second claim, else after it.
+  bool arrives_before;
+  const char* first;
+  const char* second;
+};
+
+const FaultCase kFaultCases[] = {
+    {"no fault", {}, 0, false, FaultCase::kNever, true, "claimed", "already"},
+    {"answer lost after the effect",
+     {WriteFault::kAnswerLost},
+     0,
+     false,
+     FaultCase::kNever,
+     true,
+     "claimed",
+     "already"},
+    {"request lost",
+     {WriteFault::kRequestLost},
+     0,
+     false,
+     FaultCase::kNever,
+     true,
+     "claimed",
+     "already"},
+    {"request lost, then answer lost",
+     {WriteFault::kRequestLost, WriteFault::kAnswerLost},
+     0,
+     false,
+     FaultCase::kNever,
+     true,
+     "claimed",
+     "already"},
+    {"write arrives after it was repeated",
+     {},
+     1,
+     false,
+     FaultCase::kNever,
+     true,
+     "claimed",
+     "already"},
+    {"all writes late, arriving before the second claim",
+     {},
+     1000,
+     false,
+     FaultCase::kNever,
+     true,
+     "unknown-outcome",
+     "already"},
+    {"all writes late, arriving after the second claim",
+     {},
+     1000,
+     false,
+     FaultCase::kNever,
+     false,
+     "unknown-outcome",
+     "claimed"},
+    {"one write late, others refused, arriving before the second claim",
+     {},
+     1,
+     false,
+     FaultCase::kWrites,
+     true,
+     "unknown-outcome",
+     "already"},
+    {"answer lost, then reads fail",
+     {WriteFault::kAnswerLost},
+     0,
+     false,
+     FaultCase::kFromFirstWrite,
+     true,
+     "unknown-outcome",
+     "already"},
+    {"request lost, then reads fail",
+     {WriteFault::kRequestLost},
+     0,
+     false,
+     FaultCase::kFromFirstWrite,
+     true,
+     "unknown-outcome",
+     "claimed"},
+    {"reads fail",
+     {},
+     0,
+     false,
+     FaultCase::kFromStart,
+     true,
+     "unavailable",
+     "claimed"},
+    {"store down",
+     {},
+     0,
+     true,
+     FaultCase::kNever,
+     true,
+     "unavailable",
+     "claimed"},
+};
+
+// Another key of the shard that `key` is in.
+std::string SameShard(const std::string& key, int skip) {
+  const auto shard = [](const std::string& k) {
+    return DigestOf(kScope, k)[0] % StoreClaimRegistry::kShards;
+  };
+  for (int i = 0;; ++i) {
+    std::string other = absl::StrCat("other", i);
+    if (shard(other) == shard(key) && skip-- == 0) {
+      return other;
+    }
+  }
+}
+
+class ClaimsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ClaimsTest);
+  CPPUNIT_TEST(FaultsNeverLetTwoRun);
+  CPPUNIT_TEST(OneOfTwoRacingDaemonsWins);
+  CPPUNIT_TEST(ClaimsAreBatched);
+  CPPUNIT_TEST(QuietShardNeedsOneWrite);
+  CPPUNIT_TEST(RestartedDaemonDoesNotRunAgain);
+  CPPUNIT_TEST(ClaimsExpireAfterRetention);
+  CPPUNIT_TEST(FullDocumentRefuses);
+  CPPUNIT_TEST(SlowStoreIsAnsweredOnTime);
+  CPPUNIT_TEST(StoppingAnswersEverything);
+  CPPUNIT_TEST(UnreadableDocumentIsNotReplaced);
+  CPPUNIT_TEST(DocumentSurvivesFormatting);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against two claimers that are both told to run, and against
+  // "unavailable" for a claim that is in the store.
+  void FaultsNeverLetTwoRun() {
+    for (const FaultCase& c : kFaultCases) {
+      FaultyStore store;
+      ShiftedClock clock;
+      Daemon a(store, clock, "a");
+      Daemon b(store, clock, "b");
+      for (const WriteFault fault : c.faults) {
+        store.QueueWriteFault(fault);
+      }
+      store.HoldBackWrites(c.held_back);
+      store.SetDown(c.down);
+      store.SetReadsFail(c.fails == FaultCase::kFromStart);
+      store.SetWritesFail(c.fails == FaultCase::kWrites);
+      if (c.fails == FaultCase::kFromFirstWrite) {
+        store.BeforeNextWrite([&store] { store.SetReadsFail(true); });
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, std::string(c.first),
+                                   a.Claim("k", milliseconds(300)));
+      store.SetDown(false);
+      store.SetReadsFail(false);
+      store.SetWritesFail(false);
+      store.HoldBackWrites(0);
+      if (c.arrives_before) {
+        store.ReleaseWrites();
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, std::string(c.second), b.Claim("k"));
+      store.ReleaseWrites();
+      for (Daemon* daemon : {&a, &b}) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, std::string("already"),
+                                     daemon->Claim("k"));
+      }
+    }
+  }
+
+  // Guards against two winners, or none, when daemons claim the same keys.
+  void OneOfTwoRacingDaemonsWins() {
+    FaultyStore store;
+    ShiftedClock clock;
+    Daemon a(store, clock, "a");
+    Daemon b(store, clock, "b");
+    std::vector<std::future<std::string>> answers;
+    answers.reserve(500);
+    store.SetGate(false);
+    for (int i = 0; i < 200; ++i) {
+      answers.push_back(a.Start(absl::StrCat(i)));
+      answers.push_back(b.Start(absl::StrCat(i)));
+    }
+    store.SetGate(true);
+    for (size_t i = 0; i < answers.size(); i += 2) {
+      const std::string first = answers[i].get();
+      const std::string second = answers[i + 1].get();
+      CPPUNIT_ASSERT(first != second);
+      CPPUNIT_ASSERT_EQUAL(std::string("alreadyclaimed"),
+                           std::min(first, second) + std::max(first, second));
+    }
+  }
+
+  // Guards against one write per claim. Each shard needs one write for what
+  // was there when it started and one for all that came meanwhile.
+  void ClaimsAreBatched() {
+    FaultyStore store;
+    ShiftedClock clock;
+    Daemon a(store, clock, "a");
+    std::vector<std::future<std::string>> answers;
+    answers.reserve(500);
+    store.SetGate(false);
+    for (int i = 0; i < 500; ++i) {
+      answers.push_back(a.Start(absl::StrCat(i % 490)));
+    }
+    store.SetGate(true);
+    int claimed = 0;
+    for (auto& answer : answers) {
+      claimed += answer.get() == "claimed";
+    }
+    std::cout << "500 claims: " << store.writes() << " writes\n";
+    CPPUNIT_ASSERT_EQUAL(490, claimed);
+    CPPUNIT_ASSERT(store.writes() <= 2 * StoreClaimRegistry::kShards);
+  }
+
+  // Guards against a read before each write, and after a conflict against
+  // writes that fail because another daemon keeps changing the document.
+  void QuietShardNeedsOneWrite() {
+    FaultyStore store;
+    ShiftedClock clock;
+    Daemon a(store, clock, "a");
+    Daemon b(store, clock, "b");
+    a.Claim("k");
+    for (int i = 0; i < 5; ++i) {
+      const uint64_t calls = store.calls();
+      CPPUNIT_ASSERT_EQUAL(std::string("claimed"), a.Claim(SameShard("k", i)));
+      CPPUNIT_ASSERT_EQUAL(uint64_t{1}, store.calls() - calls);
+    }
+    const uint64_t writes = store.writes();
+    b.Claim(SameShard("k", 5));
+    a.Claim(SameShard("k", 6));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, store.writes() - writes);
+  }
+
+  // Guards against a restarted daemon that takes an earlier process's claim for
+  // its own, even if the incarnation is the same by mistake.
+  void RestartedDaemonDoesNotRunAgain() {
+    FaultyStore store;
+    ShiftedClock clock;
+    CPPUNIT_ASSERT_EQUAL(std::string("claimed"),
+                         Daemon(store, clock, "a", 1).Claim("k"));
+    for (const uint64_t incarnation : {1, 2}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("already"),
+                           Daemon(store, clock, "a", incarnation).Claim("k"));
+    }
+  }
+
+  // Guards against documents that grow without end.
+  void ClaimsExpireAfterRetention() {
+    FaultyStore store;
+    ShiftedClock clock;
+    Daemon a(store, clock, "a");
+    CPPUNIT_ASSERT_EQUAL(std::string("claimed"), a.Claim("k"));
+    const size_t size = store.Snapshot().begin()->second.value.size();
+    clock.shift_hours = 2;
+    CPPUNIT_ASSERT_EQUAL(std::string("claimed"), a.Claim(SameShard("k", 0)));
+    CPPUNIT_ASSERT_EQUAL(size, store.Snapshot().begin()->second.value.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("claimed"), a.Claim("k"));
+  }
+
+  // Guards against a document above the store's limit, and against forgetting
+  // claims to make room.
+  void FullDocumentRefuses() {
+    FaultyStore store;
+    ShiftedClock clock;
+    Daemon a(store, clock, "a", 1, 2000);
+    CPPUNIT_ASSERT_EQUAL(std::string("claimed"), a.Claim("k"));
+    int claimed = 0;
+    while (a.Claim(SameShard("k", claimed)) == "claimed") {
+      ++claimed;
+    }
+    CPPUNIT_ASSERT(claimed > 10);
+    CPPUNIT_ASSERT(store.Snapshot().begin()->second.value.size() <= 2000);
+    CPPUNIT_ASSERT_EQUAL(std::string("unavailable"),
+                         a.Claim(SameShard("k", claimed)));
+    CPPUNIT_ASSERT_EQUAL(std::string("already"), a.Claim("k"));
+    clock.shift_hours = 2;
+    CPPUNIT_ASSERT_EQUAL(std::string("claimed"),
+                         a.Claim(SameShard("k", claimed)));
+  }
+
+  // Guards against claims that wait behind a store that does not answer.
+  void SlowStoreIsAnsweredOnTime() {
+    FaultyStore store;
+    ShiftedClock clock;
+    Daemon a(store, clock, "a");
+    std::vector<std::future<std::string>> answers;
+    answers.reserve(500);
+    store.SetGate(false);
+    for (int i = 0; i < 64; ++i) {
+      answers.push_back(a.Start(absl::StrCat(i), milliseconds(50)));
+    }
+    // The four claims that the pool's threads are waiting for stay open.
+    const MonoTime give_up = clock.Now() + seconds(5);
+    size_t answered = 0;
+    while (answered < 32 && clock.Now() < give_up) {
+      std::this_thread::sleep_for(milliseconds(10));
+      answered =
+          std::count_if(answers.begin(), answers.end(), [](const auto& answer) {
+            return answer.wait_for(seconds(0)) == std::future_status::ready;
+          });
+    }
+    store.SetGate(true);
+    CPPUNIT_ASSERT(answered >= 32);
+  }
+
+  // Guards against claims that are never answered.
+  void StoppingAnswersEverything() {
+    FaultyStore store;
+    ShiftedClock clock;
+    std::vector<std::future<std::string>> answers;
+    answers.reserve(500);
+    store.SetGate(false);
+    auto daemon = std::make_unique<Daemon>(store, clock, "a");
+    for (int i = 0; i < 100; ++i) {
+      answers.push_back(daemon->Start(absl::StrCat(i)));
+    }
+    auto opened = std::async(std::launch::async, [&store] {
+      std::this_thread::sleep_for(milliseconds(50));
+      store.SetGate(true);
+    });
+    daemon.reset();
+    for (auto& answer : answers) {
+      CPPUNIT_ASSERT(answer.wait_for(seconds(0)) == std::future_status::ready);
+    }
+  }
+
+  // Guards against overwriting claims of a version that is not understood.
+  void UnreadableDocumentIsNotReplaced() {
+    for (const char* text : {"", "[]", "{\"v\":2,\"w\":[],\"c\":{}}",
+                             "{\"v\":1,\"w\":[],\"c\":{\"x\":[0,1,2]}}",
+                             "{\"v\":1,\"w\":[[1]],\"c\":{}}"}) {
+      FaultyStore store;
+      ShiftedClock clock;
+      Daemon a(store, clock, "a");
+      a.Claim("k");
+      const auto [key, versioned] = *store.Snapshot().begin();
+      (void)store.FakeKeyValueStore::CompareAndSwap(key, versioned.revision,
+                                                    text, seconds(1));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string("unavailable"),
+                                   a.Claim(SameShard("k", 0)));
+      CPPUNIT_ASSERT_EQUAL(std::string(text), store.Snapshot().at(key).value);
+    }
+  }
+
+  // Guards against a change of owner by formatting, pruning or a second writer,
+  // and against a size bound that is too low.
+  void DocumentSurvivesFormatting() {
+    ClaimDocument document;
+    const ClaimWriter writers[] = {{"\x01\"entry", 1, "n"}, {"b", 2, "n"}};
+    for (uint64_t i = 0; i < 200; ++i) {
+      document.Add(DigestOf(kScope, absl::StrCat(i)), writers[i % 2],
+                   UINT64_MAX - i, seconds(UINT32_MAX - i % 2));
+    }
+    CPPUNIT_ASSERT(document.Format().size() <= document.MaxBytes());
+    ClaimDocument parsed = *ClaimDocument::Parse(document.Format());
+    parsed.Prune(seconds(UINT32_MAX));
+    CPPUNIT_ASSERT_EQUAL(size_t{100}, parsed.size());
+    const ClaimDigest digest = DigestOf(kScope, "4");
+    CPPUNIT_ASSERT(parsed.IsClaimOf(digest, writers[0], UINT64_MAX - 4));
+    CPPUNIT_ASSERT(!parsed.IsClaimOf(digest, writers[1], UINT64_MAX - 4));
+    CPPUNIT_ASSERT(!parsed.IsClaimOf(digest, writers[0], UINT64_MAX - 5));
+    CPPUNIT_ASSERT(DigestOf(ProjectId("a"), "bc") !=
+                   DigestOf(ProjectId("ab"), "c"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimsTest);
+
+}  // namespace
+}  // namespace figflow
