--- a/Source/UnitTests/Idempotency/claims_test.cc
+++ b/Source/UnitTests/Idempotency/claims_test.cc
@@ -1,166 +1,25 @@
 #include <algorithm>
-#include <atomic>
-#include <condition_variable>
-#include <functional>
-#include <future>
 #include <iostream>
-#include <map>
-#include <mutex>
 #include <thread>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "Idempotency/store_claim_registry.h"
-#include "Support/fake_key_value_store.h"
+#include "Idempotency/claims_fixture.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
 
-using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test::Daemon;
 using test::FakeKeyValueStore;
+using test::FaultyStore;
+using test::kScope;
+using test::ShiftedClock;
 using WriteFault = FakeKeyValueStore::WriteFault;
 
-const ProjectId kScope("bookings");
-
-class ShiftedClock : public Clock {
- public:
-  MonoTime Now() const override { return system_.Now(); }
-  WallTime WallNow() const override {
-    return system_.WallNow() + hours(shift_hours.load());
-  }
-  std::atomic<int> shift_hours{0};
-
- private:
-  SystemClock system_;
-};
-
-// Passes calls on one at a time, in a form that ThreadSanitizer sees, and adds
-// faults that the fake does not have: writes that arrive late and a gate.
-class FaultyStore : public FakeKeyValueStore {
- public:
-  // The next `count` writes are held back; their callers get kUnknownOutcome.
-  void HoldBackWrites(int count) {
-    std::lock_guard<std::mutex> lock(mutex_);
-    hold_back_ = count;
-  }
-  // Writes held back arrive now.
-  void ReleaseWrites() {
-    std::lock_guard<std::mutex> lock(mutex_);
-    for (const auto& write : held_back_) {
-      write();
-    }
-    held_back_.clear();
-  }
-  // Writes are refused, after those that are held back.
-  void SetWritesFail(bool fail) { writes_fail_ = fail; }
-  // From any thread, also during a write.
-  void SetReadsFail(bool fail) { reads_fail_ = fail; }
-  // Calls block while the gate is shut.
-  void SetGate(bool open) {
-    std::lock_guard<std::mutex> lock(mutex_);
-    open_ = open;
-    opened_.notify_all();
-  }
-
-  Result<std::optional<VersionedValue>> Get(absl::string_view key,
-                                            milliseconds timeout) override {
-    std::unique_lock<std::mutex> lock(mutex_);
-    opened_.wait(lock, [this] { return open_; });
-    if (reads_fail_) {
-      return Fail(ErrorCode::kUnavailable, "kv.get", "", "no answer");
-    }
-    return FakeKeyValueStore::Get(key, timeout);
-  }
-  Result<uint64_t> CompareAndSwap(absl::string_view key,
-                                  uint64_t expected,
-                                  absl::string_view value,
-                                  milliseconds timeout,
-                                  LeaseId lease) override {
-    std::unique_lock<std::mutex> lock(mutex_);
-    opened_.wait(lock, [this] { return open_; });
-    if (hold_back_ > 0) {
-      --hold_back_;
-      held_back_.emplace_back([this, key = std::string(key), expected,
-                               value = std::string(value), timeout] {
-        (void)FakeKeyValueStore::CompareAndSwap(key, expected, value, timeout);
-      });
-      return Fail(ErrorCode::kUnknownOutcome, "kv.compare_and_swap", "",
-                  "no answer");
-    }
-    if (writes_fail_) {
-      return Fail(ErrorCode::kUnavailable, "kv.compare_and_swap", "",
-                  "not accepted");
-    }
-    return FakeKeyValueStore::CompareAndSwap(key, expected, value, timeout,
-                                             lease);
-  }
-
- private:
-  std::mutex mutex_;
-  std::condition_variable opened_;
-  bool open_ = true;
-  int hold_back_ = 0;
-  std::atomic<bool> reads_fail_{false};
-  std::atomic<bool> writes_fail_{false};
-  std::vector<std::function<void()>> held_back_;
-};
-
-// One daemon's registry and the answers to its claims.
-class Daemon {
- public:
-  Daemon(KeyValueStore& store,
-         const Clock& clock,
-         const std::string& entry,
-         uint64_t incarnation = 1,
-         size_t max_bytes = 900'000)
-      : clock_(clock),
-        registry_(Options(entry, incarnation, max_bytes),
-                  store,
-                  clock,
-                  metrics) {}
-
-  std::future<std::string> Start(const std::string& key,
-                                 milliseconds patience = seconds(20)) {
-    auto answer = std::make_shared<std::promise<std::string>>();
-    registry_.Claim(kScope, key, clock_.Now() + patience,
-                    [answer](const Result<ClaimVerdict>& result) {
-                      answer->set_value(Name(result));
-                    });
-    return answer->get_future();
-  }
-  std::string Claim(const std::string& key,
-                    milliseconds patience = seconds(20)) {
-    return Start(key, patience).get();
-  }
-
-  MetricsRegistry metrics;
-
- private:
-  static ClaimOptions Options(const std::string& entry,
-                              uint64_t incarnation,
-                              size_t max_bytes) {
-    ClaimOptions options;
-    options.entry = EntryId(entry);
-    options.incarnation = incarnation;
-    options.max_document_bytes = max_bytes;
-    options.threads = 4;
-    return options;
-  }
-  static std::string Name(const Result<ClaimVerdict>& result) {
-    if (!result) {
-      return std::string(ErrorCodeName(result.error().code));
-    }
-    return *result == ClaimVerdict::kClaimed ? "claimed" : "already";
-  }
-
-  const Clock& clock_;
-  StoreClaimRegistry registry_;
-};
-
 // Faults of the first claim's writes, and what the claimer and a second daemon
 // that claims afterwards are told.
 struct FaultCase {
