--- a/Source/Core/Maintenance/maintenance_controller.cc
+++ b/Source/Core/Maintenance/maintenance_controller.cc
@@ -1,6 +1,7 @@
 #include "Maintenance/maintenance_controller.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "Common/log.h"
@@ -48,7 +49,9 @@
       options_(std::move(options)),
       waves_(store, options_.project, options_.writer, options_.call_timeout),
       lease_(store,
-             absl::StrCat("lease/wave/", options_.project.value(), "/",
+             absl::StrCat("lease/wave/",
+                          options_.project.value(),
+                          "/",
                           options_.data_centre.value()),
              options_.writer,
              options_.lease_ttl,
@@ -78,15 +81,17 @@
   if (const Result<bool> held = lease_.Hold(); !held || !*held) {
     return held;
   }
-  // The data centre document is read first: a daemon that cancels an operation
-  // writes the wave document first and then this one, see OnCancelling.
-  Result<DataCentreStore::Versioned> pools = pools_.Read();
+  // The data centre document is read before the wave document. A daemon that
+  // cancels an operation writes the wave document first and then this one, see
+  // OnCancelling, so a drain of a cancelled operation meets a conflict.
+  // The known one may be older still; writing over it then fails.
+  std::optional<DataCentreStore::Versioned> pools = pools_.CurrentVersioned();
   if (!pools) {
-    return tl::unexpected<Error>(pools.error());
+    return false;
   }
   round.pools = std::move(*pools);
   waits_.Observe(round.pools.document.entries, input.now);
-  Result<WaveStore::Versioned> base = waves_.Read();
+  Result<WaveStore::Versioned> base = waves_.ReadChanged();
   if (!base) {
     return tl::unexpected<Error>(base.error());
   }
@@ -185,9 +190,8 @@
   if (round.next.state != RolloutState::kRunning) {
     return false;  // AdvanceRollout cancels it.
   }
-  const Result<BudgetReservation> reservation =
-      budget_.Reserve(options_.project, instance.operation, id, WorstCase(),
-                      round.wall);
+  const Result<BudgetReservation> reservation = budget_.Reserve(
+      options_.project, instance.operation, id, WorstCase(), round.wall);
   if (!reservation) {
     if (reservation.error().code == ErrorCode::kResourceExhausted) {
       return false;  // Waits for the budget.
@@ -199,34 +203,33 @@
     instance.note = reservation.error().message;
     return true;
   }
-  // Another holder may have cancelled the operation since the round's reads.
-  const Result<bool> current = IsCurrent(round);
-  if (!current) {
-    return current;
+  // The change check of the round's read may lag; an operation that was
+  // cancelled must not begin.
+  const Result<WaveStore::Versioned> latest = waves_.Read();
+  if (!latest) {
+    return tl::unexpected<Error>(latest.error());
   }
-  if (!*current) {
+  if (latest->revision != round.base.revision) {
     return Fail(ErrorCode::kConflict, "maintenance.drain",
                 options_.project.value(), "another daemon changed the wave");
   }
   DataCentreDocument next = round.pools.document;
-  const Result<bool> begun = BeginMaintenance(
-      next, id, instance.operation, {round.wall, waves_.NewId()});
+  const Result<bool> begun = BeginMaintenance(next, id, instance.operation,
+                                              {round.wall, waves_.NewId()});
   if (!begun) {
     instance.stage = WaveStage::kCancelling;
     instance.note = begun.error().message;
     return true;
   }
   if (*begun) {
-    // Fails if the document changed since the round's read.
-    if (const auto written = pools_.WriteOnce(round.pools, next); !written) {
+    // A holder that cancels the operation after the read above also writes this
+    // document, and this write fails.
+    Result<DataCentreStore::Versioned> written =
+        pools_.WriteOnce(round.pools, std::move(next));
+    if (!written) {
       return tl::unexpected<Error>(written.error());
     }
-    // Further instances of this round need the written document.
-    Result<DataCentreStore::Versioned> read = pools_.Read();
-    if (!read) {
-      return tl::unexpected<Error>(read.error());
-    }
-    round.pools = std::move(*read);
+    round.pools = std::move(*written);
   }
   instance.stage = WaveStage::kDraining;
   instance.reserved_until = reservation->end;
@@ -248,11 +251,14 @@
     ++instance.drain_timeouts;
     return true;
   }
-  Result<Confirmations> confirmations = pools_.ReadConfirmations();
-  if (!confirmations) {
-    return tl::unexpected<Error>(confirmations.error());
+  if (!round.confirmations) {
+    Result<Confirmations> read = pools_.ReadConfirmations();
+    if (!read) {
+      return tl::unexpected<Error>(read.error());
+    }
+    round.confirmations = std::move(*read);
   }
-  if (!IsDrained(round.pools.document, id, *confirmations, waits_,
+  if (!IsDrained(round.pools.document, id, *round.confirmations, waits_,
                  round.now)) {
     return false;
   }
@@ -309,10 +315,10 @@
     }
   }
   const auto settled =
-      in_service ? budget_.Settle(options_.project, instance.operation,
-                                  round.wall)
-                 : budget_.SettleAsFailed(options_.project, instance.operation,
-                                          round.wall);
+      in_service
+          ? budget_.Settle(options_.project, instance.operation, round.wall)
+          : budget_.SettleAsFailed(options_.project, instance.operation,
+                                   round.wall);
   if (!settled) {
     return tl::unexpected<Error>(settled.error());
   }
@@ -337,8 +343,7 @@
   if (!undone) {
     return tl::unexpected<Error>(undone.error());
   }
-  const auto settled =
-      budget_.Settle(options_.project, operation, round.wall);
+  const auto settled = budget_.Settle(options_.project, operation, round.wall);
   if (!settled) {
     return tl::unexpected<Error>(settled.error());
   }
@@ -380,6 +385,12 @@
       limits.startable.insert(id);
     }
   }
+  // Most steps start nothing, whatever the budget, and need not read it.
+  limits.budget.max_down = std::numeric_limits<int>::max();
+  limits.budget.remaining = std::chrono::hours(24 * 365);
+  if (PlanStarts(round.next, options_.data_centre, limits).empty()) {
+    return {};
+  }
   const Result<BudgetDocument> budget = budget_.Read(options_.project);
   if (!budget) {
     return tl::unexpected<Error>(budget.error());
@@ -402,9 +413,8 @@
         round.wall >= NotAfter(instance)) {
       continue;
     }
-    const auto called =
-        fleet_.Reboot({id, instance.operation, NotAfter(instance)},
-                      options_.call_timeout);
+    const auto called = fleet_.Reboot(
+        {id, instance.operation, NotAfter(instance)}, options_.call_timeout);
     if (called) {
       accepted_.insert(instance.operation);
     } else {
@@ -434,8 +444,7 @@
     if (const auto ended = EndMaintenanceOf(id, record.operation); !ended) {
       return ended;
     }
-    const auto failure =
-        budget_.EndFailure(options_.project, id, round.wall);
+    const auto failure = budget_.EndFailure(options_.project, id, round.wall);
     if (!failure) {
       return failure;
     }
@@ -456,12 +465,4 @@
   return {};
 }
 
-Result<bool> MaintenanceController::IsCurrent(const Round& round) const {
-  const Result<WaveStore::Versioned> read = waves_.Read();
-  if (!read) {
-    return tl::unexpected<Error>(read.error());
-  }
-  return read->revision == round.base.revision;
-}
-
 }  // namespace figflow
--- a/Source/Core/Maintenance/maintenance_controller.h
+++ b/Source/Core/Maintenance/maintenance_controller.h
@@ -75,7 +75,8 @@
     // Base with the changes of this step.
     WaveDocument next;
     DataCentreStore::Versioned pools;
-    Confirmations confirmations;
+    // Read when the first instance needs them.
+    std::optional<Confirmations> confirmations;
     MonoTime now;
     WallTime wall;
     const std::vector<ListedInstance>* listed = nullptr;
@@ -88,17 +89,23 @@
   Result<bool> Run(const MaintenanceInput& input, MaintenanceStatus& status);
   Result<void> AdvanceInstances(Round& round);
   // Each returns whether the instance changed.
-  Result<bool> OnReserved(const InstanceId& id, WaveInstance& instance,
+  Result<bool> OnReserved(const InstanceId& id,
+                          WaveInstance& instance,
                           Round& round);
-  Result<bool> OnDraining(const InstanceId& id, WaveInstance& instance,
+  Result<bool> OnDraining(const InstanceId& id,
+                          WaveInstance& instance,
                           Round& round);
-  Result<bool> OnRebooting(const InstanceId& id, WaveInstance& instance,
+  Result<bool> OnRebooting(const InstanceId& id,
+                           WaveInstance& instance,
                            Round& round);
-  Result<bool> OnCancelling(const InstanceId& id, WaveInstance& instance,
+  Result<bool> OnCancelling(const InstanceId& id,
+                            WaveInstance& instance,
                             Round& round);
   // Ends a reboot that did not finish within its reservation.
-  Result<bool> FailReboot(const InstanceId& id, WaveInstance& instance,
-                          const ListedInstance* listed, Round& round);
+  Result<bool> FailReboot(const InstanceId& id,
+                          WaveInstance& instance,
+                          const ListedInstance* listed,
+                          Round& round);
   // Marks instances that left the project, so that the wave can end.
   void DropDeparted(Round& round) const;
   Result<void> PlanNewStarts(Round& round);
@@ -107,8 +114,6 @@
   Result<void> CallReboots(const WaveDocument& document, const Round& round);
   Result<void> EndMaintenanceOf(const InstanceId& id,
                                 const OperationId& operation);
-  // True if no other write to the wave document came after the round's read.
-  Result<bool> IsCurrent(const Round& round) const;
   std::chrono::milliseconds WorstCase() const {
     return options_.drain_timeout + options_.reboot_timeout;
   }
@@ -121,7 +126,7 @@
   const BudgetStore& budget_;
   FleetService& fleet_;
   const MaintenanceOptions options_;
-  const WaveStore waves_;
+  WaveStore waves_;
   MaintenanceLease lease_;
   RemovalWaits waits_;
   SteadyWallTime steady_;
--- a/Source/Core/Maintenance/wave_store.h
+++ b/Source/Core/Maintenance/wave_store.h
@@ -2,6 +2,7 @@
 #define MAINTENANCE_WAVE_STORE_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,9 +29,13 @@
 
   Result<Versioned> Read() const { return client_.Read(); }
 
+  // As Read, but transfers the document only if it changed since the last call
+  // or the last WriteOnce of this object. Not thread-safe.
+  Result<Versioned> ReadChanged();
+
   // Writes over exactly the document that was read; kConflict if another write
-  // came in between.
-  Result<Versioned> WriteOnce(const Versioned& base, WaveDocument next) const;
+  // came in between. Not thread-safe.
+  Result<Versioned> WriteOnce(const Versioned& base, WaveDocument next);
 
   // See the functions in wave_planner.h.
   Result<void> Start(const std::string& rollout,
@@ -45,11 +50,12 @@
   const std::string& writer() const { return client_.writer(); }
 
  private:
-  Result<void> Change(
-      const DocumentClient<WaveDocument>::Change& change) const;
+  Result<void> Change(const DocumentClient<WaveDocument>::Change& change) const;
 
+  KeyValueStore& store_;
   const ProjectId project_;
   const DocumentClient<WaveDocument> client_;
+  std::optional<Versioned> cached_;
 };
 
 }  // namespace figflow
--- a/Source/Core/Pools/data_centre_store.cc
+++ b/Source/Core/Pools/data_centre_store.cc
@@ -35,6 +35,12 @@
 
 std::optional<DataCentreDocument> DataCentreStore::Current() const {
   absl::MutexLock lock(&mutex_);
+  return known_ ? std::make_optional(known_->document) : std::nullopt;
+}
+
+std::optional<DataCentreStore::Versioned> DataCentreStore::CurrentVersioned()
+    const {
+  absl::MutexLock lock(&mutex_);
   return known_;
 }
 
@@ -45,11 +51,12 @@
 
 DataCentreStore::Versioned DataCentreStore::Adopt(Versioned read) {
   absl::MutexLock lock(&mutex_);
-  behind_ = known_ && read.document.change < known_->change;
+  behind_ = known_ && read.document.change < known_->document.change;
   if (behind_) {
-    return Versioned{*known_, read.revision};
+    known_->revision = read.revision;
+    return *known_;
   }
-  known_ = read.document;
+  known_ = read;
   return read;
 }
 
@@ -92,8 +99,8 @@
     }
     absl::MutexLock lock(&mutex_);
     // Only a read tells a restored store from an answer that was overtaken.
-    if (!known_ || document->change > known_->change) {
-      known_ = std::move(*document);
+    if (!known_ || document->change > known_->document.change) {
+      known_ = Versioned{std::move(*document), change.versioned.revision};
       changed = true;
     }
   }
@@ -120,16 +127,16 @@
   return Adopt(std::move(*written)).document;
 }
 
-Result<void> DataCentreStore::WriteOnce(const Versioned& base,
-                                        DataCentreDocument next) {
+Result<DataCentreStore::Versioned> DataCentreStore::WriteOnce(
+    const Versioned& base,
+    DataCentreDocument next) {
   next.write_id = client_.NewWriteId();
   ++next.change;
   Result<Versioned> written = client_.Write(base.revision, std::move(next));
-  if (!written) {
-    return tl::unexpected<Error>(written.error());
+  if (written) {
+    Adopt(*written);
   }
-  Adopt(std::move(*written));
-  return {};
+  return written;
 }
 
 Result<Confirmations> DataCentreStore::ReadConfirmations() {
--- a/Source/Core/Pools/data_centre_store.h
+++ b/Source/Core/Pools/data_centre_store.h
@@ -48,13 +48,13 @@
   // DocumentClient::Update.
   Result<DataCentreDocument> Update(const Change& change);
 
-  // The last document seen with its store revision.
+  // The last document seen with its store revision, as base of WriteOnce;
+  // nullopt before the first successful call.
   using Versioned = VersionedDocument<DataCentreDocument>;
-  // Reads the document for a later WriteOnce.
-  Result<Versioned> Read();
+  std::optional<Versioned> CurrentVersioned() const;
   // Writes over exactly the document that was read; kConflict if another
-  // write came in between.
-  Result<void> WriteOnce(const Versioned& base, DataCentreDocument next);
+  // write came in between. Returns the base of the next write.
+  Result<Versioned> WriteOnce(const Versioned& base, DataCentreDocument next);
 
   // Confirmations of all entry instances of the data centre. One that cannot
   // be parsed counts as missing.
@@ -68,13 +68,14 @@
   // Takes a document read from the store over, unless the known one is newer.
   // Returns the one to continue with.
   Versioned Adopt(Versioned read);
+  Result<Versioned> Read();
 
   KeyValueStore& store_;
   const std::string confirm_prefix_;
   const std::chrono::milliseconds timeout_;
   const DocumentClient<DataCentreDocument> client_;
   mutable absl::Mutex mutex_;
-  std::optional<DataCentreDocument> known_ ABSL_GUARDED_BY(mutex_);
+  std::optional<Versioned> known_ ABSL_GUARDED_BY(mutex_);
   bool behind_ ABSL_GUARDED_BY(mutex_) = false;
   uint64_t watched_ ABSL_GUARDED_BY(mutex_) = 0;
 };
