--- a/Source/UnitTests/Idempotency/claims_test.cc
+++ b/Source/UnitTests/Idempotency/claims_test.cc
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Idempotency/claims_fixture.h"
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
@@ -24,107 +25,32 @@
 // that claims afterwards are told.
 struct FaultCase {
   const char* name;
-  std::vector<WriteFault> faults;
-  int held_back;
-  bool down;
-  // Reads, or writes after the held-back ones, fail until the second claim.
-  enum { kNever, kFromStart, kFromFirstWrite, kWrites } fails;
+  // A/R: the next write's answer/request is lost; 1/*: one/all writes are held
+  // back; D: store down; r/s: reads fail from the start/from the first write;
+  // w: writes are refused after those held back. Ends before the second claim.
+  const char* faults;
   // Held-back writes arrive before the second claim, else after it.
   bool arrives_before;
   const char* first;
   const char* second;
 };
 
-const FaultCase kFaultCases[] = {
-    {"no fault", {}, 0, false, FaultCase::kNever, true, "claimed", "already"},
-    {"answer lost after the effect",
-     {WriteFault::kAnswerLost},
-     0,
-     false,
-     FaultCase::kNever,
-     true,
-     "claimed",
+constexpr FaultCase kFaultCases[] = {
+    {"no fault", "", true, "claimed", "already"},
+    {"answer lost after the effect", "A", true, "claimed", "already"},
+    {"request lost", "R", true, "claimed", "already"},
+    {"request lost, then answer", "RA", true, "claimed", "already"},
+    {"write arrives after it was repeated", "1", true, "claimed", "already"},
+    {"all writes late, before the second claim", "*", true, "unknown-outcome",
      "already"},
-    {"request lost",
-     {WriteFault::kRequestLost},
-     0,
-     false,
-     FaultCase::kNever,
-     true,
-     "claimed",
-     "already"},
-    {"request lost, then answer lost",
-     {WriteFault::kRequestLost, WriteFault::kAnswerLost},
-     0,
-     false,
-     FaultCase::kNever,
-     true,
-     "claimed",
-     "already"},
-    {"write arrives after it was repeated",
-     {},
-     1,
-     false,
-     FaultCase::kNever,
-     true,
-     "claimed",
-     "already"},
-    {"all writes late, arriving before the second claim",
-     {},
-     1000,
-     false,
-     FaultCase::kNever,
-     true,
-     "unknown-outcome",
-     "already"},
-    {"all writes late, arriving after the second claim",
-     {},
-     1000,
-     false,
-     FaultCase::kNever,
-     false,
-     "unknown-outcome",
+    {"all writes late, after the second claim", "*", false, "unknown-outcome",
      "claimed"},
-    {"one write late, others refused, arriving before the second claim",
-     {},
-     1,
-     false,
-     FaultCase::kWrites,
-     true,
-     "unknown-outcome",
+    {"one write late, others refused", "1w", true, "unknown-outcome",
      "already"},
-    {"answer lost, then reads fail",
-     {WriteFault::kAnswerLost},
-     0,
-     false,
-     FaultCase::kFromFirstWrite,
-     true,
-     "unknown-outcome",
-     "already"},
-    {"request lost, then reads fail",
-     {WriteFault::kRequestLost},
-     0,
-     false,
-     FaultCase::kFromFirstWrite,
-     true,
-     "unknown-outcome",
-     "claimed"},
-    {"reads fail",
-     {},
-     0,
-     false,
-     FaultCase::kFromStart,
-     true,
-     "unavailable",
-     "claimed"},
-    {"store down",
-     {},
-     0,
-     true,
-     FaultCase::kNever,
-     true,
-     "unavailable",
-     "claimed"},
+    {"answer lost, then reads fail", "As", true, "unknown-outcome", "already"},
+    {"request lost, then reads fail", "Rs", true, "unknown-outcome", "claimed"},
+    {"reads fail", "r", true, "unavailable", "claimed"},
+    {"store down", "D", true, "unavailable", "claimed"},
 };
 
 // Another key of the shard that `key` is in.
@@ -164,14 +90,20 @@
       ShiftedClock clock;
       Daemon a(store, clock, "a");
       Daemon b(store, clock, "b");
-      for (const WriteFault fault : c.faults) {
-        store.QueueWriteFault(fault);
+      const absl::string_view faults = c.faults;
+      for (const char fault : faults) {
+        if (fault == 'A' || fault == 'R') {
+          store.QueueWriteFault(fault == 'A' ? WriteFault::kAnswerLost
+                                             : WriteFault::kRequestLost);
+        }
       }
-      store.HoldBackWrites(c.held_back);
-      store.SetDown(c.down);
-      store.SetReadsFail(c.fails == FaultCase::kFromStart);
-      store.SetWritesFail(c.fails == FaultCase::kWrites);
-      if (c.fails == FaultCase::kFromFirstWrite) {
+      store.HoldBackWrites(absl::StrContains(faults, '*')   ? 1000
+                           : absl::StrContains(faults, '1') ? 1
+                                                            : 0);
+      store.SetDown(absl::StrContains(faults, 'D'));
+      store.SetReadsFail(absl::StrContains(faults, 'r'));
+      store.SetWritesFail(absl::StrContains(faults, 'w'));
+      if (absl::StrContains(faults, 's')) {
         store.BeforeNextWrite([&store] { store.SetReadsFail(true); });
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, std::string(c.first),
--- a/Source/UnitTests/Routing/decisions_test.cc
+++ b/Source/UnitTests/Routing/decisions_test.cc
@@ -8,6 +8,7 @@
 #include "Routing/slot_accounts.h"
 #include "Routing/target_health.h"
 #include "Routing/wait_predictor.h"
+#include "absl/strings/str_split.h"
 
 namespace figflow {
 namespace {
@@ -16,124 +17,71 @@
 using test::MakePool;
 using test::Ms;
 
-struct HealthStep {
-  char what;  // g: grant, a/r/f/t/c: end, l: leaving mark, b: boot seen
-  double at;
-  uint64_t boot;
-};
-
 struct HealthCase {
   const char* name;
-  std::vector<HealthStep> steps;
+  // Events "<kind><seconds>/<boot>" at a target of boot 5. Kinds: g grant,
+  // l leaving mark, b boot seen; the end of a request: a answered, r refused,
+  // f failed, t timed out, c cancelled.
+  const char* events;
   double at;
   bool can_grant;
   bool takes_work;
 };
 
-const HealthCase kHealthCases[] = {
-    {"fresh", {}, 0, true, true},
-    {"refused: nothing before the delay", {{'r', 0, 5}}, 0.2, false, true},
-    {"refused: probe after the delay", {{'r', 0, 5}}, 0.3, true, true},
-    {"one probe at a time", {{'r', 0, 5}, {'g', 1, 5}}, 1.1, false, false},
-    {"probe refused: the delay doubles",
-     {{'r', 0, 5}, {'g', 1, 5}, {'r', 1, 5}},
-     1.4,
-     false,
-     false},
-    {"probe answered", {{'r', 0, 5}, {'g', 1, 5}, {'a', 1, 5}}, 1, true, true},
-    {"probe timed out stays on probation",
-     {{'r', 0, 5}, {'g', 1, 5}, {'t', 1, 5}},
-     1.1,
-     false,
-     false},
-    {"probe cancelled: the next one at once",
-     {{'r', 0, 5}, {'g', 1, 5}, {'c', 1, 5}},
-     1,
-     true,
-     true},
-    {"old answer does not end probation",
-     {{'g', 0, 5}, {'r', 0, 5}, {'A', 0.1, 5}},
-     0.1,
-     false,
-     true},
-    {"refusal by an earlier boot", {{'r', 0, 4}}, 0, true, true},
-    {"restart ends probation", {{'r', 0, 5}, {'b', 0, 6}}, 0, true, true},
-    {"three failures in a row",
-     {{'f', 0, 5}, {'f', 0, 5}, {'f', 0, 5}},
-     0,
-     false,
-     true},
-    {"failures with answers between",
-     {{'f', 0, 5}, {'f', 0, 5}, {'a', 0, 5}, {'f', 0, 5}},
-     0,
-     true,
-     true},
-    {"timeouts are no sign",
-     {{'t', 0, 5}, {'t', 0, 5}, {'t', 0, 5}},
-     0,
-     true,
-     true},
-    {"leaving is sticky", {{'l', 0, 5}, {'a', 1, 5}}, 9999, false, false},
-    {"leaving mark of an earlier boot", {{'l', 0, 4}}, 0, true, true},
-    {"stale list keeps the mark", {{'l', 0, 5}, {'b', 0, 4}}, 1, false, false},
-    {"restart clears the mark", {{'l', 0, 5}, {'b', 0, 6}}, 1, true, true},
-};
-
-struct LearnStep {
-  const char* operation;
-  double ms;
-  int count;
+constexpr HealthCase kHealthCases[] = {
+    {"fresh", "", 0, true, true},
+    {"refused: nothing before the delay", "r0/5", 0.2, false, true},
+    {"refused: probe after the delay", "r0/5", 0.3, true, true},
+    {"one probe at a time", "r0/5 g1/5", 1.1, false, false},
+    {"probe refused: delay doubles", "r0/5 g1/5 r1/5", 1.4, false, false},
+    {"probe answered", "r0/5 g1/5 a1/5", 1, true, true},
+    {"probe timed out", "r0/5 g1/5 t1/5", 1.1, false, false},
+    {"probe cancelled: next one at once", "r0/5 g1/5 c1/5", 1, true, true},
+    {"old answer does not end probation", "g0/5 r0/5 a0/5", 0, false, true},
+    {"refusal by an earlier boot", "r0/4", 0, true, true},
+    {"restart ends probation", "r0/5 b0/6", 0, true, true},
+    {"three failures in a row", "f0/5 f0/5 f0/5", 0, false, true},
+    {"failures with answers between", "f0/5 f0/5 a0/5 f0/5", 0, true, true},
+    {"timeouts are no sign", "t0/5 t0/5 t0/5", 0, true, true},
+    {"leaving is sticky", "l0/5 a1/5", 9999, false, false},
+    {"leaving mark of an earlier boot", "l0/4", 0, true, true},
+    {"stale list keeps the mark", "l0/5 b0/4", 1, false, false},
+    {"restart clears the mark", "l0/5 b0/6", 1, true, true},
 };
 
 struct LearnCase {
   const char* name;
-  std::vector<LearnStep> declared;
-  std::vector<LearnStep> observed;
+  // Declared times, then measurements: "<operation>/<milliseconds>/<count>".
+  const char* declared;
+  const char* observed;
   const char* asked;
   SizeClass expected;
 };
 
-const LearnCase kLearnCases[] = {
-    {"unknown", {}, {{"a", 10, 50}}, "x", SizeClass::kShort},
-    {"four times the base",
-     {},
-     {{"a", 10, 50}, {"b", 50, 50}},
-     "b",
-     SizeClass::kLong},
-    {"three times the base",
-     {},
-     {{"a", 10, 50}, {"b", 28, 50}},
-     "b",
-     SizeClass::kShort},
-    {"alone in its pool", {}, {{"b", 5000, 50}}, "b", SizeClass::kShort},
-    {"below the floor",
-     {},
-     {{"a", 0.2, 50}, {"b", 5, 50}},
-     "b",
-     SizeClass::kShort},
-    {"rare fast operation is no base",
-     {},
-     {{"a", 1, 2}, {"b", 50, 200}},
-     "b",
-     SizeClass::kShort},
-    {"declared", {{"a", 10, 1}, {"b", 500, 1}}, {}, "b", SizeClass::kLong},
-    {"declared wrongly",
-     {{"a", 10, 1}, {"b", 500, 1}},
-     {{"a", 10, 20}, {"b", 10, 20}},
-     "b",
-     SizeClass::kShort},
-    {"slower than before",
-     {},
-     {{"a", 10, 99}, {"b", 10, 9}, {"b", 500, 9}},
-     "b",
-     SizeClass::kLong},
-    {"one slow request in many",
-     {},
-     {{"a", 10, 99}, {"b", 10, 9}, {"b", 500, 1}},
-     "b",
+constexpr LearnCase kLearnCases[] = {
+    {"unknown", "", "a/10/50", "x", SizeClass::kShort},
+    {"four times the base", "", "a/10/50 b/50/50", "b", SizeClass::kLong},
+    {"three times the base", "", "a/10/50 b/28/50", "b", SizeClass::kShort},
+    {"alone in its pool", "", "b/5000/50", "b", SizeClass::kShort},
+    {"below the floor", "", "a/0.2/50 b/5/50", "b", SizeClass::kShort},
+    {"rare fast one", "", "a/1/2 b/50/200", "b", SizeClass::kShort},
+    {"declared", "a/10/1 b/500/1", "", "b", SizeClass::kLong},
+    {"declared wrongly", "a/10/1 b/500/1", "a/10/20 b/10/20", "b",
      SizeClass::kShort},
+    {"slower now", "", "a/10/99 b/10/9 b/500/9", "b", SizeClass::kLong},
+    {"one slow in many", "", "a/10/99 b/10/9 b/500/1", "b", SizeClass::kShort},
 };
 
+// Splits "x y z" into items and each item at its slashes.
+std::vector<std::vector<std::string>> Items(absl::string_view text) {
+  std::vector<std::vector<std::string>> items;
+  for (const absl::string_view item :
+       absl::StrSplit(text, ' ', absl::SkipEmpty())) {
+    items.push_back(absl::StrSplit(item, '/'));
+  }
+  return items;
+}
+
 struct CapacityCase {
   const char* name;
   int targets;
@@ -171,27 +119,27 @@
   // Guards against new work for a leaving or refusing target, and against a
   // target that is never tried again.
   void HealthFollowsMarksAndProbes() {
-    const std::map<char, AttemptEnd> ends = {
-        {'a', AttemptEnd::kAnswered}, {'A', AttemptEnd::kAnswered},
-        {'r', AttemptEnd::kRefused},  {'f', AttemptEnd::kFailed},
-        {'t', AttemptEnd::kTimedOut}, {'c', AttemptEnd::kCancelled}};
+    const std::map<char, AttemptEnd> ends = {{'a', AttemptEnd::kAnswered},
+                                             {'r', AttemptEnd::kRefused},
+                                             {'f', AttemptEnd::kFailed},
+                                             {'t', AttemptEnd::kTimedOut},
+                                             {'c', AttemptEnd::kCancelled}};
     for (const HealthCase& c : kHealthCases) {
       TargetHealth health;
       health.SetBoot(5);
       bool probe = false;
-      for (const HealthStep& step : c.steps) {
-        switch (step.what) {
-          case 'g':
-            probe = health.OnGrant();
-            break;
-          case 'l':
-            health.MarkLeaving(step.boot);
-            break;
-          case 'b':
-            health.SetBoot(step.boot);
-            break;
-          default:
-            health.OnFinish(step.boot, probe, ends.at(step.what), At(step.at));
+      for (const auto& event : Items(c.events)) {
+        const char kind = event[0][0];
+        const uint64_t boot = std::stoull(event[1]);
+        if (kind == 'g') {
+          probe = health.OnGrant();
+        } else if (kind == 'l') {
+          health.MarkLeaving(boot);
+        } else if (kind == 'b') {
+          health.SetBoot(boot);
+        } else {
+          health.OnFinish(boot, probe, ends.at(kind),
+                          At(std::stod(event[0].substr(1))));
         }
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.can_grant,
@@ -206,12 +154,12 @@
   void ClassesFollowMeasuredTimes() {
     for (const LearnCase& c : kLearnCases) {
       SizeClassLearner learner((SizeClassOptions()));
-      for (const LearnStep& step : c.declared) {
-        learner.Declare(step.operation, Ms(step.ms), At(0));
+      for (const auto& item : Items(c.declared)) {
+        learner.Declare(item[0], Ms(std::stod(item[1])), At(0));
       }
-      for (const LearnStep& step : c.observed) {
-        for (int i = 0; i < step.count; ++i) {
-          learner.Observe(step.operation, Ms(step.ms), At(0));
+      for (const auto& item : Items(c.observed)) {
+        for (int i = 0; i < std::stoi(item[2]); ++i) {
+          learner.Observe(item[0], Ms(std::stod(item[1])), At(0));
         }
       }
       CPPUNIT_ASSERT_MESSAGE(c.name, c.expected == learner.Classify(c.asked));
