Place jobs from the daemon; prove operations with processes

Cause: the jobs module had no driver, and jobs, moves and roll-outs had no proof with real daemons. Ruled out: a job controller in each daemon, which lists all records twice a second from each; one holder per data centre by a lease, safe by CAS.

--- a/Source/Core/Daemon/admin_service.h
+++ b/Source/Core/Daemon/admin_service.h
@@ -14,6 +14,7 @@
 #include "Common/metrics.h"
 #include "Daemon/control_loop.h"
 #include "FleetConfig/config_store.h"
+#include "Jobs/job_store.h"
 #include "Maintenance/wave_store.h"
 #include "Peer/peer_service.h"
 #include "Platform/key_value_store.h"
@@ -29,6 +30,7 @@
   ConfigStore& config;
   DataCentreStore& data_centre;
   BudgetStore& budgets;
+  JobStore& jobs;
   ControlLoop& control;
   ShardedDispatcher& dispatcher;
   PeerService& peers;
--- a/Source/Core/Daemon/daemon.cc
+++ b/Source/Core/Daemon/daemon.cc
@@ -9,6 +9,7 @@
 #include "Daemon/admin_service.h"
 #include "Daemon/budget_keeper.h"
 #include "Daemon/control_loop.h"
+#include "Daemon/job_driver.h"
 #include "Daemon/maintenance_driver.h"
 #include "Daemon/peer_bridge.h"
 #include "Daemon/project_map.h"
@@ -98,6 +99,15 @@
   return options;
 }
 
+JobDriverOptions PlacingOptions(const Settings& settings,
+                                uint64_t incarnation) {
+  JobDriverOptions options;
+  options.data_centre = DataCentreId(settings.data_centre);
+  options.writer = absl::StrCat(settings.entry, "/", incarnation);
+  options.call_timeout = settings.platform_timeout;
+  return options;
+}
+
 ClaimOptions KeyClaimOptions(const Settings& settings, uint64_t incarnation) {
   ClaimOptions options;
   options.entry = EntryId(settings.entry);
@@ -153,6 +163,7 @@
   ControlLoop control;
   BudgetKeeper budget_keeper;
   MaintenanceDriver maintenance;
+  JobDriver jobs;
   PeerBridge bridge;
   PeerNode peers;
   SignedTicketBook tickets;
@@ -194,6 +205,8 @@
       maintenance({store, data_centre, budgets, fleet},
                   OperationOptions(settings, incarnation),
                   settings.watch_wait),
+      jobs({clock, store, fleet, config, data_centre, budgets, metrics},
+           PlacingOptions(settings, incarnation)),
       bridge(
           {EntryId(settings.entry), incarnation,
            DataCentreId(settings.data_centre), settings.peer_listen.ToString()},
@@ -206,8 +219,8 @@
       requests(ServiceOptions(settings),
                {clock, dispatcher, client, peers, tickets, claims, projects,
                 metrics}),
-      admin({clock, metrics, store, config, data_centre, budgets, control,
-             dispatcher, peers, bridge},
+      admin({clock, metrics, store, config, data_centre, budgets, jobs.jobs(),
+             control, dispatcher, peers, bridge},
             settings.platform_timeout),
       router(admin, settings.operator_credential),
       admin_tasks(kAdminThreads, kAdminQueue) {}
@@ -232,6 +245,7 @@
   parts.admin.AddDump("config", [&parts] { return parts.config.DumpState(); });
   parts.admin.AddDump("maintenance",
                       [&parts] { return parts.maintenance.DumpState(); });
+  parts.admin.AddDump("jobs", [&parts] { return parts.jobs.DumpState(); });
   parts.admin.AddDump("routing", [&parts] { return parts.dispatcher.Dump(); });
 
   // All listeners are bound before this daemon joins its data centre's
@@ -284,6 +298,7 @@
       [&parts](const ControlRound& round) { parts.maintenance.Step(round); });
   parts.config.Start();
   parts.maintenance.Start();
+  parts.jobs.Start();
   parts.control.Start();
   LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
            {{"entry", settings_.entry},
@@ -311,6 +326,7 @@
   const bool released = parts.control.Release(kReleaseBound);
   parts.platform.CancelReads();
   parts.maintenance.Stop();
+  parts.jobs.Stop();
   parts.control.Stop();
   parts.config.Stop();
   parts.admin_server->Stop();
--- a/Source/UnitTests/Process/cluster.cc
+++ b/Source/UnitTests/Process/cluster.cc
@@ -146,6 +146,11 @@
   }
 }
 
+json Cluster::PlatformState() {
+  return json::parse(Call("GET", Url(kPlatformPort) + "/standin/state").body,
+                     nullptr, /*allow_exceptions=*/false);
+}
+
 std::string Cluster::DataCentreOf(int index, int per_data_centre) const {
   return options_.data_centres[static_cast<size_t>(index / per_data_centre)];
 }
--- a/Source/UnitTests/Process/cluster.h
+++ b/Source/UnitTests/Process/cluster.h
@@ -56,6 +56,9 @@
   // POST without a body to the platform stand-in, such as "/standin/restore".
   void PlatformCall(const std::string& path);
 
+  // Counters of the platform stand-in.
+  nlohmann::json PlatformState();
+
   std::string EntryId(int entry) const;
   std::string TargetId(int target) const;
   std::string CallerUrl(int entry) const;
