Count reboots from a copy of the platform's state in the outage test

Cause: the loop ran over a part of a temporary that was already destroyed, so the count was 0 although both instances were rebooted. Ruled out: a fault of the roll-out; the wave document showed 2 of 2 done. Conclusion: test fault; the check is unchanged. A test program can now run one test by its name.

--- a/Source/UnitTests/Process/operations_test.cc
+++ b/Source/UnitTests/Process/operations_test.cc
@@ -204,7 +204,8 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(started.body, 200, started.status);
     const auto count = [&cluster] {
       int sum = 0;
-      for (const json& reboots : cluster.PlatformState()["reboots"]) {
+      const json state = cluster.PlatformState();
+      for (const json& reboots : state["reboots"]) {
         sum += reboots.get<int>();
       }
       return sum;
@@ -220,7 +221,7 @@
     CPPUNIT_ASSERT_MESSAGE(
         cluster.AdminJson(1, "/v1/maintenance").dump(),
         Cluster::WaitFor(finished, seconds(60)) <= seconds(60));
-    CPPUNIT_ASSERT_EQUAL(2, count());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Rollout(cluster, 1).dump(), 2, count());
   }
 };
 
--- a/Source/UnitTests/unittest_main.cc
+++ b/Source/UnitTests/unittest_main.cc
@@ -8,14 +8,16 @@
 
 #include "Common/log.h"
 
-int main() {
+// With an argument, runs only the tests whose path begins with it, such as
+// "figflow::(anonymous namespace)::MetricsTest::QuantileIsWithinOneBucket".
+int main(int argc, char** argv) {
   figflow::InitLogging(figflow::LogLevel::kError);
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
   result.addListener(&collector);
   CppUnit::TestRunner runner;
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  runner.run(result);
+  runner.run(result, argc > 1 ? argv[1] : "");
   CppUnit::CompilerOutputter(&collector, std::cerr).write();
   // A program without tests must not count as a pass.
   if (collector.runTests() == 0) {
