Rename the stand-in's TargetState to StandInState

Cause: Routing has a struct of the same name in the same namespace; a program that includes both does not compile, and one that links both breaks the one definition rule. Ruled out: a namespace of its own for the stand-ins, which the other stand-in does not have. Conclusion: process tests can link the stand-in target with all modules.

--- a/Source/StandIns/Target/target_connection.cc
+++ b/Source/StandIns/Target/target_connection.cc
@@ -36,7 +36,7 @@
 
 }  // namespace
 
-TargetConnection::TargetConnection(int fd, TargetState& state)
+TargetConnection::TargetConnection(int fd, StandInState& state)
     : fd_(fd), state_(state) {}
 
 void TargetConnection::Serve() {
--- a/Source/StandIns/Target/target_connection.h
+++ b/Source/StandIns/Target/target_connection.h
@@ -12,7 +12,7 @@
 // the faults it plays cannot be made with an HTTP server library.
 class TargetConnection {
  public:
-  TargetConnection(int fd, TargetState& state);
+  TargetConnection(int fd, StandInState& state);
 
   // Serves requests until either side closes.
   void Serve();
@@ -47,7 +47,7 @@
   bool Write(const std::string& data);
 
   const int fd_;
-  TargetState& state_;
+  StandInState& state_;
   std::string buffer_;
   std::atomic<bool> stopping_{false};
 };
--- a/Source/StandIns/Target/target_server.h
+++ b/Source/StandIns/Target/target_server.h
@@ -29,7 +29,7 @@
 
   // "ip:port"
   const std::string& address() const { return address_; }
-  TargetState& state() { return state_; }
+  StandInState& state() { return state_; }
 
   // Refuses new connections, lets requests in flight finish, closes the rest.
   void Stop();
@@ -48,7 +48,7 @@
 
   const int listen_fd_;
   const std::string address_;
-  TargetState state_;
+  StandInState state_;
   absl::Mutex mutex_;
   std::list<Client> clients_ ABSL_GUARDED_BY(mutex_);
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/StandIns/Target/target_state.cc
+++ b/Source/StandIns/Target/target_state.cc
@@ -29,12 +29,12 @@
   return false;
 }
 
-TargetMode TargetState::mode() const {
+TargetMode StandInState::mode() const {
   absl::MutexLock lock(&mutex_);
   return mode_;
 }
 
-void TargetState::SetMode(TargetMode mode) {
+void StandInState::SetMode(TargetMode mode) {
   absl::MutexLock lock(&mutex_);
   if (mode == TargetMode::kLeaving && mode_ != mode) {
     leaving_since_ = std::chrono::steady_clock::now();
@@ -44,7 +44,7 @@
   mode_ = mode;
 }
 
-bool TargetState::BeginRequest(const std::string& key) {
+bool StandInState::BeginRequest(const std::string& key) {
   absl::MutexLock lock(&mutex_);
   ++requests_;
   if (mode_ == TargetMode::kLeaving) {
@@ -66,12 +66,12 @@
   return true;
 }
 
-void TargetState::EndRequest() {
+void StandInState::EndRequest() {
   absl::MutexLock lock(&mutex_);
   --running_;
 }
 
-void TargetState::CountConnection(int open) {
+void StandInState::CountConnection(int open) {
   absl::MutexLock lock(&mutex_);
   ++accepted_;
   max_connections_ = std::max(max_connections_, open);
@@ -80,28 +80,28 @@
   }
 }
 
-int TargetState::executions(const std::string& key) const {
+int StandInState::executions(const std::string& key) const {
   absl::MutexLock lock(&mutex_);
   auto it = executions_.find(key);
   return it == executions_.end() ? 0 : it->second;
 }
 
-int TargetState::requests() const {
+int StandInState::requests() const {
   absl::MutexLock lock(&mutex_);
   return requests_;
 }
 
-int TargetState::slot_violations() const {
+int StandInState::slot_violations() const {
   absl::MutexLock lock(&mutex_);
   return slot_violations_;
 }
 
-int TargetState::connection_violations() const {
+int StandInState::connection_violations() const {
   absl::MutexLock lock(&mutex_);
   return connection_violations_;
 }
 
-std::string TargetState::StatsJson() const {
+std::string StandInState::StatsJson() const {
   absl::MutexLock lock(&mutex_);
   const nlohmann::json stats = {
       {"requests", requests_},
--- a/Source/StandIns/Target/target_state.h
+++ b/Source/StandIns/Target/target_state.h
@@ -41,9 +41,9 @@
 };
 
 // Counters and mode of one stand-in target. Thread-safe.
-class TargetState {
+class StandInState {
  public:
-  explicit TargetState(const TargetLimits& limits) : limits_(limits) {}
+  explicit StandInState(const TargetLimits& limits) : limits_(limits) {}
 
   const TargetLimits& limits() const { return limits_; }
   TargetMode mode() const;
