Remove keys of former members and survive a restored store

Confirmations of entry instances that the document does not name any more are deleted, once an epoch and by one daemon; otherwise each replacement left a key. They are listed before the document is read, so a joining daemon's key stays.

A store restored from a copy may lack confirmations that their writers take for written, and the epoch then never settled. The daemon that writes the newer document back gives the epoch a new id, so all members confirm it again.

--- a/Source/Core/Maintenance/failure_accountant.cc
+++ b/Source/Core/Maintenance/failure_accountant.cc
@@ -35,7 +35,7 @@
   if (config.revision == 0) {
     return {};
   }
-  if (const auto ended = EndRecovered(document, config, now); !ended) {
+  if (auto ended = EndRecovered(document, config, now); !ended) {
     return ended;
   }
   for (const auto& [id, departed] : document.departed) {
@@ -47,7 +47,7 @@
     auto it = failures_.find(id);
     if (it == failures_.end() || it->second.boot != departed.boot) {
       if (!whole) {
-        const auto begun = budget_.BeginFailure(departed.project, id, now);
+        auto begun = budget_.BeginFailure(departed.project, id, now);
         if (!begun) {
           return begun;
         }
@@ -58,7 +58,7 @@
                .first;
     }
     if (whole) {
-      if (const auto ended = End(id, it->second, now); !ended) {
+      if (auto ended = End(id, it->second, now); !ended) {
         return ended;
       }
     }
@@ -69,7 +69,7 @@
       ++it;
       continue;
     }
-    if (const auto ended = End(it->first, it->second, now); !ended) {
+    if (auto ended = End(it->first, it->second, now); !ended) {
       return ended;
     }
     it = failures_.erase(it);
@@ -90,7 +90,7 @@
     }
     for (const auto& [id, since] : budget->failures) {
       if (IsInUse(document, id)) {
-        const auto ended = budget_.EndFailure(target.project, id, now);
+        auto ended = budget_.EndFailure(target.project, id, now);
         if (!ended) {
           return ended;
         }
@@ -107,7 +107,7 @@
   if (failure.ended) {
     return {};
   }
-  const auto ended = budget_.EndFailure(failure.project, id, now);
+  auto ended = budget_.EndFailure(failure.project, id, now);
   if (ended) {
     failure.ended = true;
   }
--- a/Source/Core/Maintenance/maintenance_controller.cc
+++ b/Source/Core/Maintenance/maintenance_controller.cc
@@ -78,7 +78,7 @@
     return false;
   }
   round.listed = &*input.listed;
-  if (const Result<bool> held = lease_.Hold(); !held || !*held) {
+  if (Result<bool> held = lease_.Hold(); !held || !*held) {
     return held;
   }
   // The data centre document is read before the wave document. A daemon that
@@ -441,10 +441,10 @@
         (known && !HasRestarted(listed, wave->second))) {
       continue;
     }
-    if (const auto ended = EndMaintenanceOf(id, record.operation); !ended) {
+    if (auto ended = EndMaintenanceOf(id, record.operation); !ended) {
       return ended;
     }
-    const auto failure = budget_.EndFailure(options_.project, id, round.wall);
+    auto failure = budget_.EndFailure(options_.project, id, round.wall);
     if (!failure) {
       return failure;
     }
--- a/Source/Core/Pools/data_centre_store.cc
+++ b/Source/Core/Pools/data_centre_store.cc
@@ -13,6 +13,18 @@
   return document;
 }
 
+bool Names(const EntryMembership& entries, const EntryId& entry) {
+  for (const auto* list :
+       {&entries.previous, &entries.current, &entries.joining}) {
+    for (const EntryMember& member : *list) {
+      if (member.id == entry) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 bool SameText(absl::string_view stored, absl::string_view written) {
   return stored == written;
 }
@@ -157,6 +169,32 @@
   return confirmations;
 }
 
+Result<int> DataCentreStore::PruneConfirmations() {
+  // Listed before the document is read: an entry instance joins before it
+  // confirms, so the document names it if the list shows its confirmation.
+  const Result<std::vector<KeyValue>> listed =
+      store_.List(confirm_prefix_, timeout_);
+  if (!listed) {
+    return tl::unexpected<Error>(listed.error());
+  }
+  const Result<Versioned> read = Read();
+  if (!read) {
+    return tl::unexpected<Error>(read.error());
+  }
+  int pruned = 0;
+  for (const KeyValue& entry : *listed) {
+    const EntryId id(entry.key.substr(confirm_prefix_.size()));
+    if (Names(read->document.entries, id)) {
+      continue;
+    }
+    const Result<void> deleted =
+        store_.CompareAndDelete(entry.key, entry.versioned.revision, timeout_);
+    // A conflict means that the entry instance has joined again.
+    pruned += deleted ? 1 : 0;
+  }
+  return pruned;
+}
+
 Result<void> DataCentreStore::WriteConfirmation(
     const Confirmation& confirmation) {
   const std::string key = confirm_prefix_ + confirmation.entry.value();
--- a/Source/Core/Pools/data_centre_store.h
+++ b/Source/Core/Pools/data_centre_store.h
@@ -60,6 +60,10 @@
   // be parsed counts as missing.
   Result<Confirmations> ReadConfirmations();
 
+  // Deletes confirmations of entry instances that the document does not name
+  // any more. Returns how many.
+  Result<int> PruneConfirmations();
+
   // Writes the key of `confirmation.entry`. kConflict if a newer incarnation
   // wrote it.
   Result<void> WriteConfirmation(const Confirmation& confirmation);
--- a/Source/Core/Pools/pools_controller.cc
+++ b/Source/Core/Pools/pools_controller.cc
@@ -162,19 +162,18 @@
   InstallTable(input, status);
   Confirm(status);
   if (NeedsConfirmations()) {
-    Result<Confirmations> read = store_.ReadConfirmations();
-    if (read) {
-      confirmations_ = std::move(*read);
-      Observe(document_, input);
-    } else {
-      NoteError(read.error(), status);
-    }
+    ReadConfirmations(input, status);
   }
   DataCentreDocument draft = document_;
   Result<bool> due = Decide(draft, {input.wall, "draft"}, input);
   if (due && (*due || store_.StoreIsBehind())) {
     const Result<DataCentreDocument> written = store_.Update(
         [&](DataCentreDocument& next, const std::string& write_id) {
+          if (store_.StoreIsBehind()) {
+            // The restored copy may lack confirmations of this epoch; with a
+            // new id all members confirm it again.
+            next.entries.epoch_id = write_id;
+          }
           return Decide(next, {input.wall, write_id}, input);
         });
     if (written) {
@@ -185,6 +184,7 @@
   } else if (!due) {
     NoteError(due.error(), status);
   }
+  PruneConfirmations(status);
   InstallTable(input, status);
   return status;
 }
@@ -273,6 +273,32 @@
   }
 }
 
+void PoolsController::ReadConfirmations(const PoolsInput& input,
+                                        PoolsStatus& status) {
+  Result<Confirmations> read = store_.ReadConfirmations();
+  if (!read) {
+    NoteError(read.error(), status);
+    return;
+  }
+  confirmations_ = std::move(*read);
+  Observe(document_, input);
+}
+
+void PoolsController::PruneConfirmations(PoolsStatus& status) {
+  const EntryMembership& entries = document_.entries;
+  if (settled_epoch_id_ != entries.epoch_id ||
+      pruned_epoch_id_ == entries.epoch_id || entries.current.empty() ||
+      entries.current.front().id != options_.self) {
+    return;
+  }
+  const Result<int> pruned = store_.PruneConfirmations();
+  if (pruned) {
+    pruned_epoch_id_ = entries.epoch_id;
+  } else {
+    NoteError(pruned.error(), status);
+  }
+}
+
 Result<bool> PoolsController::Decide(DataCentreDocument& document,
                                      const DocumentChange& change,
                                      const PoolsInput& input) const {
@@ -299,9 +325,8 @@
                         MemberState::kReleased);
     }
   } else if (!was_member_) {
-    const Result<bool> joined =
-        Join(entries, options_.self, options_.incarnation,
-             ListedBoot(input, options_.self));
+    Result<bool> joined = Join(entries, options_.self, options_.incarnation,
+                               ListedBoot(input, options_.self));
     if (!joined) {
       return joined;
     }
--- a/Source/Core/Pools/pools_controller.h
+++ b/Source/Core/Pools/pools_controller.h
@@ -112,6 +112,9 @@
   void Observe(const DataCentreDocument& document, const PoolsInput& input);
   void InstallTable(const PoolsInput& input, PoolsStatus& status);
   void Confirm(PoolsStatus& status);
+  void ReadConfirmations(const PoolsInput& input, PoolsStatus& status);
+  // Removes keys of former members, once an epoch and by one daemon.
+  void PruneConfirmations(PoolsStatus& status);
   // Applies all due changes. Returns whether there were any.
   Result<bool> Decide(DataCentreDocument& document,
                       const DocumentChange& change,
@@ -139,6 +142,7 @@
   // Epoch that was seen settled; stays settled when a confirmation is
   // overwritten by a newer incarnation.
   std::string settled_epoch_id_;
+  std::string pruned_epoch_id_;
   std::vector<PoolTarget> last_targets_;
   MonoTime targets_changed_;
   bool was_member_ = false;
--- a/Source/UnitTests/Maintenance/wave_planner_test.cc
+++ b/Source/UnitTests/Maintenance/wave_planner_test.cc
@@ -16,8 +16,7 @@
 
 // Instances i0, i1, ... by one letter each, two per rack:
 // p pending, r reserved, d draining, b rebooting, c cancelling, D done,
-// F failed. All that are not pending belong to the current wave, except for
-// lower-case letters after "/", which do not exist; "1" marks wave 1.
+// F failed. All that are not pending belong to the current wave.
 WaveDocument Wave(const std::string& stages,
                   int wave,
                   int size,
--- a/Source/UnitTests/Pools/instance_ownership_test.cc
+++ b/Source/UnitTests/Pools/instance_ownership_test.cc
@@ -22,6 +22,7 @@
   DataCentreDocument document;
   document.data_centre = DataCentreId("a");
   std::vector<ListedInstance> listed;
+  listed.reserve(spare + p + q);
   for (int i = 0; i < spare + p + q; ++i) {
     listed.push_back(Worker(i));
   }
--- a/Source/UnitTests/Pools/membership_test.cc
+++ b/Source/UnitTests/Pools/membership_test.cc
@@ -13,6 +13,7 @@
 
 std::vector<EntryMember> Members(int count) {
   std::vector<EntryMember> members;
+  members.reserve(count);
   for (int i = 0; i < count; ++i) {
     members.push_back({EntryId(absl::StrCat("e", i)), 1, 0, {}});
   }
--- a/Source/UnitTests/Pools/pools_controller_test.cc
+++ b/Source/UnitTests/Pools/pools_controller_test.cc
@@ -55,6 +55,13 @@
     b.traffic.in_flight_.clear();
     Rounds({&a, &b});
     CPPUNIT_ASSERT(b.status.released && !b.status.removed);
+    // One more epoch: its key must not stay for ever.
+    Daemon c(*kv_, "c", 1);
+    Rounds({&a, &c});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, kv_->Snapshot().count("confirm/a/b"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, kv_->Snapshot().count("confirm/a/c"));
+    c.controller.Release();
+    Rounds({&a, &c});
     CPPUNIT_ASSERT_EQUAL(8, a.traffic.SlotsAt(kWorker));
   }
 
@@ -117,6 +124,14 @@
         ParseDataCentreDocument(kv_->Snapshot().at("dc/a").value);
     CPPUNIT_ASSERT(document->change > change);
     CPPUNIT_ASSERT(document->instances.at(kWorker).pool == PoolId("q"));
+    // The copy lacks a confirmation that b has not seen yet.
+    Daemon b(*kv_, "b", 1);
+    Rounds({&a, &b}, 1);
+    Rounds({&a}, 1);
+    kv_->Restore(old);
+    CPPUNIT_ASSERT(a.store.Refresh() && b.store.Refresh());
+    Rounds({&a, &b}, 8);
+    CPPUNIT_ASSERT_EQUAL(4, b.traffic.SlotsAt(kWorker));
   }
 
   // Guards against a pool that gets an instance, or a member that gets a
