--- a/Source/Core/Daemon/main.cc
+++ b/Source/Core/Daemon/main.cc
@@ -16,6 +16,8 @@
 
 constexpr int kExitFailure = 1;
 constexpr int kExitBadSettings = 2;
+// How often the daemon looks whether a newer incarnation took its place.
+constexpr timespec kCheckInterval = {1, 0};
 
 // Prints one line per fault to standard error.
 tl::expected<figflow::Settings, int> LoadSettings(const std::string& path) {
@@ -58,7 +60,6 @@
                       {{"error", figflow::ToString(started.error())}});
     return kExitFailure;
   }
-  constexpr timespec kCheckInterval = {1, 0};
   while (sigtimedwait(&signals, nullptr, &kCheckInterval) < 0) {
     if (daemon.superseded()) {
       figflow::LogEvent(figflow::LogLevel::kError,
--- a/Source/UnitTests/Maintenance/failure_accountant_test.cc
+++ b/Source/UnitTests/Maintenance/failure_accountant_test.cc
@@ -9,6 +9,8 @@
 namespace figflow::test {
 namespace {
 
+const std::optional<std::set<InstanceId>> kNoneBusy = std::set<InstanceId>();
+
 const WallTime kStart{24h * 20'000};
 
 class FailureAccountantTest : public CppUnit::TestFixture {
@@ -50,8 +52,6 @@
         listed.push_back(Worker(7));
       }
       SyncInstances(document, listed, config, {kStart + 6min, "3"});
-      const std::optional<std::set<InstanceId>> kNoneBusy =
-          std::set<InstanceId>();
       CompleteMoves(document, {}, RemovalWaits(kBound), kNoneBusy, {},
                     {kStart + 6min, "4"});
       step(6min);
--- a/Source/UnitTests/Pools/instance_ownership_test.cc
+++ b/Source/UnitTests/Pools/instance_ownership_test.cc
@@ -10,6 +10,8 @@
 namespace figflow::test {
 namespace {
 
+const std::optional<std::set<InstanceId>> kNoneBusy = std::set<InstanceId>();
+
 const WallTime kStart = FromEpoch(std::chrono::hours(24 * 20'000));
 
 DocumentChange At(std::chrono::milliseconds offset) {
@@ -52,8 +54,6 @@
     {"spare is empty", 0, 2, 2, 4, 2, 9, 0, 2, 2, 0},
 };
 
-const std::optional<std::set<InstanceId>> kNoneBusy = std::set<InstanceId>();
-
 class InstanceOwnershipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(InstanceOwnershipTest);
   CPPUNIT_TEST(MovesAreFewAndLimited);
@@ -145,8 +145,6 @@
     const auto move = [&](const char* pool, std::chrono::milliseconds at) {
       CPPUNIT_ASSERT(
           BeginMove(document, id, PoolId(pool), ProjectId(pool), At(at)));
-      const std::optional<std::set<InstanceId>> kNoneBusy =
-          std::set<InstanceId>();
       CPPUNIT_ASSERT(CompleteMoves(document, {}, RemovalWaits(kBound),
                                    kNoneBusy, MonoTime(), At(at)));
     };
--- a/Source/UnitTests/Process/cluster.cc
+++ b/Source/UnitTests/Process/cluster.cc
@@ -200,7 +200,7 @@
                       {"usage_lag_ms", 500},
                       {"reboot_ms", 500},
                       {"instances", instances}};
-  const std::string path = directory_ + "/fleet.json";
+  std::string path = directory_ + "/fleet.json";
   WriteFile(path, fleet.dump(2));
   return path;
 }
@@ -223,8 +223,7 @@
       {"admin", {{"credential", kOperatorToken}}},
       {"platform", {{"address", Address(kRelayPort + entry)}}}};
   settings.merge_patch(options_.settings);
-  const std::string path =
-      absl::StrCat(directory_, "/", EntryId(entry), ".json");
+  std::string path = absl::StrCat(directory_, "/", EntryId(entry), ".json");
   WriteFile(path, settings.dump(2));
   return path;
 }
--- a/Source/UnitTests/Process/operations_test.cc
+++ b/Source/UnitTests/Process/operations_test.cc
@@ -19,6 +19,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int kJobs = 6;
+
 json ParseOrNull(const CallResult& result) {
   return json::parse(result.body, nullptr, /*allow_exceptions=*/false);
 }
@@ -88,7 +90,6 @@
   // Guards against an acknowledged job that is lost with a daemon.
   void JobsRunThroughTheDeathOfADaemon() {
     ServingCluster cluster;
-    constexpr int kJobs = 6;
     for (int i = 0; i < kJobs; ++i) {
       const json job = Submit(cluster, 0, absl::StrCat("job-", i), "normal", 1,
                               "run_ms=1500");
--- a/Source/UnitTests/Process/run_once_test.cc
+++ b/Source/UnitTests/Process/run_once_test.cc
@@ -14,6 +14,8 @@
 
 using std::chrono::seconds;
 
+constexpr int kKeys = 20;
+constexpr int kSenders = 4;
 constexpr char kDisposition[] = "figflow-disposition";
 
 // Unrepeatable requests run at most once, whatever a caller resends and
@@ -68,9 +70,9 @@
   // the balancer resends a request.
   void SameKeyAtAllEntriesRunsOnce() {
     ServingCluster cluster;
-    constexpr int kKeys = 20;
     std::vector<std::thread> callers;
-    for (int sender = 0; sender < 4; ++sender) {
+    callers.reserve(kSenders);
+    for (int sender = 0; sender < kSenders; ++sender) {
       callers.emplace_back([&cluster, sender] {
         for (int i = 0; i < kKeys; ++i) {
           cluster.PostOnce(sender % 2, absl::StrCat("key-", i));
