--- a/Source/Core/Settings/settings.cc
+++ b/Source/Core/Settings/settings.cc
@@ -25,9 +25,8 @@
 constexpr std::chrono::seconds kRequestGrace{2};
 
 // One name for each alternative of SettingMember.
-constexpr const char* kUnitNames[] = {
-    "text",         "ip:port",      "list of ip:port",
-    "milliseconds", "whole number", "number"};
+constexpr const char* kUnitNames[] = {"text", "ip:port", "list of ip:port",
+                                      "milliseconds", "whole number"};
 static_assert(std::variant_size_v<SettingMember> == std::size(kUnitNames));
 
 // Leaves of the document by dotted path.
@@ -123,16 +122,6 @@
     }
   }
 
-  void operator()(double Settings::*member) {
-    if (!value_.is_number()) {
-      AddFault("expected a number");
-      return;
-    }
-    if (InRange()) {
-      settings_.*member = value_.get<double>();
-    }
-  }
-
  private:
   void AddFault(std::string message) {
     faults_.push_back({info_.path, std::move(message)});
@@ -174,8 +163,6 @@
         std::chrono::milliseconds(static_cast<int64_t>(info.default_value));
   } else if (auto* number = std::get_if<int64_t Settings::*>(&info.member)) {
     settings.** number = static_cast<int64_t>(info.default_value);
-  } else if (auto* real = std::get_if<double Settings::*>(&info.member)) {
-    settings.** real = info.default_value;
   }
 }
 
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -44,10 +44,6 @@
   int64_t max_open_requests = 0;
   int64_t caller_threads = 0;
   int64_t target_threads = 0;
-
-  double weight_buffer = 0;
-  double weight_moves = 0;
-  double weight_short_wait = 0;
 };
 
 // Longest time a request of a lost daemon may still run at a target: the
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -62,12 +62,6 @@
        "Threads that serve callers."},
       {"threads.targets", &Settings::target_threads, 2, 1, 64, false,
        "Threads that talk to targets."},
-      {"weights.buffer", &Settings::weight_buffer, 1, 0, 1000, false,
-       "Weight of capacity held idle in placement and move decisions."},
-      {"weights.moves", &Settings::weight_moves, 1, 0, 1000, false,
-       "Weight of one instance move."},
-      {"weights.short_wait", &Settings::weight_short_wait, 1, 0, 1000, false,
-       "Weight of the wait of short work behind long work."},
   };
 }
 
--- a/Source/Core/Settings/settings_table.h
+++ b/Source/Core/Settings/settings_table.h
@@ -17,8 +17,7 @@
                                    SocketAddress Settings::*,
                                    std::vector<SocketAddress> Settings::*,
                                    std::chrono::milliseconds Settings::*,
-                                   int64_t Settings::*,
-                                   double Settings::*>;
+                                   int64_t Settings::*>;
 
 struct SettingInfo {
   // Dotted path in the JSON file. Durations end in "_ms", sizes in "_bytes".
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -9,66 +9,12 @@
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build --parallel "$(nproc)" >/dev/null
 
-bin=build/bin
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-
-export FIGFLOW_TOKEN=demo-operator-credential
-
-# Starts a program in the background; its output goes to a file.
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-}
-
-# write_settings ENTRY DATA_CENTRE NUMBER
-write_settings() {
-  cat >"$work/$1.json" <<JSON
-{
-  "entry": "$1",
-  "data_centre": "$2",
-  "listen": {
-    "callers": "127.0.0.1:1800$3",
-    "admin": "127.0.0.1:1810$3",
-    "peers": "127.0.0.1:1930$3"
-  },
-  "peers": {
-    "seeds": ["127.0.0.1:19301", "127.0.0.1:19302", "127.0.0.1:19303"],
-    "credential": "demo-peer-credential"
-  },
-  "admin": {"credential": "$FIGFLOW_TOKEN"},
-  "platform": {"address": "127.0.0.1:19000"}
-}
-JSON
-}
+source Tools/loopback.sh
 
 ctl() {
   "$bin/figflowctl" --server "127.0.0.1:18101" "$@"
 }
 
-# wait_until SECONDS COMMAND...
-wait_until() {
-  local left=$(($1 * 10))
-  shift
-  until "$@" >/dev/null 2>&1; do
-    left=$((left - 1))
-    if [ "$left" -le 0 ]; then
-      echo "gave up waiting for: $*" >&2
-      tail -n 5 "$work"/*.log >&2
-      return 1
-    fi
-    sleep 0.1
-  done
-}
-
 # send PORT COUNT PATH [HEADER...]: prints how often each outcome was seen.
 send() {
   local port=$1 count=$2 path=$3
@@ -87,23 +33,15 @@
 for port in $(seq 19101 19110); do
   start "target-$port" "$bin/standin_target" --listen "127.0.0.1:$port"
 done
-write_settings entry-a1 dc-a 1
-write_settings entry-a2 dc-a 2
-write_settings entry-b1 dc-b 3
-for entry in entry-a1 entry-a2 entry-b1; do
-  start "$entry" "$bin/figflowd" --settings "$work/$entry.json"
-done
-first_daemon=${pids[-3]}
-for port in 18101 18102 18103; do
-  wait_until 20 curl -sf "http://127.0.0.1:$port/readyz"
-done
+start_daemon entry-a1 dc-a 1
+first_daemon=${pids[-1]}
+start_daemon entry-a2 dc-a 2
+start_daemon entry-b1 dc-b 3
+wait_for_daemons
 
 echo "== applying examples/demo.csv"
 ctl sheet check examples/demo.csv
 ctl sheet apply examples/demo.csv
-serves() {
-  [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$1/p/$2/hello")" = 200 ]
-}
 for port in 18001 18002 18003; do
   wait_until 20 serves "$port" booking
   wait_until 20 serves "$port" search
--- a/Tools/install_deps.sh
+++ b/Tools/install_deps.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the tests and the linter need.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build pkg-config ccache clang-format clang-tidy
+  curl g++ cmake ninja-build pkg-config ccache clang-format clang-tidy
   libabsl-dev libwebsocketpp-dev libboost-dev libboost-system-dev
   libmicrohttpd-dev libcurl4-openssl-dev libpopt-dev libeasyloggingpp-dev
   libexpected-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev libssl-dev
--- a/Tools/measure.sh
+++ b/Tools/measure.sh
@@ -5,48 +5,24 @@
 # and a quiet machine. Takes about three minutes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=build/bin
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$work"
-}
-trap cleanup EXIT
-export FIGFLOW_TOKEN=demo-operator-credential
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-}
+source Tools/loopback.sh
 
 start platform "$bin/standin_platform" examples/demo-fleet.json
 for port in $(seq 19101 19110); do
   start "target-$port" "$bin/standin_target" --listen "127.0.0.1:$port" --slots 64 --connections 512
 done
-number=0
 daemons=()
-for entry in entry-a1:dc-a entry-a2:dc-a entry-b1:dc-b; do
-  number=$((number + 1))
-  cat >"$work/$number.json" <<JSON
-{"entry": "${entry%:*}", "data_centre": "${entry#*:}",
- "listen": {"callers": "127.0.0.1:1800$number", "admin": "127.0.0.1:1810$number", "peers": "127.0.0.1:1930$number"},
- "peers": {"seeds": ["127.0.0.1:19301", "127.0.0.1:19302", "127.0.0.1:19303"], "credential": "demo-peer-credential"},
- "admin": {"credential": "$FIGFLOW_TOKEN"}, "platform": {"address": "127.0.0.1:19000"}}
-JSON
-  start "$number" "$bin/figflowd" --settings "$work/$number.json"
-  daemons+=("${pids[-1]}")
-done
-for _ in $(seq 100); do
-  curl -sf http://127.0.0.1:18103/readyz >/dev/null && break
-  sleep 0.2
-done
+start_daemon entry-a1 dc-a 1
+daemons+=("${pids[-1]}")
+start_daemon entry-a2 dc-a 2
+daemons+=("${pids[-1]}")
+start_daemon entry-b1 dc-b 3
+daemons+=("${pids[-1]}")
+wait_for_daemons
 sleep 3
 "$bin/figflowctl" --server 127.0.0.1:18101 sheet apply examples/demo.csv >/dev/null
-sleep 8
+wait_until 20 serves 18003 booking
+sleep 5
 
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
 calls() { curl -s http://127.0.0.1:19000/standin/state | tr ',{}' '\n\n\n' | awk -F: '/"\/(kv|fleet)/ {sum += $2} END {print sum + 0}'; }
