--- a/Source/Core/Daemon/daemon.cc
+++ b/Source/Core/Daemon/daemon.cc
@@ -239,8 +239,34 @@
 Result<void> Daemon::Start() {
   const uint64_t incarnation = NewIncarnation(clock_);
   parts_ = std::make_unique<Parts>(settings_, clock_, incarnation);
-  Parts& parts = *parts_;
+  Connect();
+
+  // All listeners are bound before this daemon joins its data centre's
+  // members: a second daemon started by mistake on the same instance fails
+  // here and takes over no share of the first.
+  Result<void> listening = ListenForCallers();
+  if (listening) {
+    listening = ListenForOperators();
+  }
+  if (listening) {
+    listening = parts_->peers.Start();
+  }
+  if (!listening) {
+    return listening;
+  }
+  parts_->config.Start();
+  parts_->maintenance.Start();
+  parts_->jobs.Start();
+  parts_->control.Start();
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
+           {{"entry", settings_.entry},
+            {"incarnation", absl::StrCat(incarnation)},
+            {"data_centre", settings_.data_centre}});
+  return {};
+}
 
+void Daemon::Connect() {
+  Parts& parts = *parts_;
   parts.config.SetPeers(&parts.peers);
   parts.config.SetOnChange([&parts, this] {
     parts.projects.Update(*parts.config.InForce(),
@@ -248,70 +274,58 @@
     parts.control.Wake();
   });
   parts.bridge.SetRequests(&parts.requests);
+  parts.control.AddStep(
+      [&parts](const ControlRound& round) { parts.budget_keeper.Step(round); });
+  parts.control.AddStep(
+      [&parts](const ControlRound& round) { parts.maintenance.Step(round); });
   parts.admin.AddDump("config", [&parts] { return parts.config.DumpState(); });
   parts.admin.AddDump("maintenance",
                       [&parts] { return parts.maintenance.DumpState(); });
   parts.admin.AddDump("jobs", [&parts] { return parts.jobs.DumpState(); });
   parts.admin.AddDump("routing", [&parts] { return parts.dispatcher.Dump(); });
+}
 
-  // All listeners are bound before this daemon joins its data centre's
-  // members: a second daemon started by mistake on the same instance fails
-  // here and takes over no share of the first.
-  HttpServerOptions caller;
-  caller.address = settings_.caller_listen.ToString();
-  caller.threads = static_cast<unsigned>(settings_.caller_threads);
-  caller.max_connections = static_cast<unsigned>(settings_.max_open_requests);
-  caller.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
-  Result<std::unique_ptr<HttpServer>> caller_server = HttpServer::Start(
-      caller,
-      [&parts](HttpRequest request,
-               const std::shared_ptr<HttpExchange>& exchange) {
-        parts.requests.Handle(std::move(request), exchange);
-      },
-      parts.metrics);
-  if (!caller_server) {
-    return tl::unexpected<Error>(caller_server.error());
-  }
-  parts.caller_server = std::move(*caller_server);
-
-  HttpServerOptions admin;
-  admin.address = settings_.admin_listen.ToString();
-  admin.threads = 1;
-  admin.max_connections = kAdminConnections;
-  admin.max_body_bytes = kMaxUploadBytes;
-  Result<std::unique_ptr<HttpServer>> admin_server = HttpServer::Start(
-      admin,
-      [&parts](HttpRequest request,
-               const std::shared_ptr<HttpExchange>& exchange) {
-        auto task = [&parts, request = std::move(request), exchange] {
-          exchange->Respond(parts.router.Handle(request));
-        };
-        if (!parts.admin_tasks.Post(std::move(task))) {
-          exchange->Respond(HttpResponse{503, {}, "too many requests\n"});
-        }
-      },
-      parts.metrics);
-  if (!admin_server) {
-    return tl::unexpected<Error>(admin_server.error());
+Result<void> Daemon::ListenForCallers() {
+  HttpServerOptions options;
+  options.address = settings_.caller_listen.ToString();
+  options.threads = static_cast<unsigned>(settings_.caller_threads);
+  options.max_connections = static_cast<unsigned>(settings_.max_open_requests);
+  options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+  const auto handle = [this](HttpRequest request,
+                             const std::shared_ptr<HttpExchange>& exchange) {
+    parts_->requests.Handle(std::move(request), exchange);
+  };
+  Result<std::unique_ptr<HttpServer>> server =
+      HttpServer::Start(options, handle, parts_->metrics);
+  if (!server) {
+    return tl::unexpected<Error>(server.error());
   }
-  parts.admin_server = std::move(*admin_server);
+  parts_->caller_server = std::move(*server);
+  return {};
+}
 
-  Result<void> peers = parts.peers.Start();
-  if (!peers) {
-    return peers;
+Result<void> Daemon::ListenForOperators() {
+  HttpServerOptions options;
+  options.address = settings_.admin_listen.ToString();
+  options.threads = 1;
+  options.max_connections = kAdminConnections;
+  options.max_body_bytes = kMaxUploadBytes;
+  // Operations block on the store, so they do not run on the server's threads.
+  const auto handle = [this](HttpRequest request,
+                             const std::shared_ptr<HttpExchange>& exchange) {
+    auto task = [this, request = std::move(request), exchange] {
+      exchange->Respond(parts_->router.Handle(request));
+    };
+    if (!parts_->admin_tasks.Post(std::move(task))) {
+      exchange->Respond(HttpResponse{503, {}, "too many requests\n"});
+    }
+  };
+  Result<std::unique_ptr<HttpServer>> server =
+      HttpServer::Start(options, handle, parts_->metrics);
+  if (!server) {
+    return tl::unexpected<Error>(server.error());
   }
-  parts.control.AddStep(
-      [&parts](const ControlRound& round) { parts.budget_keeper.Step(round); });
-  parts.control.AddStep(
-      [&parts](const ControlRound& round) { parts.maintenance.Step(round); });
-  parts.config.Start();
-  parts.maintenance.Start();
-  parts.jobs.Start();
-  parts.control.Start();
-  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
-           {{"entry", settings_.entry},
-            {"incarnation", absl::StrCat(incarnation)},
-            {"data_centre", settings_.data_centre}});
+  parts_->admin_server = std::move(*server);
   return {};
 }
 
--- a/Source/Core/Daemon/daemon.h
+++ b/Source/Core/Daemon/daemon.h
@@ -32,6 +32,11 @@
  private:
   struct Parts;
 
+  // Sets the callbacks between the parts.
+  void Connect();
+  Result<void> ListenForCallers();
+  Result<void> ListenForOperators();
+
   const Settings settings_;
   const Clock& clock_;
   std::unique_ptr<Parts> parts_;
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -59,7 +59,7 @@
   "Idempotency-Key: $ticket"
 
 echo "== killing the first daemon; requests go on through the others"
-kill -KILL "$first_daemon"
+{ kill -KILL "$first_daemon" && wait "$first_daemon"; } 2>/dev/null || true
 send 18002 20 /p/booking/confirm
 send 18003 20 /p/booking/confirm
 
