--- a/Tools/measure_control.sh
+++ b/Tools/measure_control.sh
@@ -36,11 +36,14 @@
   curl -s http://127.0.0.1:19000/standin/state | tr ',{}' '\n\n\n' |
     awk -F: '/"\/(kv|fleet)/ {sum += $2} END {print sum + 0}'
 }
-# Bytes that the daemon has read and written on all its sockets and files.
-io_bytes() { awk '/^(rchar|wchar)/ {sum += $2} END {print sum}' "/proc/$1/io"; }
+# Bytes on the loopback interface: the daemon's traffic with the platform, if
+# nothing else runs.
+loopback_bytes() { awk '$1 == "lo:" {print $2}' /proc/net/dev; }
 
 seconds=20
-for size in 12:5 60:50 234:194; do
+# Without arguments, the three sizes of docs/CAPACITY.md.
+if [ "$#" -eq 0 ]; then set -- 12:5 60:50 234:194; fi
+for size in "$@"; do
   workers=${size%:*}
   pools=${size#*:}
   write_fleet "$workers"
@@ -53,7 +56,7 @@
   "$bin/figflowctl" --server 127.0.0.1:18101 sheet apply "$work/sheet.csv" >/dev/null
   sleep 10
   ticks=$(cpu_ticks "$daemon")
-  io=$(io_bytes "$daemon")
+  bytes=$(loopback_bytes)
   before=$(calls)
   sleep "$seconds"
   after=$(calls)
@@ -61,7 +64,7 @@
     "cpu_percent=$(echo "$(cpu_ticks "$daemon") $ticks $seconds" | awk '{printf "%.2f", ($1 - $2) / $3}')" \
     "rss_mb=$(awk '/VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/$daemon/status")" \
     "platform_calls_per_s=$(echo "$after $before $seconds" | awk '{printf "%.1f", ($1 - $2) / $3}')" \
-    "io_bytes_per_s=$(echo "$(io_bytes "$daemon") $io $seconds" | awk '{printf "%d", ($1 - $2) / $3}')"
+    "bytes_per_s=$(echo "$(loopback_bytes) $bytes $seconds" | awk '{printf "%d", ($1 - $2) / $3}')"
   { kill "$daemon" && wait "$daemon"; } 2>/dev/null || true
   { kill "$platform" && wait "$platform"; } 2>/dev/null || true
 done
