Form the daemon's writer name in one place

Cause: four parts of the daemon built the same name for durable documents. Ruled out: nothing else in the change needed a mend that could be tested now. Conclusion: no change of behaviour.

--- a/Source/Core/Daemon/daemon.cc
+++ b/Source/Core/Daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "Daemon/daemon.h"
 
+#include <string>
 #include <utility>
 
 #include "Admin/admin_router.h"
@@ -45,6 +46,11 @@
   return static_cast<uint64_t>(SinceEpoch(clock.WallNow()).count());
 }
 
+// Name of this process in durable documents, unique among processes.
+std::string WriterOf(const Settings& settings, uint64_t incarnation) {
+  return absl::StrCat(settings.entry, "/", incarnation);
+}
+
 PeerNodeSettings PeerSettings(const Settings& settings, uint64_t incarnation) {
   PeerNodeSettings peer;
   peer.entry = EntryId(settings.entry);
@@ -91,7 +97,7 @@
                                     uint64_t incarnation) {
   MaintenanceOptions options;
   options.data_centre = DataCentreId(settings.data_centre);
-  options.writer = absl::StrCat(settings.entry, "/", incarnation);
+  options.writer = WriterOf(settings, incarnation);
   options.drain_timeout = settings.instance_drain_timeout;
   options.reboot_timeout = settings.reboot_timeout;
   options.request_bound = RequestBound(settings);
@@ -103,7 +109,7 @@
                                 uint64_t incarnation) {
   JobDriverOptions options;
   options.data_centre = DataCentreId(settings.data_centre);
-  options.writer = absl::StrCat(settings.entry, "/", incarnation);
+  options.writer = WriterOf(settings, incarnation);
   options.call_timeout = settings.platform_timeout;
   return options;
 }
@@ -191,11 +197,11 @@
       traffic(dispatcher, *client),
       data_centre(store,
                   DataCentreId(settings.data_centre),
-                  absl::StrCat(settings.entry, "/", incarnation),
+                  WriterOf(settings, incarnation),
                   settings.platform_timeout),
       pools(data_centre, traffic, ControllerOptions(settings, incarnation)),
       budgets(store,
-              absl::StrCat(settings.entry, "/", incarnation),
+              WriterOf(settings, incarnation),
               settings.platform_timeout),
       control({clock, config, data_centre, pools, dispatcher, fleet, metrics},
               LoopOptions(settings)),
