--- /dev/null
+++ b/Source/Core/Common/cbor.h
@@ -0,0 +1,32 @@
+#ifndef COMMON_CBOR_H_
+#define COMMON_CBOR_H_
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/error.h"
+#include "absl/strings/string_view.h"
+
+namespace figflow {
+
+inline std::string FormatCbor(const nlohmann::json& value) {
+  std::string bytes;
+  nlohmann::json::to_cbor(value, bytes);
+  return bytes;
+}
+
+// Decodes `bytes` and lets `read` turn the value into a T. An exception of the
+// library, for syntax, a missing element or a wrong type, becomes kInvalid.
+template <typename T, typename Read>
+Result<T> ParseCbor(absl::string_view bytes, const char* step, Read read) {
+  try {
+    return read(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(ErrorCode::kInvalid, step, "", error.what());
+  }
+}
+
+}  // namespace figflow
+
+#endif  // COMMON_CBOR_H_
--- a/Source/Core/Common/clock.cc
+++ b/Source/Core/Common/clock.cc
@@ -1,9 +1,16 @@
 #include "Common/clock.h"
 
+#include <ctime>
+
 namespace figflow {
 
 MonoTime SystemClock::Now() const {
-  return std::chrono::steady_clock::now();
+  // CLOCK_MONOTONIC stands still while the instance is suspended, and a lease
+  // does not.
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return MonoTime(std::chrono::seconds(time.tv_sec) +
+                  std::chrono::nanoseconds(time.tv_nsec));
 }
 
 WallTime SystemClock::WallNow() const {
--- /dev/null
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -0,0 +1,220 @@
+#include "Daemon/fleet_daemon.h"
+
+#include <atomic>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "Common/log.h"
+#include "Common/metrics.h"
+#include "Fleet/call_router.h"
+#include "Fleet/fleet_engine.h"
+#include "Http/http_client.h"
+#include "Http/http_server.h"
+#include "absl/strings/str_cat.h"
+#include "wire_adapter.h"
+
+namespace figflow {
+namespace {
+
+// Connections to one worker or peer. A hold takes one of them for most of the
+// time; orders are answered within milliseconds.
+constexpr int kConnectionsPerAddress = 5;
+// Watches, reads, commits of several pools and the lease.
+constexpr int kStoreConnections = 24;
+// A worker is called at least this often while it runs anything.
+constexpr std::chrono::seconds kIdleConnection{60};
+constexpr unsigned kAdminConnections = 32;
+constexpr unsigned kPeerConnections = 512;
+// Time for answers that the drain left.
+constexpr std::chrono::milliseconds kLastAnswers{500};
+// A hand-over is two writes.
+constexpr std::chrono::milliseconds kHandOverBound{2'500};
+
+// Text that no other process of the fleet uses.
+std::string NewProcessId(const std::string& entry) {
+  std::random_device random;
+  return absl::StrCat(entry, "~", absl::Hex(random(), absl::kZeroPad8),
+                      absl::Hex(random(), absl::kZeroPad8));
+}
+
+HttpClientOptions ClientOptions() {
+  HttpClientOptions options;
+  options.threads = 1;
+  options.connections_per_address = kConnectionsPerAddress;
+  options.idle_timeout = kIdleConnection;
+  return options;
+}
+
+FleetEngineOptions EngineOptions(const Settings& settings) {
+  FleetEngineOptions options;
+  options.entry = settings.entry;
+  options.peer_address = settings.peer_listen.ToString();
+  options.process_id = NewProcessId(settings.entry);
+  options.bounds.longest_lease = settings.longest_lease;
+  options.bounds.stop_time = settings.stop_time;
+  options.bounds.gang_wait = settings.gang_wait;
+  options.bounds.status_retention =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::duration<double>(settings.status_retention_s));
+  options.bounds.early_start = settings.early_start;
+  options.bounds.unavailable_notice = settings.unavailable_notice;
+  options.bounds.harm_time = settings.harm_time;
+  options.bounds.far_factor = settings.far_factor;
+  return options;
+}
+
+}  // namespace
+
+// Declared in the order of construction: each part uses only earlier ones.
+struct FleetDaemon::Parts {
+  Parts(const Settings& settings, const Clock& clock);
+
+  MetricsRegistry metrics;
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<PlatformAdapter> platform;
+  FleetEngine engine;
+  CallRouter router;
+  std::atomic<bool> stopping{false};
+  std::unique_ptr<HttpServer> admin_server;
+  std::unique_ptr<HttpServer> metrics_server;
+  std::unique_ptr<HttpServer> peer_server;
+  std::unique_ptr<HttpServer> caller_server;
+};
+
+FleetDaemon::Parts::Parts(const Settings& settings, const Clock& clock)
+    : client(std::make_unique<HttpClient>(ClientOptions(), metrics)),
+      platform(wire::MakeAdapter(
+          {settings.platform_address.ToString(), settings.instances_address},
+          *client,
+          clock,
+          metrics)),
+      engine(*platform, clock, metrics, EngineOptions(settings)),
+      router(engine, *platform, *client, clock, metrics) {
+  client->SetConnectionLimit(settings.platform_address.ToString(),
+                             kStoreConnections);
+}
+
+FleetDaemon::FleetDaemon(Settings settings, const Clock& clock)
+    : settings_(std::move(settings)), clock_(clock) {}
+
+FleetDaemon::~FleetDaemon() = default;
+
+Result<void> FleetDaemon::Start() {
+  parts_ = std::make_unique<Parts>(settings_, clock_);
+  if (Result<void> listening = Listen(); !listening) {
+    return listening;
+  }
+  parts_->engine.Start();
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
+           {{"entry", settings_.entry},
+            {"data_centre", settings_.data_centre},
+            {"callers", settings_.caller_listen.ToString()},
+            {"peers", settings_.peer_listen.ToString()}});
+  return {};
+}
+
+Result<void> FleetDaemon::Listen() {
+  Parts& parts = *parts_;
+  const auto listen = [&](const std::string& address, unsigned connections,
+                          HttpHandler handler,
+                          std::unique_ptr<HttpServer>* server) -> Result<void> {
+    HttpServerOptions options;
+    options.address = address;
+    options.threads = 1;
+    options.max_connections = connections;
+    options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+    Result<std::unique_ptr<HttpServer>> started =
+        HttpServer::Start(options, std::move(handler), parts.metrics);
+    if (!started) {
+      return tl::unexpected<Error>(started.error());
+    }
+    *server = std::move(*started);
+    return {};
+  };
+  const auto on_admin = [&parts](
+                            const HttpRequest& request,
+                            const std::shared_ptr<HttpExchange>& exchange) {
+    const bool ready = !parts.stopping && parts.engine.plan() != nullptr;
+    exchange->Respond(parts.platform->AnswerProbe(request, ready));
+  };
+  const auto on_metrics = [&parts](
+                              const HttpRequest& request,
+                              const std::shared_ptr<HttpExchange>& exchange) {
+    if (request.target == "/metrics") {
+      exchange->Respond({200,
+                         {{"Content-Type", "text/plain; version=0.0.4"}},
+                         parts.metrics.Expose()});
+    } else if (request.target == "/state") {
+      exchange->Respond({200,
+                         {{"Content-Type", "application/json"}},
+                         parts.engine.DumpState().dump(2) + "\n"});
+    } else {
+      exchange->Respond({404, {}, ""});
+    }
+  };
+  Result<void> started =
+      listen(settings_.admin_listen.ToString(), kAdminConnections, on_admin,
+             &parts.admin_server);
+  if (started && !settings_.metrics_listen.empty()) {
+    started = listen(settings_.metrics_listen, kAdminConnections, on_metrics,
+                     &parts.metrics_server);
+  }
+  if (started) {
+    started = listen(
+        settings_.peer_listen.ToString(), kPeerConnections,
+        [&parts](const HttpRequest& request,
+                 const std::shared_ptr<HttpExchange>& exchange) {
+          parts.router.HandlePeer(request, exchange);
+        },
+        &parts.peer_server);
+  }
+  if (started) {
+    started = listen(
+        settings_.caller_listen.ToString(),
+        static_cast<unsigned>(settings_.max_open_requests),
+        [&parts](const HttpRequest& request,
+                 const std::shared_ptr<HttpExchange>& exchange) {
+          parts.router.Handle(request, exchange);
+        },
+        &parts.caller_server);
+  }
+  return started;
+}
+
+void FleetDaemon::Reload(const Settings& settings) {
+  const bool changed = settings.caller_listen == settings_.caller_listen &&
+                       settings.longest_lease == settings_.longest_lease;
+  LogEvent(
+      LogLevel::kInfo, LogCategory::kDaemon, "settings_reloaded",
+      {{"entry", settings.entry}, {"needs_restart", changed ? "no" : "yes"}});
+  settings_.drain_timeout = settings.drain_timeout;
+}
+
+void FleetDaemon::Stop() {
+  if (!parts_) {
+    return;
+  }
+  Parts& parts = *parts_;
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "stopping",
+           {{"in_flight", absl::StrCat(parts.caller_server->InFlight())}});
+  const MonoTime begun = clock_.Now();
+  parts.stopping = true;
+  // Callers on open connections are served while the pools change hands.
+  parts.engine.Release(kHandOverBound);
+  parts.caller_server->StopAccepting();
+  parts.caller_server->WaitIdle(settings_.drain_timeout);
+  parts.peer_server->StopAccepting();
+  parts.peer_server->WaitIdle(kLastAnswers);
+  parts.engine.Stop();
+  parts.caller_server->Stop();
+  parts.peer_server->Stop();
+  parts.client.reset();
+  parts.admin_server->Stop();
+  const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_.Now() - begun);
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "stopped",
+           {{"ms", absl::StrCat(taken.count())}});
+}
+
+}  // namespace figflow
--- a/Source/Core/Daemon/main.cc
+++ b/Source/Core/Daemon/main.cc
@@ -9,6 +9,7 @@
 #include "Common/error.h"
 #include "Common/log.h"
 #include "Daemon/daemon.h"
+#include "Daemon/fleet_daemon.h"
 #include "Settings/settings.h"
 #include "absl/synchronization/mutex.h"
 
@@ -36,12 +37,54 @@
   return *settings;
 }
 
-int RunDaemon(const figflow::Settings& settings) {
+// Ends when a signal asks for it. `step` is called about once a second and
+// returns false when the daemon has to end by itself.
+template <typename Step, typename Reload>
+bool WaitForStop(const sigset_t& signals, Step step, Reload reload) {
+  while (true) {
+    const int signal = sigtimedwait(&signals, nullptr, &kCheckInterval);
+    if (signal == SIGHUP) {
+      reload();
+    } else if (signal > 0) {
+      return true;
+    } else if (!step()) {
+      return false;
+    }
+  }
+}
+
+int ReportStartFailure(const figflow::Error& error) {
+  figflow::LogEvent(figflow::LogLevel::kError, figflow::LogCategory::kDaemon,
+                    "start_failed", {{"error", figflow::ToString(error)}});
+  return kExitFailure;
+}
+
+int RunFleetDaemon(const figflow::Settings& settings,
+                   const std::string& path,
+                   const sigset_t& signals) {
+  const figflow::SystemClock clock;
+  figflow::FleetDaemon daemon(settings, clock);
+  if (const figflow::Result<void> started = daemon.Start(); !started) {
+    return ReportStartFailure(started.error());
+  }
+  WaitForStop(
+      signals, [] { return true; },
+      [&] {
+        if (const auto changed = LoadSettings(path)) {
+          daemon.Reload(*changed);
+        }
+      });
+  daemon.Stop();
+  return 0;
+}
+
+int RunDaemon(const figflow::Settings& settings, const std::string& path) {
   // Blocked before any thread starts, so that only sigwait sees the signals.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A peer that closes its connection is an error of a write, not a signal.
   std::signal(SIGPIPE, SIG_IGN);
@@ -51,25 +94,22 @@
   // faults instead.
   absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   figflow::InitLogging(figflow::LogLevel::kInfo);
+  if (settings.platform_kind == "fleet") {
+    return RunFleetDaemon(settings, path, signals);
+  }
   const figflow::SystemClock clock;
   figflow::Daemon daemon(settings, clock);
-  const figflow::Result<void> started = daemon.Start();
-  if (!started) {
-    figflow::LogEvent(figflow::LogLevel::kError, figflow::LogCategory::kDaemon,
-                      "start_failed",
-                      {{"error", figflow::ToString(started.error())}});
-    return kExitFailure;
+  if (const figflow::Result<void> started = daemon.Start(); !started) {
+    return ReportStartFailure(started.error());
   }
-  while (sigtimedwait(&signals, nullptr, &kCheckInterval) < 0) {
-    if (daemon.superseded()) {
-      figflow::LogEvent(figflow::LogLevel::kError,
-                        figflow::LogCategory::kDaemon, "superseded", {});
-      daemon.Stop();
-      return kExitFailure;
-    }
+  const bool asked = WaitForStop(
+      signals, [&] { return !daemon.superseded(); }, [] {});
+  if (!asked) {
+    figflow::LogEvent(figflow::LogLevel::kError, figflow::LogCategory::kDaemon,
+                      "superseded", {});
   }
   daemon.Stop();
-  return 0;
+  return asked ? 0 : kExitFailure;
 }
 
 }  // namespace
@@ -107,5 +147,5 @@
   if (!settings) {
     return settings.error();
   }
-  return check_path != nullptr ? 0 : RunDaemon(*settings);
+  return check_path != nullptr ? 0 : RunDaemon(*settings, settings_path);
 }
--- /dev/null
+++ b/Source/Core/Fleet/call_router.cc
@@ -0,0 +1,345 @@
+#include "Fleet/call_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Fleet/peer_calls.h"
+#include "Ownership/owner_record.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+// A job that no owner can take is refused after this time at the latest; a
+// take-over after a hand-over is done by then, one after a crash is not.
+constexpr std::chrono::milliseconds kRefuseAfter{450};
+// Reads and cancellations wait for an owner longer: refusing them helps nobody.
+constexpr std::chrono::milliseconds kReadPatience{2'000};
+constexpr std::chrono::milliseconds kTryAgain{40};
+// Time for the answer to reach the caller within its deadline.
+constexpr std::chrono::milliseconds kAnswerMargin{150};
+// A peer that has not answered by then is asked again on a new connection.
+constexpr std::chrono::milliseconds kPeerTimeout{700};
+constexpr std::chrono::milliseconds kStoreReadTimeout{500};
+constexpr std::chrono::milliseconds kDefaultPatience{3'000};
+// Told to callers whose job was refused because no owner was there: a take-over
+// after a crash takes 2 s.
+constexpr std::chrono::milliseconds kComeBack{1'000};
+
+CallerReply Unavailable(std::string reason) {
+  CallerReply reply;
+  reply.outcome = CallOutcome::kUnavailable;
+  reply.retry_after = kComeBack;
+  reply.reason = std::move(reason);
+  return reply;
+}
+
+CallerReply StateReply(const JobView& view) {
+  CallerReply reply;
+  reply.outcome = CallOutcome::kState;
+  reply.status = view.status;
+  reply.started = view.started;
+  return reply;
+}
+
+}  // namespace
+
+// One call on its way to the owner of its pool.
+struct CallRouter::Routed {
+  CallerCall call;
+  std::string spec_bytes;
+  MonoTime arrived;
+  MonoTime deadline;
+  // After this time a call that has certainly had no effect is refused.
+  MonoTime give_up;
+  // An attempt may have taken effect.
+  bool uncertain = false;
+  std::shared_ptr<HttpExchange> exchange;
+};
+
+CallRouter::CallRouter(FleetEngine& engine,
+                       PlatformAdapter& platform,
+                       HttpTransport& peers,
+                       const Clock& clock,
+                       MetricsRegistry& metrics)
+    : engine_(engine),
+      platform_(platform),
+      peers_(peers),
+      clock_(clock),
+      metrics_(metrics),
+      latency_(metrics.GetHistogram("figflow_call_seconds")) {}
+
+void CallRouter::Handle(const HttpRequest& request,
+                        const std::shared_ptr<HttpExchange>& exchange) {
+  auto routed = std::make_shared<Routed>();
+  routed->exchange = exchange;
+  routed->arrived = clock_.Now();
+  const std::shared_ptr<const FleetPlan> plan = engine_.plan();
+  if (plan == nullptr) {
+    Finish(routed, Unavailable("no-plan"));
+    return;
+  }
+  Result<CallerCall> call = platform_.ParseCall(request, *plan);
+  if (!call) {
+    CallerReply reply;
+    reply.outcome = call.error().code == ErrorCode::kNotFound
+                        ? CallOutcome::kNoSuchQueue
+                        : CallOutcome::kMalformed;
+    reply.reason = call.error().message;
+    Finish(routed, reply);
+    return;
+  }
+  routed->call = std::move(*call);
+  const std::chrono::milliseconds patience = routed->call.patience.count() > 0
+                                                 ? routed->call.patience
+                                                 : kDefaultPatience;
+  routed->deadline =
+      routed->arrived + std::max(patience - kAnswerMargin, patience / 2);
+  const bool submit = routed->call.kind == CallKind::kSubmit;
+  routed->give_up =
+      std::min(routed->deadline,
+               routed->arrived + (submit ? kRefuseAfter : kReadPatience));
+  if (submit) {
+    if (const Result<void> valid = CheckJobSpec(routed->call.spec); !valid) {
+      CallerReply reply;
+      reply.outcome = CallOutcome::kMalformed;
+      reply.reason = valid.error().message;
+      Finish(routed, reply);
+      return;
+    }
+    routed->spec_bytes = FormatJobSpec(routed->call.spec);
+  }
+  Try(routed);
+}
+
+void CallRouter::Try(const std::shared_ptr<Routed>& routed) {
+  const std::string& pool = routed->call.pool;
+  if (engine_.OwnRunner(pool) != nullptr) {
+    AnswerHere(
+        routed->call, routed->spec_bytes,
+        [this, routed](const CallerReply& reply) { OnReply(routed, reply); });
+    return;
+  }
+  const std::optional<OwnerRecord> owner = engine_.OwnerOf(pool);
+  if (owner && owner->entry != engine_.entry()) {
+    TryPeer(routed, *owner);
+    return;
+  }
+  TryLater(routed);
+}
+
+void CallRouter::TryPeer(const std::shared_ptr<Routed>& routed,
+                         const OwnerRecord& owner) {
+  TransferRequest transfer;
+  transfer.address = owner.address;
+  transfer.message = std::make_shared<HttpRequest>(
+      FormatPeerCall(routed->call, routed->spec_bytes));
+  const MonoTime now = clock_.Now();
+  transfer.deadline = std::min(routed->deadline, now + kPeerTimeout);
+  peers_.Start(std::move(transfer), [this, routed](TransferResult result) {
+    if (result.response) {
+      const Result<CallerReply> reply = ParsePeerReply(*result.response);
+      if (reply) {
+        OnReply(routed, *reply);
+        return;
+      }
+    }
+    routed->uncertain = routed->uncertain || result.sent;
+    metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
+    if (routed->call.kind == CallKind::kQuery) {
+      TryStore(routed);
+    } else {
+      TryLater(routed);
+    }
+  });
+}
+
+void CallRouter::TryStore(const std::shared_ptr<Routed>& routed) {
+  const CallerCall& call = routed->call;
+  platform_.store().Get(
+      ProgressKey(call.pool, call.job), kStoreReadTimeout,
+      [this, routed](const Result<std::optional<StoreItem>>& item) {
+        if (!item) {
+          TryLater(routed);
+          return;
+        }
+        if (*item) {
+          const Result<JobView> view = ReadJobView((*item)->value);
+          if (view) {
+            Finish(routed, StateReply(*view));
+          } else {
+            TryLater(routed);
+          }
+          return;
+        }
+        // No progress yet: the job may have been accepted only.
+        const CallerCall& queried = routed->call;
+        platform_.store().Get(
+            AcceptedKey(queried.pool, queried.job), kStoreReadTimeout,
+            [this, routed](const Result<std::optional<StoreItem>>& accepted) {
+              if (!accepted) {
+                TryLater(routed);
+                return;
+              }
+              CallerReply reply;
+              reply.outcome =
+                  *accepted ? CallOutcome::kState : CallOutcome::kNoSuchJob;
+              Finish(routed, reply);
+            });
+      });
+}
+
+void CallRouter::TryLater(const std::shared_ptr<Routed>& routed) {
+  const MonoTime now = clock_.Now();
+  const MonoTime last = routed->uncertain ? routed->deadline : routed->give_up;
+  if (now + kTryAgain < last) {
+    engine_.After(kTryAgain, [this, routed] { Try(routed); });
+    return;
+  }
+  CallerReply reply = Unavailable("no-owner");
+  if (routed->uncertain && routed->call.kind == CallKind::kSubmit) {
+    reply.outcome = CallOutcome::kUnknown;
+  }
+  Finish(routed, reply);
+}
+
+void CallRouter::OnReply(const std::shared_ptr<Routed>& routed,
+                         const CallerReply& reply) {
+  switch (reply.outcome) {
+    case CallOutcome::kUnavailable:
+      TryLater(routed);
+      return;
+    case CallOutcome::kUnknown:
+      routed->uncertain = true;
+      TryLater(routed);
+      return;
+    case CallOutcome::kRefused:
+      // The refusal covers this attempt only.
+      if (routed->uncertain) {
+        TryLater(routed);
+        return;
+      }
+      Finish(routed, reply);
+      return;
+    default:
+      Finish(routed, reply);
+      return;
+  }
+}
+
+void CallRouter::Finish(const std::shared_ptr<Routed>& routed,
+                        const CallerReply& reply) {
+  const auto taken = clock_.Now() - routed->arrived;
+  latency_.Record(taken);
+  metrics_
+      .GetCounter(absl::StrCat("figflow_calls_total{outcome=\"",
+                               CallOutcomeName(reply.outcome), "\"}"))
+      .Add();
+  const bool submit = routed->call.kind == CallKind::kSubmit;
+  if (submit && reply.outcome != CallOutcome::kAccepted) {
+    LogEvent(LogLevel::kInfo, LogCategory::kRequests, "job_not_accepted",
+             {{"job", routed->call.job},
+              {"pool", routed->call.pool},
+              {"outcome", std::string(CallOutcomeName(reply.outcome))},
+              {"reason", reply.reason},
+              {"held_ms",
+               absl::StrCat(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(taken)
+                       .count())}});
+  }
+  routed->exchange->Respond(platform_.FormatReply(reply));
+}
+
+void CallRouter::HandlePeer(const HttpRequest& request,
+                            const std::shared_ptr<HttpExchange>& exchange) {
+  const Result<PeerCall> call = ParsePeerCall(request);
+  if (!call) {
+    metrics_.GetCounter("figflow_peer_calls_malformed_total").Add();
+    exchange->Respond(HttpResponse{400, {}, call.error().message});
+    return;
+  }
+  AnswerHere(call->call, call->spec_bytes,
+             [exchange](const CallerReply& reply) {
+               exchange->Respond(FormatPeerReply(reply));
+             });
+}
+
+void CallRouter::AnswerHere(const CallerCall& call,
+                            const std::string& spec_bytes,
+                            Reply done) {
+  const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(call.pool);
+  if (runner == nullptr) {
+    done(Unavailable("not-owner"));
+    return;
+  }
+  switch (call.kind) {
+    case CallKind::kSubmit: {
+      const auto on_reply = [done](const SubmitReply& result) {
+        CallerReply reply;
+        reply.reason = result.reason;
+        reply.retry_after = result.retry_after;
+        switch (result.outcome) {
+          case SubmitOutcome::kAccepted:
+            reply.outcome = CallOutcome::kAccepted;
+            break;
+          case SubmitOutcome::kRefused:
+            // Without a time to come back the owner has only changed.
+            reply.outcome = result.retry_after.count() > 0
+                                ? CallOutcome::kRefused
+                                : CallOutcome::kUnavailable;
+            break;
+          case SubmitOutcome::kUnknown:
+            reply.outcome = CallOutcome::kUnknown;
+            break;
+        }
+        done(reply);
+      };
+      if (!runner->Submit(call.spec, spec_bytes, on_reply)) {
+        done(Unavailable("pool-not-ready"));
+      }
+      return;
+    }
+    case CallKind::kCancel: {
+      const auto on_reply = [done](CancelOutcome outcome) {
+        CallerReply reply;
+        reply.outcome =
+            outcome == CancelOutcome::kCancelled  ? CallOutcome::kCancelled
+            : outcome == CancelOutcome::kNotFound ? CallOutcome::kNoSuchJob
+                                                  : CallOutcome::kUnknown;
+        done(reply);
+      };
+      if (!runner->Cancel(call.job, on_reply)) {
+        done(Unavailable("pool-not-ready"));
+      }
+      return;
+    }
+    case CallKind::kQuery: {
+      const Result<JobView> view = runner->Query(call.job);
+      if (view) {
+        done(StateReply(*view));
+      } else if (view.error().code == ErrorCode::kNotFound) {
+        CallerReply reply;
+        reply.outcome = CallOutcome::kNoSuchJob;
+        done(reply);
+      } else {
+        done(Unavailable("pool-not-ready"));
+      }
+      return;
+    }
+    case CallKind::kCountPending: {
+      const Result<int64_t> pending = runner->CountPending(call.queue);
+      if (!pending) {
+        done(Unavailable("pool-not-ready"));
+        return;
+      }
+      CallerReply reply;
+      reply.outcome = CallOutcome::kPendingCount;
+      reply.pending = *pending;
+      done(reply);
+      return;
+    }
+  }
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Fleet/call_router.h
@@ -0,0 +1,61 @@
+#ifndef FLEET_CALL_ROUTER_H_
+#define FLEET_CALL_ROUTER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Common/clock.h"
+#include "Common/metrics.h"
+#include "Fleet/fleet_engine.h"
+#include "Fleet/platform_adapter.h"
+#include "Http/http_exchange.h"
+#include "Http/http_transport.h"
+
+namespace figflow {
+
+// Takes callers' calls: answers those for pools that this daemon owns, and
+// passes the others to the owner. Thread-safe.
+class CallRouter {
+ public:
+  CallRouter(FleetEngine& engine,
+             PlatformAdapter& platform,
+             HttpTransport& peers,
+             const Clock& clock,
+             MetricsRegistry& metrics);
+
+  // A call of a caller.
+  void Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpExchange>& exchange);
+  // A call that a peer passed on; it is not passed on again.
+  void HandlePeer(const HttpRequest& request,
+                  const std::shared_ptr<HttpExchange>& exchange);
+
+ private:
+  using Reply = std::function<void(const CallerReply&)>;
+  struct Routed;
+
+  // Answers from this daemon's own pool. `done` gets kUnavailable if it does
+  // not own the pool.
+  void AnswerHere(const CallerCall& call,
+                  const std::string& spec_bytes,
+                  Reply done);
+  void Try(const std::shared_ptr<Routed>& routed);
+  void TryPeer(const std::shared_ptr<Routed>& routed, const OwnerRecord& owner);
+  void TryStore(const std::shared_ptr<Routed>& routed);
+  void TryLater(const std::shared_ptr<Routed>& routed);
+  void OnReply(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
+  void Finish(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
+
+  FleetEngine& engine_;
+  PlatformAdapter& platform_;
+  HttpTransport& peers_;
+  const Clock& clock_;
+  MetricsRegistry& metrics_;
+  LatencyHistogram& latency_;
+};
+
+}  // namespace figflow
+
+#endif  // FLEET_CALL_ROUTER_H_
--- /dev/null
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -0,0 +1,487 @@
+#include "Fleet/fleet_engine.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "Common/log.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+
+namespace figflow {
+namespace {
+
+// Longest sleep of the timer thread: followers and the lease ask for no wake.
+constexpr std::chrono::milliseconds kLongestSleep{100};
+// A claim is one write.
+constexpr std::chrono::milliseconds kClaimTimeout{600};
+// An owner that reaches fewer than half of its workers by then gives way to a
+// daemon that may reach more.
+constexpr std::chrono::milliseconds kReachTime{1'200};
+
+}  // namespace
+
+FleetEngine::FleetEngine(PlatformAdapter& platform,
+                         const Clock& clock,
+                         MetricsRegistry& metrics,
+                         FleetEngineOptions options)
+    : platform_(platform),
+      clock_(clock),
+      metrics_(metrics),
+      options_(std::move(options)),
+      claims_(options_.entry) {
+  session_ =
+      std::make_shared<StoreSession>(platform_.store(), options_.session);
+  const auto follow = [this](const std::string& prefix,
+                             void (FleetEngine::*on_item)(const StoreItem&)) {
+    PrefixFollowerOptions follower;
+    follower.prefix = prefix;
+    return std::make_shared<PrefixFollower>(
+        platform_.store(), clock_, follower,
+        [this, on_item](const StoreItem& item) { (this->*on_item)(item); },
+        [this] { WakeAt(clock_.Now()); });
+  };
+  operator_keys_ =
+      follow(platform_.operator_prefix(), &FleetEngine::OnOperatorItem);
+  workers_ = follow(platform_.worker_prefix(), &FleetEngine::OnWorkerItem);
+  owners_ = follow(kOwnerPrefix, &FleetEngine::OnOwnerItem);
+}
+
+FleetEngine::~FleetEngine() {
+  Stop();
+}
+
+void FleetEngine::Start() {
+  operator_keys_->Start();
+  workers_->Start();
+  owners_->Start();
+  timer_ = std::thread([this] { RunTimer(); });
+}
+
+void FleetEngine::Stop() {
+  {
+    absl::MutexLock lock(&timer_mutex_);
+    if (stopping_) {
+      return;
+    }
+    stopping_ = true;
+    timer_wake_.Signal();
+  }
+  if (timer_.joinable()) {
+    timer_.join();
+  }
+  for (const auto& follower : {operator_keys_, workers_, owners_}) {
+    follower->Stop();
+  }
+  session_->Close();
+  std::map<std::string, std::shared_ptr<PoolRunner>> runners;
+  {
+    absl::MutexLock lock(&mutex_);
+    runners.swap(runners_);
+  }
+  for (const auto& [pool, runner] : runners) {
+    runner->End("stop");
+  }
+}
+
+void FleetEngine::WakeAt(MonoTime at) {
+  absl::MutexLock lock(&timer_mutex_);
+  if (at < wake_at_) {
+    wake_at_ = at;
+    timer_wake_.Signal();
+  }
+}
+
+void FleetEngine::After(std::chrono::milliseconds delay,
+                        std::function<void()> task) {
+  const MonoTime at = clock_.Now() + delay;
+  {
+    absl::MutexLock lock(&timer_mutex_);
+    tasks_.emplace(at, std::move(task));
+  }
+  WakeAt(at);
+}
+
+void FleetEngine::RunTimer() {
+  while (true) {
+    const MonoTime now = clock_.Now();
+    std::vector<std::function<void()>> due;
+    {
+      absl::MutexLock lock(&timer_mutex_);
+      if (stopping_) {
+        return;
+      }
+      wake_at_ = now + kLongestSleep;
+      while (!tasks_.empty() && tasks_.begin()->first <= now) {
+        due.push_back(std::move(tasks_.begin()->second));
+        tasks_.erase(tasks_.begin());
+      }
+    }
+    for (const auto& task : due) {
+      task();
+    }
+    WakeAt(StepAll(now));
+    absl::MutexLock lock(&timer_mutex_);
+    if (!tasks_.empty()) {
+      wake_at_ = std::min(wake_at_, tasks_.begin()->first);
+    }
+    while (!stopping_) {
+      const auto left = wake_at_ - clock_.Now();
+      if (left <= MonoTime::duration(0)) {
+        break;
+      }
+      timer_wake_.WaitWithTimeout(&timer_mutex_, absl::FromChrono(left));
+    }
+  }
+}
+
+MonoTime FleetEngine::StepAll(MonoTime now) {
+  MonoTime next = session_->Step(now);
+  for (const auto& follower : {operator_keys_, workers_, owners_}) {
+    next = std::min(next, follower->Step(now));
+  }
+  next = std::min(next, StepOwnership(now));
+  std::vector<std::shared_ptr<PoolRunner>> runners;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const auto& [pool, runner] : runners_) {
+      runners.push_back(runner);
+    }
+  }
+  const MonoTime certain = session_->certain_until();
+  for (const auto& runner : runners) {
+    runner->SetCertainUntil(certain);
+    next = std::min(next, runner->Tick(now));
+  }
+  return next;
+}
+
+MonoTime FleetEngine::StepOwnership(MonoTime now) {
+  MonoTime next = MonoTime::max();
+  std::vector<std::string> to_claim;
+  std::vector<std::pair<std::string, const char*>> to_end;
+  {
+    absl::MutexLock lock(&mutex_);
+    for (const auto& [pool, runner] : runners_) {
+      const auto owner = known_owners_.find(pool);
+      const bool replaced = owner != known_owners_.end() &&
+                            owner->second.revision > runner->claim().revision;
+      if (runner->deposed() || replaced) {
+        to_end.emplace_back(pool, "deposed");
+        continue;
+      }
+      const auto [listed, reached] = runner->Reached();
+      if (runner->state() == PoolRunner::State::kActive &&
+          now > runner->active_since() + kReachTime && reached * 2 < listed) {
+        to_end.emplace_back(pool, "workers-unreachable");
+      }
+    }
+    if (!releasing_ && owners_->synced() && session_->lease() != 0 &&
+        now < session_->certain_until() && plan_ != nullptr) {
+      const int owned = static_cast<int>(runners_.size() + claiming_.size());
+      for (const PoolConfig& pool : plan_->pools) {
+        if (pool.spare || known_owners_.count(pool.name) > 0 ||
+            claiming_.count(pool.name) > 0) {
+          continue;
+        }
+        claims_.OnVacant(pool.name, owned, now);
+        const std::optional<MonoTime> at = claims_.ClaimAt(pool.name);
+        if (at && *at <= now) {
+          to_claim.push_back(pool.name);
+          claiming_.insert(pool.name);
+          claims_.OnOwned(pool.name);
+        } else if (at) {
+          next = std::min(next, *at);
+        }
+      }
+    }
+  }
+  for (const auto& [pool, cause] : to_end) {
+    EndRunner(pool, cause);
+  }
+  for (const std::string& pool : to_claim) {
+    Claim(pool);
+  }
+  return next;
+}
+
+void FleetEngine::Claim(const std::string& scope) {
+  OwnerRecord record;
+  record.entry = options_.entry;
+  record.address = options_.peer_address;
+  {
+    absl::MutexLock lock(&mutex_);
+    record.nonce = absl::StrCat(options_.process_id, "-", ++claim_number_);
+  }
+  Transaction transaction;
+  transaction.expected = {{OwnerKey(scope), 0}};
+  transaction.writes = {
+      {OwnerKey(scope), FormatOwnerRecord(record), session_->lease()}};
+  platform_.store().Commit(
+      transaction, kClaimTimeout,
+      [this, scope, record](const Result<TransactionResult>& result) {
+        {
+          absl::MutexLock lock(&mutex_);
+          claiming_.erase(scope);
+          // A claim whose answer is lost shows itself in the owners' keys.
+          if (!result || !result->committed) {
+            claims_.OnOwned(scope);
+            return;
+          }
+          Owner& owner = known_owners_[scope];
+          if (result->revision > owner.revision) {
+            owner = {record, result->revision};
+          }
+        }
+        OnOwned(scope, record.nonce, result->revision);
+      });
+}
+
+void FleetEngine::OnOwned(const std::string& pool,
+                          const std::string& nonce,
+                          uint64_t revision) {
+  std::shared_ptr<PoolRunner> runner;
+  std::vector<WorkerReport> reports;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto known = runners_.find(pool);
+    if (known != runners_.end() &&
+        known->second->claim().revision >= revision) {
+      return;
+    }
+    PoolRunner::Parts parts{platform_, clock_, metrics_,
+                            [this](MonoTime at) { WakeAt(at); }};
+    runner = std::make_shared<PoolRunner>(
+        parts, PoolRunner::Claim{pool, nonce, revision}, options_.bounds);
+    runners_[pool] = runner;
+    for (const auto& [id, report] : reports_) {
+      if (report.pool == pool) {
+        reports.push_back(report);
+      }
+    }
+    runner->SetPlan(plan_);
+  }
+  runner->SetCertainUntil(session_->certain_until());
+  for (const WorkerReport& report : reports) {
+    runner->OnWorkerListed(report);
+  }
+  runner->Start();
+}
+
+void FleetEngine::EndRunner(const std::string& pool, const char* cause) {
+  std::shared_ptr<PoolRunner> runner;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto known = runners_.find(pool);
+    if (known == runners_.end()) {
+      return;
+    }
+    runner = known->second;
+    runners_.erase(known);
+    const auto owner = known_owners_.find(pool);
+    if (owner != known_owners_.end() &&
+        owner->second.revision == runner->claim().revision) {
+      known_owners_.erase(owner);
+    }
+    claims_.OnFailed(pool, clock_.Now());
+  }
+  runner->End(cause);
+  RemoveOwnerKey(runner->claim());
+}
+
+void FleetEngine::RemoveOwnerKey(const PoolRunner::Claim& claim) {
+  Transaction transaction;
+  transaction.expected = {{OwnerKey(claim.pool), claim.revision}};
+  transaction.removals = {OwnerKey(claim.pool)};
+  platform_.store().Commit(transaction, kClaimTimeout,
+                           [](const Result<TransactionResult>&) {});
+}
+
+void FleetEngine::Release(std::chrono::milliseconds bound) {
+  std::map<std::string, std::shared_ptr<PoolRunner>> runners;
+  {
+    absl::MutexLock lock(&mutex_);
+    releasing_ = true;
+    runners = runners_;
+  }
+  for (const auto& [pool, runner] : runners) {
+    runner->Release([this, pool = pool] { EndRunner(pool, "handed-over"); });
+  }
+  absl::MutexLock lock(&mutex_);
+  const auto none = [this] {
+    mutex_.AssertHeld();
+    return runners_.empty();
+  };
+  mutex_.AwaitWithTimeout(absl::Condition(&none), absl::FromChrono(bound));
+}
+
+void FleetEngine::OnOperatorItem(const StoreItem& item) {
+  if (item.removed || !platform_.IsPlanKey(item.key)) {
+    return;
+  }
+  Result<FleetPlan> parsed = platform_.ParsePlan(item.value);
+  if (!parsed) {
+    LogEvent(LogLevel::kError, LogCategory::kConfig, "plan_unreadable",
+             {{"revision", absl::StrCat(item.revision)},
+              {"error", ToString(parsed.error())}});
+    return;
+  }
+  auto plan = std::make_shared<const FleetPlan>(std::move(*parsed));
+  std::vector<std::shared_ptr<PoolRunner>> runners;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (plan_ != nullptr && plan_->version >= plan->version) {
+      return;
+    }
+    plan_ = plan;
+    for (const auto& [pool, runner] : runners_) {
+      runners.push_back(runner);
+    }
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kConfig, "plan_in_force",
+           {{"version", absl::StrCat(plan->version)},
+            {"revision", absl::StrCat(item.revision)},
+            {"queues", absl::StrCat(plan->queues.size())}});
+  for (const auto& runner : runners) {
+    runner->SetPlan(plan);
+  }
+  WakeAt(clock_.Now());
+}
+
+void FleetEngine::OnWorkerItem(const StoreItem& item) {
+  const std::string id = platform_.WorkerIdOf(item.key);
+  std::optional<WorkerReport> report;
+  if (!item.removed) {
+    Result<WorkerReport> parsed = platform_.ParseWorker(item.key, item.value);
+    if (parsed) {
+      report = std::move(*parsed);
+    } else {
+      metrics_.GetCounter("figflow_worker_reports_unreadable_total").Add();
+      LogEvent(LogLevel::kWarning, LogCategory::kPools,
+               "worker_report_unreadable",
+               {{"worker", id}, {"error", ToString(parsed.error())}});
+    }
+  }
+  std::shared_ptr<PoolRunner> left;
+  std::shared_ptr<PoolRunner> runner;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto find = [this](const std::string& pool) {
+      mutex_.AssertHeld();
+      const auto it = runners_.find(pool);
+      return it == runners_.end() ? nullptr : it->second;
+    };
+    const auto known = reports_.find(id);
+    if (known != reports_.end() &&
+        (!report || known->second.pool != report->pool)) {
+      left = find(known->second.pool);
+    }
+    if (report) {
+      reports_[id] = *report;
+      runner = find(report->pool);
+    } else if (known != reports_.end()) {
+      reports_.erase(known);
+    }
+  }
+  if (left) {
+    left->OnWorkerUnlisted(id);
+  }
+  if (runner) {
+    runner->OnWorkerListed(*report);
+  }
+}
+
+void FleetEngine::OnOwnerItem(const StoreItem& item) {
+  const std::string scope = LastKeyPart(item.key);
+  Owner owner;
+  owner.revision = item.revision;
+  if (!item.removed) {
+    Result<OwnerRecord> record = ParseOwnerRecord(item.value);
+    if (!record) {
+      LogEvent(LogLevel::kError, LogCategory::kPools, "owner_unreadable",
+               {{"scope", scope}, {"error", ToString(record.error())}});
+      return;
+    }
+    owner.record = std::move(*record);
+  }
+  bool own = false;
+  bool lost = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto known = known_owners_.find(scope);
+    if (known != known_owners_.end() &&
+        known->second.revision >= item.revision) {
+      return;
+    }
+    const auto runner = runners_.find(scope);
+    if (item.removed) {
+      known_owners_.erase(scope);
+      lost = runner != runners_.end() &&
+             runner->second->claim().revision < item.revision;
+    } else {
+      known_owners_[scope] = owner;
+      claims_.OnOwned(scope);
+      own = absl::StrContains(owner.record.nonce, options_.process_id);
+    }
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kPools,
+           item.removed ? "owner_gone" : "owner_changed",
+           {{"scope", scope},
+            {"owner", owner.record.entry},
+            {"revision", absl::StrCat(item.revision)}});
+  if (own) {
+    OnOwned(scope, owner.record.nonce, owner.revision);
+  } else if (lost) {
+    EndRunner(scope, "key-removed");
+  }
+  WakeAt(clock_.Now());
+}
+
+std::shared_ptr<const FleetPlan> FleetEngine::plan() const {
+  absl::MutexLock lock(&mutex_);
+  return plan_;
+}
+
+std::shared_ptr<PoolRunner> FleetEngine::OwnRunner(
+    const std::string& pool) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = runners_.find(pool);
+  return it == runners_.end() ? nullptr : it->second;
+}
+
+std::optional<OwnerRecord> FleetEngine::OwnerOf(const std::string& pool) const {
+  absl::MutexLock lock(&mutex_);
+  const auto it = known_owners_.find(pool);
+  if (it == known_owners_.end()) {
+    return std::nullopt;
+  }
+  return it->second.record;
+}
+
+bool FleetEngine::releasing() const {
+  absl::MutexLock lock(&mutex_);
+  return releasing_;
+}
+
+nlohmann::json FleetEngine::DumpState() const {
+  absl::MutexLock lock(&mutex_);
+  nlohmann::json owners = nlohmann::json::object();
+  for (const auto& [scope, owner] : known_owners_) {
+    owners[scope] = {{"entry", owner.record.entry}, {"fence", owner.revision}};
+  }
+  nlohmann::json owned = nlohmann::json::array();
+  for (const auto& [pool, runner] : runners_) {
+    const auto [listed, reached] = runner->Reached();
+    owned.push_back({{"pool", pool},
+                     {"fence", runner->claim().revision},
+                     {"workers", listed},
+                     {"reached", reached}});
+  }
+  return {{"plan_version", plan_ == nullptr ? 0 : plan_->version},
+          {"workers", reports_.size()},
+          {"owners", std::move(owners)},
+          {"owned", std::move(owned)}};
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -0,0 +1,123 @@
+#ifndef FLEET_FLEET_ENGINE_H_
+#define FLEET_FLEET_ENGINE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/clock.h"
+#include "Common/metrics.h"
+#include "Fleet/platform_adapter.h"
+#include "Fleet/pool_runner.h"
+#include "Ownership/claim_policy.h"
+#include "Ownership/owner_record.h"
+#include "Ownership/prefix_follower.h"
+#include "Ownership/store_session.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+struct FleetEngineOptions {
+  std::string entry;
+  // "ip:port" at which this daemon takes calls of its peers.
+  std::string peer_address;
+  // Unique among the processes of the fleet.
+  std::string process_id;
+  ExecutionBounds bounds;
+  StoreSessionOptions session;
+};
+
+// What a daemon knows of the platform, and the pools that it owns. Follows the
+// operators' plan, the registry of workers and the owners' keys; claims pools
+// without an owner.
+class FleetEngine {
+ public:
+  struct Owner {
+    OwnerRecord record;
+    uint64_t revision = 0;
+  };
+
+  FleetEngine(PlatformAdapter& platform,
+              const Clock& clock,
+              MetricsRegistry& metrics,
+              FleetEngineOptions options);
+  ~FleetEngine();
+  FleetEngine(const FleetEngine&) = delete;
+  FleetEngine& operator=(const FleetEngine&) = delete;
+
+  void Start();
+  // Claims nothing more and hands all pools over. Returns when that is done or
+  // `bound` has passed; calls are still answered.
+  void Release(std::chrono::milliseconds bound);
+  // Ends all threads.
+  void Stop();
+
+  // Null until the operators' plan is known.
+  std::shared_ptr<const FleetPlan> plan() const;
+  // Null unless this daemon owns the pool and has read its records.
+  std::shared_ptr<PoolRunner> OwnRunner(const std::string& pool) const;
+  // None while no owner is known.
+  std::optional<OwnerRecord> OwnerOf(const std::string& pool) const;
+  const std::string& entry() const { return options_.entry; }
+  bool releasing() const;
+
+  // Runs `task` once, after `delay`, on the engine's thread.
+  void After(std::chrono::milliseconds delay, std::function<void()> task);
+
+  nlohmann::json DumpState() const;
+
+ private:
+  void RunTimer();
+  void WakeAt(MonoTime at);
+  MonoTime StepAll(MonoTime now);
+  MonoTime StepOwnership(MonoTime now);
+  void Claim(const std::string& scope);
+  void OnOwned(const std::string& pool,
+               const std::string& nonce,
+               uint64_t revision);
+  void EndRunner(const std::string& pool, const char* cause);
+  void RemoveOwnerKey(const PoolRunner::Claim& claim);
+
+  void OnOperatorItem(const StoreItem& item);
+  void OnWorkerItem(const StoreItem& item);
+  void OnOwnerItem(const StoreItem& item);
+
+  PlatformAdapter& platform_;
+  const Clock& clock_;
+  MetricsRegistry& metrics_;
+  const FleetEngineOptions options_;
+  std::shared_ptr<StoreSession> session_;
+  std::shared_ptr<PrefixFollower> operator_keys_;
+  std::shared_ptr<PrefixFollower> workers_;
+  std::shared_ptr<PrefixFollower> owners_;
+
+  mutable absl::Mutex mutex_;
+  std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Owner> known_owners_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::shared_ptr<PoolRunner>> runners_
+      ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> claiming_ ABSL_GUARDED_BY(mutex_);
+  ClaimPolicy claims_ ABSL_GUARDED_BY(mutex_);
+  uint64_t claim_number_ ABSL_GUARDED_BY(mutex_) = 0;
+  bool releasing_ ABSL_GUARDED_BY(mutex_) = false;
+
+  absl::Mutex timer_mutex_;
+  absl::CondVar timer_wake_;
+  MonoTime wake_at_ ABSL_GUARDED_BY(timer_mutex_) = MonoTime::max();
+  bool stopping_ ABSL_GUARDED_BY(timer_mutex_) = false;
+  std::multimap<MonoTime, std::function<void()>> tasks_
+      ABSL_GUARDED_BY(timer_mutex_);
+  std::thread timer_;
+};
+
+}  // namespace figflow
+
+#endif  // FLEET_FLEET_ENGINE_H_
--- /dev/null
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -0,0 +1,107 @@
+#include "Fleet/peer_calls.h"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/cbor.h"
+
+namespace figflow {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kPath[] = "/figflow/v1/call";
+constexpr char kStep[] = "peer.call";
+constexpr int kOk = 200;
+constexpr int kLastKind = static_cast<int>(CallKind::kCountPending);
+constexpr int kLastOutcome = static_cast<int>(CallOutcome::kMalformed);
+constexpr int kLastStatus = static_cast<int>(JobStatus::kCancelled);
+
+constexpr std::array<absl::string_view, 10> kOutcomeNames = {
+    "accepted",  "refused",     "unknown",       "unavailable",   "state",
+    "cancelled", "no-such-job", "pending-count", "no-such-queue", "malformed"};
+
+// The value as an enumerator, or kInvalid through the caller's decoder.
+template <typename Enum>
+Enum ToEnum(const json& value, int last) {
+  const int number = value.get<int>();
+  if (number < 0 || number > last) {
+    throw json::other_error::create(501, "enumerator out of range", &value);
+  }
+  return static_cast<Enum>(number);
+}
+
+}  // namespace
+
+absl::string_view CallOutcomeName(CallOutcome outcome) {
+  return kOutcomeNames[static_cast<size_t>(outcome)];
+}
+
+HttpRequest FormatPeerCall(const CallerCall& call,
+                           const std::string& spec_bytes) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = kPath;
+  request.headers = {{"Content-Type", "application/cbor"}};
+  request.body = FormatCbor(
+      json::array({static_cast<int>(call.kind), call.queue, call.pool, call.job,
+                   json::binary(std::vector<uint8_t>(spec_bytes.begin(),
+                                                     spec_bytes.end()))}));
+  return request;
+}
+
+Result<PeerCall> ParsePeerCall(const HttpRequest& request) {
+  if (request.target != kPath) {
+    return Fail(ErrorCode::kNotFound, kStep, "", "unknown path");
+  }
+  Result<PeerCall> parsed =
+      ParseCbor<PeerCall>(request.body, kStep, [](const json& row) {
+        PeerCall peer;
+        peer.call.kind = ToEnum<CallKind>(row.at(0), kLastKind);
+        peer.call.queue = row.at(1).get<std::string>();
+        peer.call.pool = row.at(2).get<std::string>();
+        peer.call.job = row.at(3).get<std::string>();
+        const json::binary_t& spec = row.at(4).get_binary();
+        peer.spec_bytes.assign(spec.begin(), spec.end());
+        return peer;
+      });
+  if (!parsed || parsed->call.kind != CallKind::kSubmit) {
+    return parsed;
+  }
+  Result<JobSpec> spec = ParseJobSpec(parsed->spec_bytes);
+  if (!spec) {
+    return tl::unexpected<Error>(spec.error());
+  }
+  parsed->call.spec = std::move(*spec);
+  return parsed;
+}
+
+HttpResponse FormatPeerReply(const CallerReply& reply) {
+  HttpResponse response;
+  response.status = kOk;
+  response.headers = {{"Content-Type", "application/cbor"}};
+  response.body = FormatCbor(json::array(
+      {static_cast<int>(reply.outcome), static_cast<int>(reply.status),
+       reply.started, reply.pending, reply.retry_after.count(), reply.reason}));
+  return response;
+}
+
+Result<CallerReply> ParsePeerReply(const HttpResponse& response) {
+  if (response.status != kOk) {
+    return Fail(ErrorCode::kInvalid, kStep, "", "unexpected status");
+  }
+  return ParseCbor<CallerReply>(response.body, kStep, [](const json& row) {
+    CallerReply reply;
+    reply.outcome = ToEnum<CallOutcome>(row.at(0), kLastOutcome);
+    reply.status = ToEnum<JobStatus>(row.at(1), kLastStatus);
+    reply.started = row.at(2).get<bool>();
+    reply.pending = row.at(3).get<int64_t>();
+    reply.retry_after = std::chrono::milliseconds(row.at(4).get<int64_t>());
+    reply.reason = row.at(5).get<std::string>();
+    return reply;
+  });
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Fleet/peer_calls.h
@@ -0,0 +1,33 @@
+#ifndef FLEET_PEER_CALLS_H_
+#define FLEET_PEER_CALLS_H_
+
+#include <string>
+
+#include "Common/error.h"
+#include "Fleet/platform_adapter.h"
+#include "Http/http_message.h"
+
+namespace figflow {
+
+// Calls between daemons: a caller's call that is passed on to the pool's owner.
+// HTTP with CBOR bodies rather than the gossip links: each call has a time
+// limit of its own, and a connection that has gone silent costs one call.
+HttpRequest FormatPeerCall(const CallerCall& call,
+                           const std::string& spec_bytes);
+
+struct PeerCall {
+  CallerCall call;
+  // Form of call.spec in the store.
+  std::string spec_bytes;
+};
+
+// Errors: kNotFound, another path; kInvalid, malformed.
+Result<PeerCall> ParsePeerCall(const HttpRequest& request);
+
+HttpResponse FormatPeerReply(const CallerReply& reply);
+// Error kInvalid.
+Result<CallerReply> ParsePeerReply(const HttpResponse& response);
+
+}  // namespace figflow
+
+#endif  // FLEET_PEER_CALLS_H_
--- /dev/null
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -0,0 +1,455 @@
+#include "Fleet/pool_runner.h"
+
+#include <utility>
+
+#include "Common/log.h"
+#include "Ownership/owner_record.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kReadTimeout{1'000};
+constexpr std::chrono::milliseconds kReadRetry{100};
+// How long an owner goes on renewing leases of what runs when it cannot be sure
+// any more to own the pool: an outage of the whole store must not end all work,
+// and nobody can take over during it.
+constexpr std::chrono::milliseconds kRenewalGrace{3'000};
+
+}  // namespace
+
+// What the store holds of the pool, while it is being read.
+struct PoolRunner::Recovery {
+  uint64_t sequence_revision = 0;
+  std::map<std::string, StoredJob> records;
+  std::string after;
+};
+
+// What the scheduler wants done, carried out without the lock.
+struct PoolRunner::Work {
+  SchedulerOutput output;
+  std::vector<std::pair<SubmitCallback, SubmitReply>> submit_replies;
+  std::vector<std::pair<CancelCallback, CancelOutcome>> cancel_replies;
+  std::vector<RecordWrite> writes;
+  std::shared_ptr<RecordWriter> writer;
+  std::function<void()> released;
+  MonoTime wake = MonoTime::max();
+};
+
+PoolRunner::PoolRunner(Parts parts, Claim claim, ExecutionBounds bounds)
+    : parts_(std::move(parts)),
+      claim_(std::move(claim)),
+      bounds_(bounds),
+      plan_(std::make_shared<FleetPlan>()) {}
+
+void PoolRunner::Start() {
+  ReadSequence();
+}
+
+void PoolRunner::RetryRead(std::function<void()> read) {
+  const MonoTime at = parts_.clock.Now() + kReadRetry;
+  {
+    absl::MutexLock lock(&mutex_);
+    retry_ = std::move(read);
+    retry_at_ = at;
+  }
+  parts_.wake_at(at);
+}
+
+void PoolRunner::ReadSequence() {
+  parts_.platform.store().Get(
+      SequenceKey(claim_.pool), kReadTimeout,
+      [self =
+           shared_from_this()](const Result<std::optional<StoreItem>>& item) {
+        if (!item) {
+          self->RetryRead([self] { self->ReadSequence(); });
+          return;
+        }
+        auto recovery = std::make_shared<Recovery>();
+        recovery->sequence_revision = *item ? (*item)->revision : 0;
+        self->ReadRecords(recovery, false);
+      });
+}
+
+void PoolRunner::ReadRecords(std::shared_ptr<Recovery> recovery,
+                             bool progress) {
+  const std::string prefix =
+      progress ? ProgressKey(claim_.pool, "") : AcceptedKey(claim_.pool, "");
+  parts_.platform.store().Range(
+      prefix, recovery->after, kReadTimeout,
+      [self = shared_from_this(), recovery,
+       progress](const Result<RangePage>& page) {
+        if (!page) {
+          self->RetryRead([self, recovery, progress] {
+            self->ReadRecords(recovery, progress);
+          });
+          return;
+        }
+        for (const StoreItem& item : page->items) {
+          StoredJob& record = recovery->records[LastKeyPart(item.key)];
+          (progress ? record.progress : record.accepted) = item.value;
+          recovery->after = item.key;
+        }
+        if (page->truncated && !page->items.empty()) {
+          self->ReadRecords(recovery, progress);
+          return;
+        }
+        recovery->after.clear();
+        if (!progress) {
+          self->ReadRecords(recovery, true);
+        } else {
+          self->Activate(*recovery);
+        }
+      });
+}
+
+void PoolRunner::Activate(const Recovery& recovery) {
+  const MonoTime now = parts_.clock.Now();
+  {
+    absl::MutexLock lock(&mutex_);
+    if (state_ != State::kLoading) {
+      return;
+    }
+    PoolScheduler::Options options;
+    options.pool = claim_.pool;
+    options.bounds = bounds_;
+    options.fence = claim_.revision;
+    options.earlier_owner_grace = kRenewalGrace;
+    scheduler_ = std::make_unique<PoolScheduler>(options, parts_.metrics, now);
+    scheduler_->SetPlan(plan_);
+    scheduler_->Load(recovery.records, now, parts_.clock.WallNow());
+    for (const auto& [id, report] : reports_) {
+      scheduler_->OnWorkerListed(report, now);
+    }
+    RecordWriter::Ownership ownership;
+    ownership.pool = claim_.pool;
+    ownership.nonce = claim_.nonce;
+    ownership.owner_revision = claim_.revision;
+    ownership.sequence_revision = recovery.sequence_revision;
+    writer_ = std::make_shared<RecordWriter>(
+        parts_.platform.store(), parts_.clock, parts_.metrics, ownership,
+        [wake_at = parts_.wake_at, &clock = parts_.clock] {
+          wake_at(clock.Now());
+        });
+    state_ = State::kActive;
+    active_since_ = now;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "pool_owned",
+           {{"pool", claim_.pool},
+            {"fence", absl::StrCat(claim_.revision)},
+            {"jobs", absl::StrCat(recovery.records.size())}});
+  Run([](PoolScheduler&, MonoTime) {});
+}
+
+template <typename Change>
+bool PoolRunner::Run(Change change) {
+  Work work;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (scheduler_ == nullptr || state_ == State::kEnded) {
+      return false;
+    }
+    change(*scheduler_, parts_.clock.Now());
+    Collect(&work);
+  }
+  CarryOut(std::move(work));
+  return true;
+}
+
+bool PoolRunner::TakesCalls() const {
+  return state_ == State::kActive && !deposed_ &&
+         parts_.clock.Now() < certain_until_;
+}
+
+void PoolRunner::Collect(Work* work) {
+  const MonoTime now = parts_.clock.Now();
+  const bool active = state_ == State::kActive;
+  scheduler_->SetMayOrder(active && now < certain_until_,
+                          active && now < certain_until_ + kRenewalGrace);
+  next_step_ = scheduler_->Step(now, parts_.clock.WallNow());
+  work->output = scheduler_->TakeOutput();
+  work->wake = next_step_;
+  deposed_ = deposed_ || scheduler_->deposed();
+  for (const SubmitReply& reply : work->output.submit_replies) {
+    const auto it = submits_.find(reply.token);
+    if (it != submits_.end()) {
+      work->submit_replies.emplace_back(std::move(it->second), reply);
+      submits_.erase(it);
+    }
+  }
+  for (const CancelReply& reply : work->output.cancel_replies) {
+    const auto it = cancels_.find(reply.token);
+    if (it != cancels_.end()) {
+      work->cancel_replies.emplace_back(std::move(it->second), reply.outcome);
+      cancels_.erase(it);
+    }
+  }
+  if (!writing_ && active && scheduler_->HasWrites()) {
+    work->writes = scheduler_->TakeWrites(RecordWriter::kMaxRecords);
+    work->writer = writer_;
+    writing_ = true;
+  }
+  if (!writing_ && state_ == State::kReleasing) {
+    work->released = std::move(on_released_);
+    on_released_ = nullptr;
+  }
+}
+
+void PoolRunner::CarryOut(Work work) {
+  const auto self = shared_from_this();
+  WorkerGateway& workers = parts_.platform.workers();
+  for (auto& [done, reply] : work.submit_replies) {
+    done(reply);
+  }
+  for (auto& [done, outcome] : work.cancel_replies) {
+    done(outcome);
+  }
+  if (!work.writes.empty()) {
+    std::vector<StoreWrite> writes;
+    std::vector<std::string> removals;
+    for (RecordWrite& write : work.writes) {
+      std::string key = write.kind == RecordWrite::Kind::kAccepted
+                            ? AcceptedKey(claim_.pool, write.job)
+                            : ProgressKey(claim_.pool, write.job);
+      if (write.remove) {
+        removals.push_back(std::move(key));
+      } else {
+        writes.push_back({std::move(key), std::move(write.value), 0});
+      }
+    }
+    work.writer->Write(
+        std::move(writes), std::move(removals),
+        [self](RecordWriter::Outcome outcome) { self->OnWritten(outcome); });
+  }
+  for (StartOrder& order : work.output.starts) {
+    workers.Start(order, [self, order](const Result<OrderAnswer>& answer) {
+      self->Run([&](PoolScheduler& scheduler, MonoTime now) {
+        scheduler.OnStartAnswer(order, answer, now);
+      });
+    });
+  }
+  for (StopOrder& order : work.output.stops) {
+    workers.Stop(order, [self, order](const Result<OrderAnswer>& answer) {
+      self->Run([&](PoolScheduler& scheduler, MonoTime now) {
+        scheduler.OnStopAnswer(order, answer, now);
+      });
+    });
+  }
+  for (HoldOrder& order : work.output.holds) {
+    const MonoTime sent_at = parts_.clock.Now();
+    workers.Hold(order,
+                 [self, order, sent_at](const Result<HoldAnswer>& answer) {
+                   self->Run([&](PoolScheduler& scheduler, MonoTime now) {
+                     scheduler.OnHoldAnswer(order, answer, sent_at, now);
+                   });
+                 });
+  }
+  if (work.released) {
+    work.released();
+  }
+  parts_.wake_at(work.wake);
+}
+
+void PoolRunner::OnWritten(RecordWriter::Outcome outcome) {
+  if (outcome == RecordWriter::Outcome::kDeposed) {
+    {
+      absl::MutexLock lock(&mutex_);
+      deposed_ = true;
+      writing_ = false;
+    }
+    parts_.wake_at(parts_.clock.Now());
+    return;
+  }
+  Run([this](PoolScheduler& scheduler, MonoTime now) {
+    mutex_.AssertHeld();
+    writing_ = false;
+    scheduler.OnWritten(now);
+  });
+}
+
+void PoolRunner::SetPlan(std::shared_ptr<const FleetPlan> plan) {
+  {
+    absl::MutexLock lock(&mutex_);
+    plan_ = plan;
+  }
+  Run([&](PoolScheduler& scheduler, MonoTime) { scheduler.SetPlan(plan); });
+}
+
+void PoolRunner::OnWorkerListed(const WorkerReport& report) {
+  {
+    absl::MutexLock lock(&mutex_);
+    reports_[report.key.id] = report;
+  }
+  Run([&](PoolScheduler& scheduler, MonoTime now) {
+    scheduler.OnWorkerListed(report, now);
+  });
+}
+
+void PoolRunner::OnWorkerUnlisted(const std::string& worker) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (reports_.erase(worker) == 0) {
+      return;
+    }
+  }
+  Run([&](PoolScheduler& scheduler, MonoTime now) {
+    scheduler.OnWorkerUnlisted(worker, now);
+  });
+}
+
+bool PoolRunner::Submit(JobSpec spec,
+                        std::string spec_bytes,
+                        SubmitCallback done) {
+  bool taken = false;
+  Run([&](PoolScheduler& scheduler, MonoTime now) {
+    mutex_.AssertHeld();
+    taken = TakesCalls();
+    if (taken) {
+      const uint64_t token = next_token_++;
+      submits_[token] = std::move(done);
+      scheduler.Submit(std::move(spec), std::move(spec_bytes), token, now,
+                       parts_.clock.WallNow());
+    }
+  });
+  return taken;
+}
+
+bool PoolRunner::Cancel(const std::string& job, CancelCallback done) {
+  bool taken = false;
+  Run([&](PoolScheduler& scheduler, MonoTime now) {
+    mutex_.AssertHeld();
+    taken = TakesCalls();
+    if (taken) {
+      const uint64_t token = next_token_++;
+      cancels_[token] = std::move(done);
+      scheduler.Cancel(job, token, now);
+    }
+  });
+  return taken;
+}
+
+Result<JobView> PoolRunner::Query(const std::string& job) {
+  absl::MutexLock lock(&mutex_);
+  if (state_ != State::kActive || deposed_) {
+    return Fail(ErrorCode::kUnavailable, "pool.query", claim_.pool,
+                "the pool is not owned here");
+  }
+  const std::optional<JobView> view = scheduler_->Query(job);
+  if (view) {
+    return *view;
+  }
+  if (parts_.clock.Now() >= certain_until_) {
+    return Fail(ErrorCode::kUnavailable, "pool.query", claim_.pool,
+                "the ownership is not certain");
+  }
+  return Fail(ErrorCode::kNotFound, "pool.query", claim_.pool, "no such job");
+}
+
+Result<int64_t> PoolRunner::CountPending(const std::string& queue) {
+  absl::MutexLock lock(&mutex_);
+  if (state_ != State::kActive || deposed_) {
+    return Fail(ErrorCode::kUnavailable, "pool.count", claim_.pool,
+                "the pool is not owned here");
+  }
+  return scheduler_->CountPending(queue);
+}
+
+MonoTime PoolRunner::Tick(MonoTime now) {
+  std::function<void()> retry;
+  std::shared_ptr<RecordWriter> writer;
+  bool step = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (now >= retry_at_) {
+      retry = std::move(retry_);
+      retry_at_ = MonoTime::max();
+    }
+    writer = writer_;
+    step = now >= next_step_;
+  }
+  if (retry) {
+    retry();
+  }
+  MonoTime next = MonoTime::max();
+  if (writer) {
+    next = writer->Step(now);
+  }
+  if (step) {
+    Run([](PoolScheduler&, MonoTime) {});
+  }
+  absl::MutexLock lock(&mutex_);
+  return std::min({next, next_step_, retry_at_});
+}
+
+void PoolRunner::SetCertainUntil(MonoTime until) {
+  absl::MutexLock lock(&mutex_);
+  certain_until_ = until;
+}
+
+void PoolRunner::Release(std::function<void()> done) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (state_ == State::kActive) {
+      state_ = State::kReleasing;
+      on_released_ = std::move(done);
+      done = nullptr;
+    }
+  }
+  if (done) {
+    done();
+    return;
+  }
+  Run([](PoolScheduler&, MonoTime) {});
+}
+
+void PoolRunner::End(const char* cause) {
+  Work work;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (state_ == State::kEnded) {
+      return;
+    }
+    if (scheduler_ != nullptr) {
+      scheduler_->Abandon();
+      state_ = State::kReleasing;
+      writing_ = true;
+      Collect(&work);
+      work.output.starts.clear();
+      work.output.stops.clear();
+      work.output.holds.clear();
+    }
+    state_ = State::kEnded;
+    next_step_ = MonoTime::max();
+    if (writer_) {
+      writer_->Stop();
+    }
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "pool_given_up",
+           {{"pool", claim_.pool},
+            {"fence", absl::StrCat(claim_.revision)},
+            {"cause", cause}});
+  work.wake = MonoTime::max();
+  CarryOut(std::move(work));
+}
+
+PoolRunner::State PoolRunner::state() const {
+  absl::MutexLock lock(&mutex_);
+  return state_;
+}
+
+bool PoolRunner::deposed() const {
+  absl::MutexLock lock(&mutex_);
+  return deposed_;
+}
+
+std::pair<int, int> PoolRunner::Reached() const {
+  absl::MutexLock lock(&mutex_);
+  return scheduler_ == nullptr ? std::make_pair(0, 0) : scheduler_->Reached();
+}
+
+MonoTime PoolRunner::active_since() const {
+  absl::MutexLock lock(&mutex_);
+  return active_since_;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Fleet/pool_runner.h
@@ -0,0 +1,124 @@
+#ifndef FLEET_POOL_RUNNER_H_
+#define FLEET_POOL_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Common/clock.h"
+#include "Common/metrics.h"
+#include "Fleet/platform_adapter.h"
+#include "Ownership/record_writer.h"
+#include "Scheduling/pool_scheduler.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+// One pool that this daemon owns: reads its records, then runs its scheduler,
+// carries out the scheduler's output and feeds the answers back.
+//
+// Thread-safe. The scheduler is called under the runner's lock; orders and
+// replies leave without it.
+class PoolRunner : public std::enable_shared_from_this<PoolRunner> {
+ public:
+  struct Parts {
+    PlatformAdapter& platform;
+    const Clock& clock;
+    MetricsRegistry& metrics;
+    // Asks for a Tick at this time, from any thread.
+    std::function<void(MonoTime)> wake_at;
+  };
+  struct Claim {
+    std::string pool;
+    std::string nonce;
+    // Revision of the owner's key, the fence of all orders.
+    uint64_t revision = 0;
+  };
+  enum class State { kLoading, kActive, kReleasing, kEnded };
+
+  using SubmitCallback = std::function<void(const SubmitReply&)>;
+  using CancelCallback = std::function<void(CancelOutcome)>;
+
+  PoolRunner(Parts parts, Claim claim, ExecutionBounds bounds);
+
+  // Starts reading the pool's records.
+  void Start();
+
+  void SetPlan(std::shared_ptr<const FleetPlan> plan);
+  void OnWorkerListed(const WorkerReport& report);
+  void OnWorkerUnlisted(const std::string& worker);
+
+  // False, without a call of `done`, unless the pool is active.
+  bool Submit(JobSpec spec, std::string spec_bytes, SubmitCallback done);
+  bool Cancel(const std::string& job, CancelCallback done);
+  // kUnavailable unless the pool is active; kNotFound: no such job.
+  Result<JobView> Query(const std::string& job);
+  Result<int64_t> CountPending(const std::string& queue);
+
+  // Does what is due. Returns when to call again.
+  MonoTime Tick(MonoTime now);
+  // Until when the ownership is certain.
+  void SetCertainUntil(MonoTime until);
+
+  // Takes nothing new and ends when the write under way has ended; `done` is
+  // called with the claim still in force.
+  void Release(std::function<void()> done);
+  // Another daemon owns the pool, or the claim has ended.
+  void End(const char* cause);
+
+  State state() const;
+  bool deposed() const;
+  const Claim& claim() const { return claim_; }
+  std::pair<int, int> Reached() const;
+  MonoTime active_since() const;
+
+ private:
+  struct Recovery;
+  struct Work;
+
+  void ReadSequence();
+  void ReadRecords(std::shared_ptr<Recovery> recovery, bool progress);
+  void RetryRead(std::function<void()> read);
+  void Activate(const Recovery& recovery);
+
+  // Runs `change` on the scheduler, then a step of it, and carries out what
+  // comes of it. Returns false, without running it, if there is no scheduler.
+  template <typename Change>
+  bool Run(Change change);
+  bool TakesCalls() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void Collect(Work* work) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void CarryOut(Work work);
+  void OnWritten(RecordWriter::Outcome outcome);
+
+  const Parts parts_;
+  const Claim claim_;
+  const ExecutionBounds bounds_;
+
+  mutable absl::Mutex mutex_;
+  State state_ ABSL_GUARDED_BY(mutex_) = State::kLoading;
+  std::unique_ptr<PoolScheduler> scheduler_ ABSL_GUARDED_BY(mutex_);
+  std::shared_ptr<RecordWriter> writer_ ABSL_GUARDED_BY(mutex_);
+  bool writing_ ABSL_GUARDED_BY(mutex_) = false;
+  bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
+  MonoTime next_step_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  MonoTime active_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  std::function<void()> on_released_ ABSL_GUARDED_BY(mutex_);
+  std::function<void()> retry_ ABSL_GUARDED_BY(mutex_);
+  MonoTime retry_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  // Known before the scheduler exists.
+  std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
+
+  uint64_t next_token_ ABSL_GUARDED_BY(mutex_) = 1;
+  std::map<uint64_t, SubmitCallback> submits_ ABSL_GUARDED_BY(mutex_);
+  std::map<uint64_t, CancelCallback> cancels_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace figflow
+
+#endif  // FLEET_POOL_RUNNER_H_
--- a/Source/Core/Http/address_pool.cc
+++ b/Source/Core/Http/address_pool.cc
@@ -1,6 +1,7 @@
 #include "Http/address_pool.h"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +12,24 @@
 namespace figflow {
 namespace {
 
+// A path that goes silent closes no connection. With these, one that carries
+// nothing fails after 3 s, and one with unacknowledged bytes after 3 s as well.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUnacknowledgedMs = 3'000;
+
+void DetectSilence(curl_socket_t fd) {
+  const auto set = [fd](int level, int option, int value) {
+    setsockopt(fd, level, option, &value, sizeof(value));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
 int LocalPort(curl_socket_t fd) {
   sockaddr_storage address{};
   socklen_t size = sizeof(address);
@@ -43,6 +62,7 @@
   if (fd < 0) {
     return CURL_SOCKET_BAD;
   }
+  DetectSilence(fd);
   auto* address_pool = static_cast<AddressPool*>(pool);
   address_pool->sockets.push_back({fd, 0});
   address_pool->loop->PublishOpenConnections(*address_pool);
--- /dev/null
+++ b/Source/Core/Ownership/owner_record.cc
@@ -0,0 +1,61 @@
+#include "Ownership/owner_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Common/cbor.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+using nlohmann::json;
+
+}  // namespace
+
+std::string OwnerKey(absl::string_view scope) {
+  return absl::StrCat(kOwnerPrefix, scope);
+}
+
+std::string SequenceKey(absl::string_view pool) {
+  return absl::StrCat("figflow/sequence/", pool);
+}
+
+std::string AcceptedKey(absl::string_view pool, absl::string_view job) {
+  return absl::StrCat("figflow/jobs/", pool, "/", job);
+}
+
+std::string ProgressKey(absl::string_view pool, absl::string_view job) {
+  return absl::StrCat("figflow/progress/", pool, "/", job);
+}
+
+std::string LastKeyPart(absl::string_view key) {
+  const size_t slash = key.rfind('/');
+  return std::string(slash == absl::string_view::npos ? key
+                                                      : key.substr(slash + 1));
+}
+
+std::string FormatOwnerRecord(const OwnerRecord& record) {
+  return FormatCbor(json::array({record.entry, record.address, record.nonce}));
+}
+
+Result<OwnerRecord> ParseOwnerRecord(absl::string_view bytes) {
+  return ParseCbor<OwnerRecord>(bytes, "owner.record", [](const json& row) {
+    return OwnerRecord{row.at(0).get<std::string>(),
+                       row.at(1).get<std::string>(),
+                       row.at(2).get<std::string>()};
+  });
+}
+
+std::string FormatSequenceRecord(const SequenceRecord& record) {
+  return FormatCbor(json::array({record.nonce, record.number}));
+}
+
+Result<SequenceRecord> ParseSequenceRecord(absl::string_view bytes) {
+  return ParseCbor<SequenceRecord>(
+      bytes, "owner.sequence", [](const json& row) {
+        return SequenceRecord{row.at(0).get<std::string>(),
+                              row.at(1).get<uint64_t>()};
+      });
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Ownership/owner_record.h
@@ -0,0 +1,48 @@
+#ifndef OWNERSHIP_OWNER_RECORD_H_
+#define OWNERSHIP_OWNER_RECORD_H_
+
+#include <string>
+
+#include "Common/error.h"
+#include "absl/strings/string_view.h"
+
+namespace figflow {
+
+// Names of this product's keys in the store.
+std::string OwnerKey(absl::string_view scope);
+std::string SequenceKey(absl::string_view pool);
+std::string AcceptedKey(absl::string_view pool, absl::string_view job);
+std::string ProgressKey(absl::string_view pool, absl::string_view job);
+
+inline constexpr char kOwnerPrefix[] = "figflow/owner/";
+
+// The key's last part, after the prefix and, for records of jobs, the pool.
+std::string LastKeyPart(absl::string_view key);
+
+// Which daemon owns a scope: a pool, or the instances' maintenance. The key
+// carries the daemon's lease, and the revision of its first write is the fence
+// of all orders under this ownership.
+struct OwnerRecord {
+  std::string entry;
+  // "ip:port" at which the daemon takes calls of its peers.
+  std::string address;
+  // Unique for each claim, so that a daemon recognises its own write.
+  std::string nonce;
+};
+
+std::string FormatOwnerRecord(const OwnerRecord& record);
+// Error kInvalid.
+Result<OwnerRecord> ParseOwnerRecord(absl::string_view bytes);
+
+// Value of the sequence key: names the write that set it last.
+struct SequenceRecord {
+  std::string nonce;
+  uint64_t number = 0;
+};
+
+std::string FormatSequenceRecord(const SequenceRecord& record);
+Result<SequenceRecord> ParseSequenceRecord(absl::string_view bytes);
+
+}  // namespace figflow
+
+#endif  // OWNERSHIP_OWNER_RECORD_H_
--- /dev/null
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -0,0 +1,210 @@
+#include "Ownership/prefix_follower.h"
+
+#include <utility>
+
+#include "Common/log.h"
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kRetryPause{150};
+
+}  // namespace
+
+PrefixFollower::PrefixFollower(TransactionalStore& store,
+                               const Clock& clock,
+                               Options options,
+                               ChangeListener on_change,
+                               SyncListener on_sync)
+    : store_(store),
+      clock_(clock),
+      options_(std::move(options)),
+      on_change_(std::move(on_change)),
+      on_sync_(std::move(on_sync)) {}
+
+void PrefixFollower::Start() {
+  {
+    absl::MutexLock lock(&mutex_);
+    busy_ = true;
+  }
+  ReadPage("");
+}
+
+void PrefixFollower::Stop() {
+  absl::MutexLock lock(&mutex_);
+  stopped_ = true;
+}
+
+MonoTime PrefixFollower::Step(MonoTime now) {
+  bool watch = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopped_ || busy_) {
+      return MonoTime::max();
+    }
+    if (now < retry_at_) {
+      return retry_at_;
+    }
+    retry_at_ = MonoTime::max();
+    busy_ = true;
+    watch = watching_;
+  }
+  if (watch) {
+    Watch();
+  } else {
+    ReadPage("");
+  }
+  return MonoTime::max();
+}
+
+void PrefixFollower::ReadPage(const std::string& after) {
+  if (after.empty()) {
+    page_items_.clear();
+    range_revision_ = 0;
+  }
+  const MonoTime sent_at = clock_.Now();
+  store_.Range(options_.prefix, after, options_.call_timeout,
+               [self = shared_from_this(), sent_at](Result<RangePage> page) {
+                 self->OnPage(sent_at, std::move(page));
+               });
+}
+
+void PrefixFollower::OnPage(MonoTime sent_at, Result<RangePage> page) {
+  if (!page) {
+    OnFailure(page.error(), clock_.Now());
+    return;
+  }
+  // Pages are no snapshot: changes after the first page are watched for.
+  if (range_revision_ == 0) {
+    range_revision_ = page->store_revision;
+  }
+  std::string last;
+  for (StoreItem& item : page->items) {
+    last = item.key;
+    page_items_[last] = std::move(item);
+  }
+  if (page->truncated && !last.empty()) {
+    ReadPage(last);
+    return;
+  }
+  for (auto it = revisions_.begin(); it != revisions_.end();) {
+    if (page_items_.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    StoreItem gone;
+    gone.key = it->first;
+    gone.revision = range_revision_;
+    gone.removed = true;
+    it = revisions_.erase(it);
+    on_change_(gone);
+  }
+  const std::map<std::string, StoreItem> items = std::move(page_items_);
+  page_items_.clear();
+  for (const auto& [key, item] : items) {
+    Apply(item);
+  }
+  next_revision_ = range_revision_;
+  bool regained = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    synced_ = true;
+    watching_ = true;
+    fresh_at_ = sent_at;
+    regained = std::exchange(failing_, false);
+  }
+  if (regained) {
+    LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
+             {{"prefix", options_.prefix}});
+  }
+  on_sync_();
+  Watch();
+}
+
+void PrefixFollower::Apply(const StoreItem& item) {
+  uint64_t& known = revisions_[item.key];
+  if (item.revision <= known) {
+    return;
+  }
+  known = item.revision;
+  if (item.removed) {
+    revisions_.erase(item.key);
+  }
+  on_change_(item);
+}
+
+void PrefixFollower::Watch() {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopped_) {
+      return;
+    }
+  }
+  const MonoTime sent_at = clock_.Now();
+  store_.Watch(
+      options_.prefix, next_revision_, options_.wait,
+      [self = shared_from_this(), sent_at](Result<StoreChanges> changes) {
+        self->OnChanges(sent_at, std::move(changes));
+      });
+}
+
+void PrefixFollower::OnChanges(MonoTime sent_at, Result<StoreChanges> changes) {
+  if (!changes) {
+    OnFailure(changes.error(), clock_.Now());
+    return;
+  }
+  if (changes->history_lost) {
+    {
+      absl::MutexLock lock(&mutex_);
+      watching_ = false;
+      if (stopped_) {
+        return;
+      }
+    }
+    LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "store_history_lost",
+             {{"prefix", options_.prefix}});
+    ReadPage("");
+    return;
+  }
+  for (const StoreItem& item : changes->changes) {
+    Apply(item);
+  }
+  next_revision_ = std::max(next_revision_, changes->store_revision);
+  bool regained = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    fresh_at_ = sent_at;
+    regained = std::exchange(failing_, false);
+  }
+  if (regained) {
+    LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
+             {{"prefix", options_.prefix}});
+  }
+  Watch();
+}
+
+void PrefixFollower::OnFailure(const Error& error, MonoTime now) {
+  bool lost = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    busy_ = false;
+    retry_at_ = now + kRetryPause;
+    lost = !std::exchange(failing_, true) && !stopped_;
+  }
+  if (lost) {
+    LogEvent(LogLevel::kWarning, LogCategory::kPlatform, "store_lost",
+             {{"prefix", options_.prefix}, {"error", ToString(error)}});
+  }
+}
+
+MonoTime PrefixFollower::fresh_at() const {
+  absl::MutexLock lock(&mutex_);
+  return fresh_at_;
+}
+
+bool PrefixFollower::synced() const {
+  absl::MutexLock lock(&mutex_);
+  return synced_;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -0,0 +1,86 @@
+#ifndef OWNERSHIP_PREFIX_FOLLOWER_H_
+#define OWNERSHIP_PREFIX_FOLLOWER_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Platform/transactional_store.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+struct PrefixFollowerOptions {
+  std::string prefix;
+  std::chrono::milliseconds call_timeout{1'500};
+  // Longest wait of one watch. A connection that has gone silent is found out
+  // by TCP keep-alive, not by this.
+  std::chrono::milliseconds wait{20'000};
+};
+
+// Follows the keys under a prefix: reads the range, then watches, and reads the
+// range again when the store has lost the history in between. Changes are
+// reported in order, one at a time; a key that vanished unseen is reported as
+// removed. Thread-safe.
+class PrefixFollower : public std::enable_shared_from_this<PrefixFollower> {
+ public:
+  using Options = PrefixFollowerOptions;
+  // Called without locks held. `removed` items have no value.
+  using ChangeListener = std::function<void(const StoreItem&)>;
+  // The keys have been read as a whole.
+  using SyncListener = std::function<void()>;
+
+  PrefixFollower(TransactionalStore& store,
+                 const Clock& clock,
+                 Options options,
+                 ChangeListener on_change,
+                 SyncListener on_sync);
+
+  void Start();
+  void Stop();
+  // Retries a failed call if its pause is over. Returns when to call again.
+  MonoTime Step(MonoTime now);
+
+  // Start of the last call that was answered: the keys are at least that new.
+  MonoTime fresh_at() const;
+  bool synced() const;
+
+ private:
+  void ReadPage(const std::string& after);
+  void OnPage(MonoTime sent_at, Result<RangePage> page);
+  void Watch();
+  void OnChanges(MonoTime sent_at, Result<StoreChanges> changes);
+  void OnFailure(const Error& error, MonoTime now);
+  void Apply(const StoreItem& item);
+
+  TransactionalStore& store_;
+  const Clock& clock_;
+  const Options options_;
+  const ChangeListener on_change_;
+  const SyncListener on_sync_;
+
+  mutable absl::Mutex mutex_;
+  bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+  bool synced_ ABSL_GUARDED_BY(mutex_) = false;
+  bool failing_ ABSL_GUARDED_BY(mutex_) = false;
+  // A call is under way or about to be made.
+  bool busy_ ABSL_GUARDED_BY(mutex_) = false;
+  bool watching_ ABSL_GUARDED_BY(mutex_) = false;
+  MonoTime retry_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  MonoTime fresh_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+
+  // Used by the call under way only.
+  std::map<std::string, uint64_t> revisions_;
+  std::map<std::string, StoreItem> page_items_;
+  uint64_t next_revision_ = 0;
+  uint64_t range_revision_ = 0;
+};
+
+}  // namespace figflow
+
+#endif  // OWNERSHIP_PREFIX_FOLLOWER_H_
--- /dev/null
+++ b/Source/Core/Ownership/record_writer.cc
@@ -0,0 +1,145 @@
+#include "Ownership/record_writer.h"
+
+#include <algorithm>
+
+#include "Common/log.h"
+#include "Common/metrics.h"
+#include "Ownership/owner_record.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+// A lost answer costs this much; the store answers within 5 ms as a rule.
+constexpr std::chrono::milliseconds kFirstTimeout{300};
+// For a store that answers slowly, up to 70 times slower than usual.
+constexpr std::chrono::milliseconds kLongestTimeout{1'500};
+// Pause after a call that was turned away.
+constexpr std::chrono::milliseconds kRetryPause{60};
+
+}  // namespace
+
+RecordWriter::RecordWriter(TransactionalStore& store,
+                           const Clock& clock,
+                           MetricsRegistry& metrics,
+                           Ownership ownership,
+                           std::function<void()> wake)
+    : store_(store),
+      clock_(clock),
+      ownership_(std::move(ownership)),
+      latency_(metrics.GetHistogram("figflow_store_commit_seconds")),
+      retries_(metrics.GetCounter("figflow_store_commit_retries_total")),
+      wake_(std::move(wake)),
+      sequence_revision_(ownership_.sequence_revision),
+      timeout_(kFirstTimeout) {}
+
+void RecordWriter::Write(std::vector<StoreWrite> writes,
+                         std::vector<std::string> removals,
+                         Done done) {
+  transaction_ = Transaction();
+  transaction_.expected = {
+      {OwnerKey(ownership_.pool), ownership_.owner_revision},
+      {SequenceKey(ownership_.pool), sequence_revision_}};
+  transaction_.writes = std::move(writes);
+  transaction_.writes.push_back(
+      {SequenceKey(ownership_.pool),
+       FormatSequenceRecord({ownership_.nonce, ++number_}), 0});
+  transaction_.removals = std::move(removals);
+  done_ = std::move(done);
+  began_ = clock_.Now();
+  Send();
+}
+
+void RecordWriter::Send() {
+  const MonoTime sent_at = clock_.Now();
+  store_.Commit(transaction_, timeout_,
+                [self = shared_from_this(),
+                 sent_at](const Result<TransactionResult>& result) {
+                  self->OnResult(sent_at, result);
+                });
+}
+
+RecordWriter::Verdict RecordWriter::Judge(const TransactionResult& result,
+                                          uint64_t* revision) const {
+  const std::string sequence_key = SequenceKey(ownership_.pool);
+  for (const StoreItem& item : result.current) {
+    if (item.key != sequence_key || item.removed) {
+      continue;
+    }
+    const Result<SequenceRecord> record = ParseSequenceRecord(item.value);
+    if (record && record->nonce == ownership_.nonce &&
+        record->number == number_) {
+      *revision = item.revision;
+      return Verdict::kWritten;
+    }
+  }
+  return Verdict::kDeposed;
+}
+
+void RecordWriter::OnResult(MonoTime sent_at,
+                            const Result<TransactionResult>& result) {
+  const MonoTime now = clock_.Now();
+  if (!result) {
+    const bool unanswered = result.error().code != ErrorCode::kUnavailable;
+    retries_.Add();
+    {
+      absl::MutexLock lock(&mutex_);
+      if (unanswered) {
+        timeout_ = std::min(timeout_ * 2, kLongestTimeout);
+      }
+      repeat_wanted_ = true;
+      // A lost answer has taken its time already.
+      repeat_at_ = unanswered ? now : now + kRetryPause;
+    }
+    wake_();
+    return;
+  }
+  const auto taken = now - sent_at;
+  timeout_ = std::clamp(
+      std::chrono::duration_cast<std::chrono::milliseconds>(taken * 4),
+      kFirstTimeout, kLongestTimeout);
+  if (result->committed) {
+    sequence_revision_ = result->revision;
+    latency_.Record(now - began_);
+    Finish(Outcome::kWritten);
+    return;
+  }
+  uint64_t revision = 0;
+  if (Judge(*result, &revision) == Verdict::kWritten) {
+    sequence_revision_ = revision;
+    latency_.Record(now - began_);
+    Finish(Outcome::kWritten);
+    return;
+  }
+  Finish(Outcome::kDeposed);
+}
+
+void RecordWriter::Finish(Outcome outcome) {
+  const Done done = std::move(done_);
+  done_ = nullptr;
+  if (done) {
+    done(outcome);
+  }
+}
+
+MonoTime RecordWriter::Step(MonoTime now) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopped_ || !repeat_wanted_) {
+      return MonoTime::max();
+    }
+    if (now < repeat_at_) {
+      return repeat_at_;
+    }
+    repeat_wanted_ = false;
+  }
+  Send();
+  return MonoTime::max();
+}
+
+void RecordWriter::Stop() {
+  absl::MutexLock lock(&mutex_);
+  stopped_ = true;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Ownership/record_writer.h
@@ -0,0 +1,91 @@
+#ifndef OWNERSHIP_RECORD_WRITER_H_
+#define OWNERSHIP_RECORD_WRITER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Platform/transactional_store.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+class MetricsRegistry;
+class LatencyHistogram;
+class Counter;
+
+// Writes the records of an owned pool, one transaction after the other. Each
+// one is conditional on the owner's key and replaces the sequence key, so that
+// - a deposed owner writes nothing any more;
+// - a transaction whose answer was lost is simply sent again: exactly one copy
+//   takes effect, and a copy that the store carries out late changes nothing.
+class RecordWriter : public std::enable_shared_from_this<RecordWriter> {
+ public:
+  struct Ownership {
+    std::string pool;
+    std::string nonce;
+    uint64_t owner_revision = 0;
+    // Revision of the sequence key; 0 if there is none yet.
+    uint64_t sequence_revision = 0;
+  };
+
+  enum class Outcome { kWritten, kDeposed };
+  using Done = std::function<void(Outcome)>;
+
+  // Entries left for records in one transaction, beside the conditions and the
+  // sequence key.
+  static constexpr size_t kMaxRecords = kMaxTransactionEntries - 4;
+
+  // `wake` asks for a call of Step; it must not call back.
+  RecordWriter(TransactionalStore& store,
+               const Clock& clock,
+               MetricsRegistry& metrics,
+               Ownership ownership,
+               std::function<void()> wake);
+
+  // One write at a time. `done` is called once, unless the writer is stopped.
+  void Write(std::vector<StoreWrite> writes,
+             std::vector<std::string> removals,
+             Done done);
+  // Repeats a failed call if its pause is over. Returns when to call again.
+  MonoTime Step(MonoTime now);
+  // Repeats nothing any more; `done` may still be called by a call under way.
+  void Stop();
+
+ private:
+  void Send();
+  void OnResult(MonoTime sent_at, const Result<TransactionResult>& result);
+  void Finish(Outcome outcome);
+  // What a refused transaction says about this write.
+  enum class Verdict { kWritten, kDeposed };
+  Verdict Judge(const TransactionResult& result, uint64_t* revision) const;
+
+  TransactionalStore& store_;
+  const Clock& clock_;
+  const Ownership ownership_;
+  LatencyHistogram& latency_;
+  Counter& retries_;
+  const std::function<void()> wake_;
+
+  absl::Mutex mutex_;
+  bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+  bool repeat_wanted_ ABSL_GUARDED_BY(mutex_) = false;
+  MonoTime repeat_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  // Used by the write under way only.
+  Transaction transaction_;
+  Done done_;
+  uint64_t sequence_revision_ = 0;
+  uint64_t number_ = 0;
+  MonoTime began_;
+  std::chrono::milliseconds timeout_;
+};
+
+}  // namespace figflow
+
+#endif  // OWNERSHIP_RECORD_WRITER_H_
--- /dev/null
+++ b/Source/Core/Ownership/store_session.cc
@@ -0,0 +1,107 @@
+#include "Ownership/store_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr int kRenewalsPerTtl = 4;
+// Pause after a failed call, so that a store that turns this daemon away is
+// not asked in a loop.
+constexpr std::chrono::milliseconds kRetryPause{100};
+
+}  // namespace
+
+StoreSession::StoreSession(TransactionalStore& store, Options options)
+    : store_(store), options_(options) {}
+
+MonoTime StoreSession::Step(MonoTime now) {
+  LeaseId lease = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (closed_ || calling_) {
+      return now + options_.call_timeout;
+    }
+    if (now < next_call_) {
+      return next_call_;
+    }
+    calling_ = true;
+    next_call_ = now + options_.ttl / kRenewalsPerTtl;
+    lease = lease_;
+  }
+  const auto self = shared_from_this();
+  if (lease == 0) {
+    store_.GrantLease(options_.ttl, options_.call_timeout,
+                      [self, now](const Result<LeaseId>& granted) {
+                        self->OnGranted(now, granted);
+                      });
+  } else {
+    store_.KeepLease(
+        lease, options_.call_timeout,
+        [self, lease, now](const Result<std::chrono::milliseconds>& ttl) {
+          self->OnKept(lease, now, ttl);
+        });
+  }
+  return now + options_.ttl / kRenewalsPerTtl;
+}
+
+void StoreSession::OnGranted(MonoTime sent_at, const Result<LeaseId>& lease) {
+  absl::MutexLock lock(&mutex_);
+  calling_ = false;
+  if (!lease) {
+    next_call_ = sent_at + kRetryPause;
+    return;
+  }
+  lease_ = *lease;
+  certain_until_ = sent_at + options_.ttl;
+}
+
+void StoreSession::OnKept(LeaseId lease,
+                          MonoTime sent_at,
+                          const Result<std::chrono::milliseconds>& ttl) {
+  absl::MutexLock lock(&mutex_);
+  calling_ = false;
+  if (lease_ != lease) {
+    return;
+  }
+  if (ttl) {
+    certain_until_ = std::max(certain_until_, sent_at + *ttl);
+    return;
+  }
+  next_call_ = sent_at + kRetryPause;
+  if (ttl.error().code == ErrorCode::kNotFound) {
+    LogEvent(LogLevel::kWarning, LogCategory::kPlatform, "lease_ended",
+             {{"lease", absl::StrCat(lease)}});
+    lease_ = 0;
+    certain_until_ = MonoTime::min();
+  }
+}
+
+LeaseId StoreSession::lease() const {
+  absl::MutexLock lock(&mutex_);
+  return lease_;
+}
+
+MonoTime StoreSession::certain_until() const {
+  absl::MutexLock lock(&mutex_);
+  return certain_until_;
+}
+
+void StoreSession::Close() {
+  LeaseId lease = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    closed_ = true;
+    lease = std::exchange(lease_, 0);
+    certain_until_ = MonoTime::min();
+  }
+  if (lease != 0) {
+    store_.EndLease(lease, options_.call_timeout, [](const Result<bool>&) {});
+  }
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Ownership/store_session.h
@@ -0,0 +1,60 @@
+#ifndef OWNERSHIP_STORE_SESSION_H_
+#define OWNERSHIP_STORE_SESSION_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "Common/clock.h"
+#include "Platform/transactional_store.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+struct StoreSessionOptions {
+  // Time to live of the lease: the time after which other daemons take over
+  // from one that has stopped without a word. Renewed four times within it, so
+  // that single lost calls do no harm.
+  std::chrono::milliseconds ttl{2'000};
+  std::chrono::milliseconds call_timeout{700};
+};
+
+// Keeps one lease of the store alive, to which the daemon ties its keys.
+// Thread-safe.
+class StoreSession : public std::enable_shared_from_this<StoreSession> {
+ public:
+  using Options = StoreSessionOptions;
+
+  StoreSession(TransactionalStore& store, Options options);
+
+  // Grants or renews the lease if that is due. Returns when to call again.
+  MonoTime Step(MonoTime now);
+
+  // The lease, 0 while there is none.
+  LeaseId lease() const;
+  // Until when the lease certainly lasts. Counted from the sending of the last
+  // renewal that was answered, so a delayed answer extends nothing.
+  MonoTime certain_until() const;
+  // Ends the lease and grants no other.
+  void Close();
+
+ private:
+  void OnGranted(MonoTime sent_at, const Result<LeaseId>& lease);
+  void OnKept(LeaseId lease,
+              MonoTime sent_at,
+              const Result<std::chrono::milliseconds>& ttl);
+
+  TransactionalStore& store_;
+  const Options options_;
+  mutable absl::Mutex mutex_;
+  LeaseId lease_ ABSL_GUARDED_BY(mutex_) = 0;
+  MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  MonoTime next_call_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  bool calling_ ABSL_GUARDED_BY(mutex_) = false;
+  bool closed_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+}  // namespace figflow
+
+#endif  // OWNERSHIP_STORE_SESSION_H_
--- /dev/null
+++ b/Source/Core/Scheduling/fleet_plan.cc
@@ -0,0 +1,37 @@
+#include "Scheduling/fleet_plan.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+
+namespace figflow {
+
+const QueueConfig* FleetPlan::FindQueue(absl::string_view host,
+                                        absl::string_view path) const {
+  const QueueConfig* best = nullptr;
+  for (const QueueConfig& queue : queues) {
+    if (absl::EqualsIgnoreCase(queue.host, host) &&
+        absl::StartsWith(path, queue.path_prefix) &&
+        (best == nullptr ||
+         queue.path_prefix.size() > best->path_prefix.size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const QueueConfig* FleetPlan::QueueNamed(absl::string_view name) const {
+  const auto it = std::find_if(
+      queues.begin(), queues.end(),
+      [&](const QueueConfig& queue) { return queue.name == name; });
+  return it == queues.end() ? nullptr : &*it;
+}
+
+const PoolConfig* FleetPlan::PoolNamed(absl::string_view name) const {
+  const auto it =
+      std::find_if(pools.begin(), pools.end(),
+                   [&](const PoolConfig& pool) { return pool.name == name; });
+  return it == pools.end() ? nullptr : &*it;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/job.cc
@@ -0,0 +1,243 @@
+#include "Scheduling/job.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/cbor.h"
+#include "Scheduling/worker_state.h"
+
+namespace figflow {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kProgressStep[] = "job.progress";
+constexpr char kAcceptedStep[] = "job.accepted";
+constexpr std::array<absl::string_view, 4> kStatusNames = {
+    "live", "completed", "failed", "cancelled"};
+
+Result<JobStatus> ParseStatus(const json& value) {
+  const int status = value.get<int>();
+  if (status < 0 || status >= static_cast<int>(kStatusNames.size())) {
+    return Fail(ErrorCode::kInvalid, kProgressStep, "", "unknown status");
+  }
+  return static_cast<JobStatus>(status);
+}
+
+// [[indices of done tasks], [[index, run, failures, checkpoint, worker id,
+// worker incarnation] for each task that has begun and is not done]]
+json FormatStageProgress(const Stage& stage) {
+  json done = json::array();
+  json begun = json::array();
+  for (size_t i = 0; i < stage.tasks.size(); ++i) {
+    const Task& task = stage.tasks[i];
+    if (task.phase == TaskPhase::kDone) {
+      done.push_back(i);
+      continue;
+    }
+    if (task.run == 0) {
+      continue;
+    }
+    json row = json::array({i, task.run, task.failures, task.checkpoint});
+    if (task.phase != TaskPhase::kWaiting && task.worker != nullptr) {
+      row.push_back(task.worker->report.key.id);
+      row.push_back(task.worker->report.key.incarnation);
+    }
+    begun.push_back(std::move(row));
+  }
+  // A finished stage needs no list.
+  if (stage.finished()) {
+    return json::array({true, json::array()});
+  }
+  return json::array({std::move(done), std::move(begun)});
+}
+
+void MarkDone(Stage& stage, size_t index) {
+  Task& task = stage.tasks.at(index);
+  if (task.phase != TaskPhase::kDone) {
+    task.phase = TaskPhase::kDone;
+    ++stage.done;
+    --stage.waiting;
+  }
+}
+
+void ApplyStageProgress(const json& row,
+                        const TaskName& stage_name,
+                        Stage& stage,
+                        std::vector<RecordedAssignment>& assignments) {
+  if (row.at(0).is_boolean()) {
+    for (size_t i = 0; i < stage.tasks.size(); ++i) {
+      MarkDone(stage, i);
+    }
+    return;
+  }
+  for (const json& index : row.at(0)) {
+    MarkDone(stage, index.get<size_t>());
+  }
+  for (const json& entry : row.at(1)) {
+    const auto index = entry.at(0).get<int>();
+    Task& task = stage.tasks.at(index);
+    task.run = entry.at(1).get<uint32_t>();
+    task.failures = entry.at(2).get<uint16_t>();
+    task.checkpoint = entry.at(3).get<std::string>();
+    if (entry.size() > 4) {
+      task.phase = TaskPhase::kStarting;
+      --stage.waiting;
+      TaskName name = stage_name;
+      name.index = index;
+      assignments.push_back(
+          {std::move(name),
+           {entry.at(4).get<std::string>(), entry.at(5).get<int64_t>()}});
+    }
+  }
+}
+
+}  // namespace
+
+absl::string_view JobStatusName(JobStatus status) {
+  return kStatusNames[static_cast<size_t>(status)];
+}
+
+bool Occurrence::finished() const {
+  return std::all_of(stages.begin(), stages.end(),
+                     [](const Stage& stage) { return stage.finished(); });
+}
+
+void Job::SetSpec(JobSpec value) {
+  spec = std::move(value);
+  perpetual_ = spec.perpetual();
+}
+
+Occurrence& Job::OpenOccurrence(int number, MonoTime due) {
+  Occurrence& occurrence = occurrences[number];
+  occurrence.number = number;
+  occurrence.due = due;
+  occurrence.stages.resize(spec.stages.size());
+  for (size_t i = 0; i < spec.stages.size(); ++i) {
+    occurrence.stages[i].tasks.resize(spec.stages[i].count);
+    occurrence.stages[i].waiting = spec.stages[i].count;
+  }
+  next_occurrence = std::max(next_occurrence, number + 1);
+  return occurrence;
+}
+
+bool Job::AllDone() const {
+  return next_occurrence >= std::max(1, spec.occurrences) &&
+         std::all_of(occurrences.begin(), occurrences.end(),
+                     [](const auto& item) { return item.second.finished(); });
+}
+
+Stage& TaskRef::GetStage() const {
+  return job->occurrences.at(occurrence).stages[stage];
+}
+
+Task& TaskRef::Get() const {
+  return GetStage().tasks[index];
+}
+
+bool operator<(const TaskRef& a, const TaskRef& b) {
+  return std::tie(a.job->spec.id, a.occurrence, a.stage, a.index) <
+         std::tie(b.job->spec.id, b.occurrence, b.stage, b.index);
+}
+
+std::string FormatProgress(const Job& job) {
+  json occurrences = json::array();
+  if (job.live()) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+      json stages = json::array();
+      for (const Stage& stage : occurrence.stages) {
+        stages.push_back(FormatStageProgress(stage));
+      }
+      occurrences.push_back(json::array({number, std::move(stages)}));
+    }
+  }
+  return FormatCbor(json::array({static_cast<int>(job.status),
+                                 job.next_occurrence, std::move(occurrences)}));
+}
+
+Result<std::vector<RecordedAssignment>> ApplyProgress(absl::string_view bytes,
+                                                      Job& job) {
+  using Assignments = std::vector<RecordedAssignment>;
+  return ParseCbor<Assignments>(
+      bytes, kProgressStep, [&job](const json& row) -> Result<Assignments> {
+        Assignments assignments;
+        const Result<JobStatus> status = ParseStatus(row.at(0));
+        if (!status) {
+          return tl::unexpected<Error>(status.error());
+        }
+        job.status = *status;
+        job.next_occurrence = row.at(1).get<int>();
+        for (const json& item : row.at(2)) {
+          const int number = item.at(0).get<int>();
+          Occurrence& occurrence = job.OpenOccurrence(number, job.arrived);
+          const json& stages = item.at(1);
+          if (stages.size() != occurrence.stages.size()) {
+            return Fail(ErrorCode::kInvalid, kProgressStep, job.spec.id,
+                        "the record has other stages than the job");
+          }
+          for (size_t i = 0; i < stages.size(); ++i) {
+            const TaskName name{job.spec.id, number, static_cast<int>(i), 0};
+            try {
+              ApplyStageProgress(stages[i], name, occurrence.stages[i],
+                                 assignments);
+            } catch (const std::out_of_range&) {
+              return Fail(ErrorCode::kInvalid, kProgressStep, job.spec.id,
+                          "the record names a task that the job does not have");
+            }
+          }
+        }
+        return assignments;
+      });
+}
+
+Result<JobView> ReadJobView(absl::string_view bytes) {
+  return ParseCbor<JobView>(
+      bytes, kProgressStep, [](const json& row) -> Result<JobView> {
+        const Result<JobStatus> status = ParseStatus(row.at(0));
+        if (!status) {
+          return tl::unexpected<Error>(status.error());
+        }
+        // Progress is first written when a task has been assigned.
+        return JobView{*status, true};
+      });
+}
+
+std::string FormatAcceptedJob(const Job& job) {
+  return FormatCbor(json::array(
+      {SinceEpoch(job.submitted).count(),
+       json::binary(
+           std::vector<uint8_t>(job.spec_bytes.begin(), job.spec_bytes.end())),
+       json::binary([&job] {
+         const std::string progress = FormatProgress(job);
+         return std::vector<uint8_t>(progress.begin(), progress.end());
+       }())}));
+}
+
+Result<AcceptedJob> ParseAcceptedJob(absl::string_view bytes) {
+  return ParseCbor<AcceptedJob>(
+      bytes, kAcceptedStep, [](const json& row) -> Result<AcceptedJob> {
+        const auto text = [](const json& field) {
+          const json::binary_t& binary = field.get_binary();
+          return std::string(binary.begin(), binary.end());
+        };
+        AcceptedJob accepted;
+        accepted.job = std::make_shared<Job>();
+        Job& job = *accepted.job;
+        job.submitted =
+            FromEpoch(std::chrono::milliseconds(row.at(0).get<int64_t>()));
+        job.spec_bytes = text(row.at(1));
+        Result<JobSpec> spec = ParseJobSpec(job.spec_bytes);
+        if (!spec) {
+          return tl::unexpected<Error>(spec.error());
+        }
+        job.SetSpec(std::move(*spec));
+        accepted.progress = text(row.at(2));
+        return accepted;
+      });
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/orders.h
@@ -0,0 +1,123 @@
+#ifndef SCHEDULING_ORDERS_H_
+#define SCHEDULING_ORDERS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Common/error.h"
+#include "Scheduling/worker.h"
+
+namespace figflow {
+
+struct Job;
+
+// What every order names.
+struct OrderTarget {
+  WorkerKey worker;
+  // "ip:port"
+  std::string address;
+  // A worker that has seen a higher fence does nothing.
+  uint64_t fence = 0;
+};
+
+struct StartOrder {
+  OrderTarget target;
+  TaskName task;
+  uint32_t run = 0;
+  // The job, for its payload.
+  std::shared_ptr<const Job> job;
+  // Lease deadline on the worker's clock.
+  std::chrono::milliseconds deadline{0};
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct StopOrder {
+  OrderTarget target;
+  TaskName task;
+  uint32_t run = 0;
+};
+
+// Renews the lease of all that runs on a worker, acknowledges ends and asks for
+// the worker's status.
+struct HoldOrder {
+  OrderTarget target;
+  // New lease deadline on the worker's clock; none leaves the lease alone.
+  std::optional<std::chrono::milliseconds> deadline;
+  uint64_t acknowledged = 0;
+  // How long the answer may wait for an end.
+  std::chrono::milliseconds wait{0};
+};
+
+// Share of its processor time that a task may use.
+struct PaceOrder {
+  OrderTarget target;
+  TaskName task;
+  uint32_t run = 0;
+  int percent = 100;
+};
+
+struct OrderAnswer {
+  StartAnswer answer = StartAnswer::kStarted;
+  // The worker's clock; 0 if the answer does not tell.
+  std::chrono::milliseconds clock{0};
+};
+
+// Answer to a hold. kFenced, kReplaced and kUnhealthy come without a status.
+struct HoldAnswer {
+  StartAnswer answer = StartAnswer::kStarted;
+  WorkerStatus status;
+};
+
+// A record of a job to write or to remove.
+struct RecordWrite {
+  enum class Kind { kAccepted, kProgress };
+  Kind kind = Kind::kProgress;
+  std::string job;
+  std::string value;
+  bool remove = false;
+};
+
+// How a request of a caller ended.
+enum class SubmitOutcome {
+  // The job is durable and will run.
+  kAccepted,
+  // The job was not taken and will never run.
+  kRefused,
+  // It cannot be told here whether the job is durable.
+  kUnknown,
+};
+
+struct SubmitReply {
+  uint64_t token = 0;
+  SubmitOutcome outcome = SubmitOutcome::kUnknown;
+  // For refusals: when to come back, and a stable lower-case word.
+  std::chrono::milliseconds retry_after{0};
+  std::string reason;
+};
+
+enum class CancelOutcome { kCancelled, kNotFound, kUnknown };
+
+struct CancelReply {
+  uint64_t token = 0;
+  CancelOutcome outcome = CancelOutcome::kUnknown;
+};
+
+// What a scheduler wants done. Filled under its lock, carried out without.
+struct SchedulerOutput {
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::vector<HoldOrder> holds;
+  std::vector<PaceOrder> paces;
+  std::vector<SubmitReply> submit_replies;
+  std::vector<CancelReply> cancel_replies;
+};
+
+}  // namespace figflow
+
+#endif  // SCHEDULING_ORDERS_H_
--- /dev/null
+++ b/Source/Core/Scheduling/placement.cc
@@ -0,0 +1,67 @@
+#include "Scheduling/placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "Scheduling/worker_state.h"
+
+namespace figflow {
+namespace {
+
+bool HasLabel(const WorkerReport& report, const std::string& label) {
+  return std::find(report.labels.begin(), report.labels.end(), label) !=
+         report.labels.end();
+}
+
+// What is left of the worker's scarcer resource, as a share of its capacity.
+double ShareLeft(const WorkerOption& option, const Resources& size) {
+  const Resources& capacity = option.report->capacity;
+  const auto share = [](int64_t room, int64_t asked, int64_t whole) {
+    return whole == 0
+               ? 1.0
+               : static_cast<double>(room - asked) / static_cast<double>(whole);
+  };
+  return std::min(
+      share(option.room.cpu_millicores, size.cpu_millicores,
+            capacity.cpu_millicores),
+      share(option.room.memory_mb, size.memory_mb, capacity.memory_mb));
+}
+
+}  // namespace
+
+int ChooseWorker(const PlacementRequest& request,
+                 const std::vector<WorkerOption>& options,
+                 const std::vector<int>& stage_tasks) {
+  const StageSpec& stage = *request.stage;
+  const Resources size = CountedSize(stage);
+  int best = -1;
+  // Lower is better.
+  using Rank = std::tuple<bool, bool, bool, int, double>;
+  Rank best_rank;
+  for (size_t i = 0; i < options.size(); ++i) {
+    const WorkerOption& option = options[i];
+    if (!size.FitsIn(option.room) ||
+        (stage.max_per_worker > 0 && stage_tasks[i] >= stage.max_per_worker) ||
+        (!stage.required_label.empty() &&
+         !HasLabel(*option.report, stage.required_label))) {
+      continue;
+    }
+    const bool failed =
+        request.failed_on != nullptr &&
+        std::find(request.failed_on->begin(), request.failed_on->end(),
+                  option.report->key.id) != request.failed_on->end();
+    const bool far = !stage.preferred_rack.empty() &&
+                     option.report->rack != stage.preferred_rack;
+    const double left = ShareLeft(option, size);
+    const Rank rank{failed, option.doubtful, far,
+                    stage.perpetual ? option.perpetual_tasks : 0,
+                    stage.perpetual ? -left : left};
+    if (best < 0 || rank < best_rank) {
+      best = static_cast<int>(i);
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/placement.h
@@ -0,0 +1,41 @@
+#ifndef SCHEDULING_PLACEMENT_H_
+#define SCHEDULING_PLACEMENT_H_
+
+#include <string>
+#include <vector>
+
+#include "Scheduling/job_spec.h"
+#include "Scheduling/worker.h"
+
+namespace figflow {
+
+// A worker that may take tasks now.
+struct WorkerOption {
+  const WorkerReport* report = nullptr;
+  Resources room;
+  // Something failed here lately.
+  bool doubtful = false;
+  // Perpetual tasks here.
+  int perpetual_tasks = 0;
+};
+
+struct PlacementRequest {
+  const StageSpec* stage = nullptr;
+  // Workers on which this task failed before.
+  const std::vector<std::string>* failed_on = nullptr;
+};
+
+// Picks the worker for one task, or -1 if none has room. `stage_tasks[i]` is
+// the number of tasks of the stage that worker i already has.
+//
+// Load pattern: at the peak of a queue its pool is full, and tasks of very
+// different sizes compete. The fullest worker that fits is taken, so that room
+// for large tasks is left in one piece. Perpetual tasks are spread instead:
+// each worker that is lost or maintained then takes few of them along.
+int ChooseWorker(const PlacementRequest& request,
+                 const std::vector<WorkerOption>& options,
+                 const std::vector<int>& stage_tasks);
+
+}  // namespace figflow
+
+#endif  // SCHEDULING_PLACEMENT_H_
--- /dev/null
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -0,0 +1,425 @@
+// Jobs and their records.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Scheduling/pool_scheduler.h"
+#include "Scheduling/scheduler_metrics.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+
+PoolScheduler::PoolScheduler(Options options,
+                             MetricsRegistry& metrics,
+                             MonoTime now)
+    : options_(std::move(options)),
+      stats_(std::make_unique<SchedulerMetrics>(metrics)),
+      plan_(std::make_shared<FleetPlan>()),
+      activated_(now) {}
+
+PoolScheduler::~PoolScheduler() = default;
+
+void PoolScheduler::Load(const std::map<std::string, StoredJob>& records,
+                         MonoTime now,
+                         WallTime wall) {
+  for (const auto& [id, record] : records) {
+    LoadJob(id, record, now, wall);
+  }
+}
+
+void PoolScheduler::LoadJob(const std::string& id,
+                            const StoredJob& record,
+                            MonoTime now,
+                            WallTime wall) {
+  std::shared_ptr<Job> job;
+  std::string progress = record.progress;
+  if (record.accepted.empty()) {
+    // Only the final progress of a finished job is left.
+    job = std::make_shared<Job>();
+    job->spec.id = id;
+  } else {
+    Result<AcceptedJob> accepted = ParseAcceptedJob(record.accepted);
+    if (!accepted) {
+      LogEvent(LogLevel::kError, LogCategory::kJobs, "record_unreadable",
+               {{"job", id}, {"error", ToString(accepted.error())}});
+      return;
+    }
+    job = std::move(accepted->job);
+    if (progress.empty()) {
+      progress = std::move(accepted->progress);
+    }
+  }
+  // The age of the job, unless the clocks of two daemons disagree.
+  const auto age = std::max(wall - job->submitted, WallTime::duration(0));
+  job->arrived =
+      record.accepted.empty()
+          ? now
+          : now - std::chrono::duration_cast<MonoTime::duration>(age);
+  Result<std::vector<RecordedAssignment>> assignments =
+      ApplyProgress(progress, *job);
+  if (!assignments) {
+    LogEvent(LogLevel::kError, LogCategory::kJobs, "record_unreadable",
+             {{"job", id}, {"error", ToString(assignments.error())}});
+    return;
+  }
+  job->durable_version = job->version;
+  job->durable_status = job->status;
+  jobs_[id] = job;
+  if (!job->live()) {
+    job->finished_at = now;
+    finished_.push_back(job);
+    return;
+  }
+  open_jobs_[id] = job;
+  for (const auto& [number, occurrence] : job->occurrences) {
+    for (const Stage& stage : occurrence.stages) {
+      job->started =
+          job->started || std::any_of(stage.tasks.begin(), stage.tasks.end(),
+                                      [](const Task& task) {
+                                        return task.run > 0 ||
+                                               task.phase == TaskPhase::kDone;
+                                      });
+    }
+  }
+  for (const RecordedAssignment& assignment : *assignments) {
+    const TaskName& name = assignment.task;
+    const TaskRef ref{job, name.occurrence, name.stage, name.index};
+    WorkerState* worker = FindWorker(assignment.worker);
+    if (worker == nullptr) {
+      worker = &AddWorker(assignment.worker, now);
+    }
+    AttachTask(ref, *worker);
+    ref.Get().since = now;
+    ref.Get().inherited = true;
+  }
+}
+
+void PoolScheduler::SetPlan(std::shared_ptr<const FleetPlan> plan) {
+  plan_ = std::move(plan);
+  dispatch_wanted_ = true;
+}
+
+void PoolScheduler::Submit(JobSpec spec,
+                           std::string spec_bytes,
+                           uint64_t token,
+                           MonoTime now,
+                           WallTime wall) {
+  const auto known = jobs_.find(spec.id);
+  if (known != jobs_.end()) {
+    Job& job = *known->second;
+    if (job.durable_version > 0) {
+      output_.submit_replies.push_back(
+          {token, SubmitOutcome::kAccepted, std::chrono::milliseconds(0), ""});
+    } else {
+      job.submit_tokens.push_back(token);
+    }
+    return;
+  }
+  auto job = std::make_shared<Job>();
+  job->SetSpec(std::move(spec));
+  job->spec_bytes = std::move(spec_bytes);
+  job->submitted = wall;
+  job->arrived = now;
+  job->submit_tokens.push_back(token);
+  if (!job->spec.scheduled()) {
+    job->OpenOccurrence(0, now);
+  }
+  jobs_[job->spec.id] = job;
+  open_jobs_[job->spec.id] = job;
+  job->queued_for_write = true;
+  changed_.push_back(job);
+  dispatch_wanted_ = true;
+}
+
+void PoolScheduler::Cancel(const std::string& id,
+                           uint64_t token,
+                           MonoTime now) {
+  const auto known = jobs_.find(id);
+  if (known == jobs_.end()) {
+    output_.cancel_replies.push_back({token, CancelOutcome::kNotFound});
+    return;
+  }
+  const std::shared_ptr<Job>& job = known->second;
+  if (job->durable_status != JobStatus::kLive) {
+    output_.cancel_replies.push_back({token, CancelOutcome::kCancelled});
+    return;
+  }
+  job->cancel_tokens.push_back(token);
+  if (job->live()) {
+    Finish(job, JobStatus::kCancelled, now);
+  }
+}
+
+std::optional<JobView> PoolScheduler::Query(const std::string& id) const {
+  const auto known = jobs_.find(id);
+  if (known == jobs_.end() || known->second->durable_version == 0) {
+    return std::nullopt;
+  }
+  return JobView{known->second->durable_status, known->second->started};
+}
+
+int64_t PoolScheduler::CountPending(const std::string& queue) const {
+  return std::count_if(
+      open_jobs_.begin(), open_jobs_.end(), [&](const auto& item) {
+        const Job& job = *item.second;
+        return job.live() && !job.started && job.durable_version > 0 &&
+               !job.spec.scheduled() && job.spec.queue == queue;
+      });
+}
+
+void PoolScheduler::MarkChanged(const std::shared_ptr<Job>& job) {
+  ++job->version;
+  if (!job->queued_for_write) {
+    job->queued_for_write = true;
+    changed_.push_back(job);
+  }
+}
+
+void PoolScheduler::Finish(const std::shared_ptr<Job>& job,
+                           JobStatus status,
+                           MonoTime now) {
+  job->status = status;
+  job->finished_at = now;
+  MarkChanged(job);
+  open_jobs_.erase(job->spec.id);
+  finished_.push_back(job);
+}
+
+void PoolScheduler::OpenDueOccurrences(MonoTime now, WallTime wall) {
+  for (const auto& [id, job] : open_jobs_) {
+    if (!job->spec.scheduled() || job->durable_version == 0) {
+      continue;
+    }
+    while (job->next_occurrence < job->spec.occurrences) {
+      const WallTime due =
+          job->spec.first_due + job->next_occurrence * job->spec.interval;
+      if (due > wall) {
+        Wake(now + std::chrono::duration_cast<MonoTime::duration>(due - wall));
+        break;
+      }
+      job->OpenOccurrence(job->next_occurrence, now);
+      MarkChanged(job);
+      dispatch_wanted_ = true;
+    }
+  }
+}
+
+void PoolScheduler::ForgetFinished(MonoTime now) {
+  while (!finished_.empty()) {
+    const std::shared_ptr<Job>& job = finished_.front();
+    if (now - job->finished_at < options_.bounds.status_retention ||
+        job->durable_status == JobStatus::kLive) {
+      return;
+    }
+    removals_.push_back(job->spec.id);
+    jobs_.erase(job->spec.id);
+    finished_.pop_front();
+  }
+}
+
+int PoolScheduler::MaxAttempts(const Job& job) const {
+  const QueueConfig* queue = plan_->QueueNamed(job.spec.queue);
+  return queue == nullptr ? 1 : std::max(1, queue->max_attempts);
+}
+
+std::optional<TaskRef> PoolScheduler::FindTask(const TaskName& name) const {
+  const auto known = jobs_.find(name.job);
+  if (known == jobs_.end()) {
+    return std::nullopt;
+  }
+  const std::shared_ptr<Job>& job = known->second;
+  const auto occurrence = job->occurrences.find(name.occurrence);
+  if (occurrence == job->occurrences.end() || name.stage < 0 ||
+      name.stage >= static_cast<int>(occurrence->second.stages.size())) {
+    return std::nullopt;
+  }
+  const Stage& stage = occurrence->second.stages[name.stage];
+  if (name.index < 0 || name.index >= static_cast<int>(stage.tasks.size())) {
+    return std::nullopt;
+  }
+  return TaskRef{job, name.occurrence, name.stage, name.index};
+}
+
+void PoolScheduler::AttachTask(const TaskRef& ref, WorkerState& worker) {
+  ref.Get().worker = &worker;
+  worker.tasks.insert(ref);
+  worker.used += CountedSize(ref.Spec());
+  ++ref.GetStage().on_worker[&worker];
+}
+
+void PoolScheduler::DetachTask(const TaskRef& ref) {
+  Task& task = ref.Get();
+  WorkerState* worker = task.worker;
+  if (worker == nullptr) {
+    return;
+  }
+  worker->tasks.erase(ref);
+  worker->used -= CountedSize(ref.Spec());
+  std::map<const WorkerState*, int>& counts = ref.GetStage().on_worker;
+  const auto count = counts.find(worker);
+  if (count != counts.end() && --count->second == 0) {
+    counts.erase(count);
+  }
+  task.worker = nullptr;
+  task.order_in_flight = false;
+  task.order_unanswered = false;
+  task.order_outdated = false;
+  task.inherited = false;
+}
+
+void PoolScheduler::ReturnTask(const TaskRef& ref, MonoTime now) {
+  Task& task = ref.Get();
+  DetachTask(ref);
+  if (task.phase != TaskPhase::kWaiting && task.phase != TaskPhase::kDone) {
+    task.phase = TaskPhase::kWaiting;
+    ++ref.GetStage().waiting;
+  }
+  task.percent = 0;
+  task.since = now;
+  dispatch_wanted_ = true;
+  if (ref.job->live()) {
+    MarkChanged(ref.job);
+  }
+}
+
+void PoolScheduler::CompleteTask(const TaskRef& ref, MonoTime now) {
+  Task& task = ref.Get();
+  DetachTask(ref);
+  if (task.phase == TaskPhase::kDone) {
+    return;
+  }
+  Stage& stage = ref.GetStage();
+  if (task.phase == TaskPhase::kWaiting) {
+    --stage.waiting;
+  }
+  task.phase = TaskPhase::kDone;
+  task.checkpoint.clear();
+  task.failed_on.clear();
+  ++stage.done;
+  dispatch_wanted_ = true;
+  if (!ref.job->live()) {
+    return;
+  }
+  MarkChanged(ref.job);
+  Occurrence& occurrence = ref.job->occurrences.at(ref.occurrence);
+  if (!occurrence.finished()) {
+    return;
+  }
+  if (ref.job->AllDone()) {
+    Finish(ref.job, JobStatus::kCompleted, now);
+  }
+}
+
+std::vector<RecordWrite> PoolScheduler::TakeWrites(size_t limit) {
+  std::vector<RecordWrite> writes;
+  // A job that changes again while it is being written waits for the next
+  // write.
+  while (writes.size() < limit && !changed_.empty()) {
+    std::shared_ptr<Job> job = std::move(changed_.front());
+    changed_.pop_front();
+    job->queued_for_write = false;
+    job->writing_version = job->version;
+    job->write_sent = true;
+    RecordWrite write;
+    write.job = job->spec.id;
+    if (job->durable_version == 0) {
+      write.kind = RecordWrite::Kind::kAccepted;
+      write.value = FormatAcceptedJob(*job);
+    } else {
+      write.value = FormatProgress(*job);
+    }
+    writes.push_back(std::move(write));
+    writing_.push_back(std::move(job));
+  }
+  while (writes.size() + 1 < limit && !removals_.empty()) {
+    for (const auto kind :
+         {RecordWrite::Kind::kAccepted, RecordWrite::Kind::kProgress}) {
+      writes.push_back({kind, removals_.front(), "", true});
+    }
+    removals_.pop_front();
+  }
+  return writes;
+}
+
+bool PoolScheduler::HasWrites() const {
+  return !changed_.empty() || !removals_.empty();
+}
+
+void PoolScheduler::OnWritten(MonoTime now) {
+  std::vector<std::shared_ptr<Job>> written = std::move(writing_);
+  writing_.clear();
+  for (const std::shared_ptr<Job>& job : written) {
+    job->durable_version = std::exchange(job->writing_version, 0);
+    OnJobDurable(job, now);
+  }
+  for (auto& [key, worker] : workers_) {
+    AdvanceNotes(*worker);
+  }
+}
+
+void PoolScheduler::OnJobDurable(const std::shared_ptr<Job>& job,
+                                 MonoTime now) {
+  for (const uint64_t token : job->submit_tokens) {
+    output_.submit_replies.push_back(
+        {token, SubmitOutcome::kAccepted, std::chrono::milliseconds(0), ""});
+    stats_->accepted.Add();
+    stats_->time_to_accept.Record(now - job->arrived);
+  }
+  job->submit_tokens.clear();
+  if (job->durable_version < job->version && !job->live()) {
+    // The end of the job is in a later write.
+    return;
+  }
+  if (!job->live()) {
+    if (job->durable_status == JobStatus::kLive) {
+      job->durable_status = job->status;
+      Counter& ended = job->status == JobStatus::kCompleted ? stats_->completed
+                       : job->status == JobStatus::kFailed  ? stats_->failed
+                                                            : stats_->cancelled;
+      ended.Add();
+      if (job->status == JobStatus::kCompleted) {
+        stats_->time_to_complete.Record(now - job->arrived);
+      }
+      StopJobTasks(job, now);
+    }
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kCancelled});
+    }
+    job->cancel_tokens.clear();
+    return;
+  }
+  for (auto& [number, occurrence] : job->occurrences) {
+    for (size_t i = 0; i < occurrence.stages.size(); ++i) {
+      for (Task& task : occurrence.stages[i].tasks) {
+        if (task.phase == TaskPhase::kPlanned &&
+            task.planned_version <= job->durable_version) {
+          task.phase = TaskPhase::kStarting;
+          task.since = now;
+          task.next_order = now;
+        }
+      }
+    }
+  }
+}
+
+void PoolScheduler::Abandon() {
+  for (const auto& [id, job] : jobs_) {
+    for (const uint64_t token : job->submit_tokens) {
+      output_.submit_replies.push_back(
+          {token,
+           job->write_sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused,
+           std::chrono::milliseconds(0), "owner-changed"});
+    }
+    job->submit_tokens.clear();
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kUnknown});
+    }
+    job->cancel_tokens.clear();
+  }
+}
+
+SchedulerOutput PoolScheduler::TakeOutput() {
+  return std::exchange(output_, SchedulerOutput());
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -0,0 +1,193 @@
+// What is due: holds, orders, stops, and workers whose lease has run out.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Scheduling/pool_scheduler.h"
+#include "Scheduling/scheduler_metrics.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+// Share of the longest lease that a hold asks for. Long enough to outlast the
+// take-over from a lost owner (2 s of ownership lease and the first contact),
+// short enough that the work of a lost worker soon runs elsewhere.
+constexpr double kLeaseShare = 2.0 / 3.0;
+// Lease that the first order to an idle worker carries: if the worker turns
+// out to be gone, its task can go elsewhere after this time. The hold that
+// follows the start extends it.
+constexpr std::chrono::milliseconds kFirstLease{1'500};
+// Longest wait of a hold's answer. It bounds the time to notice that a worker
+// is silent, and the age of what is known of its tasks.
+constexpr std::chrono::milliseconds kHoldWait{700};
+// Least time between two holds: several ends then share one answer.
+constexpr std::chrono::milliseconds kHoldGap{20};
+// Least time between two holds while ends that were read are not yet durable:
+// the worker would list them again at once.
+constexpr std::chrono::milliseconds kUnwrittenHoldGap{250};
+// Longest sleep between two steps.
+constexpr std::chrono::milliseconds kIdleStep{250};
+
+}  // namespace
+
+void PoolScheduler::SetMayOrder(bool may_start, bool may_renew) {
+  may_start_ = may_start;
+  may_renew_ = may_renew;
+}
+
+void PoolScheduler::Wake(MonoTime at) {
+  next_wake_ = std::min(next_wake_, at);
+}
+
+OrderTarget PoolScheduler::TargetOf(const WorkerState& worker) const {
+  return {worker.report.key, worker.report.address, options_.fence};
+}
+
+MonoTime PoolScheduler::Step(MonoTime now, WallTime wall) {
+  next_wake_ = now + kIdleStep;
+  OpenDueOccurrences(now, wall);
+  ForgetFinished(now);
+  CheckWorkers(now);
+  if (dispatch_wanted_) {
+    dispatch_wanted_ = false;
+    Dispatch(now);
+  }
+  for (auto& [key, worker] : workers_) {
+    if (!worker->addressable || deposed_) {
+      continue;
+    }
+    IssueStarts(*worker, now);
+    IssueStops(*worker, now);
+    IssueHold(*worker, now);
+  }
+  return next_wake_;
+}
+
+void PoolScheduler::CheckWorkers(MonoTime now) {
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    WorkerState& worker = *it->second;
+    const bool reached =
+        worker.addressable && worker.fenced && worker.misses == 0;
+    const bool busy = !worker.tasks.empty() || !worker.stops.empty();
+    if (!reached && busy) {
+      if (now >= worker.DeadAt()) {
+        OnWorkerEnded(worker, "lease-ran-out", now);
+      } else {
+        Wake(worker.DeadAt());
+      }
+    }
+    if (!worker.listed && worker.tasks.empty() && worker.stops.empty() &&
+        now >= worker.DeadAt()) {
+      it = workers_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+std::optional<std::chrono::milliseconds> PoolScheduler::RenewedDeadline(
+    WorkerState& worker,
+    MonoTime now) {
+  // A worker that has not answered gets no further lease, even if it is only
+  // the answers that are lost: its tasks shall be free to run elsewhere soon.
+  if (!may_renew_ || !worker.fenced || worker.misses > 0 ||
+      worker.tasks.empty()) {
+    return std::nullopt;
+  }
+  const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
+      options_.bounds.longest_lease * kLeaseShare);
+  const std::chrono::milliseconds deadline =
+      worker.clock.DeadlineIn(lease, now);
+  worker.latest_deadline = std::max(worker.latest_deadline, deadline);
+  return worker.latest_deadline;
+}
+
+bool PoolScheduler::WantsHold(const WorkerState& worker) const {
+  if (!worker.fenced || !worker.stops.empty() || !worker.notes.empty() ||
+      worker.acknowledged > worker.acknowledged_there) {
+    return true;
+  }
+  return std::any_of(
+      worker.tasks.begin(), worker.tasks.end(), [](const TaskRef& ref) {
+        const Task& task = ref.Get();
+        return task.phase == TaskPhase::kRunning || task.order_outdated ||
+               task.order_unanswered || task.inherited;
+      });
+}
+
+void PoolScheduler::IssueHold(WorkerState& worker, MonoTime now) {
+  if (worker.hold_in_flight || !WantsHold(worker)) {
+    return;
+  }
+  const auto gap = worker.notes.empty() ? kHoldGap : kUnwrittenHoldGap;
+  const MonoTime due = std::max(worker.next_hold, worker.hold_sent_at + gap);
+  if (now < due) {
+    Wake(due);
+    return;
+  }
+  HoldOrder order;
+  order.target = TargetOf(worker);
+  order.deadline = RenewedDeadline(worker, now);
+  order.acknowledged = worker.acknowledged;
+  const bool wait = worker.fenced && !worker.tasks.empty() &&
+                    worker.stops.empty() && worker.misses == 0;
+  order.wait = wait ? kHoldWait : std::chrono::milliseconds(0);
+  worker.hold_in_flight = true;
+  worker.hold_sent_at = now;
+  stats_->holds.Add();
+  output_.holds.push_back(std::move(order));
+}
+
+void PoolScheduler::IssueStops(WorkerState& worker, MonoTime now) {
+  for (auto& [key, stop] : worker.stops) {
+    if (stop.in_flight || stop.accepted) {
+      continue;
+    }
+    if (now < stop.next_try) {
+      Wake(stop.next_try);
+      continue;
+    }
+    stop.in_flight = true;
+    stats_->stops.Add();
+    output_.stops.push_back({TargetOf(worker), stop.task, stop.run});
+  }
+}
+
+void PoolScheduler::IssueStarts(WorkerState& worker, MonoTime now) {
+  if (!may_start_ || !worker.fenced) {
+    return;
+  }
+  for (const TaskRef& ref : worker.tasks) {
+    Task& task = ref.Get();
+    if (task.phase != TaskPhase::kStarting || task.order_in_flight ||
+        task.order_outdated || task.inherited) {
+      continue;
+    }
+    if (now < task.next_order) {
+      Wake(task.next_order);
+      continue;
+    }
+    if (worker.misses == 0) {
+      task.order_deadline = std::max(worker.latest_deadline,
+                                     worker.clock.DeadlineIn(kFirstLease, now));
+      worker.latest_deadline =
+          std::max(worker.latest_deadline, task.order_deadline);
+    }
+    StartOrder order;
+    order.target = TargetOf(worker);
+    order.task = ref.Name();
+    order.run = task.run;
+    order.job = ref.job;
+    order.deadline = task.order_deadline;
+    order.checkpoint = task.checkpoint;
+    task.order_in_flight = true;
+    stats_->starts.Add();
+    if (task.order_unanswered) {
+      stats_->start_retries.Add();
+    }
+    output_.starts.push_back(std::move(order));
+  }
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/scheduler_metrics.h
@@ -0,0 +1,40 @@
+#ifndef SCHEDULING_SCHEDULER_METRICS_H_
+#define SCHEDULING_SCHEDULER_METRICS_H_
+
+#include "Common/metrics.h"
+#include "Scheduling/worker.h"
+
+namespace figflow {
+
+// Counters and histograms of the pools of a daemon. All pools of a daemon share
+// them: the registry returns the same object for the same name.
+struct SchedulerMetrics {
+  explicit SchedulerMetrics(MetricsRegistry& metrics);
+
+  Counter& Rejected(StartAnswer answer) const;
+
+  Counter& accepted;
+  Counter& refused;
+  Counter& completed;
+  Counter& failed;
+  Counter& cancelled;
+  Counter& starts;
+  Counter& start_retries;
+  Counter& runs_done;
+  Counter& runs_failed;
+  Counter& runs_lapsed;
+  Counter& runs_lost;
+  Counter& stops;
+  Counter& holds;
+  Counter& workers_lost;
+  LatencyHistogram& time_to_accept;
+  LatencyHistogram& time_to_start;
+  LatencyHistogram& time_to_complete;
+
+ private:
+  MetricsRegistry& registry_;
+};
+
+}  // namespace figflow
+
+#endif  // SCHEDULING_SCHEDULER_METRICS_H_
--- /dev/null
+++ b/Source/Core/Scheduling/worker.cc
@@ -0,0 +1,42 @@
+#include "Scheduling/worker.h"
+
+#include <array>
+#include <tuple>
+
+namespace figflow {
+namespace {
+
+constexpr std::array<absl::string_view, 6> kEndNames = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+constexpr std::array<absl::string_view, 9> kAnswerNames = {
+    "started",   "fenced",  "outdated",  "late",    "no-room",
+    "no-ticket", "refused", "unhealthy", "replaced"};
+
+}  // namespace
+
+bool operator==(const WorkerKey& a, const WorkerKey& b) {
+  return a.id == b.id && a.incarnation == b.incarnation;
+}
+
+bool operator!=(const WorkerKey& a, const WorkerKey& b) {
+  return !(a == b);
+}
+
+bool operator<(const WorkerKey& a, const WorkerKey& b) {
+  return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
+}
+
+bool operator==(const TaskName& a, const TaskName& b) {
+  return std::tie(a.job, a.occurrence, a.stage, a.index) ==
+         std::tie(b.job, b.occurrence, b.stage, b.index);
+}
+
+absl::string_view RunEndName(RunEnd end) {
+  return kEndNames[static_cast<size_t>(end)];
+}
+
+absl::string_view StartAnswerName(StartAnswer answer) {
+  return kAnswerNames[static_cast<size_t>(answer)];
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/worker_clock.cc
@@ -0,0 +1,37 @@
+#include "Scheduling/worker_clock.h"
+
+namespace figflow {
+namespace {
+
+// A worker's clock may be slow by 2% (platform contract).
+constexpr double kSlowestRate = 0.98;
+// Rounding of whole milliseconds on both sides.
+constexpr std::chrono::milliseconds kRounding{2};
+
+}  // namespace
+
+void WorkerClock::Observe(std::chrono::milliseconds reading, MonoTime now) {
+  if (known_ && reading <= reading_) {
+    return;
+  }
+  known_ = true;
+  reading_ = reading;
+  observed_ = now;
+}
+
+std::chrono::milliseconds WorkerClock::DeadlineIn(
+    std::chrono::milliseconds lease,
+    MonoTime now) const {
+  const auto elapsed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - observed_);
+  return reading_ + elapsed + lease;
+}
+
+MonoTime WorkerClock::SurelyReached(std::chrono::milliseconds deadline) const {
+  const auto left = std::chrono::duration<double, std::milli>(
+      static_cast<double>((deadline - reading_).count()) / kSlowestRate);
+  return observed_ + std::chrono::duration_cast<MonoTime::duration>(left) +
+         kRounding;
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/worker_gateway.h
@@ -0,0 +1,28 @@
+#ifndef SCHEDULING_WORKER_GATEWAY_H_
+#define SCHEDULING_WORKER_GATEWAY_H_
+
+#include <functional>
+
+#include "Scheduling/orders.h"
+
+namespace figflow {
+
+// Sends orders to workers. Calls return at once; `done` is called exactly once,
+// from another thread. An error means that no answer came: the order may have
+// been carried out, or may be seconds later.
+class WorkerGateway {
+ public:
+  virtual ~WorkerGateway() = default;
+
+  using OrderCallback = std::function<void(Result<OrderAnswer>)>;
+  using HoldCallback = std::function<void(Result<HoldAnswer>)>;
+
+  virtual void Start(const StartOrder& order, OrderCallback done) = 0;
+  virtual void Stop(const StopOrder& order, OrderCallback done) = 0;
+  virtual void Hold(const HoldOrder& order, HoldCallback done) = 0;
+  virtual void Pace(const PaceOrder& order, OrderCallback done) = 0;
+};
+
+}  // namespace figflow
+
+#endif  // SCHEDULING_WORKER_GATEWAY_H_
--- /dev/null
+++ b/Source/Core/Scheduling/worker_health.cc
@@ -0,0 +1,45 @@
+#include "Scheduling/worker_health.h"
+
+#include <algorithm>
+
+namespace figflow {
+namespace {
+
+// One failure may be the task's own fault, two in a row without a success are
+// rarely that.
+constexpr int kFailuresToExclude = 2;
+// Longer than a few tasks take, so that running ones can show a success.
+constexpr std::chrono::milliseconds kDoubtTime{3'000};
+constexpr std::chrono::milliseconds kFirstExclusion{2'000};
+constexpr std::chrono::milliseconds kLongestExclusion{16'000};
+// A refused order costs only a call, so the worker is tried again soon.
+constexpr std::chrono::milliseconds kRefusalPause{500};
+
+}  // namespace
+
+void WorkerHealth::OnDone(MonoTime now) {
+  failures_ = 0;
+  // A success of a run that began before the exclusion does not lift it.
+  if (!Excluded(now)) {
+    exclusions_ = 0;
+    doubtful_until_ = MonoTime::min();
+  }
+}
+
+void WorkerHealth::OnFailed(MonoTime now) {
+  ++failures_;
+  doubtful_until_ = now + kDoubtTime;
+  if (failures_ < kFailuresToExclude || Excluded(now)) {
+    return;
+  }
+  const int doublings = std::min(exclusions_, 3);
+  excluded_until_ =
+      now + std::min(kFirstExclusion * (1 << doublings), kLongestExclusion);
+  ++exclusions_;
+}
+
+void WorkerHealth::OnRefused(MonoTime now) {
+  excluded_until_ = std::max(excluded_until_, now + kRefusalPause);
+}
+
+}  // namespace figflow
--- a/Source/Core/Settings/settings.cc
+++ b/Source/Core/Settings/settings.cc
@@ -26,7 +26,8 @@
 
 // One name for each alternative of SettingMember.
 constexpr const char* kUnitNames[] = {"text", "ip:port", "list of ip:port",
-                                      "milliseconds", "whole number"};
+                                      "milliseconds", "whole number",
+                                      "number"};
 static_assert(std::variant_size_v<SettingMember> == std::size(kUnitNames));
 
 // Leaves of the document by dotted path.
@@ -77,7 +78,9 @@
       : info_(info), value_(value), settings_(settings), faults_(faults) {}
 
   void operator()(std::string Settings::*member) {
-    if (!value_.is_string() || value_.get_ref<const std::string&>().empty()) {
+    const bool text = value_.is_string();
+    if (!text ||
+        (info_.required && value_.get_ref<const std::string&>().empty())) {
       AddFault("expected a text that is not empty");
       return;
     }
@@ -122,6 +125,16 @@
     }
   }
 
+  void operator()(double Settings::*member) {
+    if (!value_.is_number()) {
+      AddFault("expected a number");
+      return;
+    }
+    if (InRange()) {
+      settings_.*member = value_.get<double>();
+    }
+  }
+
  private:
   void AddFault(std::string message) {
     faults_.push_back({info_.path, std::move(message)});
@@ -163,6 +176,8 @@
         std::chrono::milliseconds(static_cast<int64_t>(info.default_value));
   } else if (auto* number = std::get_if<int64_t Settings::*>(&info.member)) {
     settings.** number = static_cast<int64_t>(info.default_value);
+  } else if (auto* decimal = std::get_if<double Settings::*>(&info.member)) {
+    settings.** decimal = info.default_value;
   }
 }
 
@@ -182,6 +197,17 @@
   if (settings.operator_credential == settings.shared_credential) {
     faults.push_back({"admin.credential", "must differ from peers.credential"});
   }
+  if (!settings.platform_kind.empty() && settings.platform_kind != "fleet") {
+    faults.push_back({"platform.kind", "must be empty or \"fleet\""});
+  }
+  for (const auto& [path, address] :
+       {std::pair{"platform.instances_address", &settings.instances_address},
+        std::pair{"platform.policy_address", &settings.policy_address},
+        std::pair{"listen.metrics", &settings.metrics_listen}}) {
+    if (!address->empty() && !ParseSocketAddress(*address)) {
+      faults.push_back({path, "must be empty or \"ip:port\""});
+    }
+  }
   if (settings.caller_listen == settings.admin_listen ||
       settings.caller_listen == settings.peer_listen ||
       settings.admin_listen == settings.peer_listen) {
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -38,6 +38,26 @@
   std::chrono::milliseconds instance_drain_timeout{0};
   std::chrono::milliseconds reboot_timeout{0};
 
+  // Kind of platform: empty for the documented platform API, "fleet" for the
+  // users' platform.
+  std::string platform_kind;
+  // "ip:port", empty if there is none. For the kind "fleet" only.
+  std::string instances_address;
+  std::string policy_address;
+  std::string metrics_listen;
+
+  std::chrono::milliseconds longest_lease{0};
+  std::chrono::milliseconds stop_time{0};
+  std::chrono::milliseconds gang_wait{0};
+  std::chrono::milliseconds early_start{0};
+  std::chrono::milliseconds unavailable_notice{0};
+  std::chrono::milliseconds harm_time{0};
+  std::chrono::milliseconds holder_interval{0};
+  double status_retention_s = 0;
+  double instance_move_s = 0;
+  double instance_maintenance_s = 0;
+  double far_factor = 0;
+
   int64_t max_body_bytes = 0;
   int64_t max_answer_bytes = 0;
   int64_t max_queue = 0;
--- a/Source/Core/Settings/settings_table.h
+++ b/Source/Core/Settings/settings_table.h
@@ -17,10 +17,12 @@
                                    SocketAddress Settings::*,
                                    std::vector<SocketAddress> Settings::*,
                                    std::chrono::milliseconds Settings::*,
-                                   int64_t Settings::*>;
+                                   int64_t Settings::*,
+                                   double Settings::*>;
 
 struct SettingInfo {
-  // Dotted path in the JSON file. Durations end in "_ms", sizes in "_bytes".
+  // Dotted path in the JSON file. Durations end in "_ms", or in "_s" for a
+  // decimal number of seconds; sizes end in "_bytes".
   const char* path;
   SettingMember member;
   // Default for numbers and durations (milliseconds); ignored if `required`.
--- a/Source/UnitTests/Http/http_client_test.cc
+++ b/Source/UnitTests/Http/http_client_test.cc
@@ -247,14 +247,14 @@
 
   // Guards against a cancelled transfer that holds its slot to the deadline.
   void CancelEndsTheTransfer() {
-    const MonoTime start = std::chrono::steady_clock::now();
+    const MonoTime start = SystemClock().Now();
     uint64_t id = 0;
     std::future<TransferResult> result =
         FetchLater({"GET", "/sleep/500"}, server_->address(), &id);
     std::this_thread::sleep_for(milliseconds(20));
     client_->Cancel(id);
     CPPUNIT_ASSERT(result.get().response.error().code == ErrorCode::kCancelled);
-    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start <
+    CPPUNIT_ASSERT(SystemClock().Now() - start <
                    milliseconds(400));
     client_->Cancel(id);  // An ended transfer is left alone.
   }
@@ -289,7 +289,7 @@
     request.address = address;
     request.message = std::make_shared<const HttpRequest>(
         HttpRequest{call.method, call.target, call.headers, call.body});
-    request.deadline = std::chrono::steady_clock::now() + call.deadline;
+    request.deadline = SystemClock().Now() + call.deadline;
     request.fresh_connection = call.fresh;
     request.max_answer_bytes = call.max_answer;
     auto promise = std::make_shared<std::promise<TransferResult>>();
