Maintain instances in waves from one keeper

Change: the keeper of the instances asks the pools' owners for reports and evacuations, records which instances may be down before it orders, and reports a wave's status. Idle instances go first, perpetual tasks move within the unavailability that their stage allows.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -46,6 +46,11 @@
   return options;
 }
 
+std::chrono::milliseconds ToMilliseconds(double seconds) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
 FleetEngineOptions EngineOptions(const Settings& settings) {
   FleetEngineOptions options;
   options.entry = settings.entry;
@@ -55,12 +60,15 @@
   options.bounds.stop_time = settings.stop_time;
   options.bounds.gang_wait = settings.gang_wait;
   options.bounds.status_retention =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::duration<double>(settings.status_retention_s));
+      ToMilliseconds(settings.status_retention_s);
   options.bounds.early_start = settings.early_start;
   options.bounds.unavailable_notice = settings.unavailable_notice;
   options.bounds.harm_time = settings.harm_time;
   options.bounds.far_factor = settings.far_factor;
+  options.instances.holder_interval = settings.holder_interval;
+  options.instances.move = ToMilliseconds(settings.instance_move_s);
+  options.instances.maintenance =
+      ToMilliseconds(settings.instance_maintenance_s);
   return options;
 }
 
@@ -91,6 +99,11 @@
           metrics)),
       engine(*platform, clock, metrics, EngineOptions(settings)),
       router(engine, *platform, *client, clock, metrics) {
+  engine.SetAskPool([this](const std::string& pool,
+                           const std::set<std::string>& evacuate,
+                           std::function<void(Result<PoolReport>)> done) {
+    router.AskPool(pool, evacuate, std::move(done));
+  });
   client->SetConnectionLimit(settings.platform_address.ToString(),
                              kStoreConnections);
 }
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -27,6 +27,10 @@
 // after a crash takes 2 s.
 constexpr std::chrono::milliseconds kComeBack{1'000};
 
+constexpr char kAskStep[] = "peer.pool";
+constexpr int kOk = 200;
+constexpr int kNotOwner = 409;
+
 CallerReply Unavailable(std::string reason) {
   CallerReply reply;
   reply.outcome = CallOutcome::kUnavailable;
@@ -251,8 +255,50 @@
   routed->exchange->Respond(platform_.FormatReply(reply));
 }
 
+void CallRouter::AskPool(const std::string& pool,
+                         const std::set<std::string>& evacuate,
+                         std::function<void(Result<PoolReport>)> done) {
+  const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(pool);
+  if (runner != nullptr) {
+    done(runner->Evacuate(evacuate));
+    return;
+  }
+  const std::optional<OwnerRecord> owner = engine_.OwnerOf(pool);
+  if (!owner || owner->entry == engine_.entry()) {
+    done(Fail(ErrorCode::kUnavailable, kAskStep, pool, "no owner is known"));
+    return;
+  }
+  TransferRequest transfer;
+  transfer.address = owner->address;
+  transfer.message =
+      std::make_shared<HttpRequest>(FormatPoolQuestion({pool, evacuate}));
+  transfer.deadline = clock_.Now() + kPeerTimeout;
+  peers_.Start(std::move(transfer),
+               [pool, done = std::move(done)](const TransferResult& result) {
+                 if (!result.response) {
+                   done(tl::unexpected<Error>(result.response.error()));
+                 } else if (result.response->status != kOk) {
+                   done(Fail(ErrorCode::kUnavailable, kAskStep, pool,
+                             "the peer does not own the pool"));
+                 } else {
+                   done(ParsePoolReport(result.response->body));
+                 }
+               });
+}
+
 void CallRouter::HandlePeer(const HttpRequest& request,
                             const std::shared_ptr<HttpExchange>& exchange) {
+  if (const Result<PoolQuestion> question = ParsePoolQuestion(request)) {
+    const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(question->pool);
+    const Result<PoolReport> report =
+        runner == nullptr
+            ? Result<PoolReport>(Fail(ErrorCode::kUnavailable, kAskStep,
+                                      question->pool, "not the owner"))
+            : runner->Evacuate(question->evacuate);
+    exchange->Respond(report ? HttpResponse{kOk, {}, FormatPoolReport(*report)}
+                             : HttpResponse{kNotOwner, {}, ""});
+    return;
+  }
   const Result<PeerCall> call = ParsePeerCall(request);
   if (!call) {
     metrics_.GetCounter("figflow_peer_calls_malformed_total").Add();
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "Common/clock.h"
@@ -28,6 +29,11 @@
   // A call of a caller.
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpExchange>& exchange);
+  // Asks the owner of a pool to empty these instances and no others, and for
+  // its report.
+  void AskPool(const std::string& pool,
+               const std::set<std::string>& evacuate,
+               std::function<void(Result<PoolReport>)> done);
   // A call that a peer passed on; it is not passed on again.
   void HandlePeer(const HttpRequest& request,
                   const std::shared_ptr<HttpExchange>& exchange);
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -52,6 +52,10 @@
   Stop();
 }
 
+void FleetEngine::SetAskPool(InstanceKeeper::AskPool ask_pool) {
+  ask_pool_ = std::move(ask_pool);
+}
+
 void FleetEngine::Start() {
   operator_keys_->Start();
   workers_->Start();
@@ -76,13 +80,18 @@
   }
   session_->Close();
   std::map<std::string, std::shared_ptr<PoolRunner>> runners;
+  std::shared_ptr<InstanceKeeper> keeper;
   {
     absl::MutexLock lock(&mutex_);
     runners.swap(runners_);
+    keeper.swap(keeper_);
   }
   for (const auto& [pool, runner] : runners) {
     runner->End("stop");
   }
+  if (keeper) {
+    keeper->Stop();
+  }
 }
 
 void FleetEngine::WakeAt(MonoTime at) {
@@ -143,65 +152,107 @@
   }
   next = std::min(next, StepOwnership(now));
   std::vector<std::shared_ptr<PoolRunner>> runners;
+  std::shared_ptr<InstanceKeeper> keeper;
   {
     absl::MutexLock lock(&mutex_);
     for (const auto& [pool, runner] : runners_) {
       runners.push_back(runner);
     }
+    keeper = keeper_;
   }
   const MonoTime certain = session_->certain_until();
   for (const auto& runner : runners) {
     runner->SetCertainUntil(certain);
     next = std::min(next, runner->Tick(now));
   }
+  if (keeper) {
+    keeper->SetCertainUntil(certain);
+    next = std::min(next, keeper->Step(now));
+  }
   return next;
 }
 
+uint64_t FleetEngine::WorkingRevision(const std::string& scope) const {
+  if (scope == kInstancesScope) {
+    return keeper_ == nullptr ? 0 : keeper_->fence();
+  }
+  const auto runner = runners_.find(scope);
+  return runner == runners_.end() ? 0 : runner->second->claim().revision;
+}
+
+const char* FleetEngine::EndCause(const std::string& scope,
+                                  MonoTime now) const {
+  const auto owner = known_owners_.find(scope);
+  if (owner != known_owners_.end() &&
+      owner->second.revision > WorkingRevision(scope)) {
+    return "replaced";
+  }
+  if (scope == kInstancesScope) {
+    return keeper_->deposed() ? "deposed" : nullptr;
+  }
+  const PoolRunner& runner = *runners_.at(scope);
+  if (runner.deposed()) {
+    return "deposed";
+  }
+  const auto [listed, reached] = runner.Reached();
+  if (runner.state() == PoolRunner::State::kActive &&
+      now > runner.active_since() + kReachTime && reached * 2 < listed) {
+    return "workers-unreachable";
+  }
+  return nullptr;
+}
+
 MonoTime FleetEngine::StepOwnership(MonoTime now) {
   MonoTime next = MonoTime::max();
   std::vector<std::string> to_claim;
   std::vector<std::pair<std::string, const char*>> to_end;
   {
     absl::MutexLock lock(&mutex_);
+    std::vector<std::string> working;
     for (const auto& [pool, runner] : runners_) {
-      const auto owner = known_owners_.find(pool);
-      const bool replaced = owner != known_owners_.end() &&
-                            owner->second.revision > runner->claim().revision;
-      if (runner->deposed() || replaced) {
-        to_end.emplace_back(pool, "deposed");
-        continue;
-      }
-      const auto [listed, reached] = runner->Reached();
-      if (runner->state() == PoolRunner::State::kActive &&
-          now > runner->active_since() + kReachTime && reached * 2 < listed) {
-        to_end.emplace_back(pool, "workers-unreachable");
+      working.push_back(pool);
+    }
+    if (keeper_ != nullptr) {
+      working.emplace_back(kInstancesScope);
+    }
+    for (const std::string& scope : working) {
+      if (const char* cause = EndCause(scope, now)) {
+        to_end.emplace_back(scope, cause);
       }
     }
-    if (!releasing_ && owners_->synced() && session_->lease() != 0 &&
-        now < session_->certain_until() && plan_ != nullptr) {
-      const int owned = static_cast<int>(runners_.size() + claiming_.size());
+    const bool may_claim = !releasing_ && owners_->synced() &&
+                           session_->lease() != 0 &&
+                           now < session_->certain_until() && plan_ != nullptr;
+    std::vector<std::string> scopes;
+    if (may_claim) {
+      scopes.emplace_back(kInstancesScope);
       for (const PoolConfig& pool : plan_->pools) {
-        if (pool.spare || known_owners_.count(pool.name) > 0 ||
-            claiming_.count(pool.name) > 0) {
-          continue;
-        }
-        claims_.OnVacant(pool.name, owned, now);
-        const std::optional<MonoTime> at = claims_.ClaimAt(pool.name);
-        if (at && *at <= now) {
-          to_claim.push_back(pool.name);
-          claiming_.insert(pool.name);
-          claims_.OnOwned(pool.name);
-        } else if (at) {
-          next = std::min(next, *at);
+        if (!pool.spare) {
+          scopes.push_back(pool.name);
         }
       }
     }
+    const int owned = static_cast<int>(working.size() + claiming_.size());
+    for (const std::string& scope : scopes) {
+      if (known_owners_.count(scope) > 0 || claiming_.count(scope) > 0) {
+        continue;
+      }
+      claims_.OnVacant(scope, owned, now);
+      const std::optional<MonoTime> at = claims_.ClaimAt(scope);
+      if (at && *at <= now) {
+        to_claim.push_back(scope);
+        claiming_.insert(scope);
+        claims_.OnOwned(scope);
+      } else if (at) {
+        next = std::min(next, *at);
+      }
+    }
   }
-  for (const auto& [pool, cause] : to_end) {
-    EndRunner(pool, cause);
+  for (const auto& [scope, cause] : to_end) {
+    EndScope(scope, cause);
   }
-  for (const std::string& pool : to_claim) {
-    Claim(pool);
+  for (const std::string& scope : to_claim) {
+    Claim(scope);
   }
   return next;
 }
@@ -238,18 +289,29 @@
       });
 }
 
-void FleetEngine::OnOwned(const std::string& pool,
+void FleetEngine::OnOwned(const std::string& scope,
                           const std::string& nonce,
                           uint64_t revision) {
-  std::shared_ptr<PoolRunner> runner;
-  std::vector<WorkerReport> reports;
   {
     absl::MutexLock lock(&mutex_);
-    const auto known = runners_.find(pool);
-    if (known != runners_.end() &&
-        known->second->claim().revision >= revision) {
+    if (WorkingRevision(scope) >= revision) {
       return;
     }
+  }
+  if (scope == kInstancesScope) {
+    StartKeeper(nonce, revision);
+  } else {
+    StartRunner(scope, nonce, revision);
+  }
+}
+
+void FleetEngine::StartRunner(const std::string& pool,
+                              const std::string& nonce,
+                              uint64_t revision) {
+  std::shared_ptr<PoolRunner> runner;
+  std::vector<WorkerReport> reports;
+  {
+    absl::MutexLock lock(&mutex_);
     PoolRunner::Parts parts{platform_, clock_, metrics_,
                             [this](MonoTime at) { WakeAt(at); }};
     runner = std::make_shared<PoolRunner>(
@@ -269,31 +331,64 @@
   runner->Start();
 }
 
-void FleetEngine::EndRunner(const std::string& pool, const char* cause) {
+void FleetEngine::StartKeeper(const std::string& nonce, uint64_t revision) {
+  InstanceKeeperOptions options = options_.instances;
+  options.holder = options_.entry;
+  options.nonce = nonce;
+  options.fence = revision;
+  auto keeper = std::make_shared<InstanceKeeper>(
+      platform_, clock_, metrics_, options, ask_pool_,
+      [this] { WakeAt(clock_.Now()); });
+  {
+    absl::MutexLock lock(&mutex_);
+    keeper_ = keeper;
+    keeper->SetPlan(plan_);
+    for (const auto& [number, seen] : waves_) {
+      keeper->OnWave(seen.wave, seen.seen_at);
+    }
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instances_owned",
+           {{"fence", absl::StrCat(revision)}});
+  keeper->Start();
+}
+
+void FleetEngine::EndScope(const std::string& scope, const char* cause) {
   std::shared_ptr<PoolRunner> runner;
+  std::shared_ptr<InstanceKeeper> keeper;
+  uint64_t revision = 0;
   {
     absl::MutexLock lock(&mutex_);
-    const auto known = runners_.find(pool);
-    if (known == runners_.end()) {
+    revision = WorkingRevision(scope);
+    if (revision == 0) {
       return;
     }
-    runner = known->second;
-    runners_.erase(known);
-    const auto owner = known_owners_.find(pool);
-    if (owner != known_owners_.end() &&
-        owner->second.revision == runner->claim().revision) {
+    if (scope == kInstancesScope) {
+      keeper.swap(keeper_);
+    } else {
+      runner = runners_.at(scope);
+      runners_.erase(scope);
+    }
+    const auto owner = known_owners_.find(scope);
+    if (owner != known_owners_.end() && owner->second.revision == revision) {
       known_owners_.erase(owner);
     }
-    claims_.OnFailed(pool, clock_.Now());
+    claims_.OnFailed(scope, clock_.Now());
+  }
+  if (runner) {
+    runner->End(cause);
+  }
+  if (keeper) {
+    keeper->Stop();
+    LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instances_given_up",
+             {{"fence", absl::StrCat(revision)}, {"cause", cause}});
   }
-  runner->End(cause);
-  RemoveOwnerKey(runner->claim());
+  RemoveOwnerKey(scope, revision);
 }
 
-void FleetEngine::RemoveOwnerKey(const PoolRunner::Claim& claim) {
+void FleetEngine::RemoveOwnerKey(const std::string& scope, uint64_t revision) {
   Transaction transaction;
-  transaction.expected = {{OwnerKey(claim.pool), claim.revision}};
-  transaction.removals = {OwnerKey(claim.pool)};
+  transaction.expected = {{OwnerKey(scope), revision}};
+  transaction.removals = {OwnerKey(scope)};
   platform_.store().Commit(transaction, kClaimTimeout,
                            [](const Result<TransactionResult>&) {});
 }
@@ -305,8 +400,9 @@
     releasing_ = true;
     runners = runners_;
   }
+  EndScope(kInstancesScope, "handed-over");
   for (const auto& [pool, runner] : runners) {
-    runner->Release([this, pool = pool] { EndRunner(pool, "handed-over"); });
+    runner->Release([this, pool = pool] { EndScope(pool, "handed-over"); });
   }
   absl::MutexLock lock(&mutex_);
   const auto none = [this] {
@@ -317,9 +413,37 @@
 }
 
 void FleetEngine::OnOperatorItem(const StoreItem& item) {
-  if (item.removed || !platform_.IsPlanKey(item.key)) {
+  if (item.removed) {
     return;
   }
+  if (platform_.IsPlanKey(item.key)) {
+    OnPlanItem(item);
+  } else if (platform_.IsWaveKey(item.key)) {
+    OnWaveItem(item);
+  }
+}
+
+void FleetEngine::OnWaveItem(const StoreItem& item) {
+  const Result<MaintenanceWave> wave =
+      platform_.ParseWave(item.key, item.value);
+  if (!wave) {
+    LogEvent(LogLevel::kError, LogCategory::kMaintenance, "wave_unreadable",
+             {{"key", item.key}, {"error", ToString(wave.error())}});
+    return;
+  }
+  const MonoTime now = clock_.Now();
+  std::shared_ptr<InstanceKeeper> keeper;
+  {
+    absl::MutexLock lock(&mutex_);
+    waves_.emplace(wave->number, SeenWave{*wave, now});
+    keeper = keeper_;
+  }
+  if (keeper) {
+    keeper->OnWave(*wave, now);
+  }
+}
+
+void FleetEngine::OnPlanItem(const StoreItem& item) {
   Result<FleetPlan> parsed = platform_.ParsePlan(item.value);
   if (!parsed) {
     LogEvent(LogLevel::kError, LogCategory::kConfig, "plan_unreadable",
@@ -329,6 +453,7 @@
   }
   auto plan = std::make_shared<const FleetPlan>(std::move(*parsed));
   std::vector<std::shared_ptr<PoolRunner>> runners;
+  std::shared_ptr<InstanceKeeper> keeper;
   {
     absl::MutexLock lock(&mutex_);
     if (plan_ != nullptr && plan_->version >= plan->version) {
@@ -338,6 +463,7 @@
     for (const auto& [pool, runner] : runners_) {
       runners.push_back(runner);
     }
+    keeper = keeper_;
   }
   LogEvent(LogLevel::kInfo, LogCategory::kConfig, "plan_in_force",
            {{"version", absl::StrCat(plan->version)},
@@ -346,6 +472,9 @@
   for (const auto& runner : runners) {
     runner->SetPlan(plan);
   }
+  if (keeper) {
+    keeper->SetPlan(plan);
+  }
   WakeAt(clock_.Now());
 }
 
@@ -414,15 +543,14 @@
         known->second.revision >= item.revision) {
       return;
     }
-    const auto runner = runners_.find(scope);
     if (item.removed) {
       known_owners_.erase(scope);
-      lost = runner != runners_.end() &&
-             runner->second->claim().revision < item.revision;
+      const uint64_t working = WorkingRevision(scope);
+      lost = working != 0 && working < item.revision;
     } else {
       known_owners_[scope] = owner;
       claims_.OnOwned(scope);
-      own = absl::StrContains(owner.record.nonce, options_.process_id);
+      own = absl::StartsWith(owner.record.nonce, options_.process_id);
     }
   }
   LogEvent(LogLevel::kInfo, LogCategory::kPools,
@@ -433,7 +561,7 @@
   if (own) {
     OnOwned(scope, owner.record.nonce, owner.revision);
   } else if (lost) {
-    EndRunner(scope, "key-removed");
+    EndScope(scope, "key-removed");
   }
   WakeAt(clock_.Now());
 }
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -15,6 +15,7 @@
 #include "Common/metrics.h"
 #include "Fleet/platform_adapter.h"
 #include "Fleet/pool_runner.h"
+#include "Instances/instance_keeper.h"
 #include "Ownership/claim_policy.h"
 #include "Ownership/owner_record.h"
 #include "Ownership/prefix_follower.h"
@@ -32,6 +33,8 @@
   std::string process_id;
   ExecutionBounds bounds;
   StoreSessionOptions session;
+  // Without holder, nonce and fence.
+  InstanceKeeperOptions instances;
 };
 
 // What a daemon knows of the platform, and the pools that it owns. Follows the
@@ -52,6 +55,8 @@
   FleetEngine(const FleetEngine&) = delete;
   FleetEngine& operator=(const FleetEngine&) = delete;
 
+  // How the keeper of the instances reaches the pools' owners.
+  void SetAskPool(InstanceKeeper::AskPool ask_pool);
   void Start();
   // Claims nothing more and hands all pools over. Returns when that is done or
   // `bound` has passed; calls are still answered.
@@ -79,13 +84,26 @@
   MonoTime StepAll(MonoTime now);
   MonoTime StepOwnership(MonoTime now);
   void Claim(const std::string& scope);
-  void OnOwned(const std::string& pool,
+  void OnOwned(const std::string& scope,
                const std::string& nonce,
                uint64_t revision);
-  void EndRunner(const std::string& pool, const char* cause);
-  void RemoveOwnerKey(const PoolRunner::Claim& claim);
+  void StartRunner(const std::string& pool,
+                   const std::string& nonce,
+                   uint64_t revision);
+  void StartKeeper(const std::string& nonce, uint64_t revision);
+  // Ends what this daemon does under its claim of `scope`, and the claim.
+  void EndScope(const std::string& scope, const char* cause);
+  void RemoveOwnerKey(const std::string& scope, uint64_t revision);
+  // Revision of the claim under which this daemon works; 0 if there is none.
+  uint64_t WorkingRevision(const std::string& scope) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Why the scope has to be given up; null if it has not.
+  const char* EndCause(const std::string& scope, MonoTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   void OnOperatorItem(const StoreItem& item);
+  void OnPlanItem(const StoreItem& item);
+  void OnWaveItem(const StoreItem& item);
   void OnWorkerItem(const StoreItem& item);
   void OnOwnerItem(const StoreItem& item);
 
@@ -93,6 +111,7 @@
   const Clock& clock_;
   MetricsRegistry& metrics_;
   const FleetEngineOptions options_;
+  InstanceKeeper::AskPool ask_pool_;
   std::shared_ptr<StoreSession> session_;
   std::shared_ptr<PrefixFollower> operator_keys_;
   std::shared_ptr<PrefixFollower> workers_;
@@ -104,6 +123,12 @@
   std::map<std::string, Owner> known_owners_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, std::shared_ptr<PoolRunner>> runners_
       ABSL_GUARDED_BY(mutex_);
+  std::shared_ptr<InstanceKeeper> keeper_ ABSL_GUARDED_BY(mutex_);
+  struct SeenWave {
+    MaintenanceWave wave;
+    MonoTime seen_at;
+  };
+  std::map<uint64_t, SeenWave> waves_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> claiming_ ABSL_GUARDED_BY(mutex_);
   ClaimPolicy claims_ ABSL_GUARDED_BY(mutex_);
   uint64_t claim_number_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr char kPath[] = "/figflow/v1/call";
+constexpr char kPoolPath[] = "/figflow/v1/pool";
 constexpr char kStep[] = "peer.call";
 constexpr int kOk = 200;
 constexpr int kLastKind = static_cast<int>(CallKind::kCountPending);
@@ -104,4 +105,23 @@
   });
 }
 
+HttpRequest FormatPoolQuestion(const PoolQuestion& question) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = kPoolPath;
+  request.headers = {{"Content-Type", "application/cbor"}};
+  request.body = FormatCbor(json::array({question.pool, question.evacuate}));
+  return request;
+}
+
+Result<PoolQuestion> ParsePoolQuestion(const HttpRequest& request) {
+  if (request.target != kPoolPath) {
+    return Fail(ErrorCode::kNotFound, kStep, "", "unknown path");
+  }
+  return ParseCbor<PoolQuestion>(request.body, kStep, [](const json& row) {
+    return PoolQuestion{row.at(0).get<std::string>(),
+                        row.at(1).get<std::set<std::string>>()};
+  });
+}
+
 }  // namespace figflow
--- a/Source/Core/Fleet/peer_calls.h
+++ b/Source/Core/Fleet/peer_calls.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_PEER_CALLS_H_
 #define FLEET_PEER_CALLS_H_
 
+#include <set>
 #include <string>
 
 #include "Common/error.h"
@@ -28,6 +29,18 @@
 // Error kInvalid.
 Result<CallerReply> ParsePeerReply(const HttpResponse& response);
 
+// The question of the instances' keeper to the owner of a pool: empty these
+// instances, and report. The answer is a PoolReport, or status 409 if the
+// daemon does not own the pool.
+struct PoolQuestion {
+  std::string pool;
+  std::set<std::string> evacuate;
+};
+
+HttpRequest FormatPoolQuestion(const PoolQuestion& question);
+// Errors: kNotFound, another path; kInvalid, malformed.
+Result<PoolQuestion> ParsePoolQuestion(const HttpRequest& request);
+
 }  // namespace figflow
 
 #endif  // FLEET_PEER_CALLS_H_
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -354,6 +354,21 @@
   return scheduler_->CountPending(queue);
 }
 
+Result<PoolReport> PoolRunner::Evacuate(
+    const std::set<std::string>& instances) {
+  Result<PoolReport> report =
+      Fail(ErrorCode::kUnavailable, "pool.evacuate", claim_.pool,
+           "the pool is not owned here");
+  Run([&](PoolScheduler& scheduler, MonoTime now) {
+    mutex_.AssertHeld();
+    if (TakesCalls()) {
+      scheduler.SetEvacuating(instances, now);
+      report = scheduler.Report();
+    }
+  });
+  return report;
+}
+
 MonoTime PoolRunner::Tick(MonoTime now) {
   std::function<void()> retry;
   std::shared_ptr<RecordWriter> writer;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "Common/clock.h"
@@ -59,6 +60,10 @@
   Result<JobView> Query(const std::string& job);
   Result<int64_t> CountPending(const std::string& queue);
 
+  // Empties these instances and no others, and reports. kUnavailable unless the
+  // pool is active.
+  Result<PoolReport> Evacuate(const std::set<std::string>& instances);
+
   // Does what is due. Returns when to call again.
   MonoTime Tick(MonoTime now);
   // Until when the ownership is certain.
--- /dev/null
+++ b/Source/Core/Instances/instance_keeper.h
@@ -0,0 +1,133 @@
+#ifndef INSTANCES_INSTANCE_KEEPER_H_
+#define INSTANCES_INSTANCE_KEEPER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Common/metrics.h"
+#include "Fleet/platform_adapter.h"
+#include "Instances/wave_planner.h"
+#include "Ownership/record_writer.h"
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace figflow {
+
+struct InstanceKeeperOptions {
+  // Name in the orders.
+  std::string holder;
+  std::string nonce;
+  // Revision of the owner's key: the fence of the orders.
+  uint64_t fence = 0;
+  // Orders of an earlier keeper may still arrive for so long.
+  std::chrono::milliseconds holder_interval{3'000};
+  std::chrono::milliseconds move{1'500};
+  std::chrono::milliseconds maintenance{2'000};
+};
+
+// Maintains instances in waves. Exists on the one daemon that owns this duty.
+//
+// The record of a wave says which instances may be down; it is durable before
+// the order is sent, so a successor never lets more be down than the wave
+// allows. Thread-safe.
+class InstanceKeeper : public std::enable_shared_from_this<InstanceKeeper> {
+ public:
+  // Asks the owner of a pool to empty these instances and no others, and for
+  // its report.
+  using AskPool =
+      std::function<void(const std::string& pool,
+                         const std::set<std::string>& evacuate,
+                         std::function<void(Result<PoolReport>)> done)>;
+
+  InstanceKeeper(PlatformAdapter& platform,
+                 const Clock& clock,
+                 MetricsRegistry& metrics,
+                 InstanceKeeperOptions options,
+                 AskPool ask_pool,
+                 std::function<void()> wake);
+
+  // Starts reading the sequence key and the waves' records.
+  void Start();
+  // After it returns no order begins.
+  void Stop();
+
+  void SetPlan(std::shared_ptr<const FleetPlan> plan);
+  // `seen_at` is when this daemon first saw the wave.
+  void OnWave(const MaintenanceWave& wave, MonoTime seen_at);
+  void SetCertainUntil(MonoTime until);
+
+  bool deposed() const;
+  uint64_t fence() const { return options_.fence; }
+  MonoTime Step(MonoTime now);
+
+ private:
+  struct Wave {
+    MaintenanceWave asked;
+    WaveState state;
+    WallTime due;
+    // When the order for the instance was answered.
+    std::map<std::string, MonoTime> answered_at;
+    bool loaded = false;
+    bool loading = false;
+    bool completed = false;
+    // The record in the store is older.
+    bool changed = false;
+    std::set<std::string> emptying;
+    // Planned, and not durable yet.
+    std::vector<std::string> to_order;
+    // Instances with an order under way, or to be repeated at a time.
+    std::set<std::string> in_flight;
+    std::map<std::string, MonoTime> repeat_at;
+  };
+
+  void LoadWave(uint64_t number);
+  void AskPools(MonoTime now);
+  void OnReport(const std::string& pool, Result<PoolReport> report);
+  void ReadList(MonoTime now);
+  void OnList(MonoTime sent_at, const Result<std::vector<Instance>>& list);
+  void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool WaveOpen() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void WriteRecords();
+  void OnWritten(const std::vector<uint64_t>& waves,
+                 RecordWriter::Outcome outcome);
+  void SendOrders(MonoTime now);
+  void OnAnswer(uint64_t number,
+                const std::string& instance,
+                const Result<InstanceAnswer>& answer);
+
+  PlatformAdapter& platform_;
+  const Clock& clock_;
+  MetricsRegistry& metrics_;
+  const InstanceKeeperOptions options_;
+  const AskPool ask_pool_;
+  const std::function<void()> wake_;
+  const MonoTime since_;
+
+  mutable absl::Mutex mutex_;
+  bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+  bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
+  bool started_ ABSL_GUARDED_BY(mutex_) = false;
+  bool reading_ ABSL_GUARDED_BY(mutex_) = false;
+  bool writing_ ABSL_GUARDED_BY(mutex_) = false;
+  MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  MonoTime next_ask_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
+  std::shared_ptr<RecordWriter> writer_ ABSL_GUARDED_BY(mutex_);
+  std::map<uint64_t, Wave> waves_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, PoolReport> reports_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, MonoTime> report_times_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> asking_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Instance> instances_ ABSL_GUARDED_BY(mutex_);
+  MonoTime listed_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  MonoTime next_list_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  bool listing_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+}  // namespace figflow
+
+#endif  // INSTANCES_INSTANCE_KEEPER_H_
--- /dev/null
+++ b/Source/Core/Instances/wave_record.cc
@@ -0,0 +1,48 @@
+#include "Instances/wave_record.h"
+
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/cbor.h"
+
+namespace figflow {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kStep[] = "wave.record";
+
+}  // namespace
+
+std::string FormatWaveRecord(const WaveRecord& record) {
+  json instances = json::object();
+  for (const auto& [instance, step] : record.instances) {
+    if (step != MaintenanceStep::kWaiting) {
+      instances[instance] = static_cast<int>(step);
+    }
+  }
+  return FormatCbor(json::array({SinceEpoch(record.due).count(),
+                                 record.completed, std::move(instances)}));
+}
+
+Result<WaveRecord> ParseWaveRecord(absl::string_view bytes) {
+  return ParseCbor<WaveRecord>(
+      bytes, kStep, [](const json& row) -> Result<WaveRecord> {
+        WaveRecord record;
+        record.due =
+            FromEpoch(std::chrono::milliseconds(row.at(0).get<int64_t>()));
+        record.completed = row.at(1).get<bool>();
+        for (const auto& [instance, step] : row.at(2).items()) {
+          const int number = step.get<int>();
+          if (number < 0 ||
+              number > static_cast<int>(MaintenanceStep::kOver)) {
+            return Fail(ErrorCode::kInvalid, kStep, instance, "unknown step");
+          }
+          record.instances[instance] = static_cast<MaintenanceStep>(number);
+        }
+        return record;
+      });
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Instances/wave_record.h
@@ -0,0 +1,27 @@
+#ifndef INSTANCES_WAVE_RECORD_H_
+#define INSTANCES_WAVE_RECORD_H_
+
+#include <map>
+#include <string>
+
+#include "Common/clock.h"
+#include "Common/error.h"
+#include "Instances/wave_planner.h"
+#include "absl/strings/string_view.h"
+
+namespace figflow {
+
+// What lasts of a wave: which of its instances may be down or are done.
+struct WaveRecord {
+  WallTime due;
+  bool completed = false;
+  std::map<std::string, MaintenanceStep> instances;
+};
+
+std::string FormatWaveRecord(const WaveRecord& record);
+// Error kInvalid.
+Result<WaveRecord> ParseWaveRecord(absl::string_view bytes);
+
+}  // namespace figflow
+
+#endif  // INSTANCES_WAVE_RECORD_H_
--- a/Source/Core/Ownership/owner_record.cc
+++ b/Source/Core/Ownership/owner_record.cc
@@ -28,6 +28,10 @@
   return absl::StrCat("figflow/progress/", pool, "/", job);
 }
 
+std::string WaveKey(uint64_t wave) {
+  return absl::StrCat("figflow/waves/", wave);
+}
+
 std::string LastKeyPart(absl::string_view key) {
   const size_t slash = key.rfind('/');
   return std::string(slash == absl::string_view::npos ? key
--- a/Source/Core/Ownership/owner_record.h
+++ b/Source/Core/Ownership/owner_record.h
@@ -1,6 +1,7 @@
 #ifndef OWNERSHIP_OWNER_RECORD_H_
 #define OWNERSHIP_OWNER_RECORD_H_
 
+#include <cstdint>
 #include <string>
 
 #include "Common/error.h"
@@ -14,6 +15,12 @@
 std::string AcceptedKey(absl::string_view pool, absl::string_view job);
 std::string ProgressKey(absl::string_view pool, absl::string_view job);
 
+// Record of a maintenance wave.
+std::string WaveKey(uint64_t wave);
+
+// The scope of whoever moves and maintains instances. No pool has this name.
+inline constexpr char kInstancesScope[] = "@instances";
+
 inline constexpr char kOwnerPrefix[] = "figflow/owner/";
 
 // The key's last part, after the prefix and, for records of jobs, the pool.
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -131,6 +131,14 @@
                      [](const auto& item) { return item.second.finished(); });
 }
 
+bool IsReady(const Job& job, const Occurrence& occurrence, size_t stage) {
+  const std::vector<int>& after = job.spec.stages[stage].after;
+  return occurrence.stages[stage].waiting > 0 &&
+         std::all_of(after.begin(), after.end(), [&](int earlier) {
+           return occurrence.stages[earlier].finished();
+         });
+}
+
 Stage& TaskRef::GetStage() const {
   return job->occurrences.at(occurrence).stages[stage];
 }
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -132,6 +132,9 @@
   bool perpetual_ = false;
 };
 
+// The stage has waiting tasks, and all stages that it depends on are done.
+bool IsReady(const Job& job, const Occurrence& occurrence, size_t stage);
+
 // A task of a job in memory.
 struct TaskRef {
   std::shared_ptr<Job> job;
--- /dev/null
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -0,0 +1,49 @@
+#include "Scheduling/pool_report.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/cbor.h"
+
+namespace figflow {
+namespace {
+
+using nlohmann::json;
+
+}  // namespace
+
+std::string FormatPoolReport(const PoolReport& report) {
+  json workers = json::array();
+  for (const WorkerLoad& load : report.workers) {
+    workers.push_back(json::array(
+        {load.worker, load.instance, load.tasks, load.perpetual_tasks,
+         load.used_millicores, load.capacity_millicores, load.evacuating,
+         load.usable}));
+  }
+  return FormatCbor(json::array(
+      {report.pool, report.waiting_millicores, std::move(workers)}));
+}
+
+Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
+  return ParseCbor<PoolReport>(bytes, "pool.report", [](const json& row) {
+    PoolReport report;
+    report.pool = row.at(0).get<std::string>();
+    report.waiting_millicores = row.at(1).get<int64_t>();
+    for (const json& entry : row.at(2)) {
+      WorkerLoad load;
+      load.worker = entry.at(0).get<std::string>();
+      load.instance = entry.at(1).get<std::string>();
+      load.tasks = entry.at(2).get<int>();
+      load.perpetual_tasks = entry.at(3).get<int>();
+      load.used_millicores = entry.at(4).get<int64_t>();
+      load.capacity_millicores = entry.at(5).get<int64_t>();
+      load.evacuating = entry.at(6).get<bool>();
+      load.usable = entry.at(7).get<bool>();
+      report.workers.push_back(std::move(load));
+    }
+    return report;
+  });
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Scheduling/pool_report.h
@@ -0,0 +1,44 @@
+#ifndef SCHEDULING_POOL_REPORT_H_
+#define SCHEDULING_POOL_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Common/error.h"
+#include "absl/strings/string_view.h"
+
+namespace figflow {
+
+// One worker of a pool, as its owner sees it.
+struct WorkerLoad {
+  std::string worker;
+  // The instance that it runs on.
+  std::string instance;
+  // Tasks and stops that are not over yet.
+  int tasks = 0;
+  int perpetual_tasks = 0;
+  int64_t used_millicores = 0;
+  int64_t capacity_millicores = 0;
+  // It gets no new tasks because of an evacuation.
+  bool evacuating = false;
+  // It answers, and does not leave by itself.
+  bool usable = false;
+};
+
+// What the owner of a pool tells the keeper of the instances.
+struct PoolReport {
+  std::string pool;
+  // Processor time that the tasks ask for which could run now if there was
+  // room, in millicores.
+  int64_t waiting_millicores = 0;
+  std::vector<WorkerLoad> workers;
+};
+
+std::string FormatPoolReport(const PoolReport& report);
+// Error kInvalid.
+Result<PoolReport> ParsePoolReport(absl::string_view bytes);
+
+}  // namespace figflow
+
+#endif  // SCHEDULING_POOL_REPORT_H_
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
 #include "Scheduling/orders.h"
+#include "Scheduling/pool_report.h"
 #include "Scheduling/worker_state.h"
 #include "absl/container/flat_hash_map.h"
 
@@ -103,6 +105,11 @@
   // The store holds the records of the last TakeWrites.
   void OnWritten(MonoTime now);
 
+  // Empties the workers on these instances, and no others, as long as it is
+  // asked for at least every 2 s.
+  void SetEvacuating(const std::set<std::string>& instances, MonoTime now);
+  PoolReport Report() const;
+
   // Orders may be sent and leases renewed. False while this daemon is not
   // certain to own the pool.
   void SetMayOrder(bool may_start, bool may_renew);
@@ -184,6 +191,11 @@
   OrderTarget TargetOf(const WorkerState& worker) const;
   void Wake(MonoTime at);
 
+  // pool_scheduler_evacuate.cc
+  void Evacuate(WorkerState& worker, MonoTime now);
+  // Whether figflow may make a perpetual task unavailable now.
+  bool MayStopPerpetual(const TaskRef& ref) const;
+
   // pool_scheduler_dispatch.cc
   void Dispatch(MonoTime now);
 
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -20,15 +20,6 @@
   int stage = 0;
 };
 
-bool IsReady(const Job& job, const Occurrence& occurrence, size_t index) {
-  const Stage& stage = occurrence.stages[index];
-  const std::vector<int>& after = job.spec.stages[index].after;
-  return stage.waiting > 0 &&
-         std::all_of(after.begin(), after.end(), [&](int earlier) {
-           return occurrence.stages[earlier].finished();
-         });
-}
-
 // A gang starts as a whole, so none of its members may still be somewhere.
 bool GangIsFree(const Stage& stage) {
   return std::all_of(
--- /dev/null
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -0,0 +1,147 @@
+// Workers that are emptied: before their instance is maintained or moved, and
+// when they leave by themselves.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Scheduling/pool_scheduler.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+// Time in which tasks of an evacuated worker may end by themselves; most tasks
+// take less.
+constexpr std::chrono::milliseconds kEndByItself{1'200};
+// An evacuation that nobody asks for any more ends after this time: its keeper
+// is gone, or has changed its mind.
+constexpr std::chrono::milliseconds kEvacuationExpires{2'000};
+constexpr int kAtWork = 100;
+
+bool IsAway(const WorkerState* worker,
+            const Task& task,
+            const TaskRef& ref) {
+  if (task.phase != TaskPhase::kRunning || task.percent < kAtWork ||
+      worker == nullptr) {
+    return true;
+  }
+  return worker->HasStop(ref.Name(), task.run);
+}
+
+}  // namespace
+
+void PoolScheduler::SetEvacuating(const std::set<std::string>& instances,
+                                  MonoTime now) {
+  for (auto& [key, worker] : workers_) {
+    const bool wanted = instances.count(worker->report.instance) > 0;
+    if (wanted) {
+      worker->evacuation_asked = now;
+    }
+    if (wanted == worker->evacuating) {
+      continue;
+    }
+    worker->evacuating = wanted;
+    worker->evacuating_since = now;
+    dispatch_wanted_ = true;
+    LogEvent(LogLevel::kInfo, LogCategory::kJobs,
+             wanted ? "evacuation_begun" : "evacuation_over",
+             {{"worker", key.id},
+              {"instance", worker->report.instance},
+              {"pool", options_.pool},
+              {"tasks", absl::StrCat(worker->tasks.size())}});
+  }
+}
+
+bool PoolScheduler::MayStopPerpetual(const TaskRef& ref) const {
+  const StageSpec& spec = ref.Spec();
+  // A stage without a bound is moved one task at a time as well.
+  const int allowed = spec.max_unavailable < 0 ? 1 : spec.max_unavailable;
+  int away = 0;
+  const Stage& stage = ref.GetStage();
+  for (int i = 0; i < static_cast<int>(stage.tasks.size()); ++i) {
+    const TaskRef other{ref.job, ref.occurrence, ref.stage, i};
+    if (i != ref.index &&
+        IsAway(stage.tasks[i].worker, stage.tasks[i], other)) {
+      ++away;
+    }
+  }
+  return away < allowed;
+}
+
+void PoolScheduler::Evacuate(WorkerState& worker, MonoTime now) {
+  if (worker.evacuating && now - worker.evacuation_asked > kEvacuationExpires) {
+    worker.evacuating = false;
+    dispatch_wanted_ = true;
+  }
+  if (!worker.evacuating && !worker.report.draining) {
+    return;
+  }
+  const std::set<TaskRef> tasks = worker.tasks;
+  for (const TaskRef& ref : tasks) {
+    Task& task = ref.Get();
+    if (task.phase == TaskPhase::kPlanned && !ref.Spec().gang) {
+      // No order was sent.
+      ReturnTask(ref, now);
+      continue;
+    }
+    if (task.phase != TaskPhase::kRunning ||
+        worker.HasStop(ref.Name(), task.run)) {
+      continue;
+    }
+    if (ref.Spec().perpetual) {
+      // A worker that leaves by itself takes its tasks along in any case.
+      if (worker.report.draining || MayStopPerpetual(ref)) {
+        RequestStop(worker, ref.Name(), task.run, Resources(), now);
+      } else {
+        Wake(now + kEndByItself / 4);
+      }
+      continue;
+    }
+    if (worker.report.draining) {
+      continue;
+    }
+    const MonoTime stop_at = worker.evacuating_since + kEndByItself;
+    if (now >= stop_at) {
+      RequestStop(worker, ref.Name(), task.run, Resources(), now);
+    } else {
+      Wake(stop_at);
+    }
+  }
+}
+
+PoolReport PoolScheduler::Report() const {
+  PoolReport report;
+  report.pool = options_.pool;
+  for (const auto& [key, worker] : workers_) {
+    if (!worker->listed) {
+      continue;
+    }
+    WorkerLoad load;
+    load.worker = key.id;
+    load.instance = worker->report.instance;
+    load.tasks = static_cast<int>(worker->tasks.size() + worker->stops.size());
+    load.perpetual_tasks = static_cast<int>(std::count_if(
+        worker->tasks.begin(), worker->tasks.end(),
+        [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+    load.used_millicores = worker->used.cpu_millicores;
+    load.capacity_millicores = worker->report.capacity.cpu_millicores;
+    load.evacuating = worker->evacuating;
+    load.usable = worker->addressable && worker->fenced &&
+                  worker->misses == 0 && !worker->report.draining;
+    report.workers.push_back(std::move(load));
+  }
+  for (const auto& [id, job] : open_jobs_) {
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (size_t i = 0; i < occurrence.stages.size(); ++i) {
+        if (IsReady(*job, occurrence, i)) {
+          report.waiting_millicores +=
+              occurrence.stages[i].waiting *
+              CountedSize(job->spec.stages[i]).cpu_millicores;
+        }
+      }
+    }
+  }
+  return report;
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -264,6 +264,7 @@
   task.order_in_flight = false;
   task.order_unanswered = false;
   task.order_outdated = false;
+  task.order_deadline = std::chrono::milliseconds(0);
   task.inherited = false;
 }
 
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -49,6 +49,9 @@
   OpenDueOccurrences(now, wall);
   ForgetFinished(now);
   CheckWorkers(now);
+  for (auto& [key, worker] : workers_) {
+    Evacuate(*worker, now);
+  }
   if (dispatch_wanted_) {
     dispatch_wanted_ = false;
     Dispatch(now);
@@ -168,6 +171,10 @@
       Wake(task.next_order);
       continue;
     }
+    if (worker.misses > 0 && task.order_deadline.count() == 0) {
+      // A first order could not carry a lease.
+      continue;
+    }
     if (worker.misses == 0) {
       task.order_deadline = std::max(worker.latest_deadline,
                                      worker.clock.DeadlineIn(kFirstLease, now));
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -18,11 +18,6 @@
 // A worker that did not answer a hold is asked again after this time.
 constexpr std::chrono::milliseconds kHoldRetry{200};
 
-std::string TaskText(const TaskName& name) {
-  return absl::StrCat(name.job, ".", name.occurrence, ".", name.stage, ".",
-                      name.index);
-}
-
 }  // namespace
 
 WorkerState* PoolScheduler::FindWorker(const WorkerKey& key) {
@@ -473,7 +468,7 @@
         task.inherited ||
         (task.since < sent_at &&
          (task.phase == TaskPhase::kRunning || task.order_outdated));
-    if (gone && worker.stops.count({TaskText(ref.Name()), task.run}) == 0) {
+    if (gone && !worker.HasStop(ref.Name(), task.run)) {
       stats_->runs_lost.Add();
       ReturnTask(ref, now);
     }
--- a/Source/Core/Scheduling/worker_state.cc
+++ b/Source/Core/Scheduling/worker_state.cc
@@ -1,7 +1,18 @@
 #include "Scheduling/worker_state.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace figflow {
 
+std::string TaskText(const TaskName& name) {
+  return absl::StrCat(name.job, ".", name.occurrence, ".", name.stage, ".",
+                      name.index);
+}
+
+bool WorkerState::HasStop(const TaskName& task, uint32_t run) const {
+  return stops.count({TaskText(task), run}) > 0;
+}
+
 Resources WorkerState::Room() const {
   Resources room = report.capacity;
   room -= used;
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -51,6 +51,9 @@
   // Gets no new tasks because its instance is about to leave the pool or to be
   // maintained.
   bool evacuating = false;
+  MonoTime evacuating_since;
+  // When the evacuation was last asked for.
+  MonoTime evacuation_asked;
 
   WorkerClock clock;
   // The worker has answered under this owner's fence, so that orders of
@@ -85,6 +88,7 @@
 
   WorkerHealth health;
 
+  bool HasStop(const TaskName& task, uint32_t run) const;
   // Room for new tasks.
   Resources Room() const;
   // When the worker certainly runs nothing of what it was told to, if it is
@@ -92,6 +96,9 @@
   MonoTime DeadAt() const;
 };
 
+// "job.occurrence.stage.index", the name of a task in logs and keys.
+std::string TaskText(const TaskName& name);
+
 // Part of a stage's task that is counted against a worker's capacity.
 Resources CountedSize(const StageSpec& spec);
 
