--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -363,7 +363,7 @@
     mutex_.AssertHeld();
     if (TakesCalls()) {
       scheduler.SetEvacuating(instances, now);
-      report = scheduler.Report();
+      report = scheduler.Report(now);
     }
   });
   return report;
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -12,10 +12,14 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReadTimeout{1'000};
-// Time between two reports of a pool while a wave is open.
-constexpr std::chrono::milliseconds kAskInterval{200};
-// Time between two lists of the instances while a wave is open.
-constexpr std::chrono::milliseconds kListInterval{600};
+// Time between two reports of a pool: a peak is noticed after this time.
+constexpr std::chrono::milliseconds kAskInterval{150};
+// Time between two lists of the instances.
+constexpr std::chrono::milliseconds kListInterval{1'000};
+// And while instances are on their way or down.
+constexpr std::chrono::milliseconds kBusyListInterval{500};
+// A move that has not shown by then is forgotten, and may be planned again.
+constexpr std::chrono::milliseconds kMoveForgotten{6'000};
 // A report older than this says too little about what runs.
 constexpr std::chrono::milliseconds kReportAge{700};
 // An order that was turned away or not answered is repeated after this time.
@@ -146,18 +150,22 @@
   if (writer) {
     next = writer->Step(now);
   }
+  if (AskPools(now)) {
+    absl::MutexLock lock(&mutex_);
+    PlanMoves(now);
+  }
+  ReadList(now);
+  SendMoves(now);
   if (open) {
-    AskPools(now);
-    ReadList(now);
     {
       absl::MutexLock lock(&mutex_);
       PlanWaves(now);
-      next = std::min(next, next_ask_);
     }
     WriteRecords();
     SendOrders(now);
   }
-  return next;
+  absl::MutexLock lock(&mutex_);
+  return std::min(next, next_ask_);
 }
 
 void InstanceKeeper::LoadWave(uint64_t number) {
@@ -203,15 +211,15 @@
       });
 }
 
-void InstanceKeeper::AskPools(MonoTime now) {
+bool InstanceKeeper::AskPools(MonoTime now) {
   std::map<std::string, std::set<std::string>> to_ask;
   {
     absl::MutexLock lock(&mutex_);
     if (now < next_ask_) {
-      return;
+      return false;
     }
     next_ask_ = now + kAskInterval;
-    std::set<std::string> evacuate;
+    std::set<std::string> evacuate = emptying_for_moves_;
     for (const auto& [number, wave] : waves_) {
       evacuate.insert(wave.emptying.begin(), wave.emptying.end());
     }
@@ -228,6 +236,7 @@
                 self->OnReport(pool, std::move(report));
               });
   }
+  return true;
 }
 
 void InstanceKeeper::OnReport(const std::string& pool,
@@ -247,7 +256,8 @@
       return;
     }
     listing_ = true;
-    next_list_ = now + kListInterval;
+    next_list_ = now + (moving_.empty() && !WaveOpen() ? kListInterval
+                                                       : kBusyListInterval);
   }
   platform_.instances().List(
       [self = shared_from_this(),
@@ -267,7 +277,14 @@
   for (const Instance& instance : *list) {
     instances_[instance.id] = instance;
   }
-  listed_at_ = sent_at;
+  for (auto it = moving_.begin(); it != moving_.end();) {
+    const auto known = instances_.find(it->first);
+    const bool arrived = sent_at > it->second.ordered_at &&
+                         known != instances_.end() &&
+                         known->second.state == InstanceState::kUp;
+    const bool forgotten = sent_at - it->second.ordered_at > kMoveForgotten;
+    it = arrived || forgotten ? moving_.erase(it) : std::next(it);
+  }
   // An instance is back once a list that was asked for after the order's
   // answer shows it up.
   for (auto& [number, wave] : waves_) {
@@ -289,16 +306,107 @@
   }
 }
 
-void InstanceKeeper::PlanWaves(MonoTime now) {
+std::map<std::string, PoolReport> InstanceKeeper::FreshReports(
+    MonoTime now) const {
   std::map<std::string, PoolReport> pools;
   for (const auto& [pool, report] : reports_) {
-    if (now - report_times_[pool] < kReportAge) {
+    if (now - report_times_.at(pool) < kReportAge) {
       pools[pool] = report;
     }
   }
+  return pools;
+}
+
+bool InstanceKeeper::MayOrder(MonoTime now) const {
+  return !stopped_ && !deposed_ && now < certain_until_ &&
+         now >= since_ + options_.holder_interval;
+}
+
+void InstanceKeeper::PlanMoves(MonoTime now) {
+  MoveInput input;
+  input.pools = FreshReports(now);
+  input.pending = moving_;
+  for (const PoolConfig& pool : plan_->pools) {
+    if (pool.spare) {
+      input.spare_pool = pool.name;
+    }
+  }
+  for (const auto& [number, wave] : waves_) {
+    for (const auto& [instance, step] : wave.state.instances) {
+      if (!wave.completed && (step == MaintenanceStep::kOrdered ||
+                              step == MaintenanceStep::kDown ||
+                              wave.emptying.count(instance) > 0)) {
+        input.blocked.insert(instance);
+      }
+    }
+  }
+  for (const auto& [id, instance] : instances_) {
+    if (instance.pool == input.spare_pool && instance.worker.empty() &&
+        instance.state == InstanceState::kUp) {
+      input.spare[id] = 0;
+    }
+  }
+  MovePlan plan = move_planner_.Plan(input, now);
+  emptying_for_moves_ = std::move(plan.evacuate);
+  moves_to_send_ = std::move(plan.moves);
+}
+
+void InstanceKeeper::SendMoves(MonoTime now) {
+  std::vector<InstanceMove> moves;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!MayOrder(now)) {
+      return;
+    }
+    moves.swap(moves_to_send_);
+    for (const InstanceMove& move : moves) {
+      moving_[move.instance] = {move.pool, now};
+    }
+  }
+  for (const InstanceMove& move : moves) {
+    InstanceOrder order;
+    order.instance = move.instance;
+    order.pool = move.pool;
+    order.holder = options_.holder;
+    order.fence = options_.fence;
+    platform_.instances().Move(
+        order, [self = shared_from_this(),
+                move](const Result<InstanceAnswer>& answer) {
+          self->OnMoveAnswer(move, answer);
+        });
+  }
+}
+
+void InstanceKeeper::OnMoveAnswer(const InstanceMove& move,
+                                  const Result<InstanceAnswer>& answer) {
+  absl::MutexLock lock(&mutex_);
+  const MonoTime now = clock_.Now();
+  if (answer && *answer == InstanceAnswer::kDone) {
+    moving_[move.instance] = {move.pool, now};
+    LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
+             {{"instance", move.instance}, {"pool", move.pool}});
+    return;
+  }
+  if (answer && *answer == InstanceAnswer::kFenced) {
+    deposed_ = true;
+    return;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "move_not_done",
+           {{"instance", move.instance},
+            {"pool", move.pool},
+            {"answered", answer ? "yes" : "no"}});
+  // Without an answer the order may have been carried out: the list will show.
+  if (answer) {
+    moving_.erase(move.instance);
+  }
+}
+
+void InstanceKeeper::PlanWaves(MonoTime now) {
+  const std::map<std::string, PoolReport> pools = FreshReports(now);
   std::set<std::string> without_worker;
   for (const auto& [id, instance] : instances_) {
-    if (instance.state == InstanceState::kUp && instance.worker.empty()) {
+    if (instance.state == InstanceState::kUp && instance.worker.empty() &&
+        moving_.count(id) == 0) {
       without_worker.insert(id);
     }
   }
@@ -316,7 +424,6 @@
         wave.changed = true;
       }
     }
-    const bool may_order = now >= since_ + options_.holder_interval;
     const WavePlan plan = PlanWave(wave.state, pools, without_worker,
                                    wave.emptying, options, now);
     wave.emptying = plan.evacuate;
@@ -325,7 +432,7 @@
         wave.emptying.insert(instance);
       }
     }
-    if (may_order) {
+    if (MayOrder(now)) {
       for (const std::string& instance : plan.begin) {
         wave.state.instances[instance] = MaintenanceStep::kOrdered;
         wave.changed = true;
@@ -414,8 +521,7 @@
   std::vector<std::pair<uint64_t, std::string>> to_send;
   {
     absl::MutexLock lock(&mutex_);
-    if (stopped_ || deposed_ || now >= certain_until_ ||
-        now < since_ + options_.holder_interval) {
+    if (!MayOrder(now)) {
       return;
     }
     for (auto& [number, wave] : waves_) {
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -11,6 +11,7 @@
 #include "Common/clock.h"
 #include "Common/metrics.h"
 #include "Fleet/platform_adapter.h"
+#include "Instances/move_planner.h"
 #include "Instances/wave_planner.h"
 #include "Ownership/record_writer.h"
 #include "absl/base/thread_annotations.h"
@@ -30,7 +31,8 @@
   std::chrono::milliseconds maintenance{2'000};
 };
 
-// Maintains instances in waves. Exists on the one daemon that owns this duty.
+// Moves instances between pools and maintains them in waves. Exists on the one
+// daemon that owns this duty.
 //
 // The record of a wave says which instances may be down; it is durable before
 // the order is sent, so a successor never lets more be down than the wave
@@ -86,11 +88,19 @@
   };
 
   void LoadWave(uint64_t number);
-  void AskPools(MonoTime now);
+  // Returns whether it was due.
+  bool AskPools(MonoTime now);
   void OnReport(const std::string& pool, Result<PoolReport> report);
   void ReadList(MonoTime now);
   void OnList(MonoTime sent_at, const Result<std::vector<Instance>>& list);
+  std::map<std::string, PoolReport> FreshReports(MonoTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void PlanMoves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool MayOrder(MonoTime now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void SendMoves(MonoTime now);
+  void OnMoveAnswer(const InstanceMove& move,
+                    const Result<InstanceAnswer>& answer);
   bool WaveOpen() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void WriteRecords();
   void OnWritten(const std::vector<uint64_t>& waves,
@@ -123,9 +133,13 @@
   std::map<std::string, MonoTime> report_times_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> asking_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Instance> instances_ ABSL_GUARDED_BY(mutex_);
-  MonoTime listed_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   MonoTime next_list_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   bool listing_ ABSL_GUARDED_BY(mutex_) = false;
+
+  MovePlanner move_planner_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> emptying_for_moves_ ABSL_GUARDED_BY(mutex_);
+  std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, PendingMove> moving_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace figflow
--- /dev/null
+++ b/Source/Core/Instances/move_planner.h
@@ -0,0 +1,70 @@
+#ifndef INSTANCES_MOVE_PLANNER_H_
+#define INSTANCES_MOVE_PLANNER_H_
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Scheduling/pool_report.h"
+
+namespace figflow {
+
+// A move that was ordered and whose worker has not reported yet.
+struct PendingMove {
+  std::string pool;
+  MonoTime ordered_at;
+};
+
+struct MoveInput {
+  std::map<std::string, PoolReport> pools;
+  // Instances of spare pools that can be moved at once, with their capacity in
+  // millicores.
+  std::map<std::string, int64_t> spare;
+  // Name of the spare pool; empty if there is none.
+  std::string spare_pool;
+  std::map<std::string, PendingMove> pending;
+  // Instances that must not be moved now.
+  std::set<std::string> blocked;
+};
+
+struct InstanceMove {
+  std::string instance;
+  std::string pool;
+};
+
+struct MovePlan {
+  std::vector<InstanceMove> moves;
+  // Idle instances to be kept empty, because they are to be moved.
+  std::set<std::string> evacuate;
+};
+
+// Decides which instances change their pool.
+//
+// Load pattern: the queues peak by turns. For some seconds one asks for more
+// than its pool holds, while the others ask for a twentieth of their mean. A
+// pool whose backlog would last longer than a move takes gets idle instances,
+// first of the spare pool, then of pools that do not need them. Pools give idle
+// instances back to the spare pool, where they cost nothing, once they have
+// been idle for as long as a move is worth.
+class MovePlanner {
+ public:
+  MovePlan Plan(const MoveInput& input, MonoTime now);
+
+ private:
+  struct PoolNeed;
+
+  // Instances that a pool had when it was first seen: it is not shrunk below a
+  // part of that.
+  std::map<std::string, int> first_size_;
+  std::map<std::string, MonoTime> idle_since_;
+  // Instances chosen to move, with their target, until they are empty.
+  std::map<std::string, std::string> chosen_;
+};
+
+}  // namespace figflow
+
+#endif  // INSTANCES_MOVE_PLANNER_H_
--- a/Source/Core/Scheduling/dispatch_order.cc
+++ b/Source/Core/Scheduling/dispatch_order.cc
@@ -5,7 +5,9 @@
 
 namespace figflow {
 
-WorkChain ChainOf(const JobSpec& spec, const Occurrence& occurrence) {
+WorkChain ChainOf(const JobSpec& spec,
+                  const Occurrence& occurrence,
+                  const DurationModel& durations) {
   using std::chrono::milliseconds;
   WorkChain chain;
   std::vector<WorkChain> up_to(spec.stages.size());
@@ -15,9 +17,10 @@
       up_to[i].whole = std::max(up_to[i].whole, up_to[earlier].whole);
       up_to[i].left = std::max(up_to[i].left, up_to[earlier].left);
     }
-    up_to[i].whole += stage.estimate;
+    const milliseconds duration = durations.Predict(stage.estimate);
+    up_to[i].whole += duration;
     if (!occurrence.stages[i].finished()) {
-      up_to[i].left += stage.estimate;
+      up_to[i].left += duration;
     }
     chain.whole = std::max(chain.whole, up_to[i].whole);
     chain.left = std::max(chain.left, up_to[i].left);
@@ -28,6 +31,7 @@
 DispatchRank RankOf(const Job& job,
                     const Occurrence& occurrence,
                     const QueueConfig* queue,
+                    const DurationModel& durations,
                     MonoTime now) {
   DispatchRank rank;
   rank.priority = queue == nullptr ? 0 : queue->priority;
@@ -35,7 +39,7 @@
     rank.key = occurrence.due;
     return rank;
   }
-  const WorkChain chain = ChainOf(job.spec, occurrence);
+  const WorkChain chain = ChainOf(job.spec, occurrence, durations);
   const double stretch = queue == nullptr ? 1.0 : queue->stretch;
   const auto objective =
       (queue == nullptr ? std::chrono::milliseconds(0) : queue->objective) +
--- a/Source/Core/Scheduling/dispatch_order.h
+++ b/Source/Core/Scheduling/dispatch_order.h
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "Common/clock.h"
+#include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
 
@@ -17,7 +18,9 @@
   std::chrono::milliseconds left{0};
 };
 
-WorkChain ChainOf(const JobSpec& spec, const Occurrence& occurrence);
+WorkChain ChainOf(const JobSpec& spec,
+                  const Occurrence& occurrence,
+                  const DurationModel& durations);
 
 // Order in which waiting work is placed; lower goes first.
 struct DispatchRank {
@@ -40,6 +43,7 @@
 DispatchRank RankOf(const Job& job,
                     const Occurrence& occurrence,
                     const QueueConfig* queue,
+                    const DurationModel& durations,
                     MonoTime now);
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -22,7 +22,9 @@
          load.usable}));
   }
   return FormatCbor(json::array(
-      {report.pool, report.waiting_millicores, std::move(workers)}));
+      {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
+       report.offered_millicores, report.perpetual_millicores,
+       std::move(workers)}));
 }
 
 Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
@@ -30,7 +32,10 @@
     PoolReport report;
     report.pool = row.at(0).get<std::string>();
     report.waiting_millicores = row.at(1).get<int64_t>();
-    for (const json& entry : row.at(2)) {
+    report.backlog_millicore_ms = row.at(2).get<int64_t>();
+    report.offered_millicores = row.at(3).get<int64_t>();
+    report.perpetual_millicores = row.at(4).get<int64_t>();
+    for (const json& entry : row.at(5)) {
       WorkerLoad load;
       load.worker = entry.at(0).get<std::string>();
       load.instance = entry.at(1).get<std::string>();
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -29,9 +29,15 @@
 // What the owner of a pool tells the keeper of the instances.
 struct PoolReport {
   std::string pool;
-  // Processor time that the tasks ask for which could run now if there was
-  // room, in millicores.
+  // Processors that the tasks ask for which could run now if there was room.
   int64_t waiting_millicores = 0;
+  // The same tasks times their predicted durations: millicores times
+  // milliseconds.
+  int64_t backlog_millicore_ms = 0;
+  // Processor time that arrives as new work in each second, lately.
+  int64_t offered_millicores = 0;
+  // Asked for by perpetual tasks.
+  int64_t perpetual_millicores = 0;
   std::vector<WorkerLoad> workers;
 };
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -14,6 +14,7 @@
 
 #include "Common/clock.h"
 #include "Common/error.h"
+#include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
 #include "Scheduling/orders.h"
@@ -108,7 +109,7 @@
   // Empties the workers on these instances, and no others, as long as it is
   // asked for at least every 2 s.
   void SetEvacuating(const std::set<std::string>& instances, MonoTime now);
-  PoolReport Report() const;
+  PoolReport Report(MonoTime now);
 
   // Orders may be sent and leases renewed. False while this daemon is not
   // certain to own the pool.
@@ -148,6 +149,10 @@
   void AttachTask(const TaskRef& ref, WorkerState& worker);
   void DetachTask(const TaskRef& ref);
   int MaxAttempts(const Job& job) const;
+  std::chrono::milliseconds PredictedDuration(const Job& job,
+                                              const StageSpec& stage) const;
+  // Adds work to the offered load, and lets older work fade.
+  void AddOffered(double millicore_ms, MonoTime now);
 
   // pool_scheduler_workers.cc
   WorkerState* FindWorker(const WorkerKey& key);
@@ -211,6 +216,11 @@
   std::deque<std::shared_ptr<Job>> changed_;
   std::vector<std::shared_ptr<Job>> writing_;
   WorkerMap workers_;
+  // By queue.
+  std::map<std::string, DurationModel> durations_;
+  // Work that arrived lately, in millicores times milliseconds, decaying.
+  double offered_ = 0;
+  MonoTime offered_at_;
   SchedulerOutput output_;
   MonoTime next_wake_ = MonoTime::max();
   const MonoTime activated_;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -68,7 +68,7 @@
           continue;
         }
         if (!rank) {
-          rank = RankOf(*job, occurrence, queue, now);
+          rank = RankOf(*job, occurrence, queue, durations_[job->spec.queue], now);
         }
         ready.push_back({*rank, job, number, static_cast<int>(i)});
       }
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -109,9 +109,12 @@
   }
 }
 
-PoolReport PoolScheduler::Report() const {
+PoolReport PoolScheduler::Report(MonoTime now) {
   PoolReport report;
   report.pool = options_.pool;
+  AddOffered(0, now);
+  // The window is one second long.
+  report.offered_millicores = static_cast<int64_t>(offered_ / 1000);
   for (const auto& [key, worker] : workers_) {
     if (!worker->listed) {
       continue;
@@ -123,6 +126,10 @@
     load.perpetual_tasks = static_cast<int>(std::count_if(
         worker->tasks.begin(), worker->tasks.end(),
         [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+    for (const TaskRef& ref : worker->tasks) {
+      report.perpetual_millicores +=
+          ref.Spec().perpetual ? CountedSize(ref.Spec()).cpu_millicores : 0;
+    }
     load.used_millicores = worker->used.cpu_millicores;
     load.capacity_millicores = worker->report.capacity.cpu_millicores;
     load.evacuating = worker->evacuating;
@@ -133,10 +140,15 @@
   for (const auto& [id, job] : open_jobs_) {
     for (const auto& [number, occurrence] : job->occurrences) {
       for (size_t i = 0; i < occurrence.stages.size(); ++i) {
+        const StageSpec& spec = job->spec.stages[i];
+        const int waiting = occurrence.stages[i].waiting;
+        const int64_t asked = waiting * CountedSize(spec).cpu_millicores;
         if (IsReady(*job, occurrence, i)) {
-          report.waiting_millicores +=
-              occurrence.stages[i].waiting *
-              CountedSize(job->spec.stages[i]).cpu_millicores;
+          report.waiting_millicores += asked;
+          if (!spec.perpetual) {
+            report.backlog_millicore_ms +=
+                asked * PredictedDuration(*job, spec).count();
+          }
         }
       }
     }
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -1,5 +1,6 @@
 // Jobs and their records.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "Common/log.h"
@@ -8,6 +9,12 @@
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
+namespace {
+
+// Time constant of the offered load: short enough to see a peak begin.
+constexpr std::chrono::milliseconds kOfferedWindow{1'000};
+
+}  // namespace
 
 PoolScheduler::PoolScheduler(Options options,
                              MetricsRegistry& metrics,
@@ -124,6 +131,15 @@
   if (!job->spec.scheduled()) {
     job->OpenOccurrence(0, now);
   }
+  if (!job->perpetual()) {
+    double work = 0;
+    for (const StageSpec& stage : job->spec.stages) {
+      work += static_cast<double>(CountedSize(stage).cpu_millicores) *
+              stage.count *
+              static_cast<double>(PredictedDuration(*job, stage).count());
+    }
+    AddOffered(work, now);
+  }
   jobs_[job->spec.id] = job;
   open_jobs_[job->spec.id] = job;
   job->queued_for_write = true;
@@ -217,6 +233,23 @@
   }
 }
 
+std::chrono::milliseconds PoolScheduler::PredictedDuration(
+    const Job& job,
+    const StageSpec& stage) const {
+  const auto model = durations_.find(job.spec.queue);
+  return model == durations_.end() ? DurationModel().Predict(stage.estimate)
+                                   : model->second.Predict(stage.estimate);
+}
+
+void PoolScheduler::AddOffered(double millicore_ms, MonoTime now) {
+  const auto passed =
+      std::chrono::duration<double, std::milli>(now - offered_at_);
+  offered_ *= std::exp(-passed.count() /
+                       static_cast<double>(kOfferedWindow.count()));
+  offered_at_ = now;
+  offered_ += millicore_ms;
+}
+
 int PoolScheduler::MaxAttempts(const Job& job) const {
   const QueueConfig* queue = plan_->QueueNamed(job.spec.queue);
   return queue == nullptr ? 1 : std::max(1, queue->max_attempts);
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -389,6 +389,12 @@
           ReturnTask(*ref, now);
           break;
         }
+        if (task.phase == TaskPhase::kRunning && task.checkpoint.empty()) {
+          durations_[ref->job->spec.queue].Learn(
+              ref->Spec().estimate,
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  now - task.since));
+        }
         if (!ref->Spec().gang) {
           CompleteTask(*ref, now);
           break;
