--- a/Source/Core/Http/address_pool.cc
+++ b/Source/Core/Http/address_pool.cc
@@ -30,6 +30,14 @@
   set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
 }
 
+// Makes the close of a connection drop what the peer has not acknowledged. A
+// plain close would go on sending it, so a request that was given up during a
+// network partition would still arrive when the partition has healed.
+void DropUnsentOnClose(curl_socket_t fd) {
+  const linger drop{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+}
+
 int LocalPort(curl_socket_t fd) {
   sockaddr_storage address{};
   socklen_t size = sizeof(address);
@@ -76,6 +84,7 @@
       std::remove_if(sockets.begin(), sockets.end(),
                      [fd](const Socket& socket) { return socket.fd == fd; }),
       sockets.end());
+  DropUnsentOnClose(fd);
   const int status = close(fd);
   address_pool->loop->PublishOpenConnections(*address_pool);
   return status;
--- a/Source/Core/Scheduling/dispatch_order.h
+++ b/Source/Core/Scheduling/dispatch_order.h
@@ -22,24 +22,39 @@
                   const Occurrence& occurrence,
                   const DurationModel& durations);
 
-// Order in which waiting work is placed; lower goes first.
+// Classes of waiting work, in the order in which they are placed.
+enum class Urgency {
+  // Runs until it is cancelled; its users wait for it all the time.
+  kPerpetual,
+  // Has begun and can meet its objective: what was spent on it pays off.
+  kBegunInTime,
+  // Can meet its objective, with a reserve.
+  kInTime,
+  // Cannot meet its objective any more, but is of some use a while longer.
+  kLate,
+  // Is of no more use when it is done earlier.
+  kOverdue,
+};
+
+// Place of a job's waiting tasks in the order; lower goes first.
 struct DispatchRank {
-  // 0: perpetual work, 1: can still meet its objective, 2: is late.
-  int group = 0;
+  Urgency urgency = Urgency::kPerpetual;
   int priority = 0;
-  // Latest start that meets the objective, or the arrival of late work.
+  // Latest start that meets the bound of its class, or the time of arrival.
   MonoTime key;
 
   friend bool operator<(const DispatchRank& a, const DispatchRank& b) {
-    return std::tie(a.group, a.priority, a.key) <
-           std::tie(b.group, b.priority, b.key);
+    return std::tie(a.urgency, a.priority, a.key) <
+           std::tie(b.urgency, b.priority, b.key);
   }
 };
 
 // Load pattern: at its peak a queue asks for more than its pool holds for some
-// seconds. Work that can meet its objective only if it starts now goes before
-// work that has time left, and both before work that is late whatever happens,
-// which is done when the peak is over.
+// seconds. Taking the oldest work first would then make all of it late by the
+// same time. Instead work that can still meet its objective goes first, the
+// most pressing of it ahead, and work that cannot is left until the peak is
+// over. A job counts as in time only with a reserve: started at the last moment
+// it would miss its objective by any further wait.
 DispatchRank RankOf(const Job& job,
                     const Occurrence& occurrence,
                     const QueueConfig* queue,
