Hand the instances over without a pause; write at most every 25 ms

Each event of a pool was written at once: 240 store calls a second.

Change: a keeper that ends in good order records which instances it ordered lately, and its successor waits for those only; pools keep an even share of all instances; a pool's writes start at least 25 ms apart.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "Common/log.h"
@@ -17,15 +18,16 @@
 namespace figflow {
 namespace {
 
-// Connections to one worker or peer. A hold takes one of them for most of the
-// time; orders are answered within milliseconds.
-constexpr int kConnectionsPerAddress = 5;
 // Watches, reads, commits of several pools and the lease.
 constexpr int kStoreConnections = 24;
 // A worker is called at least this often while it runs anything.
 constexpr std::chrono::seconds kIdleConnection{60};
 constexpr unsigned kAdminConnections = 32;
 constexpr unsigned kPeerConnections = 512;
+// The balancer probes each second and acts on the second miss.
+constexpr std::chrono::milliseconds kBalancerNotices{2'100};
+// Part of the grace that is left for the end of the threads.
+constexpr std::chrono::milliseconds kStopReserve{1'200};
 // Time for answers that the drain left.
 constexpr std::chrono::milliseconds kLastAnswers{500};
 // A hand-over is two writes.
@@ -38,10 +40,13 @@
                       absl::Hex(random(), absl::kZeroPad8));
 }
 
-HttpClientOptions ClientOptions() {
+HttpClientOptions ClientOptions(const Settings& settings) {
   HttpClientOptions options;
   options.threads = 1;
-  options.connections_per_address = kConnectionsPerAddress;
+  // A hold takes one of them for most of the time; orders are answered within
+  // milliseconds.
+  options.connections_per_address =
+      static_cast<int>(settings.worker_connections);
   options.idle_timeout = kIdleConnection;
   return options;
 }
@@ -91,7 +96,7 @@
 };
 
 FleetDaemon::Parts::Parts(const Settings& settings, const Clock& clock)
-    : client(std::make_unique<HttpClient>(ClientOptions(), metrics)),
+    : client(std::make_unique<HttpClient>(ClientOptions(settings), metrics)),
       platform(wire::MakeAdapter(
           {settings.platform_address.ToString(), settings.instances_address},
           *client,
@@ -201,7 +206,7 @@
   LogEvent(
       LogLevel::kInfo, LogCategory::kDaemon, "settings_reloaded",
       {{"entry", settings.entry}, {"needs_restart", changed ? "no" : "yes"}});
-  settings_.drain_timeout = settings.drain_timeout;
+  settings_.stop_grace_s = settings.stop_grace_s;
 }
 
 void FleetDaemon::Stop() {
@@ -212,13 +217,25 @@
   LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "stopping",
            {{"in_flight", absl::StrCat(parts.caller_server->InFlight())}});
   const MonoTime begun = clock_.Now();
+  const auto left = [&] {
+    const auto until =
+        begun + ToMilliseconds(settings_.stop_grace_s) - kStopReserve;
+    return std::max(std::chrono::milliseconds(0),
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        until - clock_.Now()));
+  };
   parts.stopping = true;
-  // Callers on open connections are served while the pools change hands.
-  parts.engine.Release(kHandOverBound);
+  // Calls are taken and passed on while the pools change hands, and until the
+  // balancer has noticed that this daemon takes no more connections.
+  parts.engine.Release(std::min(kHandOverBound, left()));
+  const auto noticed = begun + kBalancerNotices - clock_.Now();
+  if (noticed > MonoTime::duration(0)) {
+    std::this_thread::sleep_for(std::min<MonoTime::duration>(noticed, left()));
+  }
   parts.caller_server->StopAccepting();
-  parts.caller_server->WaitIdle(settings_.drain_timeout);
+  parts.caller_server->WaitIdle(left());
   parts.peer_server->StopAccepting();
-  parts.peer_server->WaitIdle(kLastAnswers);
+  parts.peer_server->WaitIdle(std::min(kLastAnswers, left()));
   parts.engine.Stop();
   parts.caller_server->Stop();
   parts.peer_server->Stop();
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -395,19 +395,23 @@
 
 void FleetEngine::Release(std::chrono::milliseconds bound) {
   std::map<std::string, std::shared_ptr<PoolRunner>> runners;
+  std::shared_ptr<InstanceKeeper> keeper;
   {
     absl::MutexLock lock(&mutex_);
     releasing_ = true;
     runners = runners_;
+    keeper = keeper_;
+  }
+  if (keeper) {
+    keeper->HandOver([this] { EndScope(kInstancesScope, "handed-over"); });
   }
-  EndScope(kInstancesScope, "handed-over");
   for (const auto& [pool, runner] : runners) {
     runner->Release([this, pool = pool] { EndScope(pool, "handed-over"); });
   }
   absl::MutexLock lock(&mutex_);
   const auto none = [this] {
     mutex_.AssertHeld();
-    return runners_.empty();
+    return runners_.empty() && keeper_ == nullptr;
   };
   mutex_.AwaitWithTimeout(absl::Condition(&none), absl::FromChrono(bound));
 }
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -11,6 +11,9 @@
 
 constexpr std::chrono::milliseconds kReadTimeout{1'000};
 constexpr std::chrono::milliseconds kReadRetry{100};
+// Least time between the starts of two writes of a pool. Each call of the store
+// is paid for; waiting this long delays a job by about one hundredth.
+constexpr std::chrono::milliseconds kWriteGap{25};
 // How long an owner goes on renewing leases of what runs when it cannot be sure
 // any more to own the pool: an outage of the whole store must not end all work,
 // and nobody can take over during it.
@@ -184,7 +187,14 @@
       cancels_.erase(it);
     }
   }
-  if (!writing_ && active && scheduler_->HasWrites()) {
+  // A busy pool changes several times within the gap; one write then carries
+  // all of it.
+  const MonoTime write_at = written_at_ + kWriteGap;
+  if (!writing_ && active && scheduler_->HasWrites() && now < write_at) {
+    next_step_ = std::min(next_step_, write_at);
+    work->wake = next_step_;
+  } else if (!writing_ && active && scheduler_->HasWrites()) {
+    written_at_ = now;
     work->writes = scheduler_->TakeWrites(RecordWriter::kMaxRecords);
     work->writer = writer_;
     writing_ = true;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -108,6 +108,8 @@
   std::unique_ptr<PoolScheduler> scheduler_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<RecordWriter> writer_ ABSL_GUARDED_BY(mutex_);
   bool writing_ ABSL_GUARDED_BY(mutex_) = false;
+  // Start of the last write.
+  MonoTime written_at_ ABSL_GUARDED_BY(mutex_);
   bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime next_step_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -51,25 +51,104 @@
       SequenceKey(kInstancesScope), kReadTimeout,
       [self = shared_from_this()](
           const Result<std::optional<StoreItem>>& item) {
+        if (item) {
+          self->ReadHandOver(*item ? (*item)->revision : 0);
+          return;
+        }
         {
           absl::MutexLock lock(&self->mutex_);
           self->reading_ = false;
-          if (item && !self->started_) {
-            self->started_ = true;
-            RecordWriter::Ownership ownership;
-            ownership.pool = kInstancesScope;
-            ownership.nonce = self->options_.nonce;
-            ownership.owner_revision = self->options_.fence;
-            ownership.sequence_revision = *item ? (*item)->revision : 0;
-            self->writer_ = std::make_shared<RecordWriter>(
-                self->platform_.store(), self->clock_, self->metrics_,
-                ownership, self->wake_);
-          }
         }
         self->wake_();
       });
 }
 
+void InstanceKeeper::ReadHandOver(uint64_t sequence_revision) {
+  platform_.store().Get(
+      HandOverKey(), kReadTimeout,
+      [self = shared_from_this(), sequence_revision](
+          const Result<std::optional<StoreItem>>& item) {
+        {
+          absl::MutexLock lock(&self->mutex_);
+          self->reading_ = false;
+        }
+        if (item) {
+          self->Begin(sequence_revision, *item);
+        }
+        self->wake_();
+      });
+}
+
+void InstanceKeeper::Begin(uint64_t sequence_revision,
+                           const std::optional<StoreItem>& handover) {
+  absl::MutexLock lock(&mutex_);
+  if (started_) {
+    return;
+  }
+  started_ = true;
+  // Without a record there has been no keeper before.
+  after_crash_ = false;
+  if (handover) {
+    const Result<HandOverRecord> record = ParseHandOver(handover->value);
+    after_crash_ = !record || record->active;
+    if (record) {
+      recent_before_ = record->recent;
+    }
+  }
+  RecordWriter::Ownership ownership;
+  ownership.pool = kInstancesScope;
+  ownership.nonce = options_.nonce;
+  ownership.owner_revision = options_.fence;
+  ownership.sequence_revision = sequence_revision;
+  writer_ = std::make_shared<RecordWriter>(platform_.store(), clock_, metrics_,
+                                           ownership, wake_);
+}
+
+bool InstanceKeeper::TooRecent(const std::string& instance,
+                               MonoTime now) const {
+  return now < since_ + options_.holder_interval &&
+         (after_crash_ || recent_before_.count(instance) > 0);
+}
+
+void InstanceKeeper::HandOver(std::function<void()> done) {
+  {
+    absl::MutexLock lock(&mutex_);
+    handing_over_ = true;
+    on_handed_over_ = std::move(done);
+  }
+  TryHandOver();
+}
+
+void InstanceKeeper::TryHandOver() {
+  std::shared_ptr<RecordWriter> writer;
+  std::function<void()> done;
+  HandOverRecord record;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!handing_over_ || !on_handed_over_ || orders_in_flight_ > 0 ||
+        writing_) {
+      return;
+    }
+    done = std::move(on_handed_over_);
+    on_handed_over_ = nullptr;
+    if (active_written_ && writer_ != nullptr && !deposed_) {
+      writing_ = true;
+      writer = writer_;
+      for (const auto& [instance, at] : ordered_at_) {
+        if (clock_.Now() < at + options_.holder_interval) {
+          record.recent.insert(instance);
+        }
+      }
+    }
+  }
+  if (writer == nullptr) {
+    done();
+    return;
+  }
+  writer->Write({{HandOverKey(), FormatHandOver(record), 0}}, {},
+                [done](RecordWriter::Outcome) { done(); });
+}
+
 void InstanceKeeper::Stop() {
   absl::MutexLock lock(&mutex_);
   stopped_ = true;
@@ -157,11 +236,11 @@
   ReadList(now);
   SendMoves(now);
   if (open) {
-    {
-      absl::MutexLock lock(&mutex_);
-      PlanWaves(now);
-    }
-    WriteRecords();
+    absl::MutexLock lock(&mutex_);
+    PlanWaves(now);
+  }
+  WriteRecords();
+  if (open) {
     SendOrders(now);
   }
   absl::MutexLock lock(&mutex_);
@@ -318,8 +397,8 @@
 }
 
 bool InstanceKeeper::MayOrder(MonoTime now) const {
-  return !stopped_ && !deposed_ && now < certain_until_ &&
-         now >= since_ + options_.holder_interval;
+  return !stopped_ && !deposed_ && !handing_over_ && active_written_ &&
+         now < certain_until_;
 }
 
 void InstanceKeeper::PlanMoves(MonoTime now) {
@@ -340,7 +419,11 @@
       }
     }
   }
+  input.all_instances = static_cast<int>(instances_.size());
   for (const auto& [id, instance] : instances_) {
+    if (TooRecent(id, now)) {
+      input.blocked.insert(id);
+    }
     if (instance.pool == input.spare_pool && instance.worker.empty() &&
         instance.state == InstanceState::kUp) {
       input.spare[id] = 0;
@@ -361,6 +444,8 @@
     moves.swap(moves_to_send_);
     for (const InstanceMove& move : moves) {
       moving_[move.instance] = {move.pool, now};
+      ordered_at_[move.instance] = now;
+      ++orders_in_flight_;
     }
   }
   for (const InstanceMove& move : moves) {
@@ -379,6 +464,11 @@
 
 void InstanceKeeper::OnMoveAnswer(const InstanceMove& move,
                                   const Result<InstanceAnswer>& answer) {
+  {
+    absl::MutexLock lock(&mutex_);
+    --orders_in_flight_;
+  }
+  TryHandOver();
   absl::MutexLock lock(&mutex_);
   const MonoTime now = clock_.Now();
   if (answer && *answer == InstanceAnswer::kDone) {
@@ -459,9 +549,14 @@
   std::shared_ptr<RecordWriter> writer;
   {
     absl::MutexLock lock(&mutex_);
-    if (writing_ || !writer_ || stopped_) {
+    if (writing_ || !writer_ || stopped_ || handing_over_) {
       return;
     }
+    if (!active_written_) {
+      HandOverRecord record;
+      record.active = true;
+      writes.push_back({HandOverKey(), FormatHandOver(record), 0});
+    }
     for (auto& [number, wave] : waves_) {
       if (!wave.changed) {
         continue;
@@ -497,6 +592,7 @@
     if (outcome == RecordWriter::Outcome::kDeposed) {
       deposed_ = true;
     } else {
+      active_written_ = true;
       for (const uint64_t number : waves) {
         Wave& wave = waves_[number];
         // What was planned during the write is in the next one.
@@ -514,6 +610,7 @@
       }
     }
   }
+  TryHandOver();
   wake_();
 }
 
@@ -536,8 +633,11 @@
                 wave.to_order.end();
         const auto repeat = wave.repeat_at.find(instance);
         const bool due = repeat == wave.repeat_at.end() || repeat->second <= now;
-        if (recorded && due && wave.in_flight.insert(instance).second) {
+        if (recorded && due && !TooRecent(instance, now) &&
+            wave.in_flight.insert(instance).second) {
           to_send.emplace_back(number, instance);
+          ordered_at_[instance] = now;
+          ++orders_in_flight_;
         }
       }
     }
@@ -559,6 +659,11 @@
 void InstanceKeeper::OnAnswer(uint64_t number,
                               const std::string& instance,
                               const Result<InstanceAnswer>& answer) {
+  {
+    absl::MutexLock lock(&mutex_);
+    --orders_in_flight_;
+  }
+  TryHandOver();
   absl::MutexLock lock(&mutex_);
   Wave& wave = waves_[number];
   const MonoTime now = clock_.Now();
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -53,10 +53,13 @@
                  AskPool ask_pool,
                  std::function<void()> wake);
 
-  // Starts reading the sequence key and the waves' records.
+  // Starts reading what earlier keepers left.
   void Start();
   // After it returns no order begins.
   void Stop();
+  // Lets the orders under way end and tells the successor that it need not
+  // wait; then calls `done`.
+  void HandOver(std::function<void()> done);
 
   void SetPlan(std::shared_ptr<const FleetPlan> plan);
   // `seen_at` is when this daemon first saw the wave.
@@ -87,6 +90,9 @@
     std::map<std::string, MonoTime> repeat_at;
   };
 
+  void ReadHandOver(uint64_t sequence_revision);
+  void Begin(uint64_t sequence_revision,
+             const std::optional<StoreItem>& handover);
   void LoadWave(uint64_t number);
   // Returns whether it was due.
   bool AskPools(MonoTime now);
@@ -98,6 +104,10 @@
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanMoves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool MayOrder(MonoTime now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // An earlier keeper's order for the instance is too recent.
+  bool TooRecent(const std::string& instance, MonoTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void TryHandOver();
   void SendMoves(MonoTime now);
   void OnMoveAnswer(const InstanceMove& move,
                     const Result<InstanceAnswer>& answer);
@@ -117,8 +127,19 @@
   const AskPool ask_pool_;
   const std::function<void()> wake_;
   const MonoTime since_;
-
   mutable absl::Mutex mutex_;
+
+  // Instances ordered here, with the time of the last order.
+  std::map<std::string, MonoTime> ordered_at_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> recent_before_ ABSL_GUARDED_BY(mutex_);
+  // The last keeper did not hand over: all its orders may be recent.
+  bool after_crash_ ABSL_GUARDED_BY(mutex_) = true;
+  // The record says that this keeper is active.
+  bool active_written_ ABSL_GUARDED_BY(mutex_) = false;
+  int orders_in_flight_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::function<void()> on_handed_over_ ABSL_GUARDED_BY(mutex_);
+  bool handing_over_ ABSL_GUARDED_BY(mutex_) = false;
+
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
   bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
   bool started_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -18,8 +18,9 @@
 // Instances that idle for longer are given back. A move there and one back cost
 // about as much as 2.3 s in a pool.
 constexpr std::chrono::milliseconds kIdleBeforeReturn{2'500};
-// A pool keeps this part of its first size, for the start of its next peak.
-constexpr double kKeptShare = 0.75;
+// A pool keeps this part of an even share of all instances, for the start of
+// its next peak.
+constexpr double kKeptShare = 0.55;
 // A pool gives instances to another one only while its own load is below this
 // part of what would remain.
 constexpr double kDonorLoad = 0.6;
@@ -58,7 +59,6 @@
         ++need.size;
       }
     }
-    first_size_.emplace(name, need.size);
   }
   for (const auto& [instance, move] : input.pending) {
     const auto need = needs.find(move.pool);
@@ -69,6 +69,8 @@
   if (instance_size <= 0) {
     return plan;
   }
+  const double floor =
+      kKeptShare * input.all_instances / static_cast<double>(needs.size());
   for (auto& [name, need] : needs) {
     const PoolReport& report = *need.report;
     need.wanted =
@@ -153,7 +155,7 @@
               candidate.BacklogSeconds() <= 0 &&
               candidate.wanted < kDonorLoad * (candidate.capacity -
                                                instance_size) &&
-              candidate.size > kKeptShare * first_size_[other];
+              candidate.size > floor;
           if (gives && (donor == nullptr ||
                         candidate.capacity - candidate.wanted >
                             donor->capacity - donor->wanted)) {
@@ -190,7 +192,7 @@
       const bool returns =
           chosen_.count(instance) == 0 &&
           now - idle_since_[instance] >= kIdleBeforeReturn &&
-          need.size > kKeptShare * first_size_[name] &&
+          need.size > floor &&
           need.wanted < kDonorLoad * (need.capacity - instance_size);
       if (returns) {
         chosen_[instance] = input.spare_pool;
--- a/Source/Core/Instances/move_planner.h
+++ b/Source/Core/Instances/move_planner.h
@@ -29,6 +29,8 @@
   std::map<std::string, PendingMove> pending;
   // Instances that must not be moved now.
   std::set<std::string> blocked;
+  // Instances of all pools, spare ones included.
+  int all_instances = 0;
 };
 
 struct InstanceMove {
@@ -57,9 +59,6 @@
  private:
   struct PoolNeed;
 
-  // Instances that a pool had when it was first seen: it is not shrunk below a
-  // part of that.
-  std::map<std::string, int> first_size_;
   std::map<std::string, MonoTime> idle_since_;
   // Instances chosen to move, with their target, until they are empty.
   std::map<std::string, std::string> chosen_;
--- a/Source/Core/Instances/wave_record.cc
+++ b/Source/Core/Instances/wave_record.cc
@@ -45,4 +45,19 @@
       });
 }
 
+std::string FormatHandOver(const HandOverRecord& record) {
+  return FormatCbor(json::array({record.active, record.recent}));
+}
+
+Result<HandOverRecord> ParseHandOver(absl::string_view bytes) {
+  return ParseCbor<HandOverRecord>(bytes, "handover.record",
+                                   [](const json& row) {
+                                     HandOverRecord record;
+                                     record.active = row.at(0).get<bool>();
+                                     record.recent =
+                                         row.at(1).get<std::set<std::string>>();
+                                     return record;
+                                   });
+}
+
 }  // namespace figflow
--- a/Source/Core/Instances/wave_record.h
+++ b/Source/Core/Instances/wave_record.h
@@ -2,6 +2,7 @@
 #define INSTANCES_WAVE_RECORD_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "Common/clock.h"
@@ -22,6 +23,18 @@
 // Error kInvalid.
 Result<WaveRecord> ParseWaveRecord(absl::string_view bytes);
 
+// How far the orders of earlier keepers reach. A keeper writes it as active
+// before its first order, and as handed over when it ends in good order.
+struct HandOverRecord {
+  bool active = false;
+  // Instances ordered lately by the keeper that handed over.
+  std::set<std::string> recent;
+};
+
+std::string FormatHandOver(const HandOverRecord& record);
+// Error kInvalid.
+Result<HandOverRecord> ParseHandOver(absl::string_view bytes);
+
 }  // namespace figflow
 
 #endif  // INSTANCES_WAVE_RECORD_H_
--- a/Source/Core/Ownership/owner_record.cc
+++ b/Source/Core/Ownership/owner_record.cc
@@ -32,6 +32,10 @@
   return absl::StrCat("figflow/waves/", wave);
 }
 
+std::string HandOverKey() {
+  return "figflow/handover/instances";
+}
+
 std::string LastKeyPart(absl::string_view key) {
   const size_t slash = key.rfind('/');
   return std::string(slash == absl::string_view::npos ? key
--- a/Source/Core/Ownership/owner_record.h
+++ b/Source/Core/Ownership/owner_record.h
@@ -18,6 +18,9 @@
 // Record of a maintenance wave.
 std::string WaveKey(uint64_t wave);
 
+// Tells the next keeper of the instances how the last one ended.
+std::string HandOverKey();
+
 // The scope of whoever moves and maintains instances. No pool has this name.
 inline constexpr char kInstancesScope[] = "@instances";
 
--- a/Source/Core/Ownership/store_session.h
+++ b/Source/Core/Ownership/store_session.h
@@ -16,8 +16,8 @@
   // Time to live of the lease: the time after which other daemons take over
   // from one that has stopped without a word. Renewed four times within it, so
   // that single lost calls do no harm.
-  std::chrono::milliseconds ttl{2'000};
-  std::chrono::milliseconds call_timeout{700};
+  std::chrono::milliseconds ttl{1'500};
+  std::chrono::milliseconds call_timeout{500};
 };
 
 // Keeps one lease of the store alive, to which the daemon ties its keys.
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -57,6 +57,9 @@
   double instance_move_s = 0;
   double instance_maintenance_s = 0;
   double far_factor = 0;
+  // From the signal to stop until the process is killed.
+  double stop_grace_s = 0;
+  int64_t worker_connections = 0;
 
   int64_t max_body_bytes = 0;
   int64_t max_answer_bytes = 0;
