--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -29,8 +29,8 @@
   // A call of a caller.
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpExchange>& exchange);
-  // Asks the owner of a pool to empty these instances and no others, and for
-  // its report.
+  // Asks the owner of a pool to empty these workers and no others, and for its
+  // report.
   void AskPool(const std::string& pool,
                const std::set<std::string>& evacuate,
                std::function<void(Result<PoolReport>)> done);
--- a/Source/Core/Fleet/peer_calls.h
+++ b/Source/Core/Fleet/peer_calls.h
@@ -30,7 +30,7 @@
 Result<CallerReply> ParsePeerReply(const HttpResponse& response);
 
 // The question of the instances' keeper to the owner of a pool: empty these
-// instances, and report. The answer is a PoolReport, or status 409 if the
+// workers, and report. The answer is a PoolReport, or status 409 if the
 // daemon does not own the pool.
 struct PoolQuestion {
   std::string pool;
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -365,14 +365,14 @@
 }
 
 Result<PoolReport> PoolRunner::Evacuate(
-    const std::set<std::string>& instances) {
+    const std::set<std::string>& workers) {
   Result<PoolReport> report =
       Fail(ErrorCode::kUnavailable, "pool.evacuate", claim_.pool,
            "the pool is not owned here");
   Run([&](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     if (TakesCalls()) {
-      scheduler.SetEvacuating(instances, now);
+      scheduler.SetEvacuating(workers, now);
       report = scheduler.Report(now);
     }
   });
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -60,9 +60,9 @@
   Result<JobView> Query(const std::string& job);
   Result<int64_t> CountPending(const std::string& queue);
 
-  // Empties these instances and no others, and reports. kUnavailable unless the
+  // Empties these workers and no others, and reports. kUnavailable unless the
   // pool is active.
-  Result<PoolReport> Evacuate(const std::set<std::string>& instances);
+  Result<PoolReport> Evacuate(const std::set<std::string>& workers);
 
   // Does what is due. Returns when to call again.
   MonoTime Tick(MonoTime now);
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -290,6 +290,44 @@
       });
 }
 
+std::string InstanceKeeper::WorkerOn(const std::string& instance) const {
+  for (const auto& [pool, report] : reports_) {
+    for (const WorkerLoad& load : report.workers) {
+      if (load.instance == instance) {
+        return load.worker;
+      }
+    }
+  }
+  return "";
+}
+
+std::set<std::string> InstanceKeeper::WorkersToEmpty() const {
+  std::set<std::string> instances = emptying_for_moves_;
+  std::set<std::string> workers;
+  for (const auto& [number, wave] : waves_) {
+    for (const std::string& instance : wave.emptying) {
+      const auto before = wave.worker_before.find(instance);
+      if (before != wave.worker_before.end()) {
+        workers.insert(before->second);
+      } else {
+        instances.insert(instance);
+      }
+    }
+  }
+  for (const auto& [instance, move] : moving_) {
+    instances.erase(instance);
+    workers.insert(move.worker);
+  }
+  for (const auto& [pool, report] : reports_) {
+    for (const WorkerLoad& load : report.workers) {
+      if (instances.count(load.instance) > 0) {
+        workers.insert(load.worker);
+      }
+    }
+  }
+  return workers;
+}
+
 bool InstanceKeeper::AskPools(MonoTime now) {
   std::map<std::string, std::set<std::string>> to_ask;
   {
@@ -298,10 +336,7 @@
       return false;
     }
     next_ask_ = now + kAskInterval;
-    std::set<std::string> evacuate = emptying_for_moves_;
-    for (const auto& [number, wave] : waves_) {
-      evacuate.insert(wave.emptying.begin(), wave.emptying.end());
-    }
+    const std::set<std::string> evacuate = WorkersToEmpty();
     for (const PoolConfig& pool : plan_->pools) {
       if (!pool.spare && asking_.insert(pool.name).second) {
         to_ask[pool.name] = evacuate;
@@ -443,7 +478,7 @@
     }
     moves.swap(moves_to_send_);
     for (const InstanceMove& move : moves) {
-      moving_[move.instance] = {move.pool, now};
+      moving_[move.instance] = {move.pool, now, WorkerOn(move.instance)};
       ordered_at_[move.instance] = now;
       ++orders_in_flight_;
     }
@@ -472,7 +507,9 @@
   absl::MutexLock lock(&mutex_);
   const MonoTime now = clock_.Now();
   if (answer && *answer == InstanceAnswer::kDone) {
-    moving_[move.instance] = {move.pool, now};
+    PendingMove& pending = moving_[move.instance];
+    pending.pool = move.pool;
+    pending.ordered_at = now;
     LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
              {{"instance", move.instance}, {"pool", move.pool}});
     return;
@@ -518,7 +555,9 @@
                                    wave.emptying, options, now);
     wave.emptying = plan.evacuate;
     for (const auto& [instance, step] : wave.state.instances) {
-      if (step == MaintenanceStep::kOrdered) {
+      const bool old_worker = step == MaintenanceStep::kDown &&
+                              wave.worker_before.count(instance) > 0;
+      if (step == MaintenanceStep::kOrdered || old_worker) {
         wave.emptying.insert(instance);
       }
     }
@@ -527,6 +566,7 @@
         wave.state.instances[instance] = MaintenanceStep::kOrdered;
         wave.changed = true;
         wave.emptying.insert(instance);
+        wave.worker_before[instance] = WorkerOn(instance);
         wave.to_order.push_back(instance);
       }
     }
@@ -676,7 +716,6 @@
     case InstanceAnswer::kDone:
       wave.state.instances[instance] = MaintenanceStep::kDown;
       wave.answered_at[instance] = now;
-      wave.emptying.erase(instance);
       wave.changed = true;
       LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
                {{"wave", absl::StrCat(number)}, {"instance", instance}});
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -39,8 +39,8 @@
 // allows. Thread-safe.
 class InstanceKeeper : public std::enable_shared_from_this<InstanceKeeper> {
  public:
-  // Asks the owner of a pool to empty these instances and no others, and for
-  // its report.
+  // Asks the owner of a pool to empty these workers and no others, and for its
+  // report.
   using AskPool =
       std::function<void(const std::string& pool,
                          const std::set<std::string>& evacuate,
@@ -75,6 +75,8 @@
     MaintenanceWave asked;
     WaveState state;
     WallTime due;
+    // The worker on the instance when its maintenance was planned.
+    std::map<std::string, std::string> worker_before;
     // When the order for the instance was answered.
     std::map<std::string, MonoTime> answered_at;
     bool loaded = false;
@@ -99,6 +101,12 @@
   void OnReport(const std::string& pool, Result<PoolReport> report);
   void ReadList(MonoTime now);
   void OnList(MonoTime sent_at, const Result<std::vector<Instance>>& list);
+  // Workers that get no tasks: what is to be moved or maintained, and what has
+  // been ordered so and may still show.
+  std::set<std::string> WorkersToEmpty() const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  std::string WorkerOn(const std::string& instance) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::map<std::string, PoolReport> FreshReports(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -38,6 +38,17 @@
   // Millicores that the pool should have.
   double wanted = 0;
 
+  // Work waits that the pool cannot do soon by itself.
+  bool Short() const {
+    return BacklogSeconds() >= kToleratedBacklogSeconds ||
+           report->waiting_perpetual > 0;
+  }
+
+  // Work waits.
+  bool Busy() const {
+    return BacklogSeconds() > 0 || report->waiting_perpetual > 0;
+  }
+
   double BacklogSeconds() const {
     const double usable = std::max(1.0, capacity * kUsableShare);
     return static_cast<double>(report->backlog_millicore_ms) / 1000.0 / usable;
@@ -66,7 +77,8 @@
       need->second.incoming += instance_size;
     }
   }
-  if (instance_size <= 0) {
+  // Without the list of all instances nothing is known of the pools' shares.
+  if (instance_size <= 0 || input.all_instances == 0) {
     return plan;
   }
   const double floor =
@@ -79,6 +91,11 @@
          static_cast<double>(report.backlog_millicore_ms) / 1000.0 /
              kDrainSeconds) /
         kUsableShare;
+    // Whatever keeps a perpetual task from the present workers, one more may
+    // take it.
+    if (report.waiting_perpetual > 0) {
+      need.wanted = std::max(need.wanted, need.capacity + instance_size);
+    }
   }
 
   // Idle instances by pool, and since when.
@@ -137,7 +154,7 @@
             });
   int planned = 0;
   for (PoolNeed* need : by_need) {
-    if (need->BacklogSeconds() < kToleratedBacklogSeconds) {
+    if (!need->Short()) {
       continue;
     }
     const std::string& name = need->report->pool;
@@ -152,7 +169,7 @@
         for (auto& [other, candidate] : needs) {
           const bool gives =
               &candidate != need && !idle[other].empty() &&
-              candidate.BacklogSeconds() <= 0 &&
+              !candidate.Busy() &&
               candidate.wanted < kDonorLoad * (candidate.capacity -
                                                instance_size) &&
               candidate.size > floor;
@@ -185,7 +202,7 @@
     return plan;
   }
   for (auto& [name, need] : needs) {
-    if (need.BacklogSeconds() > 0) {
+    if (need.Busy()) {
       continue;
     }
     for (const std::string& instance : idle[name]) {
--- a/Source/Core/Instances/move_planner.h
+++ b/Source/Core/Instances/move_planner.h
@@ -17,6 +17,8 @@
 struct PendingMove {
   std::string pool;
   MonoTime ordered_at;
+  // The worker that the move ends; empty for an instance without one.
+  std::string worker;
 };
 
 struct MoveInput {
--- a/Source/Core/Scheduling/placement.cc
+++ b/Source/Core/Scheduling/placement.cc
@@ -53,9 +53,8 @@
     const bool far = !stage.preferred_rack.empty() &&
                      option.report->rack != stage.preferred_rack;
     const double left = ShareLeft(option, size);
-    const Rank rank{failed, option.doubtful, far,
-                    stage.perpetual ? option.perpetual_tasks : 0,
-                    stage.perpetual ? -left : left};
+    const bool opens_worker = stage.perpetual && option.perpetual_tasks == 0;
+    const Rank rank{failed, option.doubtful, far, opens_worker ? 1 : 0, left};
     if (best < 0 || rank < best_rank) {
       best = static_cast<int>(i);
       best_rank = rank;
--- a/Source/Core/Scheduling/placement.h
+++ b/Source/Core/Scheduling/placement.h
@@ -30,8 +30,9 @@
 //
 // Load pattern: at the peak of a queue its pool is full, and tasks of very
 // different sizes compete. The fullest worker that fits is taken, so that room
-// for large tasks is left in one piece. Perpetual tasks are spread instead:
-// each worker that is lost or maintained then takes few of them along.
+// for large tasks is left in one piece, and idle workers stay idle and can be
+// lent to other pools. Perpetual tasks go to workers that have some already:
+// those are the ones that cannot be lent.
 int ChooseWorker(const PlacementRequest& request,
                  const std::vector<WorkerOption>& options,
                  const std::vector<int>& stage_tasks);
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -38,6 +38,8 @@
   int64_t offered_millicores = 0;
   // Asked for by perpetual tasks.
   int64_t perpetual_millicores = 0;
+  // Perpetual tasks that found no worker.
+  int waiting_perpetual = 0;
   std::vector<WorkerLoad> workers;
 };
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -106,9 +106,9 @@
   // The store holds the records of the last TakeWrites.
   void OnWritten(MonoTime now);
 
-  // Empties the workers on these instances, and no others, as long as it is
-  // asked for at least every 2 s.
-  void SetEvacuating(const std::set<std::string>& instances, MonoTime now);
+  // Empties these workers and no others, as long as it is asked for at least
+  // every 2 s.
+  void SetEvacuating(const std::set<std::string>& workers, MonoTime now);
   PoolReport Report(MonoTime now);
 
   // Orders may be sent and leases renewed. False while this daemon is not
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -30,10 +30,10 @@
 
 }  // namespace
 
-void PoolScheduler::SetEvacuating(const std::set<std::string>& instances,
+void PoolScheduler::SetEvacuating(const std::set<std::string>& workers,
                                   MonoTime now) {
   for (auto& [key, worker] : workers_) {
-    const bool wanted = instances.count(worker->report.instance) > 0;
+    const bool wanted = workers.count(key.id) > 0;
     if (wanted) {
       worker->evacuation_asked = now;
     }
@@ -81,6 +81,11 @@
     Task& task = ref.Get();
     if (task.phase == TaskPhase::kPlanned && !ref.Spec().gang) {
       // No order was sent.
+      LogEvent(LogLevel::kInfo, LogCategory::kJobs, "assignment_withdrawn",
+               {{"task", TaskText(ref.Name())},
+                {"run", absl::StrCat(task.run)},
+                {"worker", worker.report.key.id},
+                {"cause", worker.evacuating ? "evacuation" : "draining"}});
       ReturnTask(ref, now);
       continue;
     }
@@ -89,8 +94,7 @@
       continue;
     }
     if (ref.Spec().perpetual) {
-      // A worker that leaves by itself takes its tasks along in any case.
-      if (worker.report.draining || MayStopPerpetual(ref)) {
+      if (MayStopPerpetual(ref)) {
         RequestStop(worker, ref.Name(), task.run, Resources(), now);
       } else {
         Wake(now + kEndByItself / 4);
@@ -145,7 +149,9 @@
         const int64_t asked = waiting * CountedSize(spec).cpu_millicores;
         if (IsReady(*job, occurrence, i)) {
           report.waiting_millicores += asked;
-          if (!spec.perpetual) {
+          if (spec.perpetual) {
+            report.waiting_perpetual += waiting;
+          } else {
             report.backlog_millicore_ms +=
                 asked * PredictedDuration(*job, spec).count();
           }
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -107,7 +107,11 @@
 }
 
 bool PoolScheduler::WantsHold(const WorkerState& worker) const {
-  if (!worker.fenced || !worker.stops.empty() || !worker.notes.empty() ||
+  // A listed worker that did not answer is asked until it does: it gets no
+  // tasks before.
+  const bool silent = worker.listed && worker.misses > 0;
+  if (!worker.fenced || silent || !worker.stops.empty() ||
+      !worker.notes.empty() ||
       worker.acknowledged > worker.acknowledged_there) {
     return true;
   }
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -97,6 +97,7 @@
                                std::chrono::milliseconds clock,
                                MonoTime now) {
   worker.last_answer = now;
+  dispatch_wanted_ = dispatch_wanted_ || worker.misses > 0;
   worker.misses = 0;
   worker.next_hold = MonoTime::min();
   if (clock.count() > 0) {
