Tell owners at once of workers that ended with a move or maintenance

Cause: the registry keeps a worker's entry 4.5 s after its end.

Change: the keeper names workers that ended with an answered order; a new worker on the same instance ends the earlier one in any pool. Evacuations name workers, not instances.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -105,9 +105,9 @@
       engine(*platform, clock, metrics, EngineOptions(settings)),
       router(engine, *platform, *client, clock, metrics) {
   engine.SetAskPool([this](const std::string& pool,
-                           const std::set<std::string>& evacuate,
+                           const WorkerOrders& orders,
                            std::function<void(Result<PoolReport>)> done) {
-    router.AskPool(pool, evacuate, std::move(done));
+    router.AskPool(pool, orders, std::move(done));
   });
   client->SetConnectionLimit(settings.platform_address.ToString(),
                              kStoreConnections);
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -256,11 +256,11 @@
 }
 
 void CallRouter::AskPool(const std::string& pool,
-                         const std::set<std::string>& evacuate,
+                         const WorkerOrders& orders,
                          std::function<void(Result<PoolReport>)> done) {
   const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(pool);
   if (runner != nullptr) {
-    done(runner->Evacuate(evacuate));
+    done(runner->Ask(orders));
     return;
   }
   const std::optional<OwnerRecord> owner = engine_.OwnerOf(pool);
@@ -271,7 +271,7 @@
   TransferRequest transfer;
   transfer.address = owner->address;
   transfer.message =
-      std::make_shared<HttpRequest>(FormatPoolQuestion({pool, evacuate}));
+      std::make_shared<HttpRequest>(FormatPoolQuestion({pool, orders}));
   transfer.deadline = clock_.Now() + kPeerTimeout;
   peers_.Start(std::move(transfer),
                [pool, done = std::move(done)](const TransferResult& result) {
@@ -294,7 +294,7 @@
         runner == nullptr
             ? Result<PoolReport>(Fail(ErrorCode::kUnavailable, kAskStep,
                                       question->pool, "not the owner"))
-            : runner->Evacuate(question->evacuate);
+            : runner->Ask(question->orders);
     exchange->Respond(report ? HttpResponse{kOk, {}, FormatPoolReport(*report)}
                              : HttpResponse{kNotOwner, {}, ""});
     return;
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -29,10 +29,9 @@
   // A call of a caller.
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpExchange>& exchange);
-  // Asks the owner of a pool to empty these workers and no others, and for its
-  // report.
+  // Passes orders to the owner of a pool and asks for its report.
   void AskPool(const std::string& pool,
-               const std::set<std::string>& evacuate,
+               const WorkerOrders& orders,
                std::function<void(Result<PoolReport>)> done);
   // A call that a peer passed on; it is not passed on again.
   void HandlePeer(const HttpRequest& request,
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -498,6 +498,8 @@
   }
   std::shared_ptr<PoolRunner> left;
   std::shared_ptr<PoolRunner> runner;
+  std::shared_ptr<PoolRunner> earlier;
+  std::string ended;
   {
     absl::MutexLock lock(&mutex_);
     const auto find = [this](const std::string& pool) {
@@ -510,6 +512,17 @@
         (!report || known->second.pool != report->pool)) {
       left = find(known->second.pool);
     }
+    if (report && !report->instance.empty()) {
+      WorkerKey& latest = worker_on_[report->instance];
+      if (latest.id != id && latest.incarnation < report->key.incarnation) {
+        ended = latest.id;
+        latest = report->key;
+        const auto other = reports_.find(ended);
+        if (other != reports_.end()) {
+          earlier = find(other->second.pool);
+        }
+      }
+    }
     if (report) {
       reports_[id] = *report;
       runner = find(report->pool);
@@ -517,6 +530,9 @@
       reports_.erase(known);
     }
   }
+  if (earlier) {
+    earlier->OnWorkerEnded(ended);
+  }
   if (left) {
     left->OnWorkerUnlisted(id);
   }
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -120,6 +120,8 @@
   mutable absl::Mutex mutex_;
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
+  // Latest worker of each instance.
+  std::map<std::string, WorkerKey> worker_on_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Owner> known_owners_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, std::shared_ptr<PoolRunner>> runners_
       ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -110,7 +110,8 @@
   request.method = "POST";
   request.target = kPoolPath;
   request.headers = {{"Content-Type", "application/cbor"}};
-  request.body = FormatCbor(json::array({question.pool, question.evacuate}));
+  request.body = FormatCbor(json::array(
+      {question.pool, question.orders.evacuate, question.orders.ended}));
   return request;
 }
 
@@ -120,7 +121,8 @@
   }
   return ParseCbor<PoolQuestion>(request.body, kStep, [](const json& row) {
     return PoolQuestion{row.at(0).get<std::string>(),
-                        row.at(1).get<std::set<std::string>>()};
+                        {row.at(1).get<std::set<std::string>>(),
+                         row.at(2).get<std::set<std::string>>()}};
   });
 }
 
--- a/Source/Core/Fleet/peer_calls.h
+++ b/Source/Core/Fleet/peer_calls.h
@@ -1,12 +1,12 @@
 #ifndef FLEET_PEER_CALLS_H_
 #define FLEET_PEER_CALLS_H_
 
-#include <set>
 #include <string>
 
 #include "Common/error.h"
 #include "Fleet/platform_adapter.h"
 #include "Http/http_message.h"
+#include "Scheduling/pool_report.h"
 
 namespace figflow {
 
@@ -29,12 +29,11 @@
 // Error kInvalid.
 Result<CallerReply> ParsePeerReply(const HttpResponse& response);
 
-// The question of the instances' keeper to the owner of a pool: empty these
-// workers, and report. The answer is a PoolReport, or status 409 if the
-// daemon does not own the pool.
+// The question of the instances' keeper to the owner of a pool. The answer is a
+// PoolReport, or status 409 if the daemon does not own the pool.
 struct PoolQuestion {
   std::string pool;
-  std::set<std::string> evacuate;
+  WorkerOrders orders;
 };
 
 HttpRequest FormatPoolQuestion(const PoolQuestion& question);
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -364,15 +364,27 @@
   return scheduler_->CountPending(queue);
 }
 
-Result<PoolReport> PoolRunner::Evacuate(
-    const std::set<std::string>& workers) {
+void PoolRunner::OnWorkerEnded(const std::string& worker) {
+  {
+    absl::MutexLock lock(&mutex_);
+    reports_.erase(worker);
+  }
+  Run([&](PoolScheduler& scheduler, MonoTime now) {
+    scheduler.OnWorkerEnded(worker, now);
+  });
+}
+
+Result<PoolReport> PoolRunner::Ask(const WorkerOrders& orders) {
   Result<PoolReport> report =
-      Fail(ErrorCode::kUnavailable, "pool.evacuate", claim_.pool,
+      Fail(ErrorCode::kUnavailable, "pool.ask", claim_.pool,
            "the pool is not owned here");
   Run([&](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     if (TakesCalls()) {
-      scheduler.SetEvacuating(workers, now);
+      for (const std::string& worker : orders.ended) {
+        scheduler.OnWorkerEnded(worker, now);
+      }
+      scheduler.SetEvacuating(orders.evacuate, now);
       report = scheduler.Report(now);
     }
   });
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "Common/clock.h"
@@ -60,9 +59,11 @@
   Result<JobView> Query(const std::string& job);
   Result<int64_t> CountPending(const std::string& queue);
 
-  // Empties these workers and no others, and reports. kUnavailable unless the
-  // pool is active.
-  Result<PoolReport> Evacuate(const std::set<std::string>& workers);
+  // Carries out what the instances' keeper asks, and reports. kUnavailable
+  // unless the pool is active.
+  Result<PoolReport> Ask(const WorkerOrders& orders);
+  // A later worker runs on the instance of this one.
+  void OnWorkerEnded(const std::string& worker);
 
   // Does what is due. Returns when to call again.
   MonoTime Tick(MonoTime now);
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds kMoveForgotten{6'000};
 // A report older than this says too little about what runs.
 constexpr std::chrono::milliseconds kReportAge{700};
+// The registry drops a worker that has ended within this time.
+constexpr std::chrono::seconds kEndedKept{10};
 // An order that was turned away or not answered is repeated after this time.
 constexpr std::chrono::milliseconds kRepeat{300};
 
@@ -301,9 +303,15 @@
   return "";
 }
 
-std::set<std::string> InstanceKeeper::WorkersToEmpty() const {
+WorkerOrders InstanceKeeper::OrdersForPools(MonoTime now) const {
+  WorkerOrders orders;
+  for (const auto& [worker, since] : ended_) {
+    if (now - since < kEndedKept) {
+      orders.ended.insert(worker);
+    }
+  }
   std::set<std::string> instances = emptying_for_moves_;
-  std::set<std::string> workers;
+  std::set<std::string>& workers = orders.evacuate;
   for (const auto& [number, wave] : waves_) {
     for (const std::string& instance : wave.emptying) {
       const auto before = wave.worker_before.find(instance);
@@ -325,28 +333,28 @@
       }
     }
   }
-  return workers;
+  return orders;
 }
 
 bool InstanceKeeper::AskPools(MonoTime now) {
-  std::map<std::string, std::set<std::string>> to_ask;
+  std::set<std::string> to_ask;
+  WorkerOrders orders;
   {
     absl::MutexLock lock(&mutex_);
     if (now < next_ask_) {
       return false;
     }
     next_ask_ = now + kAskInterval;
-    const std::set<std::string> evacuate = WorkersToEmpty();
+    orders = OrdersForPools(now);
     for (const PoolConfig& pool : plan_->pools) {
       if (!pool.spare && asking_.insert(pool.name).second) {
-        to_ask[pool.name] = evacuate;
+        to_ask.insert(pool.name);
       }
     }
   }
-  for (const auto& [pool, evacuate] : to_ask) {
-    ask_pool_(pool, evacuate,
-              [self = shared_from_this(),
-               pool = pool](Result<PoolReport> report) {
+  for (const std::string& pool : to_ask) {
+    ask_pool_(pool, orders,
+              [self = shared_from_this(), pool](Result<PoolReport> report) {
                 self->OnReport(pool, std::move(report));
               });
   }
@@ -510,6 +518,7 @@
     PendingMove& pending = moving_[move.instance];
     pending.pool = move.pool;
     pending.ordered_at = now;
+    ended_[pending.worker] = now;
     LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
              {{"instance", move.instance}, {"pool", move.pool}});
     return;
@@ -716,6 +725,7 @@
     case InstanceAnswer::kDone:
       wave.state.instances[instance] = MaintenanceStep::kDown;
       wave.answered_at[instance] = now;
+      ended_[wave.worker_before[instance]] = now;
       wave.changed = true;
       LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
                {{"wave", absl::StrCat(number)}, {"instance", instance}});
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -39,11 +39,10 @@
 // allows. Thread-safe.
 class InstanceKeeper : public std::enable_shared_from_this<InstanceKeeper> {
  public:
-  // Asks the owner of a pool to empty these workers and no others, and for its
-  // report.
+  // Passes orders to the owner of a pool and asks for its report.
   using AskPool =
       std::function<void(const std::string& pool,
-                         const std::set<std::string>& evacuate,
+                         const WorkerOrders& orders,
                          std::function<void(Result<PoolReport>)> done)>;
 
   InstanceKeeper(PlatformAdapter& platform,
@@ -101,9 +100,8 @@
   void OnReport(const std::string& pool, Result<PoolReport> report);
   void ReadList(MonoTime now);
   void OnList(MonoTime sent_at, const Result<std::vector<Instance>>& list);
-  // Workers that get no tasks: what is to be moved or maintained, and what has
-  // been ordered so and may still show.
-  std::set<std::string> WorkersToEmpty() const
+  // Empties what is to be moved or maintained, until its end is certain.
+  WorkerOrders OrdersForPools(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::string WorkerOn(const std::string& instance) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -169,6 +167,8 @@
   std::set<std::string> emptying_for_moves_ ABSL_GUARDED_BY(mutex_);
   std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, PendingMove> moving_ ABSL_GUARDED_BY(mutex_);
+  // Workers that certainly have ended, and since when.
+  std::map<std::string, MonoTime> ended_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -2,6 +2,7 @@
 #define SCHEDULING_POOL_REPORT_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,15 @@
 
 namespace figflow {
 
+// What the keeper of the instances asks of a pool's owner, by worker id.
+struct WorkerOrders {
+  // Get no new tasks and are emptied; no others.
+  std::set<std::string> evacuate;
+  // Have ended together with all that ran on them: their instance was moved or
+  // is being maintained. The registry may list them for some seconds more.
+  std::set<std::string> ended;
+};
+
 // One worker of a pool, as its owner sees it.
 struct WorkerLoad {
   std::string worker;
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -75,6 +75,9 @@
   // The registry has dropped it, which proves nothing about what it runs.
   void OnWorkerUnlisted(const std::string& id, MonoTime now);
 
+  // The worker's instance has been given to another worker, or switched off.
+  void OnWorkerEnded(const std::string& id, MonoTime now);
+
   // Takes a job. The reply comes with the output, once it is certain.
   void Submit(JobSpec spec,
               std::string spec_bytes,
@@ -169,7 +172,7 @@
   void FailTask(const TaskRef& ref, WorkerState& worker, MonoTime now);
   void BreakGang(const TaskRef& ref, MonoTime now);
   // The worker runs nothing any more.
-  void OnWorkerEnded(WorkerState& worker, const char* cause, MonoTime now);
+  void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
   // Ends a run for good; the task stays out of the waiting ones until then.
   void RequestStop(WorkerState& worker,
                    const TaskName& name,
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -18,11 +18,13 @@
 constexpr std::chrono::milliseconds kEvacuationExpires{2'000};
 constexpr int kAtWork = 100;
 
+// Not known to be at work. What runs on a worker that does not answer may be
+// gone already.
 bool IsAway(const WorkerState* worker,
             const Task& task,
             const TaskRef& ref) {
   if (task.phase != TaskPhase::kRunning || task.percent < kAtWork ||
-      worker == nullptr) {
+      worker == nullptr || worker->misses > 0) {
     return true;
   }
   return worker->HasStop(ref.Name(), task.run);
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -75,7 +75,7 @@
     const bool busy = !worker.tasks.empty() || !worker.stops.empty();
     if (!reached && busy) {
       if (now >= worker.DeadAt()) {
-        OnWorkerEnded(worker, "lease-ran-out", now);
+        EndWorker(worker, "lease-ran-out", now);
       } else {
         Wake(worker.DeadAt());
       }
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -47,7 +47,7 @@
         !report.instance.empty() && other.report.instance == report.instance;
     if (key != report.key && (key.id == report.key.id || same_instance) &&
         key.incarnation <= report.key.incarnation) {
-      OnWorkerEnded(other, "replaced", now);
+      EndWorker(other, "replaced", now);
       workers_.erase(key);
     }
   }
@@ -115,9 +115,9 @@
   worker.next_hold = now + kHoldRetry;
 }
 
-void PoolScheduler::OnWorkerEnded(WorkerState& worker,
-                                  const char* cause,
-                                  MonoTime now) {
+void PoolScheduler::EndWorker(WorkerState& worker,
+                              const char* cause,
+                              MonoTime now) {
   if (!worker.tasks.empty()) {
     stats_->workers_lost.Add();
     stats_->runs_lost.Add(worker.tasks.size());
@@ -136,6 +136,16 @@
   worker.used = Resources();
 }
 
+void PoolScheduler::OnWorkerEnded(const std::string& id, MonoTime now) {
+  for (auto& [key, worker] : workers_) {
+    if (key.id == id && (worker->listed || !worker->tasks.empty())) {
+      EndWorker(*worker, "instance-reassigned", now);
+      worker->listed = false;
+      worker->addressable = false;
+    }
+  }
+}
+
 void PoolScheduler::OnStartAnswer(const StartOrder& order,
                                   const Result<OrderAnswer>& answer,
                                   MonoTime now) {
@@ -194,7 +204,7 @@
       task.next_order = now;
       return;
     case StartAnswer::kReplaced:
-      OnWorkerEnded(*worker, "replaced", now);
+      EndWorker(*worker, "replaced", now);
       worker->addressable = false;
       return;
     case StartAnswer::kUnhealthy:
@@ -270,7 +280,7 @@
       deposed_ = true;
       return;
     case StartAnswer::kReplaced:
-      OnWorkerEnded(*worker, "replaced", now);
+      EndWorker(*worker, "replaced", now);
       worker->addressable = false;
       return;
     default:
@@ -536,7 +546,7 @@
   const bool replaced = answer->answer == StartAnswer::kReplaced ||
                         (known != 0 && shown != 0 && known != shown);
   if (replaced) {
-    OnWorkerEnded(*worker, "replaced", now);
+    EndWorker(*worker, "replaced", now);
     worker->addressable = false;
     return;
   }
