Bound how long changes of the store go unnoticed; refuse at once while it is silent

Watches now wait 2 s at most. Ruled out: TCP keep-alive, the connection was alive. Jobs that no write includes are refused once the store has been silent for 650 ms; a refusal by a later owner is certain.

Why tasks wait is logged once for a stage and 2 s, with counts of workers by obstacle.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -57,8 +57,10 @@
   MonoTime deadline;
   // After this time a call that has certainly had no effect is refused.
   MonoTime give_up;
-  // An attempt may have taken effect.
-  bool uncertain = false;
+  // Latest claim of an owner to which an attempt was sent that got no answer:
+  // it may have taken effect, or may still do so. 0 if there is none. An owner
+  // with a later claim knows what became of it.
+  uint64_t unanswered_by = 0;
   std::shared_ptr<HttpExchange> exchange;
 };
 
@@ -125,8 +127,8 @@
         [this, routed](const CallerReply& reply) { OnReply(routed, reply); });
     return;
   }
-  const std::optional<OwnerRecord> owner = engine_.OwnerOf(pool);
-  if (owner && owner->entry != engine_.entry()) {
+  const std::optional<FleetEngine::Owner> owner = engine_.OwnerOf(pool);
+  if (owner && owner->record.entry != engine_.entry()) {
     TryPeer(routed, *owner);
     return;
   }
@@ -134,14 +136,15 @@
 }
 
 void CallRouter::TryPeer(const std::shared_ptr<Routed>& routed,
-                         const OwnerRecord& owner) {
+                         const FleetEngine::Owner& owner) {
   TransferRequest transfer;
-  transfer.address = owner.address;
+  transfer.address = owner.record.address;
   transfer.message = std::make_shared<HttpRequest>(
       FormatPeerCall(routed->call, routed->spec_bytes));
   const MonoTime now = clock_.Now();
   transfer.deadline = std::min(routed->deadline, now + kPeerTimeout);
-  peers_.Start(std::move(transfer), [this, routed](TransferResult result) {
+  peers_.Start(std::move(transfer), [this, routed, claim = owner.revision](
+                                        const TransferResult& result) {
     if (result.response) {
       const Result<CallerReply> reply = ParsePeerReply(*result.response);
       if (reply) {
@@ -149,7 +152,9 @@
         return;
       }
     }
-    routed->uncertain = routed->uncertain || result.sent;
+    if (result.sent) {
+      routed->unanswered_by = std::max(routed->unanswered_by, claim);
+    }
     metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
     if (routed->call.kind == CallKind::kQuery) {
       TryStore(routed);
@@ -196,13 +201,14 @@
 
 void CallRouter::TryLater(const std::shared_ptr<Routed>& routed) {
   const MonoTime now = clock_.Now();
-  const MonoTime last = routed->uncertain ? routed->deadline : routed->give_up;
+  const bool uncertain = routed->unanswered_by != 0;
+  const MonoTime last = uncertain ? routed->deadline : routed->give_up;
   if (now + kTryAgain < last) {
     engine_.After(kTryAgain, [this, routed] { Try(routed); });
     return;
   }
   CallerReply reply = Unavailable("no-owner");
-  if (routed->uncertain && routed->call.kind == CallKind::kSubmit) {
+  if (uncertain && routed->call.kind == CallKind::kSubmit) {
     reply.outcome = CallOutcome::kUnknown;
   }
   Finish(routed, reply);
@@ -215,12 +221,12 @@
       TryLater(routed);
       return;
     case CallOutcome::kUnknown:
-      routed->uncertain = true;
+      routed->unanswered_by = std::max(routed->unanswered_by, reply.fence);
       TryLater(routed);
       return;
     case CallOutcome::kRefused:
-      // The refusal covers this attempt only.
-      if (routed->uncertain) {
+      // The refusal covers earlier attempts only if their owner is deposed.
+      if (routed->unanswered_by >= reply.fence && routed->unanswered_by != 0) {
         TryLater(routed);
         return;
       }
@@ -263,13 +269,13 @@
     done(runner->Ask(orders));
     return;
   }
-  const std::optional<OwnerRecord> owner = engine_.OwnerOf(pool);
-  if (!owner || owner->entry == engine_.entry()) {
+  const std::optional<FleetEngine::Owner> owner = engine_.OwnerOf(pool);
+  if (!owner || owner->record.entry == engine_.entry()) {
     done(Fail(ErrorCode::kUnavailable, kAskStep, pool, "no owner is known"));
     return;
   }
   TransferRequest transfer;
-  transfer.address = owner->address;
+  transfer.address = owner->record.address;
   transfer.message =
       std::make_shared<HttpRequest>(FormatPoolQuestion({pool, orders}));
   transfer.deadline = clock_.Now() + kPeerTimeout;
@@ -321,8 +327,10 @@
   }
   switch (call.kind) {
     case CallKind::kSubmit: {
-      const auto on_reply = [done](const SubmitReply& result) {
+      const uint64_t fence = runner->claim().revision;
+      const auto on_reply = [done, fence](const SubmitReply& result) {
         CallerReply reply;
+        reply.fence = fence;
         reply.reason = result.reason;
         reply.retry_after = result.retry_after;
         switch (result.outcome) {
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -47,7 +47,8 @@
                   const std::string& spec_bytes,
                   Reply done);
   void Try(const std::shared_ptr<Routed>& routed);
-  void TryPeer(const std::shared_ptr<Routed>& routed, const OwnerRecord& owner);
+  void TryPeer(const std::shared_ptr<Routed>& routed,
+               const FleetEngine::Owner& owner);
   void TryStore(const std::shared_ptr<Routed>& routed);
   void TryLater(const std::shared_ptr<Routed>& routed);
   void OnReply(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -598,13 +598,14 @@
   return it == runners_.end() ? nullptr : it->second;
 }
 
-std::optional<OwnerRecord> FleetEngine::OwnerOf(const std::string& pool) const {
+std::optional<FleetEngine::Owner> FleetEngine::OwnerOf(
+    const std::string& pool) const {
   absl::MutexLock lock(&mutex_);
   const auto it = known_owners_.find(pool);
   if (it == known_owners_.end()) {
     return std::nullopt;
   }
-  return it->second.record;
+  return it->second;
 }
 
 bool FleetEngine::releasing() const {
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -69,7 +69,7 @@
   // Null unless this daemon owns the pool and has read its records.
   std::shared_ptr<PoolRunner> OwnRunner(const std::string& pool) const;
   // None while no owner is known.
-  std::optional<OwnerRecord> OwnerOf(const std::string& pool) const;
+  std::optional<Owner> OwnerOf(const std::string& pool) const;
   const std::string& entry() const { return options_.entry; }
   bool releasing() const;
 
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -85,7 +85,8 @@
   response.headers = {{"Content-Type", "application/cbor"}};
   response.body = FormatCbor(json::array(
       {static_cast<int>(reply.outcome), static_cast<int>(reply.status),
-       reply.started, reply.pending, reply.retry_after.count(), reply.reason}));
+       reply.started, reply.pending, reply.retry_after.count(), reply.reason,
+       reply.fence}));
   return response;
 }
 
@@ -101,6 +102,7 @@
     reply.pending = row.at(3).get<int64_t>();
     reply.retry_after = std::chrono::milliseconds(row.at(4).get<int64_t>());
     reply.reason = row.at(5).get<std::string>();
+    reply.fence = row.at(6).get<uint64_t>();
     return reply;
   });
 }
--- a/Source/Core/Fleet/platform_adapter.h
+++ b/Source/Core/Fleet/platform_adapter.h
@@ -58,6 +58,8 @@
   // For kRefused and kUnavailable: when to come back.
   std::chrono::milliseconds retry_after{0};
   std::string reason;
+  // Claim of the pool's owner that answered; 0 if none did.
+  uint64_t fence = 0;
 };
 
 // Instances that are to be maintained, a few at a time.
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -11,6 +11,13 @@
 
 constexpr std::chrono::milliseconds kReadTimeout{1'000};
 constexpr std::chrono::milliseconds kReadRetry{100};
+// A write that has not been answered for this long means that the store is
+// silent: a slow one answers within 300 ms, and a single lost answer is made up
+// for by the repeated call.
+constexpr std::chrono::milliseconds kStoreSilent{650};
+// Told to callers whose job was refused for that reason. Outages of the store
+// last some seconds; callers that come back one by one find out.
+constexpr std::chrono::milliseconds kComeBackAfterSilence{1'000};
 // Least time between the starts of two writes of a pool. Each call of the store
 // is paid for; waiting this long delays a job by about one hundredth.
 constexpr std::chrono::milliseconds kWriteGap{25};
@@ -171,22 +178,9 @@
                           active && now < certain_until_ + kRenewalGrace);
   next_step_ = scheduler_->Step(now, parts_.clock.WallNow());
   work->output = scheduler_->TakeOutput();
+  TakeReplies(&work->output, work);
   work->wake = next_step_;
   deposed_ = deposed_ || scheduler_->deposed();
-  for (const SubmitReply& reply : work->output.submit_replies) {
-    const auto it = submits_.find(reply.token);
-    if (it != submits_.end()) {
-      work->submit_replies.emplace_back(std::move(it->second), reply);
-      submits_.erase(it);
-    }
-  }
-  for (const CancelReply& reply : work->output.cancel_replies) {
-    const auto it = cancels_.find(reply.token);
-    if (it != cancels_.end()) {
-      work->cancel_replies.emplace_back(std::move(it->second), reply.outcome);
-      cancels_.erase(it);
-    }
-  }
   // A busy pool changes several times within the gap; one write then carries
   // all of it.
   const MonoTime write_at = written_at_ + kWriteGap;
@@ -199,12 +193,39 @@
     work->writer = writer_;
     writing_ = true;
   }
+  if (writing_ && active) {
+    if (now >= written_at_ + kStoreSilent) {
+      scheduler_->RefuseUnwritten(kComeBackAfterSilence, now);
+      SchedulerOutput refusals = scheduler_->TakeOutput();
+      TakeReplies(&refusals, work);
+    } else {
+      next_step_ = std::min(next_step_, written_at_ + kStoreSilent);
+      work->wake = next_step_;
+    }
+  }
   if (!writing_ && state_ == State::kReleasing) {
     work->released = std::move(on_released_);
     on_released_ = nullptr;
   }
 }
 
+void PoolRunner::TakeReplies(SchedulerOutput* output, Work* work) {
+  for (const SubmitReply& reply : output->submit_replies) {
+    const auto it = submits_.find(reply.token);
+    if (it != submits_.end()) {
+      work->submit_replies.emplace_back(std::move(it->second), reply);
+      submits_.erase(it);
+    }
+  }
+  for (const CancelReply& reply : output->cancel_replies) {
+    const auto it = cancels_.find(reply.token);
+    if (it != cancels_.end()) {
+      work->cancel_replies.emplace_back(std::move(it->second), reply.outcome);
+      cancels_.erase(it);
+    }
+  }
+}
+
 void PoolRunner::CarryOut(Work work) {
   const auto self = shared_from_this();
   WorkerGateway& workers = parts_.platform.workers();
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -97,6 +97,9 @@
   bool Run(Change change);
   bool TakesCalls() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Collect(Work* work) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Matches replies with the calls that wait for them.
+  void TakeReplies(SchedulerOutput* output, Work* work)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void CarryOut(Work work);
   void OnWritten(RecordWriter::Outcome outcome);
 
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -18,9 +18,10 @@
 struct PrefixFollowerOptions {
   std::string prefix;
   std::chrono::milliseconds call_timeout{1'500};
-  // Longest wait of one watch. A connection that has gone silent is found out
-  // by TCP keep-alive, not by this.
-  std::chrono::milliseconds wait{20'000};
+  // Longest wait of one watch. An outage of the store may swallow a waiting
+  // watch while its connection stays open, so this bounds how long changes can
+  // go unnoticed after it.
+  std::chrono::milliseconds wait{2'000};
 };
 
 // Follows the keys under a prefix: reads the range, then watches, and reads the
--- a/Source/Core/Scheduling/dispatch_order.cc
+++ b/Source/Core/Scheduling/dispatch_order.cc
@@ -1,6 +1,7 @@
 #include "Scheduling/dispatch_order.h"
 
 #include <algorithm>
+#include <array>
 #include <vector>
 
 namespace figflow {
@@ -27,6 +28,12 @@
 
 }  // namespace
 
+absl::string_view UrgencyName(Urgency urgency) {
+  constexpr std::array<absl::string_view, 5> kNames = {
+      "perpetual", "begun-in-time", "in-time", "late", "overdue"};
+  return kNames[static_cast<size_t>(urgency)];
+}
+
 WorkChain ChainOf(const JobSpec& spec,
                   const Occurrence& occurrence,
                   const DurationModel& durations) {
--- a/Source/Core/Scheduling/dispatch_order.h
+++ b/Source/Core/Scheduling/dispatch_order.h
@@ -9,6 +9,7 @@
 #include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
+#include "absl/strings/string_view.h"
 
 namespace figflow {
 
@@ -36,6 +37,8 @@
   kOverdue,
 };
 
+absl::string_view UrgencyName(Urgency urgency);
+
 // Place of a job's waiting tasks in the order; lower goes first.
 struct DispatchRank {
   Urgency urgency = Urgency::kPerpetual;
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -71,6 +71,8 @@
   std::vector<Task> tasks;
   int done = 0;
   int waiting = 0;
+  // When it was last logged why tasks of the stage wait.
+  MonoTime explained_at;
   // Tasks of the stage by worker, for the limit per worker.
   std::map<const WorkerState*, int> on_worker;
 
--- a/Source/Core/Scheduling/placement.cc
+++ b/Source/Core/Scheduling/placement.cc
@@ -63,4 +63,27 @@
   return best;
 }
 
+PlacementObstacles Explain(const PlacementRequest& request,
+                           const std::vector<WorkerOption>& options,
+                           const std::vector<int>& stage_tasks) {
+  const StageSpec& stage = *request.stage;
+  const Resources size = CountedSize(stage);
+  PlacementObstacles obstacles;
+  for (size_t i = 0; i < options.size(); ++i) {
+    const WorkerOption& option = options[i];
+    if (!stage.required_label.empty() &&
+        !HasLabel(*option.report, stage.required_label)) {
+      ++obstacles.no_label;
+    } else if (stage.max_per_worker > 0 &&
+               stage_tasks[i] >= stage.max_per_worker) {
+      ++obstacles.limit_per_worker;
+    } else if (size.cpu_millicores > option.room.cpu_millicores) {
+      ++obstacles.no_processor;
+    } else if (!size.FitsIn(option.room)) {
+      ++obstacles.no_memory;
+    }
+  }
+  return obstacles;
+}
+
 }  // namespace figflow
--- a/Source/Core/Scheduling/placement.h
+++ b/Source/Core/Scheduling/placement.h
@@ -37,6 +37,18 @@
                  const std::vector<WorkerOption>& options,
                  const std::vector<int>& stage_tasks);
 
+// Why the workers do not take a task, as counts of workers.
+struct PlacementObstacles {
+  int no_processor = 0;
+  int no_memory = 0;
+  int limit_per_worker = 0;
+  int no_label = 0;
+};
+
+PlacementObstacles Explain(const PlacementRequest& request,
+                           const std::vector<WorkerOption>& options,
+                           const std::vector<int>& stage_tasks);
+
 }  // namespace figflow
 
 #endif  // SCHEDULING_PLACEMENT_H_
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -114,6 +114,10 @@
   void SetEvacuating(const std::set<std::string>& workers, MonoTime now);
   PoolReport Report(MonoTime now);
 
+  // Refuses the jobs that no write has included yet: the store does not answer.
+  // None of them can ever run.
+  void RefuseUnwritten(std::chrono::milliseconds retry_after, MonoTime now);
+
   // Orders may be sent and leases renewed. False while this daemon is not
   // certain to own the pool.
   void SetMayOrder(bool may_start, bool may_renew);
@@ -227,6 +231,8 @@
   SchedulerOutput output_;
   MonoTime next_wake_ = MonoTime::max();
   const MonoTime activated_;
+  // When it was last logged why something waits.
+  MonoTime explained_at_;
   // Something changed that may let a waiting task be placed.
   bool dispatch_wanted_ = true;
   bool may_start_ = true;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -2,9 +2,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/log.h"
 #include "Scheduling/dispatch_order.h"
 #include "Scheduling/placement.h"
 #include "Scheduling/pool_scheduler.h"
+#include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
@@ -12,6 +14,10 @@
 // A full pool is recognised after this many stages in a row found no room; the
 // next end or step looks again.
 constexpr int kMaxMisfits = 32;
+// A stage that waits is explained again after the first time, and the pool
+// explains one stage per gap: at a peak hundreds wait for the same reason.
+constexpr std::chrono::milliseconds kExplainInterval{2'000};
+constexpr std::chrono::milliseconds kExplainGap{250};
 
 struct ReadyStage {
   DispatchRank rank;
@@ -111,6 +117,27 @@
       chosen.emplace_back(k, worker);
     }
     const bool complete = static_cast<int>(chosen.size()) == stage.waiting;
+    if (!complete && now - stage.explained_at >= kExplainInterval &&
+        now - explained_at_ >= kExplainGap) {
+      stage.explained_at = now;
+      explained_at_ = now;
+      const PlacementObstacles why =
+          Explain({&spec, nullptr}, options, stage_tasks);
+      LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
+               {{"job", job->spec.id},
+                {"stage", absl::StrCat(item.stage)},
+                {"pool", options_.pool},
+                {"waiting",
+                 absl::StrCat(stage.waiting -
+                              static_cast<int>(chosen.size()))},
+                {"urgency", std::string(UrgencyName(item.rank.urgency))},
+                {"workers", absl::StrCat(workers_.size())},
+                {"usable", absl::StrCat(options.size())},
+                {"no_processor", absl::StrCat(why.no_processor)},
+                {"no_memory", absl::StrCat(why.no_memory)},
+                {"limit_per_worker", absl::StrCat(why.limit_per_worker)},
+                {"no_label", absl::StrCat(why.no_label)}});
+    }
     if (!complete && ++misfits > kMaxMisfits) {
       chosen.clear();
     }
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -436,6 +436,33 @@
   }
 }
 
+void PoolScheduler::RefuseUnwritten(std::chrono::milliseconds retry_after,
+                                    MonoTime now) {
+  std::deque<std::shared_ptr<Job>> kept;
+  for (const std::shared_ptr<Job>& job : changed_) {
+    if (job->durable_version > 0 || job->write_sent) {
+      kept.push_back(job);
+      continue;
+    }
+    for (const uint64_t token : job->submit_tokens) {
+      output_.submit_replies.push_back(
+          {token, SubmitOutcome::kRefused, retry_after, "store-silent"});
+      stats_->refused.Add();
+    }
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kNotFound});
+    }
+    // Planned tasks were never ordered.
+    job->status = JobStatus::kCancelled;
+    StopJobTasks(job, now);
+    open_jobs_.erase(job->spec.id);
+    finished_.erase(std::remove(finished_.begin(), finished_.end(), job),
+                    finished_.end());
+    jobs_.erase(job->spec.id);
+  }
+  changed_ = std::move(kept);
+}
+
 void PoolScheduler::Abandon() {
   for (const auto& [id, job] : jobs_) {
     for (const uint64_t token : job->submit_tokens) {
