--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -10,6 +10,7 @@
 #include "Common/metrics.h"
 #include "Fleet/call_router.h"
 #include "Fleet/fleet_engine.h"
+#include "Fleet/step_thread.h"
 #include "Http/http_client.h"
 #include "Http/http_server.h"
 #include "absl/strings/str_cat.h"
@@ -26,6 +27,7 @@
 constexpr unsigned kPeerConnections = 512;
 // The balancer probes each second and acts on the second miss.
 constexpr std::chrono::milliseconds kBalancerNotices{2'100};
+constexpr std::chrono::milliseconds kStopPoll{20};
 // Part of the grace that is left for the end of the threads.
 constexpr std::chrono::milliseconds kStopReserve{1'200};
 // Time for answers that the drain left.
@@ -64,8 +66,7 @@
   options.bounds.longest_lease = settings.longest_lease;
   options.bounds.stop_time = settings.stop_time;
   options.bounds.gang_wait = settings.gang_wait;
-  options.bounds.status_retention =
-      ToMilliseconds(settings.status_retention_s);
+  options.bounds.status_retention = ToMilliseconds(settings.status_retention_s);
   options.bounds.early_start = settings.early_start;
   options.bounds.unavailable_notice = settings.unavailable_notice;
   options.bounds.harm_time = settings.harm_time;
@@ -88,6 +89,7 @@
   std::unique_ptr<PlatformAdapter> platform;
   FleetEngine engine;
   CallRouter router;
+  StepThread thread;
   std::atomic<bool> stopping{false};
   std::unique_ptr<HttpServer> admin_server;
   std::unique_ptr<HttpServer> metrics_server;
@@ -103,9 +105,10 @@
           clock,
           metrics)),
       engine(*platform, clock, metrics, EngineOptions(settings)),
-      router(engine, *platform, *client, clock, metrics) {
-  engine.SetAskPool([this](const std::string& pool,
-                           const WorkerOrders& orders,
+      router(engine, *platform, *client, clock, metrics),
+      thread(clock, [this](MonoTime now) { return engine.Step(now); }) {
+  engine.SetWake([this](MonoTime at) { thread.WakeAt(at); });
+  engine.SetAskPool([this](const std::string& pool, const WorkerOrders& orders,
                            std::function<void(Result<PoolReport>)> done) {
     router.AskPool(pool, orders, std::move(done));
   });
@@ -124,6 +127,7 @@
     return listening;
   }
   parts_->engine.Start();
+  parts_->thread.Start();
   LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "started",
            {{"entry", settings_.entry},
             {"data_centre", settings_.data_centre},
@@ -227,15 +231,20 @@
   parts.stopping = true;
   // Calls are taken and passed on while the pools change hands, and until the
   // balancer has noticed that this daemon takes no more connections.
-  parts.engine.Release(std::min(kHandOverBound, left()));
-  const auto noticed = begun + kBalancerNotices - clock_.Now();
-  if (noticed > MonoTime::duration(0)) {
-    std::this_thread::sleep_for(std::min<MonoTime::duration>(noticed, left()));
+  parts.engine.BeginRelease();
+  const auto waits = [&] {
+    const auto passed = clock_.Now() - begun;
+    return passed < kBalancerNotices ||
+           (passed < kHandOverBound && !parts.engine.Released());
+  };
+  while (left().count() > 0 && waits()) {
+    std::this_thread::sleep_for(kStopPoll);
   }
   parts.caller_server->StopAccepting();
   parts.caller_server->WaitIdle(left());
   parts.peer_server->StopAccepting();
   parts.peer_server->WaitIdle(std::min(kLastAnswers, left()));
+  parts.thread.Stop();
   parts.engine.Stop();
   parts.caller_server->Stop();
   parts.peer_server->Stop();
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -194,6 +194,7 @@
               CallerReply reply;
               reply.outcome =
                   *accepted ? CallOutcome::kState : CallOutcome::kNoSuchJob;
+              reply.reason = "not-in-store";
               Finish(routed, reply);
             });
       });
@@ -247,12 +248,15 @@
                                CallOutcomeName(reply.outcome), "\"}"))
       .Add();
   const bool submit = routed->call.kind == CallKind::kSubmit;
-  if (submit && reply.outcome != CallOutcome::kAccepted) {
-    LogEvent(LogLevel::kInfo, LogCategory::kRequests, "job_not_accepted",
+  const bool unknown_job = reply.outcome == CallOutcome::kNoSuchJob;
+  if ((submit && reply.outcome != CallOutcome::kAccepted) || unknown_job) {
+    LogEvent(LogLevel::kInfo, LogCategory::kRequests,
+             unknown_job ? "job_unknown" : "job_not_accepted",
              {{"job", routed->call.job},
               {"pool", routed->call.pool},
               {"outcome", std::string(CallOutcomeName(reply.outcome))},
               {"reason", reply.reason},
+              {"fence", absl::StrCat(reply.fence)},
               {"held_ms",
                absl::StrCat(
                    std::chrono::duration_cast<std::chrono::milliseconds>(taken)
@@ -295,7 +299,8 @@
 void CallRouter::HandlePeer(const HttpRequest& request,
                             const std::shared_ptr<HttpExchange>& exchange) {
   if (const Result<PoolQuestion> question = ParsePoolQuestion(request)) {
-    const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(question->pool);
+    const std::shared_ptr<PoolRunner> runner =
+        engine_.OwnRunner(question->pool);
     const Result<PoolReport> report =
         runner == nullptr
             ? Result<PoolReport>(Fail(ErrorCode::kUnavailable, kAskStep,
@@ -375,6 +380,8 @@
       } else if (view.error().code == ErrorCode::kNotFound) {
         CallerReply reply;
         reply.outcome = CallOutcome::kNoSuchJob;
+        reply.reason = "not-known-to-owner";
+        reply.fence = runner->claim().revision;
         done(reply);
       } else {
         done(Unavailable("pool-not-ready"));
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -7,15 +7,16 @@
 #include "Common/log.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/time/time.h"
 
 namespace figflow {
 namespace {
 
-// Longest sleep of the timer thread: followers and the lease ask for no wake.
-constexpr std::chrono::milliseconds kLongestSleep{100};
+// Longest time between two steps: followers and the lease ask for no wake.
+constexpr std::chrono::milliseconds kLongestPause{100};
 // A claim is one write.
 constexpr std::chrono::milliseconds kClaimTimeout{600};
+// A key that could not be removed is tried again after this time.
+constexpr std::chrono::milliseconds kRemoveAgain{400};
 // An owner that reaches fewer than half of its workers by then gives way to a
 // daemon that may reach more.
 constexpr std::chrono::milliseconds kReachTime{1'200};
@@ -56,24 +57,24 @@
   ask_pool_ = std::move(ask_pool);
 }
 
+void FleetEngine::SetWake(std::function<void(MonoTime)> wake_at) {
+  wake_at_ = std::move(wake_at);
+}
+
 void FleetEngine::Start() {
   operator_keys_->Start();
   workers_->Start();
   owners_->Start();
-  timer_ = std::thread([this] { RunTimer(); });
 }
 
 void FleetEngine::Stop() {
   {
-    absl::MutexLock lock(&timer_mutex_);
-    if (stopping_) {
+    absl::MutexLock lock(&tasks_mutex_);
+    if (stopped_) {
       return;
     }
-    stopping_ = true;
-    timer_wake_.Signal();
-  }
-  if (timer_.joinable()) {
-    timer_.join();
+    stopped_ = true;
+    tasks_.clear();
   }
   for (const auto& follower : {operator_keys_, workers_, owners_}) {
     follower->Stop();
@@ -95,10 +96,8 @@
 }
 
 void FleetEngine::WakeAt(MonoTime at) {
-  absl::MutexLock lock(&timer_mutex_);
-  if (at < wake_at_) {
-    wake_at_ = at;
-    timer_wake_.Signal();
+  if (wake_at_) {
+    wake_at_(at);
   }
 }
 
@@ -106,51 +105,38 @@
                         std::function<void()> task) {
   const MonoTime at = clock_.Now() + delay;
   {
-    absl::MutexLock lock(&timer_mutex_);
+    absl::MutexLock lock(&tasks_mutex_);
+    if (stopped_) {
+      return;
+    }
     tasks_.emplace(at, std::move(task));
   }
   WakeAt(at);
 }
 
-void FleetEngine::RunTimer() {
-  while (true) {
-    const MonoTime now = clock_.Now();
-    std::vector<std::function<void()>> due;
-    {
-      absl::MutexLock lock(&timer_mutex_);
-      if (stopping_) {
-        return;
-      }
-      wake_at_ = now + kLongestSleep;
-      while (!tasks_.empty() && tasks_.begin()->first <= now) {
-        due.push_back(std::move(tasks_.begin()->second));
-        tasks_.erase(tasks_.begin());
-      }
-    }
-    for (const auto& task : due) {
-      task();
-    }
-    WakeAt(StepAll(now));
-    absl::MutexLock lock(&timer_mutex_);
-    if (!tasks_.empty()) {
-      wake_at_ = std::min(wake_at_, tasks_.begin()->first);
-    }
-    while (!stopping_) {
-      const auto left = wake_at_ - clock_.Now();
-      if (left <= MonoTime::duration(0)) {
-        break;
-      }
-      timer_wake_.WaitWithTimeout(&timer_mutex_, absl::FromChrono(left));
+void FleetEngine::RunTasks(MonoTime now) {
+  std::vector<std::function<void()>> due;
+  {
+    absl::MutexLock lock(&tasks_mutex_);
+    while (!tasks_.empty() && tasks_.begin()->first <= now) {
+      due.push_back(std::move(tasks_.begin()->second));
+      tasks_.erase(tasks_.begin());
     }
   }
+  for (const auto& task : due) {
+    task();
+  }
 }
 
-MonoTime FleetEngine::StepAll(MonoTime now) {
-  MonoTime next = session_->Step(now);
+MonoTime FleetEngine::Step(MonoTime now) {
+  RunTasks(now);
+  MonoTime next = std::min(now + kLongestPause, session_->Step(now));
   for (const auto& follower : {operator_keys_, workers_, owners_}) {
     next = std::min(next, follower->Step(now));
   }
   next = std::min(next, StepOwnership(now));
+  // After StepOwnership every claim in force belongs to this lease.
+  const MonoTime certain = session_->certain_until();
   std::vector<std::shared_ptr<PoolRunner>> runners;
   std::shared_ptr<InstanceKeeper> keeper;
   {
@@ -160,7 +146,6 @@
     }
     keeper = keeper_;
   }
-  const MonoTime certain = session_->certain_until();
   for (const auto& runner : runners) {
     runner->SetCertainUntil(certain);
     next = std::min(next, runner->Tick(now));
@@ -169,7 +154,8 @@
     keeper->SetCertainUntil(certain);
     next = std::min(next, keeper->Step(now));
   }
-  return next;
+  absl::MutexLock lock(&tasks_mutex_);
+  return tasks_.empty() ? next : std::min(next, tasks_.begin()->first);
 }
 
 uint64_t FleetEngine::WorkingRevision(const std::string& scope) const {
@@ -181,7 +167,14 @@
 }
 
 const char* FleetEngine::EndCause(const std::string& scope,
+                                  LeaseId lease,
                                   MonoTime now) const {
+  // The key went with the lease that it was written with. A new lease says
+  // nothing about it.
+  const auto claim = claim_leases_.find(scope);
+  if (claim == claim_leases_.end() || claim->second != lease) {
+    return "lease-ended";
+  }
   const auto owner = known_owners_.find(scope);
   if (owner != known_owners_.end() &&
       owner->second.revision > WorkingRevision(scope)) {
@@ -206,6 +199,8 @@
   MonoTime next = MonoTime::max();
   std::vector<std::string> to_claim;
   std::vector<std::pair<std::string, const char*>> to_end;
+  std::vector<std::pair<std::string, uint64_t>> to_remove;
+  const LeaseId lease = session_->lease();
   {
     absl::MutexLock lock(&mutex_);
     std::vector<std::string> working;
@@ -216,12 +211,22 @@
       working.emplace_back(kInstancesScope);
     }
     for (const std::string& scope : working) {
-      if (const char* cause = EndCause(scope, now)) {
+      if (const char* cause = EndCause(scope, lease, now)) {
         to_end.emplace_back(scope, cause);
       }
     }
-    const bool may_claim = !releasing_ && owners_->synced() &&
-                           session_->lease() != 0 &&
+    // A removal may fail, and the key would stand as long as the lease.
+    for (const auto& [scope, owner] : known_owners_) {
+      const bool own =
+          absl::StartsWith(owner.record.nonce, options_.process_id);
+      MonoTime& again = removed_at_[scope];
+      if (own && WorkingRevision(scope) == 0 && claiming_.count(scope) == 0 &&
+          now >= again) {
+        again = now + kRemoveAgain;
+        to_remove.emplace_back(scope, owner.revision);
+      }
+    }
+    const bool may_claim = !releasing_ && owners_->synced() && lease != 0 &&
                            now < session_->certain_until() && plan_ != nullptr;
     std::vector<std::string> scopes;
     if (may_claim) {
@@ -251,13 +256,16 @@
   for (const auto& [scope, cause] : to_end) {
     EndScope(scope, cause);
   }
+  for (const auto& [scope, revision] : to_remove) {
+    RemoveOwnerKey(scope, revision);
+  }
   for (const std::string& scope : to_claim) {
-    Claim(scope);
+    Claim(scope, lease);
   }
   return next;
 }
 
-void FleetEngine::Claim(const std::string& scope) {
+void FleetEngine::Claim(const std::string& scope, LeaseId lease) {
   OwnerRecord record;
   record.entry = options_.entry;
   record.address = options_.peer_address;
@@ -267,11 +275,10 @@
   }
   Transaction transaction;
   transaction.expected = {{OwnerKey(scope), 0}};
-  transaction.writes = {
-      {OwnerKey(scope), FormatOwnerRecord(record), session_->lease()}};
+  transaction.writes = {{OwnerKey(scope), FormatOwnerRecord(record), lease}};
   platform_.store().Commit(
       transaction, kClaimTimeout,
-      [this, scope, record](const Result<TransactionResult>& result) {
+      [this, scope, record, lease](const Result<TransactionResult>& result) {
         {
           absl::MutexLock lock(&mutex_);
           claiming_.erase(scope);
@@ -285,18 +292,20 @@
             owner = {record, result->revision};
           }
         }
-        OnOwned(scope, record.nonce, result->revision);
+        OnOwned(scope, record.nonce, result->revision, lease);
       });
 }
 
 void FleetEngine::OnOwned(const std::string& scope,
                           const std::string& nonce,
-                          uint64_t revision) {
+                          uint64_t revision,
+                          LeaseId lease) {
   {
     absl::MutexLock lock(&mutex_);
     if (WorkingRevision(scope) >= revision) {
       return;
     }
+    claim_leases_[scope] = lease;
   }
   if (scope == kInstancesScope) {
     StartKeeper(nonce, revision);
@@ -308,6 +317,8 @@
 void FleetEngine::StartRunner(const std::string& pool,
                               const std::string& nonce,
                               uint64_t revision) {
+  LogEvent(LogLevel::kInfo, LogCategory::kPools, "pool_claimed",
+           {{"pool", pool}, {"fence", absl::StrCat(revision)}});
   std::shared_ptr<PoolRunner> runner;
   std::vector<WorkerReport> reports;
   {
@@ -368,11 +379,8 @@
       runner = runners_.at(scope);
       runners_.erase(scope);
     }
-    const auto owner = known_owners_.find(scope);
-    if (owner != known_owners_.end() && owner->second.revision == revision) {
-      known_owners_.erase(owner);
-    }
     claims_.OnFailed(scope, clock_.Now());
+    removed_at_[scope] = clock_.Now() + kRemoveAgain;
   }
   if (runner) {
     runner->End(cause);
@@ -393,7 +401,7 @@
                            [](const Result<TransactionResult>&) {});
 }
 
-void FleetEngine::Release(std::chrono::milliseconds bound) {
+void FleetEngine::BeginRelease() {
   std::map<std::string, std::shared_ptr<PoolRunner>> runners;
   std::shared_ptr<InstanceKeeper> keeper;
   {
@@ -408,12 +416,11 @@
   for (const auto& [pool, runner] : runners) {
     runner->Release([this, pool = pool] { EndScope(pool, "handed-over"); });
   }
+}
+
+bool FleetEngine::Released() const {
   absl::MutexLock lock(&mutex_);
-  const auto none = [this] {
-    mutex_.AssertHeld();
-    return runners_.empty() && keeper_ == nullptr;
-  };
-  mutex_.AwaitWithTimeout(absl::Condition(&none), absl::FromChrono(bound));
+  return runners_.empty() && keeper_ == nullptr;
 }
 
 void FleetEngine::OnOperatorItem(const StoreItem& item) {
@@ -579,7 +586,7 @@
             {"owner", owner.record.entry},
             {"revision", absl::StrCat(item.revision)}});
   if (own) {
-    OnOwned(scope, owner.record.nonce, owner.revision);
+    OnOwned(scope, owner.record.nonce, owner.revision, item.lease);
   } else if (lost) {
     EndScope(scope, "key-removed");
   }
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -6,7 +6,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <thread>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -57,11 +56,18 @@
 
   // How the keeper of the instances reaches the pools' owners.
   void SetAskPool(InstanceKeeper::AskPool ask_pool);
+  // Called, from any thread, to ask for a Step at a time. It must not call
+  // back.
+  void SetWake(std::function<void(MonoTime)> wake_at);
+  // Begins to follow the store.
   void Start();
-  // Claims nothing more and hands all pools over. Returns when that is done or
-  // `bound` has passed; calls are still answered.
-  void Release(std::chrono::milliseconds bound);
-  // Ends all threads.
+  // Does what is due; to be called from one thread. Returns when to call again.
+  MonoTime Step(MonoTime now);
+  // Claims nothing more and hands all scopes over; calls are still answered.
+  void BeginRelease();
+  // Nothing is owned any more.
+  bool Released() const;
+  // Ends without a hand-over of what is left. No Step may follow.
   void Stop();
 
   // Null until the operators' plan is known.
@@ -73,20 +79,20 @@
   const std::string& entry() const { return options_.entry; }
   bool releasing() const;
 
-  // Runs `task` once, after `delay`, on the engine's thread.
+  // Runs `task` once, after `delay`, in a Step.
   void After(std::chrono::milliseconds delay, std::function<void()> task);
 
   nlohmann::json DumpState() const;
 
  private:
-  void RunTimer();
   void WakeAt(MonoTime at);
-  MonoTime StepAll(MonoTime now);
+  void RunTasks(MonoTime now);
   MonoTime StepOwnership(MonoTime now);
-  void Claim(const std::string& scope);
+  void Claim(const std::string& scope, LeaseId lease);
   void OnOwned(const std::string& scope,
                const std::string& nonce,
-               uint64_t revision);
+               uint64_t revision,
+               LeaseId lease);
   void StartRunner(const std::string& pool,
                    const std::string& nonce,
                    uint64_t revision);
@@ -98,7 +104,9 @@
   uint64_t WorkingRevision(const std::string& scope) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Why the scope has to be given up; null if it has not.
-  const char* EndCause(const std::string& scope, MonoTime now) const
+  const char* EndCause(const std::string& scope,
+                       LeaseId lease,
+                       MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   void OnOperatorItem(const StoreItem& item);
@@ -132,17 +140,19 @@
   };
   std::map<uint64_t, SeenWave> waves_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> claiming_ ABSL_GUARDED_BY(mutex_);
+  // Lease with which the key of each claim in force was written.
+  std::map<std::string, LeaseId> claim_leases_ ABSL_GUARDED_BY(mutex_);
+  // When the removal of an own key may be tried again.
+  std::map<std::string, MonoTime> removed_at_ ABSL_GUARDED_BY(mutex_);
   ClaimPolicy claims_ ABSL_GUARDED_BY(mutex_);
   uint64_t claim_number_ ABSL_GUARDED_BY(mutex_) = 0;
   bool releasing_ ABSL_GUARDED_BY(mutex_) = false;
 
-  absl::Mutex timer_mutex_;
-  absl::CondVar timer_wake_;
-  MonoTime wake_at_ ABSL_GUARDED_BY(timer_mutex_) = MonoTime::max();
-  bool stopping_ ABSL_GUARDED_BY(timer_mutex_) = false;
+  std::function<void(MonoTime)> wake_at_;
+  mutable absl::Mutex tasks_mutex_;
   std::multimap<MonoTime, std::function<void()>> tasks_
-      ABSL_GUARDED_BY(timer_mutex_);
-  std::thread timer_;
+      ABSL_GUARDED_BY(tasks_mutex_);
+  bool stopped_ ABSL_GUARDED_BY(tasks_mutex_) = false;
 };
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -387,6 +387,17 @@
   const bool current = ref && ref->Get().worker == &worker &&
                        ref->Get().run == end.run &&
                        ref->Get().phase != TaskPhase::kDone;
+  // The worker was given up before it could tell that its run was done, and no
+  // other run has begun.
+  const bool done_after_all = ref && end.end == RunEnd::kDone &&
+                              ref->Get().phase == TaskPhase::kWaiting &&
+                              ref->Get().run == end.run && !ref->Spec().gang &&
+                              !ref->Spec().perpetual;
+  if (done_after_all) {
+    CompleteTask(*ref, now);
+    note.job = ref->job;
+    note.version = ref->job->version;
+  }
   if (current) {
     Task& task = ref->Get();
     if (!end.checkpoint.empty()) {
--- /dev/null
+++ b/Source/StandIns/Fleet/model_node.h
@@ -0,0 +1,51 @@
+#ifndef STANDINS_FLEET_MODEL_NODE_H_
+#define STANDINS_FLEET_MODEL_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "StandIns/Fleet/virtual_time.h"
+
+namespace figflow::model {
+
+// One process of a daemon, and what keeps it from others. A killed process gets
+// no more answers; a suspended one gets them when it goes on.
+struct ModelNode {
+  std::string name;
+  std::string data_centre;
+  bool alive = true;
+  MonoTime suspended_until = MonoTime::min();
+  // Cut off from the store, the workers, and the other daemons.
+  bool store_cut = false;
+  bool workers_cut = false;
+  bool peers_cut = false;
+  // The store turns this daemon away.
+  bool store_busy = false;
+};
+
+using NodePtr = std::shared_ptr<ModelNode>;
+
+// Runs `event` in the process if it still lives then, after a suspension if it
+// is suspended.
+inline void RunIn(VirtualTime& time,
+                  const NodePtr& node,
+                  VirtualTime::Duration delay,
+                  std::function<void()> event) {
+  time.After(delay, [&time, node, event = std::move(event)] {
+    if (!node->alive) {
+      return;
+    }
+    if (node->suspended_until > time.Now()) {
+      RunIn(time, node, node->suspended_until - time.Now(), event);
+      return;
+    }
+    event();
+  });
+}
+
+}  // namespace figflow::model
+
+#endif  // STANDINS_FLEET_MODEL_NODE_H_
--- /dev/null
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -0,0 +1,403 @@
+#include "StandIns/Fleet/model_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+
+namespace figflow::model {
+namespace {
+
+constexpr size_t kPageItems = 500;
+constexpr std::chrono::milliseconds kLeaseCheck{50};
+
+Error Lost(const char* step) {
+  return {ErrorCode::kUnknownOutcome, step, "store", "no answer"};
+}
+
+Error TurnedAway(const char* step) {
+  return {ErrorCode::kUnavailable, step, "store", "turned away"};
+}
+
+}  // namespace
+
+// Calls of one daemon.
+class StoreView : public TransactionalStore {
+ public:
+  StoreView(ModelStore& store, NodePtr node)
+      : store_(store), node_(std::move(node)) {}
+
+  void Commit(const Transaction& transaction,
+              std::chrono::milliseconds timeout,
+              StoreCallback<TransactionResult> done) override {
+    Call<TransactionResult>(
+        "model.commit", true, timeout,
+        [this, transaction]() -> Result<TransactionResult> {
+          bool lease_missing = false;
+          TransactionResult result = store_.Apply(transaction, &lease_missing);
+          if (lease_missing) {
+            return Fail(ErrorCode::kNotFound, "model.commit", "store",
+                        "no such lease");
+          }
+          return result;
+        },
+        std::move(done));
+  }
+
+  void Get(const std::string& key,
+           std::chrono::milliseconds timeout,
+           StoreCallback<std::optional<StoreItem>> done) override {
+    Call<std::optional<StoreItem>>(
+        "model.get", false, timeout,
+        [this, key]() -> Result<std::optional<StoreItem>> {
+          const StoreItem* item = store_.Find(key);
+          return item == nullptr ? std::optional<StoreItem>()
+                                 : std::optional<StoreItem>(*item);
+        },
+        std::move(done));
+  }
+
+  void Range(const std::string& prefix,
+             const std::string& after,
+             std::chrono::milliseconds timeout,
+             StoreCallback<RangePage> done) override {
+    Call<RangePage>(
+        "model.range", false, timeout,
+        [this, prefix, after]() -> Result<RangePage> {
+          RangePage page;
+          page.store_revision = store_.revision_;
+          for (const auto& [key, item] : store_.items_) {
+            if (!absl::StartsWith(key, prefix) || key <= after) {
+              continue;
+            }
+            if (page.items.size() == kPageItems) {
+              page.truncated = true;
+              break;
+            }
+            page.items.push_back(item);
+          }
+          return page;
+        },
+        std::move(done));
+  }
+
+  void Watch(const std::string& prefix,
+             uint64_t after_revision,
+             std::chrono::milliseconds wait,
+             StoreCallback<StoreChanges> done) override {
+    if (Blocked<StoreChanges>("model.watch", wait, done)) {
+      return;
+    }
+    VirtualTime& time = store_.time_;
+    const uint64_t id = store_.next_waiter_++;
+    const NodePtr node = node_;
+    const auto latency = store_.faults.latency;
+    store_.waiters_[id] = {prefix, after_revision,
+                           [&time, node, latency, done](StoreChanges changes) {
+                             RunIn(time, node, latency,
+                                   [done, changes] { done(changes); });
+                           }};
+    time.After(latency, [this] { store_.Notify(); });
+    time.After(wait, [this, id, latency, done, node] {
+      const bool waiting = store_.waiters_.erase(id) > 0;
+      StoreChanges none;
+      none.store_revision = 0;
+      if (!waiting) {
+        return;
+      }
+      if (store_.faults.silent || node->store_cut) {
+        store_.lost_.insert(id);
+        return;
+      }
+      RunIn(store_.time_, node, latency, [done, none] { done(none); });
+    });
+    // A watch that got lost ends by the caller's own time limit.
+    RunIn(time, node_, wait + std::chrono::milliseconds(800), [this, id, done] {
+      if (store_.waiters_.erase(id) > 0 || store_.lost_.erase(id) > 0) {
+        done(tl::unexpected<Error>(Lost("model.watch")));
+      }
+    });
+  }
+
+  void GrantLease(std::chrono::milliseconds ttl,
+                  std::chrono::milliseconds timeout,
+                  StoreCallback<LeaseId> done) override {
+    Call<LeaseId>(
+        "model.lease", true, timeout,
+        [this, ttl]() -> Result<LeaseId> {
+          const LeaseId id = store_.next_lease_++;
+          store_.leases_[id] = {ttl, store_.time_.Now() + ttl};
+          return id;
+        },
+        std::move(done));
+  }
+
+  void KeepLease(LeaseId lease,
+                 std::chrono::milliseconds timeout,
+                 StoreCallback<std::chrono::milliseconds> done) override {
+    Call<std::chrono::milliseconds>(
+        "model.keep", false, timeout,
+        [this, lease]() -> Result<std::chrono::milliseconds> {
+          const auto known = store_.leases_.find(lease);
+          if (known == store_.leases_.end()) {
+            return Fail(ErrorCode::kNotFound, "model.keep", "store",
+                        "no such lease");
+          }
+          known->second.ends = store_.time_.Now() + known->second.ttl;
+          return known->second.ttl;
+        },
+        std::move(done));
+  }
+
+  void EndLease(LeaseId lease,
+                std::chrono::milliseconds timeout,
+                StoreCallback<bool> done) override {
+    Call<bool>(
+        "model.end", true, timeout,
+        [this, lease]() -> Result<bool> {
+          const auto known = store_.leases_.find(lease);
+          if (known == store_.leases_.end()) {
+            return false;
+          }
+          known->second.ends = store_.time_.Now();
+          store_.ExpireLeases();
+          return true;
+        },
+        std::move(done));
+  }
+
+ private:
+  // Fails the call if the daemon cannot reach the store.
+  template <typename T>
+  bool Blocked(const char* step,
+               std::chrono::milliseconds timeout,
+               const StoreCallback<T>& done) {
+    if (store_.faults.silent || node_->store_cut) {
+      RunIn(store_.time_, node_, timeout,
+            [done, step] { done(tl::unexpected<Error>(Lost(step))); });
+      return true;
+    }
+    if (node_->store_busy) {
+      RunIn(store_.time_, node_, store_.faults.latency,
+            [done, step] { done(tl::unexpected<Error>(TurnedAway(step))); });
+      return true;
+    }
+    return false;
+  }
+
+  template <typename T>
+  void Call(const char* step,
+            bool write,
+            std::chrono::milliseconds timeout,
+            std::function<Result<T>()> carry_out,
+            StoreCallback<T> done) {
+    if (Blocked<T>(step, timeout, done)) {
+      return;
+    }
+    const auto latency = store_.faults.latency;
+    std::uniform_real_distribution<double> share(0, 1);
+    const bool lost = write && share(store_.random_) < store_.faults.lost_share;
+    if (lost) {
+      std::uniform_int_distribution<int> late_ms(1'000, 6'000);
+      const auto delay =
+          store_.faults.lost_late
+              ? std::chrono::milliseconds(late_ms(store_.random_))
+              : latency;
+      store_.time_.After(delay, [carry_out] { (void)carry_out(); });
+      RunIn(store_.time_, node_, timeout,
+            [done, step] { done(tl::unexpected<Error>(Lost(step))); });
+      return;
+    }
+    // Half of the latency passes on the way there. A call that takes longer
+    // than its time limit is carried out all the same.
+    store_.time_.After(
+        latency / 2, [this, step, carry_out, done, latency, timeout] {
+          Result<T> result = carry_out();
+          if (latency > timeout) {
+            RunIn(store_.time_, node_, timeout - latency / 2,
+                  [done, step] { done(tl::unexpected<Error>(Lost(step))); });
+            return;
+          }
+          RunIn(store_.time_, node_, latency / 2,
+                [done, result = std::move(result)] { done(result); });
+        });
+  }
+
+  ModelStore& store_;
+  const NodePtr node_;
+};
+
+ModelStore::ModelStore(VirtualTime& time, uint64_t seed)
+    : time_(time), random_(seed) {
+  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+}
+
+std::unique_ptr<TransactionalStore> ModelStore::ViewOf(NodePtr node) {
+  return std::make_unique<StoreView>(*this, std::move(node));
+}
+
+const StoreItem* ModelStore::Find(const std::string& key) const {
+  const auto item = items_.find(key);
+  return item == items_.end() ? nullptr : &item->second;
+}
+
+void ModelStore::Write(const std::string& key,
+                       const std::string& value,
+                       LeaseId lease) {
+  StoreItem item;
+  item.key = key;
+  item.value = value;
+  item.revision = revision_;
+  item.lease = lease;
+  items_[key] = item;
+  history_.emplace(revision_, item);
+}
+
+void ModelStore::Put(const std::string& key, const std::string& value) {
+  ++revision_;
+  Write(key, value, 0);
+  Notify();
+}
+
+void ModelStore::Remove(const std::string& key) {
+  if (items_.erase(key) == 0) {
+    return;
+  }
+  ++revision_;
+  StoreItem gone;
+  gone.key = key;
+  gone.revision = revision_;
+  gone.removed = true;
+  history_.emplace(revision_, gone);
+  Notify();
+}
+
+void ModelStore::Revoke(const std::string& key) {
+  Remove(key);
+}
+
+void ModelStore::ForgetHistory() {
+  forgotten_ = revision_;
+  history_.clear();
+  std::map<uint64_t, Waiter> waiters;
+  waiters.swap(waiters_);
+  for (auto& [id, waiter] : waiters) {
+    StoreChanges lost;
+    lost.history_lost = true;
+    waiter.done(lost);
+  }
+}
+
+void ModelStore::SwallowWatches() {
+  for (const auto& [id, waiter] : waiters_) {
+    lost_.insert(id);
+  }
+  waiters_.clear();
+}
+
+TransactionResult ModelStore::Apply(const Transaction& transaction,
+                                    bool* lease_missing) {
+  TransactionResult result;
+  bool met = true;
+  for (const auto& [key, revision] : transaction.expected) {
+    const StoreItem* item = Find(key);
+    met = met && (item == nullptr ? 0 : item->revision) == revision;
+    if (item != nullptr) {
+      result.current.push_back(*item);
+    }
+  }
+  if (!met) {
+    return result;
+  }
+  for (const StoreWrite& write : transaction.writes) {
+    if (write.lease != 0 && leases_.count(write.lease) == 0) {
+      *lease_missing = true;
+      return result;
+    }
+  }
+  result.current.clear();
+  result.committed = true;
+  ++commits_;
+  ++revision_;
+  result.revision = revision_;
+  for (const StoreWrite& write : transaction.writes) {
+    Write(write.key, write.value, write.lease);
+  }
+  for (const std::string& key : transaction.removals) {
+    if (items_.erase(key) > 0) {
+      StoreItem gone;
+      gone.key = key;
+      gone.revision = revision_;
+      gone.removed = true;
+      history_.emplace(revision_, gone);
+    }
+  }
+  Notify();
+  return result;
+}
+
+StoreChanges ModelStore::ChangesAfter(const std::string& prefix,
+                                      uint64_t revision) const {
+  StoreChanges changes;
+  changes.store_revision = revision_;
+  if (revision < forgotten_) {
+    changes.history_lost = true;
+    return changes;
+  }
+  for (auto it = history_.upper_bound(revision); it != history_.end(); ++it) {
+    if (absl::StartsWith(it->second.key, prefix)) {
+      changes.changes.push_back(it->second);
+    }
+  }
+  return changes;
+}
+
+void ModelStore::Notify() {
+  if (faults.silent) {
+    return;
+  }
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    StoreChanges changes = ChangesAfter(it->second.prefix, it->second.after);
+    if (changes.changes.empty() && !changes.history_lost) {
+      ++it;
+      continue;
+    }
+    const auto done = std::move(it->second.done);
+    it = waiters_.erase(it);
+    done(std::move(changes));
+  }
+}
+
+void ModelStore::ExpireLeases() {
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.ends > time_.Now()) {
+      ++it;
+      continue;
+    }
+    const LeaseId lease = it->first;
+    it = leases_.erase(it);
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (item.lease == lease) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      Remove(key);
+    }
+  }
+}
+
+void ModelStore::CheckLeases() {
+  if (!faults.silent || faults.lapse) {
+    ExpireLeases();
+  } else {
+    // Leases stand still meanwhile.
+    for (auto& [id, lease] : leases_) {
+      lease.ends += kLeaseCheck;
+    }
+  }
+  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+}
+
+}  // namespace figflow::model
--- /dev/null
+++ b/Source/StandIns/Fleet/model_workers.cc
@@ -0,0 +1,414 @@
+#include "StandIns/Fleet/model_workers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/cbor.h"
+#include "Scheduling/job.h"
+#include "Scheduling/worker_state.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow::model {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLongestLease{6'000};
+constexpr milliseconds kOrderTimeout{350};
+constexpr milliseconds kHoldMargin{400};
+// Three heartbeats of 1.5 s.
+constexpr milliseconds kRegistryKeeps{4'500};
+constexpr milliseconds kLeaseCheck{20};
+constexpr milliseconds kStopTime{100};
+
+Error NoAnswer(const std::string& worker) {
+  return {ErrorCode::kDeadlineExceeded, "model.worker", worker, "no answer"};
+}
+
+}  // namespace
+
+std::string FormatModelWorker(const WorkerReport& report) {
+  return FormatCbor(json::array(
+      {report.key.incarnation, report.pool, report.address, report.instance,
+       report.capacity.cpu_millicores, report.capacity.memory_mb,
+       report.draining, report.clock.count(), report.rack, report.labels}));
+}
+
+Result<WorkerReport> ParseModelWorker(const std::string& id,
+                                      absl::string_view bytes) {
+  return ParseCbor<WorkerReport>(bytes, "model.worker", [&](const json& row) {
+    WorkerReport report;
+    report.key = {id, row.at(0).get<int64_t>()};
+    report.pool = row.at(1).get<std::string>();
+    report.address = row.at(2).get<std::string>();
+    report.instance = row.at(3).get<std::string>();
+    report.capacity.cpu_millicores = row.at(4).get<int64_t>();
+    report.capacity.memory_mb = row.at(5).get<int64_t>();
+    report.draining = row.at(6).get<bool>();
+    report.clock = milliseconds(row.at(7).get<int64_t>());
+    report.rack = row.at(8).get<std::string>();
+    report.labels = row.at(9).get<std::vector<std::string>>();
+    return report;
+  });
+}
+
+// Orders of one daemon.
+class WorkerView : public WorkerGateway {
+ public:
+  WorkerView(ModelWorkers& workers, NodePtr node)
+      : workers_(workers), node_(std::move(node)) {}
+
+  void Start(const StartOrder& order, OrderCallback done) override {
+    SendOrder(order, std::move(done), &ModelWorkers::Start);
+  }
+  void Stop(const StopOrder& order, OrderCallback done) override {
+    SendOrder(order, std::move(done), &ModelWorkers::Stop);
+  }
+  void Pace(const PaceOrder& /*order*/, OrderCallback done) override {
+    done(OrderAnswer());
+  }
+
+  void Hold(const HoldOrder& order, HoldCallback done) override {
+    const auto limit = order.wait + kHoldMargin;
+    auto answered = std::make_shared<bool>(false);
+    RunIn(workers_.time_, node_, limit, [answered, done, order] {
+      if (!std::exchange(*answered, true)) {
+        done(tl::unexpected<Error>(NoAnswer(order.target.worker.id)));
+      }
+    });
+    const NodePtr node = node_;
+    ModelWorkers& workers = workers_;
+    workers.time_.After(
+        workers.faults.latency, [&workers, node, order, done, answered] {
+          ModelWorker* worker = workers.Find(order.target.worker.id);
+          if (Unreached(worker, node)) {
+            return;
+          }
+          const auto answer = [&workers, node, order, done, answered] {
+            ModelWorker* now = workers.Find(order.target.worker.id);
+            if (Unreached(now, node) || now->answers_lost) {
+              return;
+            }
+            const HoldAnswer look = workers.Look(*now, order);
+            RunIn(workers.time_, node, workers.faults.latency,
+                  [answered, done, look] {
+                    if (!std::exchange(*answered, true)) {
+                      done(look);
+                    }
+                  });
+          };
+          // The lease counts from the arrival, the lists from the answer.
+          const HoldAnswer first = workers.Look(*worker, order);
+          const bool at_once = order.wait.count() == 0 ||
+                               first.answer != StartAnswer::kStarted ||
+                               !first.status.ended.empty();
+          if (at_once) {
+            answer();
+            return;
+          }
+          auto once = std::make_shared<bool>(false);
+          const auto answer_once = [once, answer] {
+            if (!std::exchange(*once, true)) {
+              answer();
+            }
+          };
+          worker->waiting.push_back(answer_once);
+          workers.time_.After(order.wait, answer_once);
+        });
+  }
+
+ private:
+  static bool Unreached(const ModelWorker* worker, const NodePtr& node) {
+    return worker == nullptr || !worker->alive || worker->cut ||
+           node->workers_cut;
+  }
+
+  template <typename Order>
+  void SendOrder(const Order& order,
+                 OrderCallback done,
+                 StartAnswer (ModelWorkers::*carry_out)(ModelWorker&,
+                                                        const Order&)) {
+    auto answered = std::make_shared<bool>(false);
+    RunIn(workers_.time_, node_, kOrderTimeout, [answered, done, order] {
+      if (!std::exchange(*answered, true)) {
+        done(tl::unexpected<Error>(NoAnswer(order.target.worker.id)));
+      }
+    });
+    std::uniform_real_distribution<double> share(0, 1);
+    const double draw = share(workers_.random_);
+    const WorkerFaults& faults = workers_.faults;
+    const bool late = draw < faults.late_share;
+    const bool lost =
+        !late && draw < faults.late_share + faults.answer_lost_share;
+    std::uniform_int_distribution<int> late_ms(2'000, 12'000);
+    const milliseconds delay =
+        late ? milliseconds(late_ms(workers_.random_)) : faults.latency;
+    const NodePtr node = node_;
+    ModelWorkers& workers = workers_;
+    workers.time_.After(
+        delay, [&workers, node, order, done, answered, late, lost, carry_out] {
+          ModelWorker* worker = workers.Find(order.target.worker.id);
+          if (Unreached(worker, node)) {
+            return;
+          }
+          OrderAnswer answer;
+          answer.answer = (workers.*carry_out)(*worker, order);
+          answer.clock = workers.ClockOf(*worker);
+          if (late || lost || worker->answers_lost) {
+            return;
+          }
+          RunIn(workers.time_, node, workers.faults.latency,
+                [answered, done, answer] {
+                  if (!std::exchange(*answered, true)) {
+                    done(answer);
+                  }
+                });
+        });
+  }
+
+  ModelWorkers& workers_;
+  const NodePtr node_;
+};
+
+ModelWorkers::ModelWorkers(VirtualTime& time,
+                           ModelStore& store,
+                           Promises& promises,
+                           uint64_t seed)
+    : time_(time), store_(store), promises_(promises), random_(seed) {
+  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+}
+
+std::unique_ptr<WorkerGateway> ModelWorkers::ViewOf(NodePtr node) {
+  return std::make_unique<WorkerView>(*this, std::move(node));
+}
+
+std::string ModelWorkers::Add(const std::string& pool,
+                              const std::string& instance,
+                              const Resources& capacity) {
+  auto worker = std::make_unique<ModelWorker>();
+  worker->report.key.id = absl::StrCat("w", next_id_);
+  worker->report.key.incarnation = 1'000 + next_id_;
+  ++next_id_;
+  worker->report.pool = pool;
+  worker->report.address = worker->report.key.id + ":1";
+  worker->report.instance = instance;
+  worker->report.capacity = capacity;
+  worker->born = time_.Now();
+  const std::string id = worker->report.key.id;
+  Enter(*worker);
+  workers_[id] = std::move(worker);
+  return id;
+}
+
+void ModelWorkers::Enter(const ModelWorker& worker) {
+  WorkerReport report = worker.report;
+  report.clock = ClockOf(worker);
+  store_.Put(kModelWorkerPrefix + report.key.id, FormatModelWorker(report));
+}
+
+ModelWorker* ModelWorkers::Find(const std::string& id) {
+  const auto known = workers_.find(id);
+  return known == workers_.end() ? nullptr : known->second.get();
+}
+
+std::vector<std::string> ModelWorkers::Ids(const std::string& pool) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : workers_) {
+    if (worker->alive && worker->report.pool == pool) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+void ModelWorkers::Crash(const std::string& id) {
+  ModelWorker& worker = *workers_.at(id);
+  worker.alive = false;
+  worker.running.clear();
+  promises_.OnWorkerGone(id, time_.Now());
+  time_.After(kRegistryKeeps,
+              [this, id] { store_.Remove(kModelWorkerPrefix + id); });
+}
+
+void ModelWorkers::Drain(const std::string& id) {
+  ModelWorker& worker = *workers_.at(id);
+  worker.report.draining = true;
+  Enter(worker);
+}
+
+milliseconds ModelWorkers::ClockOf(const ModelWorker& worker) const {
+  const auto lived =
+      std::chrono::duration<double, std::milli>(time_.Now() - worker.born);
+  // Starts above 0, as a clock that nobody set.
+  return milliseconds(5'000 +
+                      static_cast<int64_t>(lived.count() * worker.clock_rate));
+}
+
+StartAnswer ModelWorkers::Start(ModelWorker& worker, const StartOrder& order) {
+  if (order.target.fence < worker.fence) {
+    return StartAnswer::kFenced;
+  }
+  worker.fence = order.target.fence;
+  const milliseconds clock = ClockOf(worker);
+  const std::string task = TaskText(order.task);
+  if (order.deadline <= clock) {
+    return StartAnswer::kLate;
+  }
+  const auto here = worker.running.find(task);
+  const bool is_here =
+      here != worker.running.end() && here->second.run == order.run;
+  const auto highest = worker.highest_ended.find(task);
+  const bool outdated =
+      !is_here &&
+      ((highest != worker.highest_ended.end() &&
+        order.run <= highest->second) ||
+       (here != worker.running.end() && order.run < here->second.run));
+  worker.lease =
+      std::max(worker.lease, std::min(order.deadline, clock + kLongestLease));
+  if (is_here) {
+    return StartAnswer::kStarted;
+  }
+  if (outdated) {
+    return StartAnswer::kOutdated;
+  }
+  const StageSpec& stage = order.job->spec.stages.at(order.task.stage);
+  Resources used = CountedSize(stage);
+  for (const auto& [name, run] : worker.running) {
+    used += run.size;
+  }
+  if (!used.FitsIn(worker.report.capacity)) {
+    return StartAnswer::kNoRoom;
+  }
+  ModelWorker::Run run;
+  run.run = order.run;
+  run.name = order.task;
+  run.size = CountedSize(stage);
+  run.started = time_.Now();
+  run.behaviour = behaviour ? behaviour(order.task) : TaskBehaviour();
+  run.perpetual = stage.perpetual;
+  run.serial = next_serial_++;
+  if (worker.grey) {
+    run.behaviour = {milliseconds(20), true};
+  }
+  promises_.OnStarted(worker.report.key.id, order.task, order.run, time_.Now());
+  worker.running[task] = run;
+  if (!run.perpetual || run.behaviour.fails) {
+    time_.After(
+        run.behaviour.duration, [this, id = worker.report.key.id, task, run] {
+          ModelWorker* ended = Find(id);
+          if (ended == nullptr || !ended->alive) {
+            return;
+          }
+          const auto current = ended->running.find(task);
+          if (current != ended->running.end() &&
+              current->second.serial == run.serial) {
+            EndRun(*ended, task,
+                   run.behaviour.fails ? RunEnd::kFailed : RunEnd::kDone);
+          }
+        });
+  }
+  return StartAnswer::kStarted;
+}
+
+StartAnswer ModelWorkers::Stop(ModelWorker& worker, const StopOrder& order) {
+  if (order.target.fence < worker.fence) {
+    return StartAnswer::kFenced;
+  }
+  worker.fence = order.target.fence;
+  const std::string task = TaskText(order.task);
+  uint32_t& highest = worker.highest_ended[task];
+  highest = std::max(highest, order.run);
+  const auto here = worker.running.find(task);
+  if (here != worker.running.end() && here->second.run <= order.run) {
+    const uint64_t serial = here->second.serial;
+    time_.After(kStopTime, [this, id = worker.report.key.id, task, serial] {
+      ModelWorker* stopped = Find(id);
+      if (stopped == nullptr || !stopped->alive) {
+        return;
+      }
+      const auto current = stopped->running.find(task);
+      if (current != stopped->running.end() &&
+          current->second.serial == serial) {
+        EndRun(*stopped, task, RunEnd::kStopped);
+      }
+    });
+  }
+  return StartAnswer::kStarted;
+}
+
+void ModelWorkers::EndRun(ModelWorker& worker,
+                          const std::string& task,
+                          RunEnd end) {
+  const auto here = worker.running.find(task);
+  const ModelWorker::Run run = here->second;
+  worker.running.erase(here);
+  uint32_t& highest = worker.highest_ended[task];
+  highest = std::max(highest, run.run);
+  promises_.OnEnded(worker.report.key.id, run.name, run.run, end, time_.Now());
+  EndedRun ended;
+  ended.number = worker.next_end++;
+  ended.name = run.name;
+  ended.run = run.run;
+  ended.end = end;
+  worker.ended.push_back(std::move(ended));
+  std::vector<std::function<void()>> waiting;
+  waiting.swap(worker.waiting);
+  for (const auto& answer : waiting) {
+    answer();
+  }
+}
+
+HoldAnswer ModelWorkers::Look(ModelWorker& worker, const HoldOrder& order) {
+  HoldAnswer answer;
+  if (order.target.fence < worker.fence) {
+    answer.answer = StartAnswer::kFenced;
+    return answer;
+  }
+  worker.fence = order.target.fence;
+  const milliseconds clock = ClockOf(worker);
+  if (order.deadline && *order.deadline > clock) {
+    worker.lease = std::max(worker.lease,
+                            std::min(*order.deadline, clock + kLongestLease));
+  }
+  for (const EndedRun& ended : worker.ended) {
+    if (ended.number <= order.acknowledged &&
+        ended.number > worker.acknowledged && ended.number > worker.void_ends) {
+      promises_.OnNoted(ended.name, ended.run, ended.end);
+    }
+  }
+  worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
+  worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(),
+                                    [&](const EndedRun& ended) {
+                                      return ended.number <=
+                                             worker.acknowledged;
+                                    }),
+                     worker.ended.end());
+  answer.status.clock = clock;
+  answer.status.incarnation = worker.report.key.incarnation;
+  answer.status.ended = worker.ended;
+  for (const auto& [task, run] : worker.running) {
+    RunningTask running;
+    running.name = run.name;
+    running.run = run.run;
+    running.percent = 100;
+    answer.status.running.push_back(std::move(running));
+  }
+  return answer;
+}
+
+void ModelWorkers::CheckLeases() {
+  for (auto& [id, worker] : workers_) {
+    if (worker->alive && worker->lease <= ClockOf(*worker)) {
+      worker->void_ends = worker->next_end - 1;
+      while (!worker->running.empty()) {
+        EndRun(*worker, worker->running.begin()->first, RunEnd::kLapsed);
+      }
+    }
+  }
+  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+}
+
+}  // namespace figflow::model
--- /dev/null
+++ b/Source/StandIns/Fleet/promises.cc
@@ -0,0 +1,175 @@
+#include "StandIns/Fleet/promises.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace figflow::model {
+namespace {
+
+// Time after the acknowledgement of a cancellation in which a task may still
+// start (platform contract).
+constexpr std::chrono::seconds kCancelTime{3};
+
+}  // namespace
+
+std::string Promises::Text(const TaskName& task) {
+  return absl::StrCat(task.job, ".", task.occurrence, ".", task.stage, ".",
+                      task.index);
+}
+
+void Promises::Break(const std::string& what) {
+  broken_.push_back(what);
+}
+
+void Promises::OnSubmitted(const JobSpec& spec) {
+  jobs_[spec.id].spec = spec;
+}
+
+void Promises::OnAccepted(const std::string& job) {
+  JobRecord& record = jobs_[job];
+  record.accepted = true;
+}
+
+void Promises::OnRefused(const std::string& job) {
+  jobs_[job].refused = true;
+}
+
+void Promises::OnCancelAcknowledged(const std::string& job, MonoTime now) {
+  JobRecord& record = jobs_[job];
+  if (!record.cancelled) {
+    record.cancelled = true;
+    record.cancelled_at = now;
+  }
+}
+
+void Promises::OnShown(const std::string& job, const std::string& state) {
+  JobRecord& record = jobs_[job];
+  if (state == "completed") {
+    size_t tasks = 0;
+    for (const StageSpec& stage : record.spec.stages) {
+      tasks += static_cast<size_t>(stage.count);
+    }
+    tasks *= static_cast<size_t>(std::max(1, record.spec.occurrences));
+    if (record.done.size() < tasks) {
+      Break(absl::StrCat("job ", job, " is shown as completed with ",
+                         record.done.size(), " of ", tasks, " tasks done"));
+    }
+  }
+  const bool final_state = record.shown == "completed" ||
+                           record.shown == "failed" ||
+                           record.shown == "cancelled";
+  if (final_state && state != record.shown) {
+    Break(absl::StrCat("job ", job, " was ", record.shown, " and is ", state));
+  }
+  record.shown = state;
+}
+
+void Promises::OnUnknownJobAnswer(const std::string& job) {
+  if (jobs_[job].accepted) {
+    Break(absl::StrCat("accepted job ", job, " is said not to exist"));
+  }
+}
+
+void Promises::OnStarted(const std::string& worker,
+                         const TaskName& task,
+                         uint32_t run,
+                         MonoTime now) {
+  const std::string text = Text(task);
+  const auto known = jobs_.find(task.job);
+  if (known == jobs_.end()) {
+    Break(absl::StrCat("task ", text, " of a job that nobody handed in"));
+    return;
+  }
+  JobRecord& job = known->second;
+  job.started = true;
+  const StageSpec& stage = job.spec.stages.at(task.stage);
+  if (!stage.speculative && !running_[text].empty()) {
+    Break(absl::StrCat("task ", text, " run ", run, " on ", worker,
+                       " while it runs on ", running_[text].begin()->first));
+  }
+  if (!stage.speculative && job.done.count(text) > 0 && job.done[text] > 1) {
+    Break(absl::StrCat("task ", text, " run ", run,
+                       " after its end was noted as done"));
+  }
+  if (job.cancelled && now > job.cancelled_at + kCancelTime) {
+    Break(absl::StrCat("task ", text, " of a cancelled job"));
+  }
+  for (const int earlier : stage.after) {
+    for (int i = 0; i < job.spec.stages[earlier].count; ++i) {
+      if (job.done.count(Text({task.job, task.occurrence, earlier, i})) == 0) {
+        Break(absl::StrCat("task ", text, " before stage ", earlier,
+                           " was done"));
+        break;
+      }
+    }
+  }
+  running_[text].insert({worker, run});
+}
+
+void Promises::OnEnded(const std::string& worker,
+                       const TaskName& task,
+                       uint32_t run,
+                       RunEnd end,
+                       MonoTime /*now*/) {
+  const std::string text = Text(task);
+  running_[text].erase({worker, run});
+  JobRecord& job = jobs_[task.job];
+  if (end == RunEnd::kDone) {
+    int& level = job.done[text];
+    level = std::max(level, 1);
+  }
+}
+
+void Promises::OnNoted(const TaskName& task, uint32_t /*run*/, RunEnd end) {
+  if (end == RunEnd::kDone) {
+    // From now on the task must not start again.
+    jobs_[task.job].done[Text(task)] = 2;
+  }
+}
+
+void Promises::OnWorkerGone(const std::string& worker, MonoTime /*now*/) {
+  for (auto& [task, runs] : running_) {
+    for (auto it = runs.begin(); it != runs.end();) {
+      it = it->first == worker ? runs.erase(it) : std::next(it);
+    }
+  }
+}
+
+void Promises::OnInstanceOrder(const std::string& instance, uint64_t fence) {
+  uint64_t& highest = instance_fences_[instance];
+  if (fence < highest) {
+    Break(absl::StrCat("order for instance ", instance, " with fence ", fence,
+                       " after ", highest));
+  }
+  highest = std::max(highest, fence);
+}
+
+void Promises::OnMaintenance(uint64_t wave, int down, int max_down) {
+  if (down > max_down) {
+    Break(absl::StrCat("wave ", wave, " has ", down, " instances down, ",
+                       max_down, " are allowed"));
+  }
+}
+
+std::vector<std::string> Promises::Unfinished() const {
+  std::vector<std::string> left;
+  for (const auto& [id, job] : jobs_) {
+    if (job.refused && job.started && !job.accepted) {
+      left.push_back(absl::StrCat(id, " refused, but started"));
+    }
+    if (job.accepted && !job.cancelled && !job.spec.perpetual() &&
+        job.shown != "completed" && job.shown != "failed") {
+      left.push_back(absl::StrCat(id, " is ", job.shown));
+    }
+  }
+  return left;
+}
+
+int Promises::completed() const {
+  int count = 0;
+  for (const auto& [id, job] : jobs_) {
+    count += job.shown == "completed" ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace figflow::model
--- /dev/null
+++ b/Source/StandIns/Fleet/promises.h
@@ -0,0 +1,75 @@
+#ifndef STANDINS_FLEET_PROMISES_H_
+#define STANDINS_FLEET_PROMISES_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/clock.h"
+#include "Scheduling/job_spec.h"
+#include "Scheduling/worker.h"
+
+namespace figflow::model {
+
+// Watches what workers, callers and the platform see, and lists what breaks a
+// promise of figflow.
+class Promises {
+ public:
+  // A caller handed the job in, for the first time or again.
+  void OnSubmitted(const JobSpec& spec);
+  // An attempt was answered: taken, or refused for good.
+  void OnAccepted(const std::string& job);
+  void OnRefused(const std::string& job);
+  void OnCancelAcknowledged(const std::string& job, MonoTime now);
+  void OnShown(const std::string& job, const std::string& state);
+  void OnUnknownJobAnswer(const std::string& job);
+
+  void OnStarted(const std::string& worker,
+                 const TaskName& task,
+                 uint32_t run,
+                 MonoTime now);
+  void OnEnded(const std::string& worker,
+               const TaskName& task,
+               uint32_t run,
+               RunEnd end,
+               MonoTime now);
+  // The worker was told to forget this end.
+  void OnNoted(const TaskName& task, uint32_t run, RunEnd end);
+  // The worker and all that it ran are gone.
+  void OnWorkerGone(const std::string& worker, MonoTime now);
+
+  void OnInstanceOrder(const std::string& instance, uint64_t fence);
+  void OnMaintenance(uint64_t wave, int down, int max_down);
+
+  const std::vector<std::string>& broken() const { return broken_; }
+  // Jobs that were accepted and neither completed, failed nor were cancelled.
+  std::vector<std::string> Unfinished() const;
+  int completed() const;
+
+ private:
+  struct JobRecord {
+    JobSpec spec;
+    bool accepted = false;
+    bool refused = false;
+    bool started = false;
+    bool cancelled = false;
+    MonoTime cancelled_at;
+    std::string shown;
+    std::map<std::string, int> done;
+    std::map<std::string, int> failures;
+  };
+
+  void Break(const std::string& what);
+  static std::string Text(const TaskName& task);
+
+  std::map<std::string, JobRecord> jobs_;
+  // Runs under way, by task: worker and run.
+  std::map<std::string, std::set<std::pair<std::string, uint32_t>>> running_;
+  std::map<std::string, uint64_t> instance_fences_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace figflow::model
+
+#endif  // STANDINS_FLEET_PROMISES_H_
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -0,0 +1,478 @@
+// The whole engine against the model of the platform, one fault a test.
+#include <algorithm>
+#include <string>
+
+#include "Fleet/fleet_test_support.h"
+
+namespace figflow::test {
+namespace {
+
+class FleetFaultTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetFaultTest);
+  CPPUNIT_TEST(CalmJobsComplete);
+  CPPUNIT_TEST(SameJobTwiceRunsOnce);
+  CPPUNIT_TEST(KilledOwnerLosesNothing);
+  CPPUNIT_TEST(SuspendedOwnerOrdersNothingAfterTakeOver);
+  CPPUNIT_TEST(AllDaemonsKilledAtOnce);
+  CPPUNIT_TEST(RollingRestartRefusesNothingForLong);
+  CPPUNIT_TEST(LostAnswersOfTheStore);
+  CPPUNIT_TEST(WritesCarriedOutLate);
+  CPPUNIT_TEST(SilentStoreRefusesAtOnce);
+  CPPUNIT_TEST(SwallowedWatchIsNoticed);
+  CPPUNIT_TEST(ForgottenHistoryIsReadAgain);
+  CPPUNIT_TEST(StoreTurnsTheOwnerAway);
+  CPPUNIT_TEST(RevokedKeyIsNoticed);
+  CPPUNIT_TEST(SilentWorkerIsNotReplacedTooEarly);
+  CPPUNIT_TEST(WorkerWithLostAnswers);
+  CPPUNIT_TEST(OrdersCarriedOutLate);
+  CPPUNIT_TEST(CrashedIdleWorkerIsAskedAgain);
+  CPPUNIT_TEST(GreyWorkerFailsNoJob);
+  CPPUNIT_TEST(HopelessJobFails);
+  CPPUNIT_TEST(CancelledJobStops);
+  CPPUNIT_TEST(DrainingWorkerGetsNothing);
+  CPPUNIT_TEST(MovedWorkerGetsNoTasks);
+  CPPUNIT_TEST(PeakBorrowsInstances);
+  CPPUNIT_TEST(WaveKeepsItsLimits);
+  CPPUNIT_TEST(WaveSurvivesItsKeeper);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CalmJobsComplete() {
+    ModelFleet fleet(1);
+    Begin(fleet, 2, 4, 0);
+    SubmitMany(fleet, "a", "q0", 40, milliseconds(50));
+    SubmitMany(fleet, "b", "q1", 40, milliseconds(50));
+    fleet.Run(seconds(15));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
+  }
+
+  void SameJobTwiceRunsOnce() {
+    ModelFleet fleet(2);
+    Begin(fleet, 1, 4, 0);
+    const JobSpec job = SimpleJob("a", "q0", 1, 4, 1'000);
+    for (int i = 0; i < 3; ++i) {
+      fleet.time.After(milliseconds(5 * i),
+                       [&fleet, job, i] { fleet.Submit(job, i); });
+    }
+    // Again when it has ended.
+    fleet.time.After(seconds(5), [&fleet, job] { fleet.Submit(job, 1); });
+    fleet.Run(seconds(10));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
+  void KilledOwnerLosesNothing() {
+    ModelFleet fleet(3);
+    Begin(fleet, 1, 4, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.time.After(seconds(2),
+                     [&fleet] { fleet.Kill(fleet.OwnerOf("p0"), seconds(4)); });
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  // A suspended owner goes on with orders that were decided before. By then
+  // another daemon owns the pool.
+  void SuspendedOwnerOrdersNothingAfterTakeOver() {
+    ModelFleet fleet(4);
+    Begin(fleet, 1, 4, 0);
+    SubmitMany(fleet, "a", "q0", 80, milliseconds(100));
+    for (int i = 1; i <= 3; ++i) {
+      fleet.time.After(seconds(2 * i), [&fleet] {
+        const int owner = fleet.OwnerOf("p0");
+        if (owner >= 0) {
+          fleet.Suspend(owner, seconds(4));
+        }
+      });
+    }
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
+  }
+
+  void AllDaemonsKilledAtOnce() {
+    ModelFleet fleet(5);
+    Begin(fleet, 2, 4, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(60));
+    SubmitMany(fleet, "b", "q1", 60, milliseconds(60));
+    fleet.time.After(seconds(2), [&fleet] {
+      for (int i = 0; i < fleet.daemons(); ++i) {
+        fleet.Kill(i, seconds(1));
+      }
+    });
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(120, fleet.promises.completed());
+  }
+
+  void RollingRestartRefusesNothingForLong() {
+    ModelFleet fleet(6);
+    Begin(fleet, 1, 4, 0);
+    SubmitMany(fleet, "a", "q0", 150, milliseconds(100));
+    for (int i = 0; i < 3; ++i) {
+      fleet.time.After(seconds(2 + 4 * i), [&fleet, i] { fleet.Restart(i); });
+    }
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(150, fleet.promises.completed());
+    CPPUNIT_ASSERT_EQUAL(0,
+                         fleet.first_answers[503] + fleet.first_answers[504]);
+  }
+
+  void LostAnswersOfTheStore() {
+    ModelFleet fleet(7);
+    Begin(fleet, 1, 4, 0);
+    fleet.store.faults.lost_share = 0.35;
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  // A write that the store carries out seconds later must not bring an older
+  // record back.
+  void WritesCarriedOutLate() {
+    ModelFleet fleet(8);
+    Begin(fleet, 1, 4, 0);
+    fleet.store.faults.lost_share = 0.35;
+    fleet.store.faults.lost_late = true;
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.time.After(seconds(4), [&fleet] {
+      fleet.Kill(std::max(0, fleet.OwnerOf("p0")), seconds(1));
+    });
+    fleet.time.After(seconds(8),
+                     [&fleet] { fleet.store.faults.lost_share = 0; });
+    fleet.Run(seconds(50));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  // Guards against holding callers until their deadline during an outage of
+  // the store, with an answer that forbids another try.
+  void SilentStoreRefusesAtOnce() {
+    ModelFleet fleet(9);
+    Begin(fleet, 1, 4, 0);
+    fleet.store.faults.silent = true;
+    fleet.Run(seconds(1));
+    fleet.first_answers.clear();
+    fleet.longest_answer.clear();
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(100));
+    fleet.Run(seconds(3));
+    CPPUNIT_ASSERT(fleet.first_answers[503] >= 15);
+    CPPUNIT_ASSERT(fleet.longest_answer[503] <= milliseconds(1'200));
+    fleet.store.faults.silent = false;
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(20, fleet.promises.completed());
+  }
+
+  // A watch that the store lost during an outage, on a connection that stays
+  // open, kept an owner from seeing new workers for 14 s.
+  void SwallowedWatchIsNoticed() {
+    ModelFleet fleet(10);
+    // Without a spare pool no idle instance is given away.
+    FleetPlan plan = SimplePlan(1);
+    plan.pools.pop_back();
+    fleet.SetPlan(plan);
+    AddInstances(fleet, 1, 1, 0);
+    fleet.AddDaemons(3);
+    fleet.Run(seconds(2));
+    fleet.store.SwallowWatches();
+    fleet.Run(milliseconds(10));
+    for (int i = 0; i < 4; ++i) {
+      fleet.instances.Add("p0", kWorkerSize);
+    }
+    fleet.Run(milliseconds(3'500));
+    // 16 tasks of 4 cores need all five workers.
+    fleet.Submit(SimpleJob("a", "q0", 1, 20, 4'000), 0);
+    fleet.Run(milliseconds(400));
+    size_t running = 0;
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      running += fleet.workers.Find(id)->running.size();
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{20}, running);
+    fleet.Run(seconds(5));
+    AssertKept(fleet);
+  }
+
+  void ForgottenHistoryIsReadAgain() {
+    ModelFleet fleet(11);
+    Begin(fleet, 1, 2, 0);
+    const std::vector<std::string> before = fleet.workers.Ids("p0");
+    // The change and the loss of the history fall together.
+    fleet.store.SwallowWatches();
+    fleet.workers.Drain(before.front());
+    fleet.instances.Add("p0", kWorkerSize);
+    fleet.store.ForgetHistory();
+    fleet.Run(seconds(4));
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(50));
+    fleet.Run(milliseconds(300));
+    CPPUNIT_ASSERT(fleet.workers.Find(before.front())->running.empty());
+    fleet.Run(seconds(10));
+    AssertKept(fleet);
+  }
+
+  void StoreTurnsTheOwnerAway() {
+    ModelFleet fleet(12);
+    Begin(fleet, 1, 4, 0);
+    SubmitMany(fleet, "a", "q0", 80, milliseconds(100));
+    fleet.time.After(seconds(2), [&fleet] {
+      const int owner = fleet.OwnerOf("p0");
+      const model::NodePtr node = fleet.Node(owner);
+      node->store_busy = true;
+      fleet.time.After(seconds(7), [node] { node->store_busy = false; });
+    });
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
+  }
+
+  void RevokedKeyIsNoticed() {
+    ModelFleet fleet(13);
+    Begin(fleet, 1, 4, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.time.After(seconds(2), [&fleet] {
+      // The owner is cut off from the store, so it does not see its key go.
+      const model::NodePtr node = fleet.Node(fleet.OwnerOf("p0"));
+      node->store_cut = true;
+      fleet.store.Revoke("figflow/owner/p0");
+      fleet.time.After(seconds(5), [node] { node->store_cut = false; });
+    });
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  // A worker that nobody reaches runs on until its lease ends, on a clock that
+  // is 2% slow.
+  void SilentWorkerIsNotReplacedTooEarly() {
+    ModelFleet fleet(14);
+    Begin(fleet, 1, 3, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(5), false};
+    };
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      fleet.workers.Find(id)->clock_rate = 0.98;
+    }
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(100), 1, 4);
+    fleet.Run(seconds(2));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      if (!fleet.workers.Find(id)->running.empty()) {
+        fleet.workers.Find(id)->cut = true;
+        fleet.time.After(seconds(9),
+                         [&fleet, id] { fleet.workers.Find(id)->cut = false; });
+        break;
+      }
+    }
+    fleet.Run(seconds(60));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(10, fleet.promises.completed());
+  }
+
+  void WorkerWithLostAnswers() {
+    ModelFleet fleet(15);
+    Begin(fleet, 1, 3, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    const std::string id = fleet.workers.Ids("p0").front();
+    fleet.time.After(seconds(1), [&fleet, id] {
+      fleet.workers.Find(id)->answers_lost = true;
+    });
+    fleet.time.After(seconds(9), [&fleet, id] {
+      fleet.workers.Find(id)->answers_lost = false;
+    });
+    fleet.Run(seconds(50));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  void OrdersCarriedOutLate() {
+    ModelFleet fleet(16);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.faults.late_share = 0.1;
+    fleet.workers.faults.answer_lost_share = 0.05;
+    SubmitMany(fleet, "a", "q0", 80, milliseconds(100));
+    fleet.time.After(seconds(4), [&fleet] {
+      fleet.Kill(std::max(0, fleet.OwnerOf("p0")), seconds(1));
+    });
+    fleet.time.After(seconds(10), [&fleet] {
+      fleet.workers.faults.late_share = 0;
+      fleet.workers.faults.answer_lost_share = 0;
+    });
+    fleet.Run(seconds(60));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
+  }
+
+  // An idle worker that once gave no answer was never asked again, and got no
+  // task any more.
+  void CrashedIdleWorkerIsAskedAgain() {
+    ModelFleet fleet(17);
+    Begin(fleet, 1, 1, 0);
+    const std::string id = fleet.workers.Ids("p0").front();
+    fleet.workers.Find(id)->cut = true;
+    fleet.Submit(SimpleJob("a", "q0", 1, 2, 1'000), 0);
+    fleet.Run(seconds(8));
+    fleet.workers.Find(id)->cut = false;
+    fleet.Run(seconds(6));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
+  void GreyWorkerFailsNoJob() {
+    ModelFleet fleet(18);
+    Begin(fleet, 1, 4, 0);
+    const std::string id = fleet.workers.Ids("p0").front();
+    fleet.workers.Find(id)->grey = true;
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  void HopelessJobFails() {
+    ModelFleet fleet(19);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName& task) {
+      return model::TaskBehaviour{milliseconds(300), task.job == "bad"};
+    };
+    fleet.Submit(SimpleJob("bad", "q0", 1, 1, 1'000), 0);
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(100));
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    // The hopeless one has failed.
+    CPPUNIT_ASSERT_EQUAL(10, fleet.promises.completed());
+  }
+
+  void CancelledJobStops() {
+    ModelFleet fleet(20);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(20), false};
+    };
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(50), 1, 4);
+    fleet.Run(seconds(2));
+    for (int i = 0; i < 10; ++i) {
+      fleet.Cancel("q0", absl::StrCat("a", i), i % 3);
+    }
+    fleet.Run(seconds(4));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      CPPUNIT_ASSERT(fleet.workers.Find(id)->running.empty());
+    }
+    AssertKept(fleet);
+  }
+
+  void DrainingWorkerGetsNothing() {
+    ModelFleet fleet(21);
+    Begin(fleet, 1, 2, 0);
+    const std::string id = fleet.workers.Ids("p0").front();
+    SubmitMany(fleet, "a", "q0", 40, milliseconds(100));
+    fleet.Run(seconds(1));
+    fleet.workers.Drain(id);
+    // Longer than a task takes.
+    fleet.Run(seconds(2));
+    CPPUNIT_ASSERT(fleet.workers.Find(id)->running.empty());
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+  }
+
+  // The registry lists a moved instance's old worker for 4.5 s more. It looked
+  // idle and got tasks, which then waited for its lease to end.
+  void MovedWorkerGetsNoTasks() {
+    ModelFleet fleet(22);
+    Begin(fleet, 2, 3, 6);
+    // p0 has a peak that its three workers cannot hold.
+    SubmitMany(fleet, "a", "q0", 120, milliseconds(25), 2, 6, 2'000);
+    // p1 gets a job every second; none of them may wait for a lease.
+    SubmitMany(fleet, "b", "q1", 20, milliseconds(500), 1, 4);
+    fleet.Run(seconds(12));
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(140, fleet.promises.completed());
+  }
+
+  void PeakBorrowsInstances() {
+    ModelFleet fleet(23);
+    Begin(fleet, 2, 4, 6);
+    SubmitMany(fleet, "a", "q0", 160, milliseconds(20), 2, 6, 2'000);
+    fleet.Run(seconds(4));
+    CPPUNIT_ASSERT(fleet.instances.CountIn("p0") >= 8);
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    // They are given back when the peak is over.
+    CPPUNIT_ASSERT(fleet.instances.CountIn("p0") <= 6);
+  }
+
+  void WaveKeepsItsLimits() {
+    ModelFleet fleet(24);
+    Begin(fleet, 2, 5, 2);
+    StartPerpetual(fleet, "keep", "q0", 4);
+    SubmitMany(fleet, "a", "q0", 100, milliseconds(100));
+    fleet.Run(seconds(3));
+    const MaintenanceWave wave = StartWave(fleet, 12, 3);
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(12, fleet.instances.Maintained(wave.number));
+    const StoreItem* status =
+        fleet.store.Find(model::ModelWaveStatusKey(wave.number));
+    CPPUNIT_ASSERT(status != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), status->value);
+  }
+
+  // The successor must know which instances may be down.
+  void WaveSurvivesItsKeeper() {
+    ModelFleet fleet(25);
+    Begin(fleet, 2, 5, 2);
+    SubmitMany(fleet, "a", "q0", 100, milliseconds(100));
+    fleet.Run(seconds(3));
+    const MaintenanceWave wave = StartWave(fleet, 12, 2);
+    for (int i = 0; i < 4; ++i) {
+      fleet.time.After(milliseconds(1'000 + 5'000 * i), [&fleet] {
+        const int keeper = fleet.OwnerOf("@instances");
+        if (keeper >= 0) {
+          fleet.Kill(keeper, seconds(1));
+        }
+      });
+    }
+    fleet.Run(seconds(60));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(12, fleet.instances.Maintained(wave.number));
+  }
+
+ private:
+  static void Begin(ModelFleet& fleet, int pools, int each, int spare) {
+    fleet.SetPlan(SimplePlan(pools));
+    AddInstances(fleet, pools, each, spare);
+    fleet.AddDaemons(3);
+    fleet.Run(seconds(2));
+  }
+
+  static void StartPerpetual(ModelFleet& fleet,
+                             const std::string& id,
+                             const std::string& queue,
+                             int tasks) {
+    JobSpec spec = SimpleJob(id, queue, 1, tasks, 2'000);
+    spec.stages[0].perpetual = true;
+    spec.stages[0].max_unavailable = 1;
+    fleet.Submit(spec, 0);
+  }
+
+  static MaintenanceWave StartWave(ModelFleet& fleet, int count, int max_down) {
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.max_down = max_down;
+    wave.complete_within = seconds(25);
+    for (int i = 1; i <= count; ++i) {
+      wave.instances.push_back(absl::StrCat("m", i));
+    }
+    fleet.instances.SetWave(wave);
+    fleet.store.Put(model::ModelWaveKey(1), model::FormatModelWave(wave));
+    return wave;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetFaultTest);
+
+}  // namespace
+}  // namespace figflow::test
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -0,0 +1,210 @@
+// Random mixes of faults against the whole engine. A seed that ever failed
+// stays in kPastSeeds with a line on the cause.
+#include <cstdint>
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "Fleet/fleet_test_support.h"
+
+namespace figflow::test {
+namespace {
+
+// More seeds by hand: FIGFLOW_SEEDS=FIRST-LAST.
+constexpr uint64_t kFirstSeed = 1;
+constexpr uint64_t kLastSeed = 25;
+
+const std::vector<uint64_t> kPastSeeds = {
+    // The removal of an owner's key failed, and the pool had no owner for as
+    // long as the daemon kept its lease.
+    91,
+    // A daemon whose lease had ended got a new one, took its old claim for
+    // valid and denied jobs that its successor had accepted.
+    353,
+};
+
+class Trouble {
+ public:
+  Trouble(ModelFleet& fleet, uint64_t seed) : fleet_(fleet), random_(seed) {}
+
+  // One fault, which ends by itself.
+  void Strike() {
+    const int daemon = Draw(0, fleet_.daemons() - 1);
+    const int owner = fleet_.OwnerOf(absl::StrCat("p", Draw(0, 1)));
+    const int victim = Draw(0, 1) == 0 && owner >= 0 ? owner : daemon;
+    const auto length = milliseconds(Draw(500, 6'000));
+    const model::NodePtr node = fleet_.Node(victim);
+    const std::vector<std::string> workers =
+        fleet_.workers.Ids(absl::StrCat("p", Draw(0, 1)));
+    model::ModelWorker* worker =
+        workers.empty()
+            ? nullptr
+            : fleet_.workers.Find(
+                  workers[Draw(0, static_cast<int>(workers.size()) - 1)]);
+    const std::string id = worker == nullptr ? "" : worker->report.key.id;
+    switch (Draw(0, 13)) {
+      case 0:
+        fleet_.Kill(victim, length);
+        return;
+      case 1:
+        fleet_.Suspend(victim, length);
+        return;
+      case 2:
+        fleet_.Restart(victim);
+        return;
+      case 3:
+        fleet_.store.faults.silent = true;
+        fleet_.store.faults.lapse = Draw(0, 1) == 1;
+        After(length, [this] { fleet_.store.faults.silent = false; });
+        return;
+      case 4:
+        fleet_.store.faults.latency = milliseconds(Draw(50, 300));
+        After(length,
+              [this] { fleet_.store.faults.latency = milliseconds(4); });
+        return;
+      case 5:
+        fleet_.store.faults.lost_share = 0.35;
+        fleet_.store.faults.lost_late = Draw(0, 1) == 1;
+        After(length, [this] { fleet_.store.faults.lost_share = 0; });
+        return;
+      case 6:
+        fleet_.store.SwallowWatches();
+        fleet_.store.ForgetHistory();
+        return;
+      case 7:
+        if (node) {
+          node->store_busy = true;
+          After(length, [node] { node->store_busy = false; });
+        }
+        return;
+      case 8:
+        if (node) {
+          node->store_cut = true;
+          After(length, [node] { node->store_cut = false; });
+        }
+        return;
+      case 9:
+        if (node) {
+          node->workers_cut = true;
+          node->peers_cut = true;
+          After(length, [node] {
+            node->workers_cut = false;
+            node->peers_cut = false;
+          });
+        }
+        return;
+      case 10:
+        if (worker != nullptr) {
+          (Draw(0, 1) == 0 ? worker->cut : worker->answers_lost) = true;
+          After(length, [this, id] {
+            fleet_.workers.Find(id)->cut = false;
+            fleet_.workers.Find(id)->answers_lost = false;
+          });
+        }
+        return;
+      case 11:
+        fleet_.workers.faults.late_share = 0.06;
+        fleet_.workers.faults.answer_lost_share = 0.05;
+        After(length, [this] { fleet_.workers.faults.late_share = 0; });
+        return;
+      case 12:
+        if (worker != nullptr) {
+          worker->grey = true;
+          After(length, [this, id] { fleet_.workers.Find(id)->grey = false; });
+        }
+        return;
+      default:
+        if (owner >= 0) {
+          fleet_.store.Revoke(absl::StrCat("figflow/owner/p", Draw(0, 1)));
+        }
+        return;
+    }
+  }
+
+  int Draw(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random_);
+  }
+
+ private:
+  void After(milliseconds delay, std::function<void()> event) {
+    fleet_.time.After(delay, std::move(event));
+  }
+
+  ModelFleet& fleet_;
+  std::mt19937_64 random_;
+};
+
+class FleetSeededTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetSeededTest);
+  CPPUNIT_TEST(PastSeeds);
+  CPPUNIT_TEST(Seeds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PastSeeds() {
+    for (const uint64_t seed : kPastSeeds) {
+      RunSeed(seed);
+    }
+  }
+
+  void Seeds() {
+    uint64_t first = kFirstSeed;
+    uint64_t last = kLastSeed;
+    if (const char* range = std::getenv("FIGFLOW_SEEDS")) {
+      char* rest = nullptr;
+      first = std::strtoull(range, &rest, 10);
+      last = rest != nullptr && *rest == '-'
+                 ? std::strtoull(rest + 1, nullptr, 10)
+                 : first;
+    }
+    for (uint64_t seed = first; seed <= last; ++seed) {
+      RunSeed(seed);
+    }
+  }
+
+ private:
+  static void RunSeed(uint64_t seed) {
+    ModelFleet fleet(seed);
+    Trouble trouble(fleet, seed + 1'000);
+    fleet.SetPlan(SimplePlan(2));
+    AddInstances(fleet, 2, 4, 3);
+    fleet.AddDaemons(4);
+    fleet.workers.behaviour = [&trouble](const TaskName&) {
+      model::TaskBehaviour behaviour;
+      behaviour.duration = milliseconds(trouble.Draw(100, 1'500));
+      behaviour.fails = trouble.Draw(0, 199) == 0;
+      return behaviour;
+    };
+    fleet.Run(seconds(2));
+    SubmitMany(fleet, "a", "q0", 80, milliseconds(150));
+    SubmitMany(fleet, "b", "q1", 80, milliseconds(150), 1, 6);
+    const int faults = trouble.Draw(2, 6);
+    for (int i = 0; i < faults; ++i) {
+      fleet.time.After(milliseconds(trouble.Draw(500, 12'000)),
+                       [&trouble] { trouble.Strike(); });
+    }
+    if (trouble.Draw(0, 1) == 1) {
+      MaintenanceWave wave;
+      wave.number = 1;
+      wave.max_down = trouble.Draw(1, 3);
+      wave.complete_within = seconds(25);
+      for (int i = 1; i <= 9; ++i) {
+        wave.instances.push_back(absl::StrCat("m", i));
+      }
+      fleet.instances.SetWave(wave);
+      fleet.store.Put(model::ModelWaveKey(1), model::FormatModelWave(wave));
+    }
+    fleet.Run(seconds(90));
+    const std::string label = absl::StrCat("seed ", seed, ": ");
+    CPPUNIT_ASSERT_EQUAL(label,
+                         label + absl::StrJoin(fleet.promises.broken(), "; "));
+    CPPUNIT_ASSERT_EQUAL(
+        label, label + absl::StrJoin(fleet.promises.Unfinished(), "; "));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetSeededTest);
+
+}  // namespace
+}  // namespace figflow::test
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_test_support.h
@@ -0,0 +1,63 @@
+#ifndef FLEET_FLEET_TEST_SUPPORT_H_
+#define FLEET_FLEET_TEST_SUPPORT_H_
+
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "StandIns/Fleet/model_fleet.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace figflow::test {
+
+using model::ModelFleet;
+using model::SimpleJob;
+using model::SimplePlan;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr Resources kWorkerSize{16'000, 64'000, 0};
+
+// Adds instances with a worker each to every pool, and spare ones.
+inline void AddInstances(ModelFleet& fleet, int pools, int each, int spare) {
+  for (int pool = 0; pool < pools; ++pool) {
+    for (int i = 0; i < each; ++i) {
+      fleet.instances.Add(absl::StrCat("p", pool), kWorkerSize);
+    }
+  }
+  for (int i = 0; i < spare; ++i) {
+    fleet.instances.Add("spare", kWorkerSize);
+  }
+}
+
+// Hands `count` jobs in at all daemons in turn, one each `gap`.
+inline void SubmitMany(ModelFleet& fleet,
+                       const std::string& prefix,
+                       const std::string& queue,
+                       int count,
+                       milliseconds gap,
+                       int stages = 2,
+                       int tasks = 4,
+                       int64_t millicores = 1'000) {
+  for (int i = 0; i < count; ++i) {
+    fleet.time.After(gap * i,
+                     [&fleet, prefix, queue, i, stages, tasks, millicores] {
+                       fleet.Submit(SimpleJob(absl::StrCat(prefix, i), queue,
+                                              stages, tasks, millicores),
+                                    i % fleet.daemons());
+                     });
+  }
+}
+
+// No promise was broken, and every accepted job has ended.
+inline void AssertKept(const ModelFleet& fleet) {
+  CPPUNIT_ASSERT_EQUAL(std::string(),
+                       absl::StrJoin(fleet.promises.broken(), "; "));
+  CPPUNIT_ASSERT_EQUAL(std::string(),
+                       absl::StrJoin(fleet.promises.Unfinished(), "; "));
+}
+
+}  // namespace figflow::test
+
+#endif  // FLEET_FLEET_TEST_SUPPORT_H_
--- a/Source/UnitTests/unittest_main.cc
+++ b/Source/UnitTests/unittest_main.cc
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <iostream>
 
 #include <cppunit/CompilerOutputter.h>
@@ -10,8 +11,11 @@
 
 // With an argument, runs only the tests whose path begins with it, such as
 // "figflow::(anonymous namespace)::MetricsTest::QuantileIsWithinOneBucket".
+// FIGFLOW_TEST_LOG=1 shows the log.
 int main(int argc, char** argv) {
-  figflow::InitLogging(figflow::LogLevel::kError);
+  const bool verbose = std::getenv("FIGFLOW_TEST_LOG") != nullptr;
+  figflow::InitLogging(verbose ? figflow::LogLevel::kInfo
+                               : figflow::LogLevel::kError);
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
   result.addListener(&collector);
