Lend instances when more work arrives than a pool can do

Cause: moves began only when half a second of work waited; at the onset of a peak that is 0.7 s after the arrivals exceed the pool.

Change: the arriving work alone asks for instances; idle ones are given back after 1.5 s.

--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -17,7 +17,7 @@
 constexpr double kUsableShare = 0.85;
 // Instances that idle for longer are given back. A move there and one back cost
 // about as much as 2.3 s in a pool.
-constexpr std::chrono::milliseconds kIdleBeforeReturn{2'500};
+constexpr std::chrono::milliseconds kIdleBeforeReturn{1'500};
 // A pool keeps this part of an even share of all instances, for the start of
 // its next peak.
 constexpr double kKeptShare = 0.55;
@@ -35,13 +35,16 @@
   double capacity = 0;
   double incoming = 0;
   int size = 0;
-  // Millicores that the pool should have.
+  // Millicores that the pool should have for what arrives, and for what waits
+  // as well.
+  double offered = 0;
   double wanted = 0;
 
   // Work waits that the pool cannot do soon by itself.
+  // Or more work arrives than it can do.
   bool Short() const {
     return BacklogSeconds() >= kToleratedBacklogSeconds ||
-           report->waiting_perpetual > 0;
+           report->waiting_perpetual > 0 || offered > capacity;
   }
 
   // Work waits.
@@ -85,12 +88,12 @@
       kKeptShare * input.all_instances / static_cast<double>(needs.size());
   for (auto& [name, need] : needs) {
     const PoolReport& report = *need.report;
-    need.wanted =
-        (static_cast<double>(report.offered_millicores +
-                             report.perpetual_millicores) +
-         static_cast<double>(report.backlog_millicore_ms) / 1000.0 /
-             kDrainSeconds) /
-        kUsableShare;
+    need.offered = static_cast<double>(report.offered_millicores +
+                                       report.perpetual_millicores) /
+                   kUsableShare;
+    need.wanted = need.offered +
+                  static_cast<double>(report.backlog_millicore_ms) / 1000.0 /
+                      kDrainSeconds / kUsableShare;
     // Whatever keeps a perpetual task from the present workers, one more may
     // take it.
     if (report.waiting_perpetual > 0) {
