Let owners without answers give way; relay calls through any daemon

After a renewal without an answer a daemon now asks whether the store answers before it renews again. Test OwnerWithoutAnswersGivesWay, red before.

A daemon that does not know or reach the owner passes a call to any other daemon (Fleet/route_choice), so callers of a daemon that the store turns away are served.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -1,10 +1,12 @@
 #include "Fleet/call_router.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "Common/log.h"
 #include "Fleet/peer_calls.h"
+#include "Fleet/route_choice.h"
 #include "Ownership/owner_record.h"
 #include "absl/strings/str_cat.h"
 
@@ -20,7 +22,11 @@
 // Time for the answer to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kAnswerMargin{150};
 // A peer that has not answered by then is asked again on a new connection.
-constexpr std::chrono::milliseconds kPeerTimeout{700};
+constexpr std::chrono::milliseconds kPeerTimeout{500};
+// Later than any claim.
+constexpr uint64_t kAnyClaim = std::numeric_limits<uint64_t>::max();
+// A daemon that hears from the store knows the owners at most this late.
+constexpr std::chrono::milliseconds kStaleAfter{3'000};
 constexpr std::chrono::milliseconds kStoreReadTimeout{500};
 constexpr std::chrono::milliseconds kDefaultPatience{3'000};
 // Told to callers whose job was refused because no owner was there: a take-over
@@ -53,15 +59,18 @@
 struct CallRouter::Routed {
   CallerCall call;
   std::string spec_bytes;
+  // A peer passed it on.
+  bool relayed = false;
   MonoTime arrived;
   MonoTime deadline;
   // After this time a call that has certainly had no effect is refused.
   MonoTime give_up;
+  RouteAttempts attempts;
   // Latest claim of an owner to which an attempt was sent that got no answer:
   // it may have taken effect, or may still do so. 0 if there is none. An owner
   // with a later claim knows what became of it.
   uint64_t unanswered_by = 0;
-  std::shared_ptr<HttpExchange> exchange;
+  Reply respond;
 };
 
 CallRouter::CallRouter(FleetEngine& engine,
@@ -79,8 +88,10 @@
 void CallRouter::Handle(const HttpRequest& request,
                         const std::shared_ptr<HttpExchange>& exchange) {
   auto routed = std::make_shared<Routed>();
-  routed->exchange = exchange;
   routed->arrived = clock_.Now();
+  routed->respond = [this, exchange](const CallerReply& reply) {
+    exchange->Respond(platform_.FormatReply(reply));
+  };
   const std::shared_ptr<const FleetPlan> plan = engine_.plan();
   if (plan == nullptr) {
     Finish(routed, Unavailable("no-plan"));
@@ -97,16 +108,7 @@
     return;
   }
   routed->call = std::move(*call);
-  const std::chrono::milliseconds patience = routed->call.patience.count() > 0
-                                                 ? routed->call.patience
-                                                 : kDefaultPatience;
-  routed->deadline =
-      routed->arrived + std::max(patience - kAnswerMargin, patience / 2);
-  const bool submit = routed->call.kind == CallKind::kSubmit;
-  routed->give_up =
-      std::min(routed->deadline,
-               routed->arrived + (submit ? kRefuseAfter : kReadPatience));
-  if (submit) {
+  if (routed->call.kind == CallKind::kSubmit) {
     if (const Result<void> valid = CheckJobSpec(routed->call.spec); !valid) {
       CallerReply reply;
       reply.outcome = CallOutcome::kMalformed;
@@ -116,46 +118,90 @@
     }
     routed->spec_bytes = FormatJobSpec(routed->call.spec);
   }
+  Begin(routed);
+}
+
+void CallRouter::Begin(const std::shared_ptr<Routed>& routed) {
+  const std::chrono::milliseconds patience = routed->call.patience.count() > 0
+                                                 ? routed->call.patience
+                                                 : kDefaultPatience;
+  routed->deadline =
+      routed->arrived + std::max(patience - kAnswerMargin, patience / 2);
+  const bool submit = routed->call.kind == CallKind::kSubmit;
+  routed->give_up =
+      std::min(routed->deadline,
+               routed->arrived + (submit ? kRefuseAfter : kReadPatience));
   Try(routed);
 }
 
 void CallRouter::Try(const std::shared_ptr<Routed>& routed) {
   const std::string& pool = routed->call.pool;
-  if (engine_.OwnRunner(pool) != nullptr) {
-    AnswerHere(
-        routed->call, routed->spec_bytes,
-        [this, routed](const CallerReply& reply) { OnReply(routed, reply); });
-    return;
-  }
+  RouteView view;
+  const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(pool);
+  view.owned_here = runner != nullptr && runner->TakesCallsNow();
   const std::optional<FleetEngine::Owner> owner = engine_.OwnerOf(pool);
   if (owner && owner->record.entry != engine_.entry()) {
-    TryPeer(routed, *owner);
-    return;
+    view.owner = PeerAddress{owner->record.entry, owner->record.address};
+    view.owner_claim = owner->revision;
+  }
+  view.stale = clock_.Now() - engine_.OwnersFreshAt() > kStaleAfter;
+  view.peers = engine_.Peers();
+  view.relayed = routed->relayed;
+  const RouteChoice choice = ChooseRoute(view, routed->attempts);
+  switch (choice.step) {
+    case RouteChoice::Step::kHere:
+      AnswerHere(
+          routed->call, routed->spec_bytes,
+          [this, routed](const CallerReply& reply) { OnReply(routed, reply); });
+      return;
+    case RouteChoice::Step::kOwner:
+      TryPeer(routed, choice.peer.address, view.owner_claim);
+      return;
+    case RouteChoice::Step::kRelay:
+      ++routed->attempts.relays;
+      metrics_.GetCounter("figflow_calls_relayed_total").Add();
+      TryPeer(routed, choice.peer.address, 0);
+      return;
+    case RouteChoice::Step::kWait:
+      TryLater(routed);
+      return;
   }
-  TryLater(routed);
 }
 
 void CallRouter::TryPeer(const std::shared_ptr<Routed>& routed,
-                         const FleetEngine::Owner& owner) {
-  TransferRequest transfer;
-  transfer.address = owner.record.address;
-  transfer.message = std::make_shared<HttpRequest>(
-      FormatPeerCall(routed->call, routed->spec_bytes));
+                         const std::string& address,
+                         uint64_t claim) {
   const MonoTime now = clock_.Now();
+  PeerCall call;
+  call.call = routed->call;
+  call.spec_bytes = routed->spec_bytes;
+  call.relay = claim == 0;
+  call.call.patience = std::chrono::duration_cast<std::chrono::milliseconds>(
+      routed->deadline - now);
+  TransferRequest transfer;
+  transfer.address = address;
+  transfer.message = std::make_shared<HttpRequest>(FormatPeerCall(call));
   transfer.deadline = std::min(routed->deadline, now + kPeerTimeout);
-  peers_.Start(std::move(transfer), [this, routed, claim = owner.revision](
-                                        const TransferResult& result) {
+  peers_.Start(std::move(transfer), [this, routed,
+                                     claim](const TransferResult& result) {
     if (result.response) {
       const Result<CallerReply> reply = ParsePeerReply(*result.response);
       if (reply) {
+        if (reply->outcome == CallOutcome::kUnavailable) {
+          routed->attempts.failed_claims.insert(claim);
+        }
         OnReply(routed, *reply);
         return;
       }
     }
+    metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
+    routed->attempts.failed_claims.insert(claim);
     if (result.sent) {
-      routed->unanswered_by = std::max(routed->unanswered_by, claim);
+      // A relay may have passed the call to an owner that this daemon does not
+      // know.
+      routed->unanswered_by = std::max(
+          routed->unanswered_by, claim == 0 ? kAnyClaim : claim);
     }
-    metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
     if (routed->call.kind == CallKind::kQuery) {
       TryStore(routed);
     } else {
@@ -262,7 +308,7 @@
                    std::chrono::duration_cast<std::chrono::milliseconds>(taken)
                        .count())}});
   }
-  routed->exchange->Respond(platform_.FormatReply(reply));
+  routed->respond(reply);
 }
 
 void CallRouter::AskPool(const std::string& pool,
@@ -310,16 +356,26 @@
                              : HttpResponse{kNotOwner, {}, ""});
     return;
   }
-  const Result<PeerCall> call = ParsePeerCall(request);
+  Result<PeerCall> call = ParsePeerCall(request);
   if (!call) {
     metrics_.GetCounter("figflow_peer_calls_malformed_total").Add();
     exchange->Respond(HttpResponse{400, {}, call.error().message});
     return;
   }
-  AnswerHere(call->call, call->spec_bytes,
-             [exchange](const CallerReply& reply) {
-               exchange->Respond(FormatPeerReply(reply));
-             });
+  const Reply respond = [exchange](const CallerReply& reply) {
+    exchange->Respond(FormatPeerReply(reply));
+  };
+  if (!call->relay) {
+    AnswerHere(call->call, call->spec_bytes, respond);
+    return;
+  }
+  auto routed = std::make_shared<Routed>();
+  routed->arrived = clock_.Now();
+  routed->relayed = true;
+  routed->call = std::move(call->call);
+  routed->spec_bytes = std::move(call->spec_bytes);
+  routed->respond = respond;
+  Begin(routed);
 }
 
 void CallRouter::AnswerHere(const CallerCall& call,
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -33,7 +33,8 @@
   void AskPool(const std::string& pool,
                const WorkerOrders& orders,
                std::function<void(Result<PoolReport>)> done);
-  // A call that a peer passed on; it is not passed on again.
+  // A call that a peer passed on: to this daemon as the owner, or to be passed
+  // to the owner.
   void HandlePeer(const HttpRequest& request,
                   const std::shared_ptr<HttpExchange>& exchange);
 
@@ -46,9 +47,12 @@
   void AnswerHere(const CallerCall& call,
                   const std::string& spec_bytes,
                   Reply done);
+  void Begin(const std::shared_ptr<Routed>& routed);
   void Try(const std::shared_ptr<Routed>& routed);
+  // `claim` is the owner's, or 0 for a relay by any daemon.
   void TryPeer(const std::shared_ptr<Routed>& routed,
-               const FleetEngine::Owner& owner);
+               const std::string& address,
+               uint64_t claim);
   void TryStore(const std::shared_ptr<Routed>& routed);
   void TryLater(const std::shared_ptr<Routed>& routed);
   void OnReply(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -576,6 +576,9 @@
       lost = working != 0 && working < item.revision;
     } else {
       known_owners_[scope] = owner;
+      if (owner.record.entry != options_.entry) {
+        peers_[owner.record.entry] = owner.record.address;
+      }
       claims_.OnOwned(scope);
       own = absl::StartsWith(owner.record.nonce, options_.process_id);
     }
@@ -615,6 +618,15 @@
   return it->second;
 }
 
+std::vector<PeerAddress> FleetEngine::Peers() const {
+  absl::MutexLock lock(&mutex_);
+  std::vector<PeerAddress> peers;
+  for (const auto& [entry, address] : peers_) {
+    peers.push_back({entry, address});
+  }
+  return peers;
+}
+
 bool FleetEngine::releasing() const {
   absl::MutexLock lock(&mutex_);
   return releasing_;
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,7 @@
 #include "Common/metrics.h"
 #include "Fleet/platform_adapter.h"
 #include "Fleet/pool_runner.h"
+#include "Fleet/route_choice.h"
 #include "Instances/instance_keeper.h"
 #include "Ownership/claim_policy.h"
 #include "Ownership/owner_record.h"
@@ -76,6 +78,10 @@
   std::shared_ptr<PoolRunner> OwnRunner(const std::string& pool) const;
   // None while no owner is known.
   std::optional<Owner> OwnerOf(const std::string& pool) const;
+  // Daemons that own or owned something, without this one.
+  std::vector<PeerAddress> Peers() const;
+  // The owners' keys are known at least as of this time.
+  MonoTime OwnersFreshAt() const { return owners_->fresh_at(); }
   const std::string& entry() const { return options_.entry; }
   bool releasing() const;
 
@@ -131,6 +137,8 @@
   // Latest worker of each instance.
   std::map<std::string, WorkerKey> worker_on_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Owner> known_owners_ ABSL_GUARDED_BY(mutex_);
+  // Addresses of other daemons by entry, as learnt from owners' keys.
+  std::map<std::string, std::string> peers_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, std::shared_ptr<PoolRunner>> runners_
       ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<InstanceKeeper> keeper_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -40,16 +40,17 @@
   return kOutcomeNames[static_cast<size_t>(outcome)];
 }
 
-HttpRequest FormatPeerCall(const CallerCall& call,
-                           const std::string& spec_bytes) {
+HttpRequest FormatPeerCall(const PeerCall& call) {
   HttpRequest request;
   request.method = "POST";
   request.target = kPath;
   request.headers = {{"Content-Type", "application/cbor"}};
-  request.body = FormatCbor(
-      json::array({static_cast<int>(call.kind), call.queue, call.pool, call.job,
-                   json::binary(std::vector<uint8_t>(spec_bytes.begin(),
-                                                     spec_bytes.end()))}));
+  request.body = FormatCbor(json::array(
+      {static_cast<int>(call.call.kind), call.call.queue, call.call.pool,
+       call.call.job,
+       json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
+                                         call.spec_bytes.end())),
+       call.relay, call.call.patience.count()}));
   return request;
 }
 
@@ -66,6 +67,9 @@
         peer.call.job = row.at(3).get<std::string>();
         const json::binary_t& spec = row.at(4).get_binary();
         peer.spec_bytes.assign(spec.begin(), spec.end());
+        peer.relay = row.at(5).get<bool>();
+        peer.call.patience =
+            std::chrono::milliseconds(row.at(6).get<int64_t>());
         return peer;
       });
   if (!parsed || parsed->call.kind != CallKind::kSubmit) {
--- a/Source/Core/Fleet/peer_calls.h
+++ b/Source/Core/Fleet/peer_calls.h
@@ -13,15 +13,15 @@
 // Calls between daemons: a caller's call that is passed on to the pool's owner.
 // HTTP with CBOR bodies rather than the gossip links: each call has a time
 // limit of its own, and a connection that has gone silent costs one call.
-HttpRequest FormatPeerCall(const CallerCall& call,
-                           const std::string& spec_bytes);
-
 struct PeerCall {
   CallerCall call;
   // Form of call.spec in the store.
   std::string spec_bytes;
+  // The receiver need not own the pool: it passes the call to the owner.
+  bool relay = false;
 };
 
+HttpRequest FormatPeerCall(const PeerCall& call);
 // Errors: kNotFound, another path; kInvalid, malformed.
 Result<PeerCall> ParsePeerCall(const HttpRequest& request);
 
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -490,6 +490,11 @@
   CarryOut(std::move(work));
 }
 
+bool PoolRunner::TakesCallsNow() const {
+  absl::MutexLock lock(&mutex_);
+  return TakesCalls();
+}
+
 PoolRunner::State PoolRunner::state() const {
   absl::MutexLock lock(&mutex_);
   return state_;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -76,6 +76,8 @@
   // Another daemon owns the pool, or the claim has ended.
   void End(const char* cause);
 
+  // Calls are answered now.
+  bool TakesCallsNow() const;
   State state() const;
   bool deposed() const;
   const Claim& claim() const { return claim_; }
--- /dev/null
+++ b/Source/Core/Fleet/route_choice.cc
@@ -0,0 +1,46 @@
+#include "Fleet/route_choice.h"
+
+#include <algorithm>
+
+namespace figflow {
+namespace {
+
+// Each relay may cost a time limit of a peer that does not answer.
+constexpr int kMostRelays = 4;
+
+}  // namespace
+
+RouteChoice ChooseRoute(const RouteView& view, const RouteAttempts& attempts) {
+  RouteChoice choice;
+  if (view.owned_here) {
+    choice.step = RouteChoice::Step::kHere;
+    return choice;
+  }
+  const bool failed = attempts.failed_claims.count(view.owner_claim) > 0;
+  if (view.owner && !failed) {
+    choice.step = RouteChoice::Step::kOwner;
+    choice.peer = *view.owner;
+    return choice;
+  }
+  std::vector<PeerAddress> others;
+  std::copy_if(view.peers.begin(), view.peers.end(),
+               std::back_inserter(others), [&](const PeerAddress& peer) {
+                 return !view.owner || peer.entry != view.owner->entry;
+               });
+  // Without an owner and with fresh knowledge, a take-over is under way: no
+  // other daemon knows more.
+  const bool others_may_know = view.owner || view.stale;
+  if (!view.relayed && others_may_know && !others.empty() &&
+      attempts.relays < kMostRelays) {
+    choice.step = RouteChoice::Step::kRelay;
+    choice.peer = others[attempts.relays % others.size()];
+    return choice;
+  }
+  if (view.owner) {
+    choice.step = RouteChoice::Step::kOwner;
+    choice.peer = *view.owner;
+  }
+  return choice;
+}
+
+}  // namespace figflow
--- a/Source/Core/Ownership/store_session.cc
+++ b/Source/Core/Ownership/store_session.cc
@@ -13,6 +13,8 @@
 // Pause after a failed call, so that a store that turns this daemon away is
 // not asked in a loop.
 constexpr std::chrono::milliseconds kRetryPause{100};
+// No such key exists; any answer will do.
+constexpr char kProbeKey[] = "figflow/probe";
 
 }  // namespace
 
@@ -21,6 +23,7 @@
 
 MonoTime StoreSession::Step(MonoTime now) {
   LeaseId lease = 0;
+  bool probe = false;
   {
     absl::MutexLock lock(&mutex_);
     if (closed_ || calling_) {
@@ -32,9 +35,20 @@
     calling_ = true;
     next_call_ = now + options_.ttl / kRenewalsPerTtl;
     lease = lease_;
+    probe = unanswered_;
   }
+  Call(lease, probe, now);
+  return now + options_.ttl / kRenewalsPerTtl;
+}
+
+void StoreSession::Call(LeaseId lease, bool probe, MonoTime now) {
   const auto self = shared_from_this();
-  if (lease == 0) {
+  if (probe) {
+    store_.Get(kProbeKey, options_.call_timeout,
+               [self, now](const Result<std::optional<StoreItem>>& item) {
+                 self->OnProbed(item.has_value(), now);
+               });
+  } else if (lease == 0) {
     store_.GrantLease(options_.ttl, options_.call_timeout,
                       [self, now](const Result<LeaseId>& granted) {
                         self->OnGranted(now, granted);
@@ -46,7 +60,13 @@
           self->OnKept(lease, now, ttl);
         });
   }
-  return now + options_.ttl / kRenewalsPerTtl;
+}
+
+void StoreSession::OnProbed(bool answered, MonoTime sent_at) {
+  absl::MutexLock lock(&mutex_);
+  calling_ = false;
+  unanswered_ = !answered;
+  next_call_ = answered ? sent_at : sent_at + kRetryPause;
 }
 
 void StoreSession::OnGranted(MonoTime sent_at, const Result<LeaseId>& lease) {
@@ -73,6 +93,8 @@
     return;
   }
   next_call_ = sent_at + kRetryPause;
+  unanswered_ = ttl.error().code != ErrorCode::kNotFound &&
+                ttl.error().code != ErrorCode::kUnavailable;
   if (ttl.error().code == ErrorCode::kNotFound) {
     LogEvent(LogLevel::kWarning, LogCategory::kPlatform, "lease_ended",
              {{"lease", absl::StrCat(lease)}});
--- a/Source/Core/Ownership/store_session.h
+++ b/Source/Core/Ownership/store_session.h
@@ -40,7 +40,9 @@
   void Close();
 
  private:
+  void Call(LeaseId lease, bool probe, MonoTime now);
   void OnGranted(MonoTime sent_at, const Result<LeaseId>& lease);
+  void OnProbed(bool answered, MonoTime sent_at);
   void OnKept(LeaseId lease,
               MonoTime sent_at,
               const Result<std::chrono::milliseconds>& ttl);
@@ -52,6 +54,10 @@
   MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   MonoTime next_call_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   bool calling_ ABSL_GUARDED_BY(mutex_) = false;
+  // The last renewal got no answer. Another one might reach the store without
+  // an answer as well and keep the lease of a daemon that cannot use it, so
+  // the next call only asks whether the store answers.
+  bool unanswered_ ABSL_GUARDED_BY(mutex_) = false;
   bool closed_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
--- a/Source/StandIns/Fleet/model_node.h
+++ b/Source/StandIns/Fleet/model_node.h
@@ -22,6 +22,8 @@
   bool store_cut = false;
   bool workers_cut = false;
   bool peers_cut = false;
+  // Its calls reach the store, and the answers get lost.
+  bool store_answers_lost = false;
   // The store turns this daemon away.
   bool store_busy = false;
 };
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -93,7 +93,12 @@
     const NodePtr node = node_;
     const auto latency = store_.faults.latency;
     store_.waiters_[id] = {prefix, after_revision,
-                           [&time, node, latency, done](StoreChanges changes) {
+                           [this, id, &time, node, latency,
+                            done](StoreChanges changes) {
+                             if (node->store_answers_lost) {
+                               store_.lost_.insert(id);
+                               return;
+                             }
                              RunIn(time, node, latency,
                                    [done, changes] { done(changes); });
                            }};
@@ -105,7 +110,7 @@
       if (!waiting) {
         return;
       }
-      if (store_.faults.silent || node->store_cut) {
+      if (store_.faults.silent || node->store_cut || node->store_answers_lost) {
         store_.lost_.insert(id);
         return;
       }
@@ -196,11 +201,13 @@
     }
     const auto latency = store_.faults.latency;
     std::uniform_real_distribution<double> share(0, 1);
-    const bool lost = write && share(store_.random_) < store_.faults.lost_share;
+    const bool cut_back = node_->store_answers_lost;
+    const bool lost =
+        cut_back || (write && share(store_.random_) < store_.faults.lost_share);
     if (lost) {
       std::uniform_int_distribution<int> late_ms(1'000, 6'000);
       const auto delay =
-          store_.faults.lost_late
+          store_.faults.lost_late && !cut_back
               ? std::chrono::milliseconds(late_ms(store_.random_))
               : latency;
       store_.time_.After(delay, [carry_out] { (void)carry_out(); });
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(SwallowedWatchIsNoticed);
   CPPUNIT_TEST(ForgottenHistoryIsReadAgain);
   CPPUNIT_TEST(StoreTurnsTheOwnerAway);
+  CPPUNIT_TEST(OwnerWithoutAnswersGivesWay);
   CPPUNIT_TEST(RevokedKeyIsNoticed);
   CPPUNIT_TEST(SilentWorkerIsNotReplacedTooEarly);
   CPPUNIT_TEST(WorkerWithLostAnswers);
@@ -229,6 +230,24 @@
     CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
   }
 
+  // Renewals that reached the store kept the lease of an owner that got no
+  // answers, so that nobody could take over for as long as the cut lasted.
+  void OwnerWithoutAnswersGivesWay() {
+    ModelFleet fleet(26);
+    Begin(fleet, 1, 4, 0);
+    const int owner = fleet.OwnerOf("p0");
+    fleet.Node(owner)->store_answers_lost = true;
+    fleet.Run(milliseconds(2'600));
+    CPPUNIT_ASSERT(fleet.OwnerOf("p0") != owner);
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(50));
+    fleet.Run(seconds(3));
+    CPPUNIT_ASSERT(fleet.first_answers[200] >= 18);
+    fleet.Node(owner)->store_answers_lost = false;
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(20, fleet.promises.completed());
+  }
+
   void RevokedKeyIsNoticed() {
     ModelFleet fleet(13);
     Begin(fleet, 1, 4, 0);
