Honour placement policies, pace fillers, copy speculative tasks, place gangs on a rack

Change: tickets of the policy service are asked for and carried; the pace of fillers is halved when a serving task nears its target; a speculative task of a silent worker starts elsewhere at once; a gang prefers one rack, and tasks that wait for one more worker ask for an instance (found by GangLosesAMember: the pool had given its idle instances away and the gang never fitted again).

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -100,7 +100,8 @@
 FleetDaemon::Parts::Parts(const Settings& settings, const Clock& clock)
     : client(std::make_unique<HttpClient>(ClientOptions(settings), metrics)),
       platform(wire::MakeAdapter(
-          {settings.platform_address.ToString(), settings.instances_address},
+          {settings.platform_address.ToString(), settings.instances_address,
+           settings.policy_address},
           *client,
           clock,
           metrics)),
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -266,6 +266,22 @@
       });
     });
   }
+  for (PaceOrder& order : work.output.paces) {
+    workers.Pace(order, [self, order](const Result<OrderAnswer>& answer) {
+      self->Run([&](PoolScheduler& scheduler, MonoTime now) {
+        scheduler.OnPaceAnswer(order, answer, now);
+      });
+    });
+  }
+  for (PolicyQuestion& question : work.output.questions) {
+    const MonoTime sent_at = parts_.clock.Now();
+    workers.Ask(question, [self, question,
+                           sent_at](const Result<PolicyAnswer>& answer) {
+      self->Run([&](PoolScheduler& scheduler, MonoTime now) {
+        scheduler.OnPolicyAnswer(question, answer, sent_at, now);
+      });
+    });
+  }
   for (HoldOrder& order : work.output.holds) {
     const MonoTime sent_at = parts_.clock.Now();
     workers.Hold(order,
@@ -475,6 +491,8 @@
       work.output.starts.clear();
       work.output.stops.clear();
       work.output.holds.clear();
+      work.output.paces.clear();
+      work.output.questions.clear();
     }
     state_ = State::kEnded;
     next_step_ = MonoTime::max();
--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -44,12 +44,12 @@
   // Or more work arrives than it can do.
   bool Short() const {
     return BacklogSeconds() >= kToleratedBacklogSeconds ||
-           report->waiting_perpetual > 0 || offered > capacity;
+           report->unplaced_tasks > 0 || offered > capacity;
   }
 
   // Work waits.
   bool Busy() const {
-    return BacklogSeconds() > 0 || report->waiting_perpetual > 0;
+    return BacklogSeconds() > 0 || report->unplaced_tasks > 0;
   }
 
   double BacklogSeconds() const {
@@ -96,7 +96,7 @@
                       kDrainSeconds / kUsableShare;
     // Whatever keeps a perpetual task from the present workers, one more may
     // take it.
-    if (report.waiting_perpetual > 0) {
+    if (report.unplaced_tasks > 0) {
       need.wanted = std::max(need.wanted, need.capacity + instance_size);
     }
   }
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -11,6 +11,7 @@
 #include "Common/clock.h"
 #include "Common/error.h"
 #include "Scheduling/job_spec.h"
+#include "Scheduling/stage_advice.h"
 #include "Scheduling/worker.h"
 #include "absl/strings/string_view.h"
 
@@ -63,6 +64,9 @@
   // an order for it.
   bool inherited = false;
   std::string checkpoint;
+  // Share of its processor time that a filler may use; -1 if it is not known
+  // what an earlier owner has set.
+  int pace = 100;
   // Workers on which the task failed: the next attempt goes elsewhere.
   std::vector<std::string> failed_on;
 };
@@ -71,6 +75,8 @@
   std::vector<Task> tasks;
   int done = 0;
   int waiting = 0;
+  // For queues with a placement policy.
+  StageAdvice advice;
   // When it was last logged why tasks of the stage wait.
   MonoTime explained_at;
   // Tasks of the stage by worker, for the limit per worker.
--- a/Source/Core/Scheduling/orders.h
+++ b/Source/Core/Scheduling/orders.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,13 @@
   int percent = 100;
 };
 
+// Which of these workers may run a stage of a queue with a placement policy?
+struct PolicyQuestion {
+  // Its index is not used.
+  TaskName stage;
+  std::set<WorkerKey> workers;
+};
+
 struct OrderAnswer {
   StartAnswer answer = StartAnswer::kStarted;
   // The worker's clock; 0 if the answer does not tell.
@@ -114,6 +122,7 @@
   std::vector<StopOrder> stops;
   std::vector<HoldOrder> holds;
   std::vector<PaceOrder> paces;
+  std::vector<PolicyQuestion> questions;
   std::vector<SubmitReply> submit_replies;
   std::vector<CancelReply> cancel_replies;
 };
--- /dev/null
+++ b/Source/Core/Scheduling/pace_control.cc
@@ -0,0 +1,44 @@
+#include "Scheduling/pace_control.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace figflow {
+namespace {
+
+// Shares of the target above which the pace falls, and below which it rises.
+constexpr double kTooHigh = 0.9;
+constexpr double kSlack = 0.7;
+// Far over the target there is no time for steps.
+constexpr double kFarTooHigh = 1.3;
+constexpr int kRaise = 15;
+// A lower pace is as good as none.
+constexpr int kLowest = 10;
+// The reported tail covers the last half second, and a pace takes effect after
+// 0.1 s: earlier readings still show the previous pace.
+constexpr std::chrono::milliseconds kSettle{700};
+
+}  // namespace
+
+std::optional<int> PaceControl::OnLoad(double load_share, MonoTime now) {
+  if (load_share < 0 ||
+      (changed_at_ != MonoTime::min() && now - changed_at_ < kSettle)) {
+    return std::nullopt;
+  }
+  int wanted = percent_;
+  if (load_share > kFarTooHigh) {
+    wanted = 0;
+  } else if (load_share > kTooHigh) {
+    wanted = percent_ / 2 < kLowest ? 0 : percent_ / 2;
+  } else if (load_share < kSlack) {
+    wanted = std::min(100, percent_ + kRaise);
+  }
+  if (wanted == percent_) {
+    return std::nullopt;
+  }
+  percent_ = wanted;
+  changed_at_ = now;
+  return percent_;
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/placement.cc
+++ b/Source/Core/Scheduling/placement.cc
@@ -40,7 +40,8 @@
   Rank best_rank;
   for (size_t i = 0; i < options.size(); ++i) {
     const WorkerOption& option = options[i];
-    if (!size.FitsIn(option.room) ||
+    if ((request.allowed != nullptr && !(*request.allowed)[i]) ||
+        !size.FitsIn(option.room) ||
         (stage.max_per_worker > 0 && stage_tasks[i] >= stage.max_per_worker) ||
         (!stage.required_label.empty() &&
          !HasLabel(*option.report, stage.required_label))) {
@@ -71,8 +72,10 @@
   PlacementObstacles obstacles;
   for (size_t i = 0; i < options.size(); ++i) {
     const WorkerOption& option = options[i];
-    if (!stage.required_label.empty() &&
-        !HasLabel(*option.report, stage.required_label)) {
+    if (request.allowed != nullptr && !(*request.allowed)[i]) {
+      ++obstacles.no_ticket;
+    } else if (!stage.required_label.empty() &&
+               !HasLabel(*option.report, stage.required_label)) {
       ++obstacles.no_label;
     } else if (stage.max_per_worker > 0 &&
                stage_tasks[i] >= stage.max_per_worker) {
--- a/Source/Core/Scheduling/placement.h
+++ b/Source/Core/Scheduling/placement.h
@@ -21,8 +21,11 @@
 
 struct PlacementRequest {
   const StageSpec* stage = nullptr;
-  // Workers on which this task failed before.
+  // Workers on which this task failed before; may be null.
   const std::vector<std::string>* failed_on = nullptr;
+  // By place in the options: a placement policy allows the worker. Null allows
+  // all.
+  const std::vector<bool>* allowed = nullptr;
 };
 
 // Picks the worker for one task, or -1 if none has room. `stage_tasks[i]` is
@@ -43,6 +46,7 @@
   int no_memory = 0;
   int limit_per_worker = 0;
   int no_label = 0;
+  int no_ticket = 0;
 };
 
 PlacementObstacles Explain(const PlacementRequest& request,
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -24,7 +24,7 @@
   return FormatCbor(json::array(
       {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
        report.offered_millicores, report.perpetual_millicores,
-       report.waiting_perpetual, std::move(workers)}));
+       report.unplaced_tasks, std::move(workers)}));
 }
 
 Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
@@ -35,7 +35,7 @@
     report.backlog_millicore_ms = row.at(2).get<int64_t>();
     report.offered_millicores = row.at(3).get<int64_t>();
     report.perpetual_millicores = row.at(4).get<int64_t>();
-    report.waiting_perpetual = row.at(5).get<int>();
+    report.unplaced_tasks = row.at(5).get<int>();
     for (const json& entry : row.at(6)) {
       WorkerLoad load;
       load.worker = entry.at(0).get<std::string>();
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -48,8 +48,9 @@
   int64_t offered_millicores = 0;
   // Asked for by perpetual tasks.
   int64_t perpetual_millicores = 0;
-  // Perpetual tasks that found no worker.
-  int waiting_perpetual = 0;
+  // Perpetual tasks and members of gangs that found no room. They wait for one
+  // more worker rather than for the end of other work.
+  int unplaced_tasks = 0;
   std::vector<WorkerLoad> workers;
 };
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -102,6 +102,14 @@
                     MonoTime sent_at,
                     MonoTime now);
 
+  void OnPolicyAnswer(const PolicyQuestion& question,
+                      const Result<PolicyAnswer>& answer,
+                      MonoTime sent_at,
+                      MonoTime now);
+  void OnPaceAnswer(const PaceOrder& order,
+                    const Result<OrderAnswer>& answer,
+                    MonoTime now);
+
   // Up to `limit` records that wait to be written; empty if there is nothing
   // to write. The write must be carried out before the next call.
   std::vector<RecordWrite> TakeWrites(size_t limit);
@@ -174,6 +182,12 @@
                     MonoTime sent_at,
                     MonoTime now);
   void FailTask(const TaskRef& ref, WorkerState& worker, MonoTime now);
+  // Sets the pace of the fillers on a worker by what its serving tasks report.
+  void AdjustPace(WorkerState& worker,
+                  const WorkerStatus& status,
+                  MonoTime now);
+  // Lets copies of a silent worker's speculative tasks start elsewhere.
+  void ReleaseSpeculative(WorkerState& worker, MonoTime now);
   void BreakGang(const TaskRef& ref, MonoTime now);
   // The worker runs nothing any more.
   void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
@@ -209,7 +223,32 @@
   bool MayStopPerpetual(const TaskRef& ref) const;
 
   // pool_scheduler_dispatch.cc
+  struct Board;
+  struct ReadyStage;
   void Dispatch(MonoTime now);
+  Board UsableWorkers(MonoTime now);
+  // In the order in which they are to be placed.
+  std::vector<ReadyStage> ReadyStages(MonoTime now);
+  // Plans the waiting tasks of a stage as far as there is room. Returns whether
+  // all of them have a worker.
+  bool PlanStage(const ReadyStage& item, Board& board, MonoTime now);
+  // Pairs of a task's index and a worker's place on the board.
+  std::vector<std::pair<int, int>> ChooseWorkers(
+      const ReadyStage& item,
+      const std::vector<bool>& allowed,
+      Board& board);
+  // As above for a stage whose tasks should share a rack; empty if no rack has
+  // room for all of them.
+  std::vector<std::pair<int, int>> ChooseOnOneRack(
+      const ReadyStage& item,
+      const std::vector<bool>& allowed,
+      Board& board);
+  void AskPolicy(const ReadyStage& item, const Board& board, MonoTime now);
+  void ExplainWait(const ReadyStage& item,
+                   const Board& board,
+                   const std::vector<bool>& allowed,
+                   int waiting,
+                   MonoTime now);
 
   const Options options_;
   const std::unique_ptr<SchedulerMetrics> stats_;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -19,12 +19,11 @@
 constexpr std::chrono::milliseconds kExplainInterval{2'000};
 constexpr std::chrono::milliseconds kExplainGap{250};
 
-struct ReadyStage {
-  DispatchRank rank;
-  std::shared_ptr<Job> job;
-  int occurrence = 0;
-  int stage = 0;
-};
+// Workers named in one question to the policy service. Each costs time there.
+constexpr size_t kQuestionWorkers = 30;
+// A question without an answer, or without an allowed worker, is asked again
+// after this time.
+constexpr std::chrono::milliseconds kQuestionPause{400};
 
 // A gang starts as a whole, so none of its members may still be somewhere.
 bool GangIsFree(const Stage& stage) {
@@ -35,9 +34,27 @@
 
 }  // namespace
 
-void PoolScheduler::Dispatch(MonoTime now) {
+// Workers that may take tasks now, and their room while stages are planned.
+struct PoolScheduler::Board {
   std::vector<WorkerState*> workers;
   std::vector<WorkerOption> options;
+};
+
+struct PoolScheduler::ReadyStage {
+  DispatchRank rank;
+  std::shared_ptr<Job> job;
+  int occurrence = 0;
+  int stage = 0;
+  const QueueConfig* queue = nullptr;
+
+  Stage& GetStage() const {
+    return job->occurrences.at(occurrence).stages[stage];
+  }
+  const StageSpec& Spec() const { return job->spec.stages[stage]; }
+};
+
+PoolScheduler::Board PoolScheduler::UsableWorkers(MonoTime now) {
+  Board board;
   for (auto& [key, worker] : workers_) {
     const bool usable = worker->listed && worker->addressable &&
                         worker->fenced && worker->misses == 0 &&
@@ -57,13 +74,14 @@
     option.perpetual_tasks = static_cast<int>(
         std::count_if(worker->tasks.begin(), worker->tasks.end(),
                       [](const TaskRef& ref) { return ref.Spec().perpetual; }));
-    options.push_back(option);
-    workers.push_back(worker.get());
-  }
-  if (options.empty()) {
-    return;
+    board.options.push_back(option);
+    board.workers.push_back(worker.get());
   }
+  return board;
+}
 
+std::vector<PoolScheduler::ReadyStage> PoolScheduler::ReadyStages(
+    MonoTime now) {
   std::vector<ReadyStage> ready;
   for (const auto& [id, job] : open_jobs_) {
     const QueueConfig* queue = plan_->QueueNamed(job->spec.queue);
@@ -74,100 +92,231 @@
           continue;
         }
         if (!rank) {
-          rank = RankOf(*job, occurrence, queue, durations_[job->spec.queue], now);
+          rank =
+              RankOf(*job, occurrence, queue, durations_[job->spec.queue], now);
         }
-        ready.push_back({*rank, job, number, static_cast<int>(i)});
+        ready.push_back({*rank, job, number, static_cast<int>(i), queue});
       }
     }
   }
   std::stable_sort(
       ready.begin(), ready.end(),
       [](const ReadyStage& a, const ReadyStage& b) { return a.rank < b.rank; });
+  return ready;
+}
 
+void PoolScheduler::Dispatch(MonoTime now) {
+  Board board = UsableWorkers(now);
+  if (board.options.empty()) {
+    return;
+  }
   int misfits = 0;
-  std::vector<int> stage_tasks(options.size());
-  for (const ReadyStage& item : ready) {
-    const std::shared_ptr<Job>& job = item.job;
-    Stage& stage = job->occurrences.at(item.occurrence).stages[item.stage];
-    const StageSpec& spec = job->spec.stages[item.stage];
-    if (spec.gang && !GangIsFree(stage)) {
+  for (const ReadyStage& item : ReadyStages(now)) {
+    if (item.Spec().gang && !GangIsFree(item.GetStage())) {
       continue;
     }
-    for (size_t i = 0; i < workers.size(); ++i) {
-      const auto count = stage.on_worker.find(workers[i]);
-      stage_tasks[i] = count == stage.on_worker.end() ? 0 : count->second;
+    if (!PlanStage(item, board, now) && ++misfits > kMaxMisfits) {
+      return;
     }
-    // Chosen first, so that a gang that does not fit as a whole leaves no
-    // trace.
-    std::vector<std::pair<int, int>> chosen;
-    const std::vector<WorkerOption> before = options;
-    for (int k = 0; k < spec.count; ++k) {
-      const Task& task = stage.tasks[k];
-      if (task.phase != TaskPhase::kWaiting) {
-        continue;
-      }
-      const int worker =
-          ChooseWorker({&spec, &task.failed_on}, options, stage_tasks);
-      if (worker < 0) {
-        break;
-      }
-      options[worker].room -= CountedSize(spec);
-      options[worker].perpetual_tasks += spec.perpetual ? 1 : 0;
-      ++stage_tasks[worker];
-      chosen.emplace_back(k, worker);
+  }
+}
+
+std::vector<std::pair<int, int>> PoolScheduler::ChooseWorkers(
+    const ReadyStage& item,
+    const std::vector<bool>& allowed,
+    Board& board) {
+  Stage& stage = item.GetStage();
+  const StageSpec& spec = item.Spec();
+  std::vector<int> stage_tasks(board.workers.size());
+  for (size_t i = 0; i < board.workers.size(); ++i) {
+    const auto count = stage.on_worker.find(board.workers[i]);
+    stage_tasks[i] = count == stage.on_worker.end() ? 0 : count->second;
+  }
+  std::vector<std::pair<int, int>> chosen;
+  for (int k = 0; k < spec.count; ++k) {
+    const Task& task = stage.tasks[k];
+    if (task.phase != TaskPhase::kWaiting) {
+      continue;
     }
-    const bool complete = static_cast<int>(chosen.size()) == stage.waiting;
-    if (!complete && now - stage.explained_at >= kExplainInterval &&
-        now - explained_at_ >= kExplainGap) {
-      stage.explained_at = now;
-      explained_at_ = now;
-      const PlacementObstacles why =
-          Explain({&spec, nullptr}, options, stage_tasks);
-      LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
-               {{"job", job->spec.id},
-                {"stage", absl::StrCat(item.stage)},
-                {"pool", options_.pool},
-                {"waiting",
-                 absl::StrCat(stage.waiting -
-                              static_cast<int>(chosen.size()))},
-                {"urgency", std::string(UrgencyName(item.rank.urgency))},
-                {"workers", absl::StrCat(workers_.size())},
-                {"usable", absl::StrCat(options.size())},
-                {"no_processor", absl::StrCat(why.no_processor)},
-                {"no_memory", absl::StrCat(why.no_memory)},
-                {"limit_per_worker", absl::StrCat(why.limit_per_worker)},
-                {"no_label", absl::StrCat(why.no_label)}});
+    const int worker = ChooseWorker({&spec, &task.failed_on, &allowed},
+                                    board.options, stage_tasks);
+    if (worker < 0) {
+      break;
     }
-    if (!complete && ++misfits > kMaxMisfits) {
-      chosen.clear();
+    board.options[worker].room -= CountedSize(spec);
+    board.options[worker].perpetual_tasks += spec.perpetual ? 1 : 0;
+    ++stage_tasks[worker];
+    chosen.emplace_back(k, worker);
+  }
+  return chosen;
+}
+
+std::vector<std::pair<int, int>> PoolScheduler::ChooseOnOneRack(
+    const ReadyStage& item,
+    const std::vector<bool>& allowed,
+    Board& board) {
+  std::set<std::string> racks;
+  for (const WorkerOption& option : board.options) {
+    racks.insert(option.report->rack);
+  }
+  for (const std::string& rack : racks) {
+    std::vector<bool> on_rack = allowed;
+    for (size_t i = 0; i < board.options.size(); ++i) {
+      on_rack[i] = allowed[i] && board.options[i].report->rack == rack;
     }
-    if (spec.gang && !complete) {
-      options = before;
-      continue;
+    Board trial = board;
+    std::vector<std::pair<int, int>> chosen =
+        ChooseWorkers(item, on_rack, trial);
+    if (static_cast<int>(chosen.size()) == item.GetStage().waiting) {
+      board = std::move(trial);
+      return chosen;
     }
-    uint32_t gang_run = 0;
-    for (const Task& task : stage.tasks) {
-      gang_run = std::max(gang_run, task.run + 1);
+  }
+  return {};
+}
+
+bool PoolScheduler::PlanStage(const ReadyStage& item,
+                              Board& board,
+                              MonoTime now) {
+  Stage& stage = item.GetStage();
+  const StageSpec& spec = item.Spec();
+  const bool has_policy = item.queue != nullptr && item.queue->policy;
+  std::vector<bool> allowed(board.workers.size(), true);
+  if (has_policy) {
+    for (size_t i = 0; i < board.workers.size(); ++i) {
+      allowed[i] = !stage.advice
+                        .TicketFor(board.workers[i]->report.key, now)
+                        .empty();
     }
-    for (const auto& [index, worker] : chosen) {
-      const TaskRef ref{job, item.occurrence, item.stage, index};
-      Task& task = ref.Get();
-      task.run = spec.gang ? gang_run : task.run + 1;
-      task.phase = TaskPhase::kPlanned;
-      task.since = now;
-      --stage.waiting;
-      AttachTask(ref, *workers[worker]);
+  }
+  std::vector<std::pair<int, int>> chosen;
+  if (spec.same_rack) {
+    chosen = ChooseOnOneRack(item, allowed, board);
+  }
+  if (chosen.empty()) {
+    // Chosen on a copy, so that a gang that does not fit leaves no trace.
+    Board trial = board;
+    chosen = ChooseWorkers(item, allowed, trial);
+    if (!spec.gang || static_cast<int>(chosen.size()) == stage.waiting) {
+      board = std::move(trial);
+    } else {
+      chosen.clear();
     }
-    if (!chosen.empty()) {
-      MarkChanged(job);
-      for (const auto& [index, worker] : chosen) {
-        stage.tasks[index].planned_version = job->version;
-      }
+  }
+  const bool complete = static_cast<int>(chosen.size()) == stage.waiting;
+  if (!complete) {
+    if (has_policy) {
+      AskPolicy(item, board, now);
     }
-    if (misfits > kMaxMisfits) {
-      return;
+    ExplainWait(item, board, allowed,
+                stage.waiting - static_cast<int>(chosen.size()), now);
+  }
+  if (chosen.empty()) {
+    return complete;
+  }
+  uint32_t gang_run = 0;
+  for (const Task& task : stage.tasks) {
+    gang_run = std::max(gang_run, task.run + 1);
+  }
+  for (const auto& [index, worker] : chosen) {
+    const TaskRef ref{item.job, item.occurrence, item.stage, index};
+    Task& task = ref.Get();
+    task.run = spec.gang ? gang_run : task.run + 1;
+    task.phase = TaskPhase::kPlanned;
+    task.since = now;
+    --stage.waiting;
+    AttachTask(ref, *board.workers[worker]);
+  }
+  MarkChanged(item.job);
+  for (const auto& [index, worker] : chosen) {
+    stage.tasks[index].planned_version = item.job->version;
+  }
+  return complete;
+}
+
+void PoolScheduler::AskPolicy(const ReadyStage& item,
+                              const Board& board,
+                              MonoTime now) {
+  StageAdvice& advice = item.GetStage().advice;
+  if (advice.asking) {
+    return;
+  }
+  if (now < advice.next_question) {
+    Wake(advice.next_question);
+    dispatch_wanted_ = true;
+    return;
+  }
+  PolicyQuestion question;
+  question.stage = {item.job->spec.id, item.occurrence, item.stage, 0};
+  const Resources size = CountedSize(item.Spec());
+  for (size_t i = 0; i < board.workers.size(); ++i) {
+    const WorkerKey& key = board.workers[i]->report.key;
+    if (question.workers.size() < kQuestionWorkers &&
+        size.FitsIn(board.options[i].room) && !advice.Forbidden(key) &&
+        advice.TicketFor(key, now).empty()) {
+      question.workers.insert(key);
     }
   }
+  if (question.workers.empty()) {
+    return;
+  }
+  advice.asking = true;
+  output_.questions.push_back(std::move(question));
+}
+
+void PoolScheduler::OnPolicyAnswer(const PolicyQuestion& question,
+                                   const Result<PolicyAnswer>& answer,
+                                   MonoTime sent_at,
+                                   MonoTime now) {
+  const std::optional<TaskRef> ref = FindTask(question.stage);
+  if (!ref) {
+    return;
+  }
+  StageAdvice& advice = ref->GetStage().advice;
+  advice.asking = false;
+  dispatch_wanted_ = true;
+  if (!answer) {
+    advice.next_question = now + kQuestionPause;
+    return;
+  }
+  advice.OnAnswer(question.workers, *answer, sent_at);
+  if (answer->allowed.empty()) {
+    advice.next_question = now;
+  }
+}
+
+void PoolScheduler::ExplainWait(const ReadyStage& item,
+                                const Board& board,
+                                const std::vector<bool>& allowed,
+                                int waiting,
+                                MonoTime now) {
+  Stage& stage = item.GetStage();
+  if (now - stage.explained_at < kExplainInterval ||
+      now - explained_at_ < kExplainGap) {
+    return;
+  }
+  stage.explained_at = now;
+  explained_at_ = now;
+  std::vector<int> stage_tasks(board.workers.size());
+  for (size_t i = 0; i < board.workers.size(); ++i) {
+    const auto count = stage.on_worker.find(board.workers[i]);
+    stage_tasks[i] = count == stage.on_worker.end() ? 0 : count->second;
+  }
+  const PlacementObstacles why =
+      Explain({&item.Spec(), nullptr, &allowed}, board.options, stage_tasks);
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
+           {{"job", item.job->spec.id},
+            {"stage", absl::StrCat(item.stage)},
+            {"pool", options_.pool},
+            {"waiting", absl::StrCat(waiting)},
+            {"urgency", std::string(UrgencyName(item.rank.urgency))},
+            {"workers", absl::StrCat(workers_.size())},
+            {"usable", absl::StrCat(board.options.size())},
+            {"no_processor", absl::StrCat(why.no_processor)},
+            {"no_memory", absl::StrCat(why.no_memory)},
+            {"limit_per_worker", absl::StrCat(why.limit_per_worker)},
+            {"no_label", absl::StrCat(why.no_label)},
+            {"no_ticket", absl::StrCat(why.no_ticket)}});
 }
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -151,9 +151,10 @@
         const int64_t asked = waiting * CountedSize(spec).cpu_millicores;
         if (IsReady(*job, occurrence, i)) {
           report.waiting_millicores += asked;
-          if (spec.perpetual) {
-            report.waiting_perpetual += waiting;
-          } else {
+          if (spec.perpetual || spec.gang) {
+            report.unplaced_tasks += waiting;
+          }
+          if (!spec.perpetual) {
             report.backlog_millicore_ms +=
                 asked * PredictedDuration(*job, spec).count();
           }
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -98,6 +98,7 @@
     AttachTask(ref, *worker);
     ref.Get().since = now;
     ref.Get().inherited = true;
+    ref.Get().pace = -1;
   }
 }
 
@@ -309,6 +310,7 @@
     ++ref.GetStage().waiting;
   }
   task.percent = 0;
+  task.pace = 100;
   task.since = now;
   dispatch_wanted_ = true;
   if (ref.job->live()) {
--- /dev/null
+++ b/Source/Core/Scheduling/pool_scheduler_pace.cc
@@ -0,0 +1,88 @@
+// Fillers beside serving tasks, and copies of speculative tasks.
+#include <algorithm>
+
+#include "Common/log.h"
+#include "Scheduling/pool_scheduler.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr double kNoReport = -1.0;
+
+}  // namespace
+
+void PoolScheduler::AdjustPace(WorkerState& worker,
+                               const WorkerStatus& status,
+                               MonoTime now) {
+  const bool has_fillers =
+      std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                  [](const TaskRef& ref) { return ref.Spec().filler; });
+  if (!has_fillers) {
+    return;
+  }
+  double load_share = kNoReport;
+  for (const RunningTask& running : status.running) {
+    const std::optional<TaskRef> ref = FindTask(running.name);
+    if (ref && running.load >= 0 && ref->Spec().latency_target.count() > 0) {
+      const auto target =
+          static_cast<double>(ref->Spec().latency_target.count());
+      load_share =
+          std::max(load_share, static_cast<double>(running.load) / target);
+    }
+  }
+  const std::optional<int> changed = worker.pace.OnLoad(load_share, now);
+  if (changed) {
+    LogEvent(LogLevel::kInfo, LogCategory::kJobs, "fillers_paced",
+             {{"worker", worker.report.key.id},
+              {"pool", options_.pool},
+              {"percent", absl::StrCat(*changed)},
+              {"load_of_target", absl::StrCat(load_share)}});
+  }
+  for (const TaskRef& ref : worker.tasks) {
+    Task& task = ref.Get();
+    if (!ref.Spec().filler || task.phase != TaskPhase::kRunning ||
+        task.pace == worker.pace.percent()) {
+      continue;
+    }
+    // Taken back if the order gets no answer.
+    task.pace = worker.pace.percent();
+    output_.paces.push_back(
+        {TargetOf(worker), ref.Name(), task.run, task.pace});
+  }
+}
+
+void PoolScheduler::OnPaceAnswer(const PaceOrder& order,
+                                 const Result<OrderAnswer>& answer,
+                                 MonoTime now) {
+  WorkerState* worker = FindWorker(order.target.worker);
+  const std::optional<TaskRef> ref = FindTask(order.task);
+  if (worker == nullptr || !ref) {
+    return;
+  }
+  Task& task = ref->Get();
+  if (!answer) {
+    OnUnanswered(*worker, now);
+    if (task.run == order.run) {
+      task.pace = -1;
+    }
+    return;
+  }
+  OnAnswered(*worker, answer->clock, now);
+  deposed_ = deposed_ || answer->answer == StartAnswer::kFenced;
+}
+
+void PoolScheduler::ReleaseSpeculative(WorkerState& worker, MonoTime now) {
+  const std::set<TaskRef> tasks = worker.tasks;
+  for (const TaskRef& ref : tasks) {
+    const Task& task = ref.Get();
+    const bool may_copy = ref.Spec().speculative && !ref.Spec().gang &&
+                          (task.phase == TaskPhase::kStarting ||
+                           task.phase == TaskPhase::kRunning);
+    if (may_copy) {
+      ReturnTask(ref, now);
+    }
+  }
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -192,6 +192,7 @@
     order.job = ref.job;
     order.deadline = task.order_deadline;
     order.checkpoint = task.checkpoint;
+    order.ticket = ref.GetStage().advice.TicketFor(worker.report.key, now);
     task.order_in_flight = true;
     stats_->starts.Add();
     if (task.order_unanswered) {
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -113,6 +113,7 @@
               {"tasks", absl::StrCat(worker.tasks.size())}});
   }
   worker.next_hold = now + kHoldRetry;
+  ReleaseSpeculative(worker, now);
 }
 
 void PoolScheduler::EndWorker(WorkerState& worker,
@@ -210,8 +211,10 @@
     case StartAnswer::kUnhealthy:
       worker->health.OnRefused(now);
       break;
-    case StartAnswer::kNoRoom:
     case StartAnswer::kNoTicket:
+      ref->GetStage().advice.OnTicketRefused(worker->report.key);
+      break;
+    case StartAnswer::kNoRoom:
       break;
     case StartAnswer::kRefused:
       FailTask(*ref, *worker, now);
@@ -393,7 +396,15 @@
                               ref->Get().phase == TaskPhase::kWaiting &&
                               ref->Get().run == end.run && !ref->Spec().gang &&
                               !ref->Spec().perpetual;
-  if (done_after_all) {
+  // The first copy to finish counts.
+  const bool copy_done = ref && !current && end.end == RunEnd::kDone &&
+                         ref->Spec().speculative && !ref->Spec().gang &&
+                         ref->Get().phase != TaskPhase::kDone;
+  if (done_after_all || copy_done) {
+    const Task& task = ref->Get();
+    if (task.worker != nullptr && task.phase != TaskPhase::kPlanned) {
+      RequestStop(*task.worker, end.name, task.run, Resources(), now);
+    }
     CompleteTask(*ref, now);
     note.job = ref->job;
     note.version = ref->job->version;
@@ -536,6 +547,7 @@
     }
   }
   ApplyRunning(worker, status, sent_at, now);
+  AdjustPace(worker, status, now);
   AdvanceNotes(worker);
 }
 
--- /dev/null
+++ b/Source/Core/Scheduling/stage_advice.cc
@@ -0,0 +1,45 @@
+#include "Scheduling/stage_advice.h"
+
+namespace figflow {
+namespace {
+
+// From the choice of a worker to the arrival of the order: a durable write and
+// a call.
+constexpr std::chrono::milliseconds kUseMargin{250};
+
+}  // namespace
+
+void StageAdvice::OnAnswer(const std::set<WorkerKey>& workers,
+                           const PolicyAnswer& answer,
+                           MonoTime asked_at) {
+  std::map<std::string, std::string> allowed;
+  for (const PolicyTicket& ticket : answer.allowed) {
+    allowed[ticket.worker] = ticket.ticket;
+  }
+  for (const WorkerKey& worker : workers) {
+    const auto ticket = allowed.find(worker.id);
+    if (ticket == allowed.end()) {
+      forbidden_.insert(worker);
+    } else {
+      tickets_[worker] = {ticket->second, asked_at + answer.lifetime};
+    }
+  }
+}
+
+void StageAdvice::OnTicketRefused(const WorkerKey& worker) {
+  tickets_.erase(worker);
+}
+
+std::string StageAdvice::TicketFor(const WorkerKey& worker,
+                                   MonoTime now) const {
+  const auto entry = tickets_.find(worker);
+  return entry == tickets_.end() || entry->second.expires < now + kUseMargin
+             ? std::string()
+             : entry->second.ticket;
+}
+
+bool StageAdvice::Forbidden(const WorkerKey& worker) const {
+  return forbidden_.count(worker) > 0;
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/worker_gateway.h
+++ b/Source/Core/Scheduling/worker_gateway.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "Scheduling/orders.h"
+#include "Scheduling/stage_advice.h"
 
 namespace figflow {
 
@@ -16,11 +17,14 @@
 
   using OrderCallback = std::function<void(Result<OrderAnswer>)>;
   using HoldCallback = std::function<void(Result<HoldAnswer>)>;
+  using PolicyCallback = std::function<void(Result<PolicyAnswer>)>;
 
   virtual void Start(const StartOrder& order, OrderCallback done) = 0;
   virtual void Stop(const StopOrder& order, OrderCallback done) = 0;
   virtual void Hold(const HoldOrder& order, HoldCallback done) = 0;
   virtual void Pace(const PaceOrder& order, OrderCallback done) = 0;
+  // Asks the placement policy service.
+  virtual void Ask(const PolicyQuestion& question, PolicyCallback done) = 0;
 };
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -12,6 +12,7 @@
 
 #include "Common/clock.h"
 #include "Scheduling/job.h"
+#include "Scheduling/pace_control.h"
 #include "Scheduling/worker.h"
 #include "Scheduling/worker_clock.h"
 #include "Scheduling/worker_health.h"
@@ -87,6 +88,7 @@
   Resources used;
 
   WorkerHealth health;
+  PaceControl pace;
 
   bool HasStop(const TaskName& task, uint32_t run) const;
   // Room for new tasks.
--- a/Source/StandIns/Fleet/model_platform.cc
+++ b/Source/StandIns/Fleet/model_platform.cc
@@ -50,6 +50,9 @@
         queue.stretch = entry.at(4).get<double>();
         queue.objective = milliseconds(entry.at(5).get<int64_t>());
         queue.path_prefix = absl::StrCat("/", queue.name, "/");
+        if (entry.at(6).get<bool>()) {
+          queue.policy = PlacementPolicy();
+        }
         plan.queues.push_back(std::move(queue));
       }
       for (const json& entry : row.at(2)) {
@@ -177,7 +180,7 @@
   for (const QueueConfig& queue : plan.queues) {
     queues.push_back(
         json::array({queue.name, queue.pool, queue.priority, queue.max_attempts,
-                     queue.stretch, queue.objective.count()}));
+                     queue.stretch, queue.objective.count(), queue.policy.has_value()}));
   }
   json pools = json::array();
   for (const PoolConfig& pool : plan.pools) {
--- a/Source/StandIns/Fleet/model_workers.cc
+++ b/Source/StandIns/Fleet/model_workers.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kRegistryKeeps{4'500};
 constexpr milliseconds kLeaseCheck{20};
 constexpr milliseconds kStopTime{100};
+constexpr milliseconds kGangWait{3'000};
+constexpr milliseconds kTicketLifetime{3'000};
+constexpr milliseconds kQuestionTime{20};
+constexpr milliseconds kTimePerWorker{2};
 
 Error NoAnswer(const std::string& worker) {
   return {ErrorCode::kDeadlineExceeded, "model.worker", worker, "no answer"};
@@ -67,8 +71,12 @@
   void Stop(const StopOrder& order, OrderCallback done) override {
     SendOrder(order, std::move(done), &ModelWorkers::Stop);
   }
-  void Pace(const PaceOrder& /*order*/, OrderCallback done) override {
-    done(OrderAnswer());
+  void Pace(const PaceOrder& order, OrderCallback done) override {
+    SendOrder(order, std::move(done), &ModelWorkers::Pace);
+  }
+
+  void Ask(const PolicyQuestion& question, PolicyCallback done) override {
+    workers_.Ask(node_, question, std::move(done));
   }
 
   void Hold(const HoldOrder& order, HoldCallback done) override {
@@ -227,8 +235,17 @@
 void ModelWorkers::Crash(const std::string& id) {
   ModelWorker& worker = *workers_.at(id);
   worker.alive = false;
+  const std::map<std::string, ModelWorker::Run> lost = std::move(worker.running);
   worker.running.clear();
   promises_.OnWorkerGone(id, time_.Now());
+  for (const auto& [task, run] : lost) {
+    if (run.gang == 0) {
+      continue;
+    }
+    for (const auto& [there, member] : MembersOf(run)) {
+      EndRun(*there, member, RunEnd::kBroken);
+    }
+  }
   time_.After(kRegistryKeeps,
               [this, id] { store_.Remove(kModelWorkerPrefix + id); });
 }
@@ -274,6 +291,9 @@
   if (outdated) {
     return StartAnswer::kOutdated;
   }
+  if (allows && !TicketHolds(worker, order)) {
+    return StartAnswer::kNoTicket;
+  }
   const StageSpec& stage = order.job->spec.stages.at(order.task.stage);
   Resources used = CountedSize(stage);
   for (const auto& [name, run] : worker.running) {
@@ -289,26 +309,20 @@
   run.started = time_.Now();
   run.behaviour = behaviour ? behaviour(order.task) : TaskBehaviour();
   run.perpetual = stage.perpetual;
+  run.filler = stage.filler;
+  run.gang = stage.gang ? stage.count : 0;
   run.serial = next_serial_++;
   if (worker.grey) {
     run.behaviour = {milliseconds(20), true};
   }
   promises_.OnStarted(worker.report.key.id, order.task, order.run, time_.Now());
   worker.running[task] = run;
-  if (!run.perpetual || run.behaviour.fails) {
-    time_.After(
-        run.behaviour.duration, [this, id = worker.report.key.id, task, run] {
-          ModelWorker* ended = Find(id);
-          if (ended == nullptr || !ended->alive) {
-            return;
-          }
-          const auto current = ended->running.find(task);
-          if (current != ended->running.end() &&
-              current->second.serial == run.serial) {
-            EndRun(*ended, task,
-                   run.behaviour.fails ? RunEnd::kFailed : RunEnd::kDone);
-          }
-        });
+  const std::string id = worker.report.key.id;
+  if (run.gang > 0) {
+    JoinGang(id, run);
+  } else if (!run.perpetual || run.behaviour.fails) {
+    ScheduleEnd(id, run, run.behaviour.duration,
+                run.behaviour.fails ? RunEnd::kFailed : RunEnd::kDone);
   }
   return StartAnswer::kStarted;
 }
@@ -339,6 +353,104 @@
   return StartAnswer::kStarted;
 }
 
+StartAnswer ModelWorkers::Pace(ModelWorker& worker, const PaceOrder& order) {
+  if (order.target.fence < worker.fence) {
+    return StartAnswer::kFenced;
+  }
+  const auto here = worker.running.find(TaskText(order.task));
+  if (here != worker.running.end() && here->second.run == order.run) {
+    here->second.pace = order.percent;
+  }
+  return StartAnswer::kStarted;
+}
+
+void ModelWorkers::Ask(const NodePtr& node,
+                       const PolicyQuestion& question,
+                       WorkerGateway::PolicyCallback done) {
+  PolicyAnswer answer;
+  answer.lifetime = kTicketLifetime;
+  const MonoTime expires = time_.Now() + kTicketLifetime;
+  for (const WorkerKey& worker : question.workers) {
+    if (!allows || allows(question.stage, worker.id)) {
+      const std::string ticket = absl::StrCat("t", next_serial_++);
+      answer.allowed.push_back({worker.id, ticket});
+      tickets_[ticket] = {worker.id, question.stage, expires};
+    }
+  }
+  const auto delay = kQuestionTime + kTimePerWorker * question.workers.size();
+  RunIn(time_, node, delay, [done, answer] { done(answer); });
+}
+
+bool ModelWorkers::TicketHolds(const ModelWorker& worker,
+                               const StartOrder& order) const {
+  const auto ticket = tickets_.find(order.ticket);
+  return ticket != tickets_.end() &&
+         ticket->second.worker == worker.report.key.id &&
+         ticket->second.stage.job == order.task.job &&
+         ticket->second.stage.stage == order.task.stage &&
+         ticket->second.expires >= time_.Now();
+}
+
+void ModelWorkers::ScheduleEnd(const std::string& worker,
+                               const ModelWorker::Run& run,
+                               milliseconds delay,
+                               RunEnd end) {
+  time_.After(delay, [this, worker, run, end] {
+    ModelWorker* there = Find(worker);
+    const std::string task = TaskText(run.name);
+    if (there == nullptr || !there->alive) {
+      return;
+    }
+    const auto current = there->running.find(task);
+    if (current != there->running.end() &&
+        current->second.serial == run.serial) {
+      EndRun(*there, task, end);
+    }
+  });
+}
+
+std::vector<std::pair<ModelWorker*, std::string>> ModelWorkers::MembersOf(
+    const ModelWorker::Run& run) {
+  std::vector<std::pair<ModelWorker*, std::string>> members;
+  for (auto& [id, worker] : workers_) {
+    for (const auto& [task, other] : worker->running) {
+      if (worker->alive && other.name.job == run.name.job &&
+          other.name.occurrence == run.name.occurrence &&
+          other.name.stage == run.name.stage && other.run == run.run) {
+        members.emplace_back(worker.get(), task);
+      }
+    }
+  }
+  return members;
+}
+
+void ModelWorkers::JoinGang(const std::string& worker,
+                            const ModelWorker::Run& run) {
+  const auto members = MembersOf(run);
+  if (static_cast<int>(members.size()) < run.gang) {
+    time_.After(kGangWait, [this, worker, run] {
+      ModelWorker* there = Find(worker);
+      const std::string task = TaskText(run.name);
+      const auto current =
+          there == nullptr ? decltype(there->running.end())()
+                           : there->running.find(task);
+      const bool waits = there != nullptr && there->alive &&
+                         current != there->running.end() &&
+                         current->second.serial == run.serial &&
+                         static_cast<int>(MembersOf(run).size()) < run.gang;
+      if (waits) {
+        promises_.OnAlone(run.name);
+        EndRun(*there, task, RunEnd::kAlone);
+      }
+    });
+    return;
+  }
+  for (const auto& [there, task] : members) {
+    ScheduleEnd(there->report.key.id, there->running.at(task),
+                run.behaviour.duration, RunEnd::kDone);
+  }
+}
+
 void ModelWorkers::EndRun(ModelWorker& worker,
                           const std::string& task,
                           RunEnd end) {
@@ -354,6 +466,11 @@
   ended.run = run.run;
   ended.end = end;
   worker.ended.push_back(std::move(ended));
+  if (run.gang > 0 && end != RunEnd::kDone && end != RunEnd::kBroken) {
+    for (const auto& [there, member] : MembersOf(run)) {
+      EndRun(*there, member, RunEnd::kBroken);
+    }
+  }
   std::vector<std::function<void()>> waiting;
   waiting.swap(worker.waiting);
   for (const auto& answer : waiting) {
@@ -394,6 +511,7 @@
     running.name = run.name;
     running.run = run.run;
     running.percent = 100;
+    running.load = load ? load(worker, run) : -1;
     answer.status.running.push_back(std::move(running));
   }
   return answer;
--- a/Source/StandIns/Fleet/model_workers.h
+++ b/Source/StandIns/Fleet/model_workers.h
@@ -44,6 +44,10 @@
     MonoTime started;
     TaskBehaviour behaviour;
     bool perpetual = false;
+    bool filler = false;
+    // Members of its gang; 0 for a task without one.
+    int gang = 0;
+    int pace = 100;
     uint64_t serial = 0;
   };
   uint64_t fence = 0;
@@ -92,6 +96,10 @@
 
   WorkerFaults faults;
   Behaviour behaviour;
+  // Placement policy; empty for none.
+  std::function<bool(const TaskName& stage, const std::string& worker)> allows;
+  // What a run reports of its load; empty for nothing.
+  std::function<int64_t(const ModelWorker&, const ModelWorker::Run&)> load;
 
  private:
   friend class WorkerView;
@@ -99,8 +107,21 @@
   std::chrono::milliseconds ClockOf(const ModelWorker& worker) const;
   StartAnswer Start(ModelWorker& worker, const StartOrder& order);
   StartAnswer Stop(ModelWorker& worker, const StopOrder& order);
+  StartAnswer Pace(ModelWorker& worker, const PaceOrder& order);
+  void Ask(const NodePtr& node,
+           const PolicyQuestion& question,
+           WorkerGateway::PolicyCallback done);
+  bool TicketHolds(const ModelWorker& worker, const StartOrder& order) const;
   HoldAnswer Look(ModelWorker& worker, const HoldOrder& order);
   void EndRun(ModelWorker& worker, const std::string& task, RunEnd end);
+  // Members of the gang's run that are present, by worker and task.
+  std::vector<std::pair<ModelWorker*, std::string>> MembersOf(
+      const ModelWorker::Run& run);
+  void JoinGang(const std::string& worker, const ModelWorker::Run& run);
+  void ScheduleEnd(const std::string& worker,
+                   const ModelWorker::Run& run,
+                   std::chrono::milliseconds delay,
+                   RunEnd end);
   void CheckLeases();
   void Enter(const ModelWorker& worker);
 
@@ -109,6 +130,12 @@
   Promises& promises_;
   std::mt19937_64 random_;
   std::map<std::string, std::unique_ptr<ModelWorker>> workers_;
+  struct Ticket {
+    std::string worker;
+    TaskName stage;
+    MonoTime expires;
+  };
+  std::map<std::string, Ticket> tickets_;
   int next_id_ = 1;
   uint64_t next_serial_ = 1;
 };
--- a/Source/StandIns/Fleet/promises.cc
+++ b/Source/StandIns/Fleet/promises.cc
@@ -134,6 +134,10 @@
   }
 }
 
+void Promises::OnAlone(const TaskName& task) {
+  Break(absl::StrCat("task ", Text(task), " waited for its gang in vain"));
+}
+
 void Promises::OnInstanceOrder(const std::string& instance, uint64_t fence) {
   uint64_t& highest = instance_fences_[instance];
   if (fence < highest) {
--- a/Source/StandIns/Fleet/promises.h
+++ b/Source/StandIns/Fleet/promises.h
@@ -39,6 +39,9 @@
   // The worker and all that it ran are gone.
   void OnWorkerGone(const std::string& worker, MonoTime now);
 
+  // A member of a gang ended because the others did not come.
+  void OnAlone(const TaskName& task);
+
   void OnInstanceOrder(const std::string& instance, uint64_t fence);
   void OnMaintenance(uint64_t wave, int down, int max_down);
 
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -35,6 +35,12 @@
   CPPUNIT_TEST(PeakBorrowsInstances);
   CPPUNIT_TEST(WaveKeepsItsLimits);
   CPPUNIT_TEST(WaveSurvivesItsKeeper);
+  CPPUNIT_TEST(GangRunsTogether);
+  CPPUNIT_TEST(GangLosesAMember);
+  CPPUNIT_TEST(PolicyTicketsAreCarried);
+  CPPUNIT_TEST(FillersArePacedBeforeHarm);
+  CPPUNIT_TEST(SpeculativeTaskDoesNotWaitForALease);
+  CPPUNIT_TEST(ScheduledJobRunsInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -459,6 +465,142 @@
     CPPUNIT_ASSERT_EQUAL(12, fleet.instances.Maintained(wave.number));
   }
 
+  void GangRunsTogether() {
+    ModelFleet fleet(27);
+    Begin(fleet, 1, 4, 0);
+    for (int i = 0; i < 10; ++i) {
+      JobSpec spec = SimpleJob(absl::StrCat("g", i), "q0", 1, 6, 4'000);
+      spec.stages[0].gang = true;
+      fleet.time.After(milliseconds(100 * i),
+                       [&fleet, spec] { fleet.Submit(spec, 0); });
+    }
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(100), 1, 4);
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(30, fleet.promises.completed());
+  }
+
+  void GangLosesAMember() {
+    ModelFleet fleet(28);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(2), false};
+    };
+    JobSpec spec = SimpleJob("g", "q0", 1, 8, 4'000);
+    spec.stages[0].gang = true;
+    fleet.Submit(spec, 0);
+    fleet.Run(seconds(1));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      if (!fleet.workers.Find(id)->running.empty()) {
+        fleet.workers.Crash(id);
+        break;
+      }
+    }
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
+  void PolicyTicketsAreCarried() {
+    ModelFleet fleet(29);
+    FleetPlan plan = SimplePlan(1);
+    plan.queues[0].policy = PlacementPolicy();
+    fleet.SetPlan(plan);
+    AddInstances(fleet, 1, 4, 0);
+    fleet.AddDaemons(3);
+    fleet.Run(seconds(2));
+    // Half of the workers are allowed.
+    fleet.workers.allows = [](const TaskName&, const std::string& worker) {
+      return worker == "w1" || worker == "w3";
+    };
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(200), 2, 4);
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(20, fleet.promises.completed());
+  }
+
+  // A serving task must not be over its target for 4 s because of fillers.
+  void FillersArePacedBeforeHarm() {
+    ModelFleet fleet(30);
+    Begin(fleet, 1, 1, 0);
+    JobSpec serving = SimpleJob("s", "q0", 1, 1, 4'000);
+    serving.stages[0].perpetual = true;
+    serving.stages[0].latency_target = milliseconds(100);
+    JobSpec fillers = SimpleJob("f", "q0", 1, 4, 4'000);
+    fillers.stages[0].perpetual = true;
+    fillers.stages[0].filler = true;
+    // Each filler at full pace adds 40 ms to a tail of 30 ms.
+    fleet.workers.load = [](const model::ModelWorker& worker,
+                            const model::ModelWorker::Run& run) -> int64_t {
+      if (run.name.job != "s") {
+        return 0;
+      }
+      int64_t tail = 30;
+      for (const auto& [task, other] : worker.running) {
+        tail += other.filler ? 40 * other.pace / 100 : 0;
+      }
+      return tail;
+    };
+    fleet.Submit(serving, 0);
+    fleet.Submit(fillers, 1);
+    fleet.Run(seconds(5));
+    milliseconds over{0};
+    milliseconds longest{0};
+    for (int i = 0; i < 100; ++i) {
+      fleet.Run(milliseconds(100));
+      const model::ModelWorker& worker = *fleet.workers.Find("w1");
+      int64_t tail = 0;
+      int pace = 0;
+      for (const auto& [task, run] : worker.running) {
+        tail = std::max(tail, fleet.workers.load(worker, run));
+        pace += run.filler ? run.pace : 0;
+      }
+      over = tail > 100 ? over + milliseconds(100) : milliseconds(0);
+      longest = std::max(longest, over);
+    }
+    CPPUNIT_ASSERT(longest < seconds(2));
+    AssertKept(fleet);
+  }
+
+  // A copy may run while the first one is out of reach.
+  void SpeculativeTaskDoesNotWaitForALease() {
+    ModelFleet fleet(31);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(2), false};
+    };
+    JobSpec spec = SimpleJob("s", "q0", 1, 4, 4'000);
+    spec.stages[0].speculative = true;
+    fleet.Submit(spec, 0);
+    fleet.Run(milliseconds(300));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      model::ModelWorker* worker = fleet.workers.Find(id);
+      worker->cut = !worker->running.empty();
+    }
+    // 1 s to notice, 2 s of work; a lease of 4 s would take longer.
+    fleet.Run(milliseconds(3'900));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+    AssertKept(fleet);
+  }
+
+  void ScheduledJobRunsInTime() {
+    ModelFleet fleet(32);
+    Begin(fleet, 1, 4, 0);
+    JobSpec spec = SimpleJob("t", "q0", 1, 2, 1'000);
+    spec.occurrences = 5;
+    spec.first_due = fleet.time.WallNow() + seconds(1);
+    spec.interval = seconds(2);
+    fleet.Submit(spec, 0);
+    fleet.Run(milliseconds(900));
+    CPPUNIT_ASSERT(fleet.workers.Find("w1")->running.empty());
+    fleet.time.After(seconds(3), [&fleet] {
+      fleet.Kill(fleet.OwnerOf("p0"), seconds(1));
+    });
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
  private:
   static void Begin(ModelFleet& fleet, int pools, int each, int spare) {
     fleet.SetPlan(SimplePlan(pools));
