Keep begun work in its place up to its objective

Change: the reserve applies to work that has not begun; one place in five goes to late work that would lose its use.

--- a/Source/Core/Scheduling/dispatch_order.cc
+++ b/Source/Core/Scheduling/dispatch_order.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <vector>
 
 namespace figflow {
@@ -14,6 +15,10 @@
 // tasks of later stages.
 constexpr std::chrono::milliseconds kFixedReserve{100};
 constexpr double kReserveShare = 0.15;
+// Late work gets its share of the room this long before it is of no more use.
+constexpr std::chrono::milliseconds kLastChanceTime{700};
+// Of so many places, one goes to work at its last chance.
+constexpr int kLastChanceEvery = 5;
 // Work is of some use until this many times its objective (platform contract).
 constexpr int kLateFactor = 3;
 
@@ -29,8 +34,9 @@
 }  // namespace
 
 absl::string_view UrgencyName(Urgency urgency) {
-  constexpr std::array<absl::string_view, 5> kNames = {
-      "perpetual", "begun-in-time", "in-time", "late", "overdue"};
+  constexpr std::array<absl::string_view, 6> kNames = {
+      "perpetual",   "begun-in-time", "in-time",
+      "last-chance", "late",          "overdue"};
   return kNames[static_cast<size_t>(urgency)];
 }
 
@@ -75,17 +81,20 @@
   const milliseconds objective =
       (queue == nullptr ? milliseconds(0) : queue->objective) +
       std::chrono::duration_cast<milliseconds>(chain.whole * stretch);
+  // Work that has begun used its reserve for waiting.
+  const bool begun = HasBegun(occurrence);
   const milliseconds reserve =
-      kFixedReserve +
-      std::chrono::duration_cast<milliseconds>(chain.left * kReserveShare);
+      begun ? milliseconds(0)
+            : kFixedReserve + std::chrono::duration_cast<milliseconds>(
+                                  chain.left * kReserveShare);
   const MonoTime in_time = occurrence.due + objective - chain.left - reserve;
   const MonoTime of_use = occurrence.due + objective * kLateFactor - chain.left;
   if (in_time >= now) {
-    rank.urgency = HasBegun(occurrence) ? Urgency::kBegunInTime
-                                        : Urgency::kInTime;
+    rank.urgency = begun ? Urgency::kBegunInTime : Urgency::kInTime;
     rank.key = in_time;
   } else if (of_use >= now) {
-    rank.urgency = Urgency::kLate;
+    const bool last_chance = of_use - now < kLastChanceTime;
+    rank.urgency = last_chance ? Urgency::kLastChance : Urgency::kLate;
     rank.key = of_use;
   } else {
     rank.urgency = Urgency::kOverdue;
@@ -93,4 +102,31 @@
   return rank;
 }
 
+std::vector<size_t> DispatchSequence(const std::vector<DispatchRank>& ranks) {
+  std::vector<size_t> sorted(ranks.size());
+  std::iota(sorted.begin(), sorted.end(), size_t{0});
+  std::stable_sort(
+      sorted.begin(), sorted.end(),
+      [&](size_t a, size_t b) { return ranks[a] < ranks[b]; });
+  const auto first_of = [&](Urgency urgency) {
+    return std::find_if(sorted.begin(), sorted.end(), [&](size_t index) {
+      return ranks[index].urgency >= urgency;
+    });
+  };
+  auto in_time = first_of(Urgency::kInTime);
+  auto last_chance = first_of(Urgency::kLastChance);
+  const auto in_time_end = last_chance;
+  const auto last_chance_end = first_of(Urgency::kLate);
+  std::vector<size_t> sequence(sorted.begin(), in_time);
+  int taken = 0;
+  while (in_time != in_time_end || last_chance != last_chance_end) {
+    const bool gives_way =
+        last_chance != last_chance_end &&
+        (in_time == in_time_end || ++taken % kLastChanceEvery == 0);
+    sequence.push_back(gives_way ? *last_chance++ : *in_time++);
+  }
+  sequence.insert(sequence.end(), last_chance_end, sorted.end());
+  return sequence;
+}
+
 }  // namespace figflow
--- a/Source/Core/Scheduling/dispatch_order.h
+++ b/Source/Core/Scheduling/dispatch_order.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <tuple>
+#include <vector>
 
 #include "Common/clock.h"
 #include "Scheduling/duration_model.h"
@@ -31,6 +32,8 @@
   kBegunInTime,
   // Can meet its objective, with a reserve.
   kInTime,
+  // Is late, and of no more use if it does not start now.
+  kLastChance,
   // Cannot meet its objective any more, but is of some use a while longer.
   kLate,
   // Is of no more use when it is done earlier.
@@ -64,6 +67,12 @@
                     const DurationModel& durations,
                     MonoTime now);
 
+// Places of `ranks` in the order of dispatch: by rank, except that one in five
+// of the work in time gives way to work at its last chance. Without that share,
+// late work would lose its use at every long peak; with more, it would make the
+// work behind it late as well.
+std::vector<size_t> DispatchSequence(const std::vector<DispatchRank>& ranks);
+
 }  // namespace figflow
 
 #endif  // SCHEDULING_DISPATCH_ORDER_H_
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -99,10 +99,17 @@
       }
     }
   }
-  std::stable_sort(
-      ready.begin(), ready.end(),
-      [](const ReadyStage& a, const ReadyStage& b) { return a.rank < b.rank; });
-  return ready;
+  std::vector<DispatchRank> ranks;
+  ranks.reserve(ready.size());
+  for (const ReadyStage& item : ready) {
+    ranks.push_back(item.rank);
+  }
+  std::vector<ReadyStage> ordered;
+  ordered.reserve(ready.size());
+  for (const size_t index : DispatchSequence(ranks)) {
+    ordered.push_back(std::move(ready[index]));
+  }
+  return ordered;
 }
 
 void PoolScheduler::Dispatch(MonoTime now) {
