--- /dev/null
+++ b/Source/UnitTests/Instances/planners_test.cc
@@ -0,0 +1,239 @@
+// Which instances move and which are maintained, without input and output.
+#include <algorithm>
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Instances/move_planner.h"
+#include "Instances/wave_planner.h"
+#include "Instances/wave_record.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const MonoTime kNow = MonoTime(std::chrono::hours(1));
+constexpr int64_t kSize = 64'000;
+
+// A pool of `idle` idle and `busy` busy workers, on instances "<pool>-<n>".
+PoolReport Pool(const std::string& name, int idle, int busy) {
+  PoolReport report;
+  report.pool = name;
+  for (int i = 0; i < idle + busy; ++i) {
+    WorkerLoad load;
+    load.instance = absl::StrCat(name, "-", i);
+    load.worker = absl::StrCat("w-", load.instance);
+    load.tasks = i < idle ? 0 : 8;
+    load.capacity_millicores = kSize;
+    load.usable = true;
+    report.workers.push_back(load);
+  }
+  return report;
+}
+
+MoveInput Input() {
+  MoveInput input;
+  input.spare_pool = "spare";
+  input.all_instances = 30;
+  return input;
+}
+
+class PlannersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlannersTest);
+  CPPUNIT_TEST(NothingMovesBeforeTheListIsKnown);
+  CPPUNIT_TEST(PeakTakesSpareInstancesFirst);
+  CPPUNIT_TEST(PeakTakesIdleInstancesOfOthers);
+  CPPUNIT_TEST(BusyPoolGivesNothing);
+  CPPUNIT_TEST(InstancesOnTheWayCount);
+  CPPUNIT_TEST(IdleInstancesGoBackAfterAWhile);
+  CPPUNIT_TEST(UnplacedTaskAsksForOneInstance);
+  CPPUNIT_TEST(BlockedInstancesStay);
+  CPPUNIT_TEST(WaveTakesIdleInstancesFirst);
+  CPPUNIT_TEST(WaveNeverExceedsItsLimit);
+  CPPUNIT_TEST(WaveHurriesWhenTimeIsShort);
+  CPPUNIT_TEST(WaveMaintainsInstancesWithoutWorker);
+  CPPUNIT_TEST(WaveRecordSurvives);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Pools were shrunk to two workers at the start, and a perpetual task had no
+  // room any more.
+  void NothingMovesBeforeTheListIsKnown() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.all_instances = 0;
+    input.pools["a"] = Pool("a", 10, 0);
+    planner.Plan(input, kNow);
+    const MovePlan plan = planner.Plan(input, kNow + seconds(10));
+    CPPUNIT_ASSERT(plan.moves.empty());
+    CPPUNIT_ASSERT(plan.evacuate.empty());
+  }
+
+  void PeakTakesSpareInstancesFirst() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["b"] = Pool("b", 8, 0);
+    input.pools["a"].offered_millicores = 8 * kSize;
+    input.spare = {{"s1", 0}, {"s2", 0}, {"s3", 0}, {"s4", 0}, {"s5", 0}};
+    const MovePlan plan = planner.Plan(input, kNow);
+    CPPUNIT_ASSERT(plan.moves.size() >= 4);
+    for (const InstanceMove& move : plan.moves) {
+      CPPUNIT_ASSERT_EQUAL(std::string("a"), move.pool);
+      CPPUNIT_ASSERT_EQUAL('s', move.instance[0]);
+    }
+  }
+
+  void PeakTakesIdleInstancesOfOthers() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.all_instances = 16;
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["b"] = Pool("b", 10, 0);
+    input.pools["a"].backlog_millicore_ms = 20 * kSize * 1'000;
+    MovePlan plan = planner.Plan(input, kNow);
+    // They are emptied first, then moved.
+    CPPUNIT_ASSERT(plan.moves.empty());
+    CPPUNIT_ASSERT(!plan.evacuate.empty());
+    for (WorkerLoad& load : input.pools["b"].workers) {
+      load.evacuating = plan.evacuate.count(load.instance) > 0;
+    }
+    const size_t emptied = plan.evacuate.size();
+    plan = planner.Plan(input, kNow + milliseconds(150));
+    CPPUNIT_ASSERT_EQUAL(emptied, plan.moves.size());
+    // Some stay for the start of the donor's next peak: 0.55 of an even share.
+    CPPUNIT_ASSERT(emptied <= 6);
+  }
+
+  void BusyPoolGivesNothing() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["b"] = Pool("b", 10, 0);
+    input.pools["a"].backlog_millicore_ms = 20 * kSize * 1'000;
+    input.pools["b"].offered_millicores = 7 * kSize;
+    CPPUNIT_ASSERT(planner.Plan(input, kNow).evacuate.empty());
+  }
+
+  void InstancesOnTheWayCount() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["a"].offered_millicores = 8 * kSize;
+    for (int i = 0; i < 10; ++i) {
+      input.spare[absl::StrCat("s", i)] = 0;
+      input.pending[absl::StrCat("m", i)] = {"a", kNow, ""};
+    }
+    CPPUNIT_ASSERT(planner.Plan(input, kNow).moves.empty());
+  }
+
+  void IdleInstancesGoBackAfterAWhile() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.all_instances = 14;
+    input.pools["a"] = Pool("a", 12, 2);
+    CPPUNIT_ASSERT(planner.Plan(input, kNow).evacuate.empty());
+    const MovePlan plan = planner.Plan(input, kNow + seconds(3));
+    CPPUNIT_ASSERT(!plan.evacuate.empty());
+    CPPUNIT_ASSERT(plan.evacuate.size() <= 7);
+  }
+
+  void UnplacedTaskAsksForOneInstance() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 2);
+    input.pools["a"].unplaced_tasks = 3;
+    input.spare = {{"s1", 0}, {"s2", 0}};
+    const MovePlan plan = planner.Plan(input, kNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, plan.moves.size());
+  }
+
+  void BlockedInstancesStay() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["a"].offered_millicores = 8 * kSize;
+    input.spare = {{"s1", 0}};
+    input.blocked = {"s1"};
+    CPPUNIT_ASSERT(planner.Plan(input, kNow).moves.empty());
+  }
+
+  void WaveTakesIdleInstancesFirst() {
+    WaveState wave = Wave(seconds(25), 3);
+    const WavePlan plan =
+        PlanWave(wave, {{"a", Pool("a", 2, 6)}}, {}, {}, {}, kNow);
+    CPPUNIT_ASSERT(plan.evacuate.count("a-0") > 0);
+    CPPUNIT_ASSERT(plan.evacuate.count("a-1") > 0);
+    CPPUNIT_ASSERT(plan.begin.empty());
+  }
+
+  void WaveNeverExceedsItsLimit() {
+    WaveState wave = Wave(seconds(1), 2);
+    wave.instances["a-7"] = MaintenanceStep::kOrdered;
+    PoolReport pool = Pool("a", 8, 0);
+    std::set<std::string> emptying;
+    for (WorkerLoad& load : pool.workers) {
+      load.evacuating = true;
+      emptying.insert(load.instance);
+    }
+    const WavePlan plan =
+        PlanWave(wave, {{"a", pool}}, {}, emptying, {}, kNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, plan.begin.size());
+  }
+
+  void WaveHurriesWhenTimeIsShort() {
+    PoolReport pool = Pool("a", 0, 8);
+    pool.waiting_millicores = kSize;
+    const WavePlan calm =
+        PlanWave(Wave(seconds(120), 8), {{"a", pool}}, {}, {}, {}, kNow);
+    const WavePlan urgent =
+        PlanWave(Wave(seconds(7), 8), {{"a", pool}}, {}, {}, {}, kNow);
+    CPPUNIT_ASSERT(calm.evacuate.size() <= 1);
+    CPPUNIT_ASSERT(urgent.evacuate.size() >= 4);
+  }
+
+  void WaveMaintainsInstancesWithoutWorker() {
+    WaveState wave = Wave(seconds(25), 2);
+    wave.instances["s1"] = MaintenanceStep::kWaiting;
+    const WavePlan plan =
+        PlanWave(wave, {{"a", Pool("a", 0, 8)}}, {"s1"}, {}, {}, kNow);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, plan.begin.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"), plan.begin[0]);
+  }
+
+  void WaveRecordSurvives() {
+    WaveRecord record;
+    record.due = FromEpoch(milliseconds(123'456));
+    record.instances = {{"a", MaintenanceStep::kOrdered},
+                        {"b", MaintenanceStep::kWaiting},
+                        {"c", MaintenanceStep::kOver}};
+    const Result<WaveRecord> read = ParseWaveRecord(FormatWaveRecord(record));
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT(read->due == record.due);
+    CPPUNIT_ASSERT(read->instances.at("a") == MaintenanceStep::kOrdered);
+    CPPUNIT_ASSERT(read->instances.at("c") == MaintenanceStep::kOver);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, read->instances.count("b"));
+    CPPUNIT_ASSERT(!ParseWaveRecord("").has_value());
+    CPPUNIT_ASSERT(!ParseHandOver("\x01").has_value());
+  }
+
+ private:
+  static WaveState Wave(milliseconds left, int max_down) {
+    WaveState wave;
+    wave.number = 1;
+    wave.deadline = kNow + left;
+    wave.max_down = max_down;
+    for (int i = 0; i < 8; ++i) {
+      wave.instances[absl::StrCat("a-", i)] = MaintenanceStep::kWaiting;
+    }
+    return wave;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlannersTest);
+
+}  // namespace
+}  // namespace figflow
--- /dev/null
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -0,0 +1,217 @@
+// Claims, the lease and durable writes against the model of the store.
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/metrics.h"
+#include "Ownership/claim_policy.h"
+#include "Ownership/owner_record.h"
+#include "Ownership/prefix_follower.h"
+#include "Ownership/record_writer.h"
+#include "Ownership/store_session.h"
+#include "StandIns/Fleet/model_store.h"
+
+namespace figflow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class OwnershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OwnershipTest);
+  CPPUNIT_TEST(WriteSurvivesLostAnswers);
+  CPPUNIT_TEST(LateCopyOfAWriteChangesNothing);
+  CPPUNIT_TEST(DeposedOwnerWritesNothing);
+  CPPUNIT_TEST(LeaseIsCertainOnlyFromItsSending);
+  CPPUNIT_TEST(EndedLeaseIsReplaced);
+  CPPUNIT_TEST(DaemonWithLeastClaimsFirst);
+  CPPUNIT_TEST(FailedClaimantWaits);
+  CPPUNIT_TEST(FollowerReportsWhatVanishedUnseen);
+  CPPUNIT_TEST(RecordsSurviveAndGarbageIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  OwnershipTest() : store_(time_, 1), node_(std::make_shared<model::ModelNode>()) {
+    view_ = store_.ViewOf(node_);
+  }
+
+  void WriteSurvivesLostAnswers() {
+    auto writer = MakeWriter("n1");
+    store_.faults.lost_share = 1.0;
+    int written = 0;
+    Write(*writer, "k", "v1", &written);
+    StepFor(*writer, milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(0, written);
+    store_.faults.lost_share = 0;
+    StepFor(*writer, seconds(2));
+    CPPUNIT_ASSERT_EQUAL(1, written);
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), store_.Find("k")->value);
+  }
+
+  // The store may carry a write out seconds after its answer got lost.
+  void LateCopyOfAWriteChangesNothing() {
+    auto writer = MakeWriter("n1");
+    store_.faults.lost_share = 1.0;
+    store_.faults.lost_late = true;
+    int written = 0;
+    Write(*writer, "k", "old", &written);
+    StepFor(*writer, milliseconds(400));
+    store_.faults.lost_share = 0;
+    StepFor(*writer, seconds(1));
+    Write(*writer, "k", "new", &written);
+    StepFor(*writer, seconds(8));
+    CPPUNIT_ASSERT_EQUAL(2, written);
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), store_.Find("k")->value);
+  }
+
+  void DeposedOwnerWritesNothing() {
+    auto writer = MakeWriter("n1");
+    store_.Remove(OwnerKey("p"));
+    int written = 0;
+    RecordWriter::Outcome outcome = RecordWriter::Outcome::kWritten;
+    writer->Write({{"k", "v", 0}}, {}, [&](RecordWriter::Outcome result) {
+      ++written;
+      outcome = result;
+    });
+    StepFor(*writer, seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, written);
+    CPPUNIT_ASSERT(outcome == RecordWriter::Outcome::kDeposed);
+    CPPUNIT_ASSERT(store_.Find("k") == nullptr);
+  }
+
+  // An answer that comes late, after a suspension say, extends nothing.
+  void LeaseIsCertainOnlyFromItsSending() {
+    auto session = std::make_shared<StoreSession>(*view_, SessionOptions());
+    const MonoTime begun = time_.Now();
+    session->Step(time_.Now());
+    node_->suspended_until = begun + seconds(5);
+    time_.RunFor(seconds(6));
+    CPPUNIT_ASSERT(session->certain_until() <= begun + milliseconds(1'500));
+  }
+
+  void EndedLeaseIsReplaced() {
+    auto session = std::make_shared<StoreSession>(*view_, SessionOptions());
+    RunSession(*session, seconds(1));
+    const LeaseId first = session->lease();
+    CPPUNIT_ASSERT(first != 0);
+    store_.faults.silent = true;
+    store_.faults.lapse = true;
+    RunSession(*session, seconds(3));
+    CPPUNIT_ASSERT(session->certain_until() < time_.Now());
+    store_.faults.silent = false;
+    RunSession(*session, seconds(2));
+    CPPUNIT_ASSERT(session->lease() != 0);
+    CPPUNIT_ASSERT(session->lease() != first);
+    CPPUNIT_ASSERT(session->certain_until() > time_.Now());
+  }
+
+  void DaemonWithLeastClaimsFirst() {
+    const MonoTime now = time_.Now();
+    for (const char* scope : {"a", "b", "c"}) {
+      ClaimPolicy idle("d1");
+      ClaimPolicy busy("d2");
+      idle.OnVacant(scope, 0, now);
+      busy.OnVacant(scope, 1, now);
+      CPPUNIT_ASSERT(*idle.ClaimAt(scope) < *busy.ClaimAt(scope));
+    }
+  }
+
+  void FailedClaimantWaits() {
+    const MonoTime now = time_.Now();
+    ClaimPolicy policy("d1");
+    policy.OnFailed("a", now);
+    policy.OnVacant("a", 0, now);
+    CPPUNIT_ASSERT(*policy.ClaimAt("a") >= now + seconds(1));
+    policy.OnOwned("a");
+    CPPUNIT_ASSERT(!policy.ClaimAt("a"));
+  }
+
+  void FollowerReportsWhatVanishedUnseen() {
+    store_.Put("x/1", "a");
+    store_.Put("x/2", "b");
+    std::vector<std::string> seen;
+    PrefixFollowerOptions options;
+    options.prefix = "x/";
+    auto follower = std::make_shared<PrefixFollower>(
+        *view_, time_, options,
+        [&](const StoreItem& item) {
+          seen.push_back((item.removed ? "-" : "+") + item.key);
+        },
+        [] {});
+    follower->Start();
+    time_.RunFor(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, seen.size());
+    store_.SwallowWatches();
+    store_.Remove("x/1");
+    store_.ForgetHistory();
+    for (int i = 0; i < 400; ++i) {
+      follower->Step(time_.Now());
+      time_.RunFor(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, seen.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("-x/1"), seen.back());
+    follower->Stop();
+  }
+
+  void RecordsSurviveAndGarbageIsRefused() {
+    const Result<OwnerRecord> owner =
+        ParseOwnerRecord(FormatOwnerRecord({"e", "1.2.3.4:5", "n"}));
+    CPPUNIT_ASSERT(owner.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("1.2.3.4:5"), owner->address);
+    CPPUNIT_ASSERT(!ParseOwnerRecord("").has_value());
+    CPPUNIT_ASSERT(!ParseOwnerRecord("\x81\x01").has_value());
+    CPPUNIT_ASSERT(!ParseSequenceRecord("\xff").has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("j"), LastKeyPart(AcceptedKey("p", "j")));
+  }
+
+ private:
+  static StoreSessionOptions SessionOptions() { return {}; }
+
+  std::shared_ptr<RecordWriter> MakeWriter(const std::string& nonce) {
+    store_.Put(OwnerKey("p"), "claim");
+    RecordWriter::Ownership ownership;
+    ownership.pool = "p";
+    ownership.nonce = nonce;
+    ownership.owner_revision = store_.Find(OwnerKey("p"))->revision;
+    return std::make_shared<RecordWriter>(*view_, time_, metrics_, ownership,
+                                          [] {});
+  }
+
+  static void Write(RecordWriter& writer,
+                    const std::string& key,
+                    const std::string& value,
+                    int* written) {
+    writer.Write({{key, value, 0}}, {}, [written](RecordWriter::Outcome result) {
+      *written += result == RecordWriter::Outcome::kWritten ? 1 : 0;
+    });
+  }
+
+  void StepFor(RecordWriter& writer, MonoTime::duration duration) {
+    const MonoTime end = time_.Now() + duration;
+    while (time_.Now() < end) {
+      writer.Step(time_.Now());
+      time_.RunFor(milliseconds(5));
+    }
+  }
+
+  void RunSession(StoreSession& session, MonoTime::duration duration) {
+    const MonoTime end = time_.Now() + duration;
+    while (time_.Now() < end) {
+      session.Step(time_.Now());
+      time_.RunFor(milliseconds(10));
+    }
+  }
+
+  model::VirtualTime time_;
+  model::ModelStore store_;
+  model::NodePtr node_;
+  std::unique_ptr<TransactionalStore> view_;
+  MetricsRegistry metrics_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
+
+}  // namespace
+}  // namespace figflow
--- /dev/null
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -0,0 +1,365 @@
+// Calls to the store, workers and instances, through a transport that answers
+// from a table.
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include "Common/metrics.h"
+#include "Http/http_transport.h"
+#include "Scheduling/job.h"
+#include "instance_client.h"
+#include "store_client.h"
+#include "worker_client.h"
+
+namespace figflow {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Answers each request with the next prepared result.
+class TableTransport : public HttpTransport {
+ public:
+  uint64_t Start(TransferRequest request, TransferCallback done) override {
+    requests.push_back(*request.message);
+    TransferResult result;
+    result.sent = sent;
+    if (status == 0) {
+      result.response =
+          Fail(ErrorCode::kUnknownOutcome, "test", "", "connection lost");
+    } else {
+      HttpResponse response;
+      response.status = status;
+      response.body = body;
+      result.response = response;
+    }
+    done(std::move(result));
+    return 0;
+  }
+  void Cancel(uint64_t /*id*/) override {}
+
+  json LastBody() const { return json::parse(requests.back().body); }
+
+  bool sent = true;
+  // 0: no answer.
+  int status = 200;
+  std::string body;
+  std::vector<HttpRequest> requests;
+};
+
+class CallsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallsTest);
+  CPPUNIT_TEST(CommitIsSentAndRead);
+  CPPUNIT_TEST(CommitOutcomesByTable);
+  CPPUNIT_TEST(RefusedCommitShowsTheKeys);
+  CPPUNIT_TEST(WatchAndRange);
+  CPPUNIT_TEST(StartAnswersByTable);
+  CPPUNIT_TEST(StartCarriesWhatItNeeds);
+  CPPUNIT_TEST(HoldIsRead);
+  CPPUNIT_TEST(BadHoldIsAnError);
+  CPPUNIT_TEST(PolicyIsAsked);
+  CPPUNIT_TEST(InstancesAreListedPageByPage);
+  CPPUNIT_TEST(InstanceOrdersByTable);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  CallsTest()
+      : store_("1.1.1.1:1", transport_, clock_, metrics_),
+        workers_(transport_, clock_, "2.2.2.2:2"),
+        instances_("3.3.3.3:3", transport_, clock_) {}
+
+  void CommitIsSentAndRead() {
+    transport_.body = R"({"Revision":412})";
+    Transaction transaction;
+    transaction.expected = {{"a", 0}};
+    transaction.writes = {{"a", std::string("\0\xff", 2), 77}};
+    transaction.removals = {"b"};
+    const Result<TransactionResult> result = Commit(transaction);
+    CPPUNIT_ASSERT(result.has_value());
+    CPPUNIT_ASSERT(result->committed);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{412}, result->revision);
+    const json body = transport_.LastBody();
+    CPPUNIT_ASSERT_EQUAL(std::string("AP8="),
+                         body["Puts"][0]["Value"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(77, body["Puts"][0]["Lease"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(0, body["ExpectedRev"][0]["Revision"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         body["Remove"][0].get<std::string>());
+  }
+
+  // What a caller of the store may conclude from each answer.
+  void CommitOutcomesByTable() {
+    struct Case {
+      int status;
+      bool sent;
+      const char* body;
+      ErrorCode code;
+    };
+    const Case cases[] = {
+        {503, true, "", ErrorCode::kUnavailable},
+        {429, true, "", ErrorCode::kUnavailable},
+        {0, false, "", ErrorCode::kUnavailable},
+        {0, true, "", ErrorCode::kUnknownOutcome},
+        {404, true, "", ErrorCode::kNotFound},
+        // It may have taken effect.
+        {200, true, "garbage", ErrorCode::kUnknownOutcome},
+        {200, true, "{}", ErrorCode::kUnknownOutcome},
+    };
+    for (const Case& test : cases) {
+      transport_.status = test.status;
+      transport_.sent = test.sent;
+      transport_.body = test.body;
+      const Result<TransactionResult> result = Commit({});
+      CPPUNIT_ASSERT(!result.has_value());
+      CPPUNIT_ASSERT(result.error().code == test.code);
+    }
+  }
+
+  void RefusedCommitShowsTheKeys() {
+    transport_.status = 412;
+    transport_.body =
+        R"({"items":[{"Key":"a","Value":"eA==","Revision":5,"Created":5,)"
+        R"("Lease":0},{"Key":"b","Revision":0}]})";
+    const Result<TransactionResult> result = Commit({});
+    CPPUNIT_ASSERT(result.has_value());
+    CPPUNIT_ASSERT(!result->committed);
+    // A key that does not exist is not listed.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, result->current.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), result->current[0].value);
+  }
+
+  void WatchAndRange() {
+    transport_.body =
+        R"({"events":[{"Key":"k/1","Value":"eA==","Revision":9},)"
+        R"({"Key":"k/2","Revision":10,"Tombstone":true}],"StoreRevision":10})";
+    Result<StoreChanges> changes = Fail(ErrorCode::kInternal, "", "", "");
+    store_.Watch("k/", 8, milliseconds(100),
+                 [&](Result<StoreChanges> result) { changes = result; });
+    CPPUNIT_ASSERT(changes.has_value());
+    CPPUNIT_ASSERT(!changes->changes[0].removed);
+    CPPUNIT_ASSERT(changes->changes[1].removed);
+    transport_.status = 410;
+    store_.Watch("k/", 8, milliseconds(100),
+                 [&](Result<StoreChanges> result) { changes = result; });
+    CPPUNIT_ASSERT(changes->history_lost);
+    transport_.status = 200;
+    transport_.body =
+        R"({"items":[{"Key":"k/1","Value":"!!","Revision":9}],)"
+        R"("Truncated":true,"StoreRevision":11})";
+    Result<RangePage> page = Fail(ErrorCode::kInternal, "", "", "");
+    store_.Range("k/", "k/0 &", milliseconds(100),
+                 [&](Result<RangePage> result) { page = result; });
+    CPPUNIT_ASSERT(page->truncated);
+    // Bytes that are no base64 are an empty value, which no decoder takes.
+    CPPUNIT_ASSERT(page->items[0].value.empty());
+    CPPUNIT_ASSERT(transport_.requests.back().target.find("After=k/0%20%26") !=
+                   std::string::npos);
+  }
+
+  void StartAnswersByTable() {
+    struct Case {
+      int status;
+      const char* body;
+      StartAnswer answer;
+    };
+    const Case cases[] = {
+        {200, R"({"ClockMs":5})", StartAnswer::kStarted},
+        {409, R"({"ClockMs":5,"Reason":"fence"})", StartAnswer::kFenced},
+        {409, R"({"ClockMs":5,"Reason":"old"})", StartAnswer::kOutdated},
+        {409, R"({"ClockMs":5,"Reason":"late"})", StartAnswer::kLate},
+        {409, R"({"ClockMs":5,"Reason":"room"})", StartAnswer::kNoRoom},
+        {409, R"({"ClockMs":5,"Reason":"ticket"})", StartAnswer::kNoTicket},
+        {409, R"({"ClockMs":5,"Reason":"new word"})", StartAnswer::kRefused},
+        {400, "", StartAnswer::kRefused},
+        {421, "", StartAnswer::kReplaced},
+        {429, "", StartAnswer::kUnhealthy},
+        {503, "", StartAnswer::kUnhealthy},
+    };
+    for (const Case& test : cases) {
+      transport_.status = test.status;
+      transport_.body = test.body;
+      const Result<OrderAnswer> answer = Start();
+      CPPUNIT_ASSERT(answer.has_value());
+      CPPUNIT_ASSERT(answer->answer == test.answer);
+    }
+    transport_.status = 0;
+    CPPUNIT_ASSERT(!Start().has_value());
+  }
+
+  void StartCarriesWhatItNeeds() {
+    transport_.body = R"({"ClockMs":5})";
+    Start();
+    const json body = transport_.LastBody();
+    CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.0.1.17"),
+                         body["Task"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(2, body["Run"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(486'000, body["DeadlineMs"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(7, body["Fence"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::string("text"), body["Spec"].get<std::string>());
+    CPPUNIT_ASSERT(!body.contains("Checkpoint"));
+    CPPUNIT_ASSERT(!body.contains("Ticket"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                         transport_.requests.back().headers[0].second);
+  }
+
+  void HoldIsRead() {
+    transport_.body =
+        R"({"ClockMs":482113,"born":17,"Running":[)"
+        R"(["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,1976],["other",1,"",0]],)"
+        R"("Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+        R"([59,"strange",1,"lapsed",""]]})";
+    const Result<HoldAnswer> answer = Hold();
+    CPPUNIT_ASSERT(answer.has_value());
+    const WorkerStatus& status = answer->status;
+    CPPUNIT_ASSERT_EQUAL(int64_t{17}, status.incarnation);
+    // A run with a name of another form is not ours.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, status.running.size());
+    CPPUNIT_ASSERT_EQUAL(17, status.running[0].name.index);
+    CPPUNIT_ASSERT_EQUAL(41, status.running[0].percent);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1'976}, status.running[0].load);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, status.ended.size());
+    CPPUNIT_ASSERT(status.ended[0].end == RunEnd::kDone);
+    CPPUNIT_ASSERT(status.ended[1].end == RunEnd::kLapsed);
+    const json body = transport_.LastBody();
+    CPPUNIT_ASSERT_EQUAL(57, body["LastSeen"].get<int>());
+    // Without a deadline the lease is left alone.
+    CPPUNIT_ASSERT(!body.contains("DeadlineMs"));
+  }
+
+  void BadHoldIsAnError() {
+    for (const char* body :
+         {"", "[]", R"({"ClockMs":1})", R"({"ClockMs":"x","Running":[]})",
+          R"({"ClockMs":1,"Running":[[1]],"Ended":[]})",
+          R"({"ClockMs":1,"Running":[],"Ended":[[1,"t"]]})"}) {
+      transport_.body = body;
+      CPPUNIT_ASSERT_MESSAGE(body, !Hold().has_value());
+    }
+  }
+
+  void PolicyIsAsked() {
+    transport_.body = R"({"Good":[["i-1","t-1"]],"ValidMs":3000})";
+    Result<PolicyAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
+    PolicyQuestion question;
+    question.stage.job = "5c0e7a21d94b36f8";
+    question.stage.stage = 1;
+    question.workers = {{"i-1", 1}, {"i-2", 1}};
+    workers_.Ask(question,
+                 [&](Result<PolicyAnswer> result) { answer = result; });
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("t-1"), answer->allowed[0].ticket);
+    CPPUNIT_ASSERT(answer->lifetime == milliseconds(3'000));
+    CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.0.1"),
+                         transport_.LastBody()["Step"].get<std::string>());
+    transport_.status = 429;
+    workers_.Ask(PolicyQuestion(), [&](Result<PolicyAnswer> result) { answer = result; });
+    CPPUNIT_ASSERT(!answer.has_value());
+  }
+
+  void InstancesAreListedPageByPage() {
+    transport_.body =
+        R"({"Machines":[{"Machine":"m-1","Pool":"p","State":"up","Zone":"z",)"
+        R"("Labels":["a","r1"],"Capacity":{"Cpu":1,"MemMb":1,"Gpu":0},)"
+        R"("Id":"i-1"},{"Machine":"m-2","Pool":"p","State":"upkeep"}],)"
+        R"("NextToken":null})";
+    Result<std::vector<Instance>> list = Fail(ErrorCode::kInternal, "", "", "");
+    const auto read = [&](Result<std::vector<Instance>> result) {
+      list = std::move(result);
+    };
+    instances_.List(read);
+    CPPUNIT_ASSERT(list.has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, list->size());
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), (*list)[0].worker);
+    CPPUNIT_ASSERT((*list)[1].state == InstanceState::kMaintenance);
+    transport_.body = "nonsense";
+    instances_.List(read);
+    CPPUNIT_ASSERT(!list.has_value());
+  }
+
+  void InstanceOrdersByTable() {
+    struct Case {
+      int status;
+      const char* body;
+      InstanceAnswer answer;
+    };
+    const Case cases[] = {
+        {200, "", InstanceAnswer::kDone},
+        {400, "", InstanceAnswer::kRefused},
+        {409, R"({"Reason":"fence"})", InstanceAnswer::kFenced},
+        {409, R"({"Reason":"busy"})", InstanceAnswer::kBusy},
+        {409, R"({"Reason":"wave"})", InstanceAnswer::kRefused},
+        {429, "", InstanceAnswer::kTurnedAway},
+        {503, "", InstanceAnswer::kTurnedAway},
+    };
+    for (const Case& test : cases) {
+      transport_.status = test.status;
+      transport_.body = test.body;
+      Result<InstanceAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
+      instances_.Maintain(
+          {"m-1", "", 3, "holder", 12},
+          [&](Result<InstanceAnswer> result) { answer = result; });
+      CPPUNIT_ASSERT(answer.has_value());
+      CPPUNIT_ASSERT(*answer == test.answer);
+    }
+    const HttpRequest& last = transport_.requests.back();
+    CPPUNIT_ASSERT_EQUAL(std::string("holder"), last.headers[0].second);
+    CPPUNIT_ASSERT_EQUAL(std::string("12"), last.headers[1].second);
+  }
+
+ private:
+  Result<TransactionResult> Commit(const Transaction& transaction) {
+    Result<TransactionResult> read = Fail(ErrorCode::kInternal, "", "", "");
+    store_.Commit(transaction, milliseconds(100),
+                  [&](Result<TransactionResult> result) { read = result; });
+    return read;
+  }
+
+  static OrderTarget Target() {
+    OrderTarget target;
+    target.worker.id = "i-1";
+    target.worker.incarnation = 17;
+    target.address = "4.4.4.4:4";
+    target.fence = 7;
+    return target;
+  }
+
+  Result<OrderAnswer> Start() {
+    auto job = std::make_shared<Job>();
+    job->spec.payload = "text";
+    StartOrder order;
+    order.target = Target();
+    order.task = {"5c0e7a21d94b36f8", 0, 1, 17};
+    order.run = 2;
+    order.job = job;
+    order.deadline = milliseconds(486'000);
+    Result<OrderAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
+    workers_.Start(order,
+                   [&](Result<OrderAnswer> result) { answer = result; });
+    return answer;
+  }
+
+  Result<HoldAnswer> Hold() {
+    HoldOrder order;
+    order.target = Target();
+    order.acknowledged = 57;
+    Result<HoldAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
+    workers_.Hold(order, [&](Result<HoldAnswer> result) { answer = result; });
+    return answer;
+  }
+
+  SystemClock clock_;
+  MetricsRegistry metrics_;
+  TableTransport transport_;
+  wire::StoreClient store_;
+  wire::WorkerClient workers_;
+  wire::InstanceClient instances_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallsTest);
+
+}  // namespace
+}  // namespace figflow
