--- a/Source/Core/Ownership/record_writer.cc
+++ b/Source/Core/Ownership/record_writer.cc
@@ -15,7 +15,7 @@
 // For a store that answers slowly, up to 70 times slower than usual.
 constexpr std::chrono::milliseconds kLongestTimeout{1'500};
 // Pause after a call that was turned away.
-constexpr std::chrono::milliseconds kRetryPause{60};
+constexpr std::chrono::milliseconds kWriteRetry{60};
 
 }  // namespace
 
@@ -45,7 +45,10 @@
       {SequenceKey(ownership_.pool),
        FormatSequenceRecord({ownership_.nonce, ++number_}), 0});
   transaction_.removals = std::move(removals);
-  done_ = std::move(done);
+  {
+    absl::MutexLock lock(&mutex_);
+    done_ = std::move(done);
+  }
   began_ = clock_.Now();
   Send();
 }
@@ -89,7 +92,7 @@
       }
       repeat_wanted_ = true;
       // A lost answer has taken its time already.
-      repeat_at_ = unanswered ? now : now + kRetryPause;
+      repeat_at_ = unanswered ? now : now + kWriteRetry;
     }
     wake_();
     return;
@@ -115,8 +118,11 @@
 }
 
 void RecordWriter::Finish(Outcome outcome) {
-  const Done done = std::move(done_);
-  done_ = nullptr;
+  Done done;
+  {
+    absl::MutexLock lock(&mutex_);
+    done.swap(done_);
+  }
   if (done) {
     done(outcome);
   }
@@ -138,8 +144,11 @@
 }
 
 void RecordWriter::Stop() {
+  // A callback that is never called would keep the pool's whole state alive.
+  Done dropped;
   absl::MutexLock lock(&mutex_);
   stopped_ = true;
+  dropped.swap(done_);
 }
 
 }  // namespace figflow
--- a/Source/Core/Ownership/record_writer.h
+++ b/Source/Core/Ownership/record_writer.h
@@ -55,7 +55,7 @@
              Done done);
   // Repeats a failed call if its pause is over. Returns when to call again.
   MonoTime Step(MonoTime now);
-  // Repeats nothing any more; `done` may still be called by a call under way.
+  // Repeats nothing any more and lets go of `done`.
   void Stop();
 
  private:
@@ -77,9 +77,9 @@
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
   bool repeat_wanted_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime repeat_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  Done done_ ABSL_GUARDED_BY(mutex_);
   // Used by the write under way only.
   Transaction transaction_;
-  Done done_;
   uint64_t sequence_revision_ = 0;
   uint64_t number_ = 0;
   MonoTime began_;
--- a/Source/StandIns/Fleet/model_fleet.cc
+++ b/Source/StandIns/Fleet/model_fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Http/http_status.h"
 #include "Ownership/owner_record.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -17,8 +18,6 @@
 constexpr milliseconds kRetryPause{300};
 constexpr milliseconds kCallerPatience{3'000};
 constexpr milliseconds kPollInterval{250};
-constexpr int kOk = 200;
-constexpr int kGone = 410;
 
 class ModelExchange : public HttpExchange {
  public:
@@ -37,6 +36,9 @@
   std::function<void(HttpResponse)> done_;
 };
 
+// Then the caller gives the job up.
+constexpr int kMostAttempts = 40;
+
 }  // namespace
 
 // Calls of one daemon to the others.
@@ -63,6 +65,8 @@
   };
   std::string name;
   std::shared_ptr<Process> process;
+  // Processes that have ended: callbacks may still refer to them.
+  std::vector<std::shared_ptr<Process>> ended;
   uint64_t epoch = 0;
   MonoTime next_step;
 };
@@ -127,11 +131,16 @@
   for (const auto& daemon : daemons_) {
     if (daemon->process) {
       daemon->process->node->alive = false;
+      daemon->ended.push_back(daemon->process);
+    }
+    // Requests that were never answered refer to their process.
+    for (const auto& process : daemon->ended) {
+      process->engine->Stop();
     }
   }
 }
 
-void ModelFleet::SetPlan(FleetPlan plan) {
+void ModelFleet::SetPlan(const FleetPlan& plan) {
   for (const PoolConfig& pool : plan.pools) {
     if (pool.spare) {
       instances.SetSparePool(pool.name);
@@ -214,7 +223,7 @@
   daemon.process->node->alive = false;
   ++daemon.epoch;
   // Requests that it held get no answer.
-  ended_.push_back(daemon.process);
+  daemon.ended.push_back(daemon.process);
   daemon.process = nullptr;
   time.After(down, [this, index] { Start(index); });
 }
@@ -259,7 +268,7 @@
 void ModelFleet::Call(
     int daemon,
     const HttpRequest& request,
-    std::function<void(int status, const std::string& body)> done) {
+    const std::function<void(int status, const std::string& body)>& done) {
   const auto process = daemons_[daemon]->process;
   auto answered = std::make_shared<bool>(false);
   // A caller gives up after its patience.
@@ -297,7 +306,7 @@
            VirtualTime::Duration& longest = longest_answer[status];
            longest = std::max(longest, time.Now() - sent_at);
          }
-         if (status == kOk) {
+         if (status == http_status::kOk) {
            promises.OnAccepted(spec.id);
            Poll(spec.queue, spec.id, daemon);
            return;
@@ -305,7 +314,6 @@
          if (status == 503) {
            promises.OnRefused(spec.id);
          }
-         constexpr int kMostAttempts = 40;
          if (attempt < kMostAttempts) {
            time.After(kRetryPause, [this, spec, daemon, attempt] {
              SubmitAttempt(spec, (daemon + 1) % daemons(), attempt + 1);
@@ -319,9 +327,9 @@
                       int daemon) {
   Call(daemon, ModelRequest("GET", queue, job, ""),
        [this, queue, job, daemon](int status, const std::string& body) {
-         if (status == kOk) {
+         if (status == http_status::kOk) {
            promises.OnShown(job, body);
-         } else if (status == kGone) {
+         } else if (status == http_status::kGone) {
            promises.OnUnknownJobAnswer(job);
          }
          const bool over =
@@ -339,9 +347,9 @@
                         int daemon) {
   Call(daemon, ModelRequest("DELETE", queue, job, ""),
        [this, queue, job, daemon](int status, const std::string& /*body*/) {
-         if (status == kOk) {
+         if (status == http_status::kOk) {
            promises.OnCancelAcknowledged(job, time.Now());
-         } else if (status != kGone) {
+         } else if (status != http_status::kGone) {
            time.After(kRetryPause, [this, queue, job, daemon] {
              Cancel(queue, job, (daemon + 1) % daemons());
            });
--- a/Source/StandIns/Fleet/model_fleet.h
+++ b/Source/StandIns/Fleet/model_fleet.h
@@ -28,7 +28,7 @@
   ~ModelFleet();
 
   // The operators' plan.
-  void SetPlan(FleetPlan plan);
+  void SetPlan(const FleetPlan& plan);
   // Adds `count` daemons.
   void AddDaemons(int count);
   void Run(VirtualTime::Duration duration) { time.RunFor(duration); }
@@ -48,9 +48,10 @@
   void Submit(const JobSpec& spec, int daemon);
   void Cancel(const std::string& queue, const std::string& job, int daemon);
   // One request; `done` gets the status and the body.
-  void Call(int daemon,
-            const HttpRequest& request,
-            std::function<void(int status, const std::string& body)> done);
+  void Call(
+      int daemon,
+      const HttpRequest& request,
+      const std::function<void(int status, const std::string& body)>& done);
 
   VirtualTime time;
   Promises promises;
@@ -76,8 +77,6 @@
   MetricsRegistry metrics_;
   uint64_t next_process_ = 1;
   std::vector<std::unique_ptr<Daemon>> daemons_;
-  // Processes that have ended: callbacks may still refer to them.
-  std::vector<std::shared_ptr<void>> ended_;
 };
 
 // A job of one stage after the other, each with `tasks` tasks.
--- a/Source/StandIns/Fleet/model_instances.cc
+++ b/Source/StandIns/Fleet/model_instances.cc
@@ -32,16 +32,16 @@
   }
   void Move(const InstanceOrder& order,
             std::function<void(Result<InstanceAnswer>)> done) override {
-    Send(order, std::move(done), &ModelInstances::Move);
+    Send(order, done, &ModelInstances::Move);
   }
   void Maintain(const InstanceOrder& order,
                 std::function<void(Result<InstanceAnswer>)> done) override {
-    Send(order, std::move(done), &ModelInstances::Maintain);
+    Send(order, done, &ModelInstances::Maintain);
   }
 
  private:
   void Send(const InstanceOrder& order,
-            std::function<void(Result<InstanceAnswer>)> done,
+            const std::function<void(Result<InstanceAnswer>)>& done,
             InstanceAnswer (ModelInstances::*carry_out)(const InstanceOrder&)) {
     if (node_->store_cut) {
       RunIn(instances_.time_, node_, milliseconds(1'500), [done] {
@@ -50,11 +50,13 @@
       });
       return;
     }
-    instances_.time_.After(kLatency, [this, order, done, carry_out] {
-      instances_.promises_.OnInstanceOrder(order.instance, order.fence);
-      const InstanceAnswer answer = (instances_.*carry_out)(order);
-      RunIn(instances_.time_, node_, kLatency,
-            [done, answer] { done(answer); });
+    // The order arrives even if its sender, and this view, is gone by then.
+    ModelInstances& instances = instances_;
+    instances.time_.After(kLatency, [&instances, node = node_, order, done,
+                                     carry_out] {
+      instances.promises_.OnInstanceOrder(order.instance, order.fence);
+      const InstanceAnswer answer = (instances.*carry_out)(order);
+      RunIn(instances.time_, node, kLatency, [done, answer] { done(answer); });
     });
   }
 
@@ -73,11 +75,11 @@
 
 std::string ModelInstances::Add(const std::string& pool,
                                 const Resources& capacity) {
-  const std::string id = absl::StrCat("m", next_id_++);
+  std::string id = absl::StrCat("m", next_id_++);
   Record& record = instances_[id];
   record.instance.id = id;
   record.instance.pool = pool;
-  record.instance.state = InstanceState::kUp;
+  record.instance.state = InstanceStatus::kUp;
   record.capacity = capacity;
   if (pool != spare_pool_) {
     record.instance.worker = workers_.Add(pool, id, capacity);
@@ -107,7 +109,7 @@
 }
 
 void ModelInstances::TakeDown(Record& record,
-                              InstanceState state,
+                              InstanceStatus state,
                               milliseconds time) {
   if (!record.instance.worker.empty()) {
     workers_.Crash(record.instance.worker);
@@ -116,7 +118,7 @@
   record.instance.state = state;
   time_.After(time, [this, id = record.instance.id] {
     Record& back = instances_.at(id);
-    back.instance.state = InstanceState::kUp;
+    back.instance.state = InstanceStatus::kUp;
     for (auto& [number, down] : down_) {
       down.erase(id);
     }
@@ -136,11 +138,11 @@
   if (record.instance.pool == order.pool) {
     return InstanceAnswer::kDone;
   }
-  if (record.instance.state != InstanceState::kUp) {
+  if (record.instance.state != InstanceStatus::kUp) {
     return InstanceAnswer::kBusy;
   }
   record.instance.pool = order.pool;
-  TakeDown(record, InstanceState::kMoving, kMoveTime);
+  TakeDown(record, InstanceStatus::kMoving, kMoveTime);
   return InstanceAnswer::kDone;
 }
 
@@ -153,7 +155,7 @@
     return InstanceAnswer::kDone;
   }
   Record& record = known->second;
-  if (record.instance.state != InstanceState::kUp) {
+  if (record.instance.state != InstanceStatus::kUp) {
     return InstanceAnswer::kBusy;
   }
   maintained_[order.wave].insert(order.instance);
@@ -161,7 +163,7 @@
   promises_.OnMaintenance(order.wave,
                           static_cast<int>(down_[order.wave].size()),
                           waves_.at(order.wave).max_down);
-  TakeDown(record, InstanceState::kMaintenance, kMaintenanceTime);
+  TakeDown(record, InstanceStatus::kMaintenance, kMaintenanceTime);
   return InstanceAnswer::kDone;
 }
 
--- a/Source/StandIns/Fleet/model_instances.h
+++ b/Source/StandIns/Fleet/model_instances.h
@@ -6,7 +6,7 @@
 #include <set>
 #include <string>
 
-#include "Fleet/platform_adapter.h"
+#include "Adapter/platform_adapter.h"
 #include "StandIns/Fleet/model_workers.h"
 
 namespace figflow::model {
@@ -38,7 +38,7 @@
   InstanceAnswer Move(const InstanceOrder& order);
   InstanceAnswer Maintain(const InstanceOrder& order);
   void TakeDown(Record& record,
-                InstanceState state,
+                InstanceStatus state,
                 std::chrono::milliseconds time);
 
   VirtualTime& time_;
--- a/Source/StandIns/Fleet/model_platform.cc
+++ b/Source/StandIns/Fleet/model_platform.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 #include "absl/strings/match.h"
@@ -178,9 +178,9 @@
 std::string FormatModelPlan(const FleetPlan& plan) {
   json queues = json::array();
   for (const QueueConfig& queue : plan.queues) {
-    queues.push_back(
-        json::array({queue.name, queue.pool, queue.priority, queue.max_attempts,
-                     queue.stretch, queue.objective.count(), queue.policy.has_value()}));
+    queues.push_back(json::array(
+        {queue.name, queue.pool, queue.priority, queue.max_attempts,
+         queue.stretch, queue.objective.count(), queue.policy.has_value()}));
   }
   json pools = json::array();
   for (const PoolConfig& pool : plan.pools) {
--- a/Source/StandIns/Fleet/model_platform.h
+++ b/Source/StandIns/Fleet/model_platform.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "Fleet/platform_adapter.h"
+#include "Adapter/platform_adapter.h"
 #include "StandIns/Fleet/model_instances.h"
 #include "StandIns/Fleet/model_store.h"
 #include "StandIns/Fleet/model_workers.h"
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr size_t kPageItems = 500;
-constexpr std::chrono::milliseconds kLeaseCheck{50};
+constexpr std::chrono::milliseconds kStoreLeaseCheck{50};
 
 Error Lost(const char* step) {
   return {ErrorCode::kUnknownOutcome, step, "store", "no answer"};
@@ -92,16 +92,15 @@
     const uint64_t id = store_.next_waiter_++;
     const NodePtr node = node_;
     const auto latency = store_.faults.latency;
-    store_.waiters_[id] = {prefix, after_revision,
-                           [this, id, &time, node, latency,
-                            done](StoreChanges changes) {
-                             if (node->store_answers_lost) {
-                               store_.lost_.insert(id);
-                               return;
-                             }
-                             RunIn(time, node, latency,
-                                   [done, changes] { done(changes); });
-                           }};
+    store_.waiters_[id] = {
+        prefix, after_revision,
+        [this, id, &time, node, latency, done](const StoreChanges& changes) {
+          if (node->store_answers_lost) {
+            store_.lost_.insert(id);
+            return;
+          }
+          RunIn(time, node, latency, [done, changes] { done(changes); });
+        }};
     time.After(latency, [this] { store_.Notify(); });
     time.After(wait, [this, id, latency, done, node] {
       const bool waiting = store_.waiters_.erase(id) > 0;
@@ -236,7 +235,7 @@
 
 ModelStore::ModelStore(VirtualTime& time, uint64_t seed)
     : time_(time), random_(seed) {
-  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+  time_.After(kStoreLeaseCheck, [this] { CheckLeases(); });
 }
 
 std::unique_ptr<TransactionalStore> ModelStore::ViewOf(NodePtr node) {
@@ -401,10 +400,10 @@
   } else {
     // Leases stand still meanwhile.
     for (auto& [id, lease] : leases_) {
-      lease.ends += kLeaseCheck;
+      lease.ends += kStoreLeaseCheck;
     }
   }
-  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+  time_.After(kStoreLeaseCheck, [this] { CheckLeases(); });
 }
 
 }  // namespace figflow::model
--- a/Source/StandIns/Fleet/model_workers.cc
+++ b/Source/StandIns/Fleet/model_workers.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 #include "Scheduling/job.h"
@@ -17,21 +17,15 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLongestLease{6'000};
-constexpr milliseconds kOrderTimeout{350};
-constexpr milliseconds kHoldMargin{400};
 // Three heartbeats of 1.5 s.
 constexpr milliseconds kRegistryKeeps{4'500};
-constexpr milliseconds kLeaseCheck{20};
+constexpr milliseconds kWorkerLeaseCheck{20};
 constexpr milliseconds kStopTime{100};
 constexpr milliseconds kGangWait{3'000};
 constexpr milliseconds kTicketLifetime{3'000};
 constexpr milliseconds kQuestionTime{20};
 constexpr milliseconds kTimePerWorker{2};
 
-Error NoAnswer(const std::string& worker) {
-  return {ErrorCode::kDeadlineExceeded, "model.worker", worker, "no answer"};
-}
-
 }  // namespace
 
 std::string FormatModelWorker(const WorkerReport& report) {
@@ -59,138 +53,12 @@
   });
 }
 
-// Orders of one daemon.
-class WorkerView : public WorkerGateway {
- public:
-  WorkerView(ModelWorkers& workers, NodePtr node)
-      : workers_(workers), node_(std::move(node)) {}
-
-  void Start(const StartOrder& order, OrderCallback done) override {
-    SendOrder(order, std::move(done), &ModelWorkers::Start);
-  }
-  void Stop(const StopOrder& order, OrderCallback done) override {
-    SendOrder(order, std::move(done), &ModelWorkers::Stop);
-  }
-  void Pace(const PaceOrder& order, OrderCallback done) override {
-    SendOrder(order, std::move(done), &ModelWorkers::Pace);
-  }
-
-  void Ask(const PolicyQuestion& question, PolicyCallback done) override {
-    workers_.Ask(node_, question, std::move(done));
-  }
-
-  void Hold(const HoldOrder& order, HoldCallback done) override {
-    const auto limit = order.wait + kHoldMargin;
-    auto answered = std::make_shared<bool>(false);
-    RunIn(workers_.time_, node_, limit, [answered, done, order] {
-      if (!std::exchange(*answered, true)) {
-        done(tl::unexpected<Error>(NoAnswer(order.target.worker.id)));
-      }
-    });
-    const NodePtr node = node_;
-    ModelWorkers& workers = workers_;
-    workers.time_.After(
-        workers.faults.latency, [&workers, node, order, done, answered] {
-          ModelWorker* worker = workers.Find(order.target.worker.id);
-          if (Unreached(worker, node)) {
-            return;
-          }
-          const auto answer = [&workers, node, order, done, answered] {
-            ModelWorker* now = workers.Find(order.target.worker.id);
-            if (Unreached(now, node) || now->answers_lost) {
-              return;
-            }
-            const HoldAnswer look = workers.Look(*now, order);
-            RunIn(workers.time_, node, workers.faults.latency,
-                  [answered, done, look] {
-                    if (!std::exchange(*answered, true)) {
-                      done(look);
-                    }
-                  });
-          };
-          // The lease counts from the arrival, the lists from the answer.
-          const HoldAnswer first = workers.Look(*worker, order);
-          const bool at_once = order.wait.count() == 0 ||
-                               first.answer != StartAnswer::kStarted ||
-                               !first.status.ended.empty();
-          if (at_once) {
-            answer();
-            return;
-          }
-          auto once = std::make_shared<bool>(false);
-          const auto answer_once = [once, answer] {
-            if (!std::exchange(*once, true)) {
-              answer();
-            }
-          };
-          worker->waiting.push_back(answer_once);
-          workers.time_.After(order.wait, answer_once);
-        });
-  }
-
- private:
-  static bool Unreached(const ModelWorker* worker, const NodePtr& node) {
-    return worker == nullptr || !worker->alive || worker->cut ||
-           node->workers_cut;
-  }
-
-  template <typename Order>
-  void SendOrder(const Order& order,
-                 OrderCallback done,
-                 StartAnswer (ModelWorkers::*carry_out)(ModelWorker&,
-                                                        const Order&)) {
-    auto answered = std::make_shared<bool>(false);
-    RunIn(workers_.time_, node_, kOrderTimeout, [answered, done, order] {
-      if (!std::exchange(*answered, true)) {
-        done(tl::unexpected<Error>(NoAnswer(order.target.worker.id)));
-      }
-    });
-    std::uniform_real_distribution<double> share(0, 1);
-    const double draw = share(workers_.random_);
-    const WorkerFaults& faults = workers_.faults;
-    const bool late = draw < faults.late_share;
-    const bool lost =
-        !late && draw < faults.late_share + faults.answer_lost_share;
-    std::uniform_int_distribution<int> late_ms(2'000, 12'000);
-    const milliseconds delay =
-        late ? milliseconds(late_ms(workers_.random_)) : faults.latency;
-    const NodePtr node = node_;
-    ModelWorkers& workers = workers_;
-    workers.time_.After(
-        delay, [&workers, node, order, done, answered, late, lost, carry_out] {
-          ModelWorker* worker = workers.Find(order.target.worker.id);
-          if (Unreached(worker, node)) {
-            return;
-          }
-          OrderAnswer answer;
-          answer.answer = (workers.*carry_out)(*worker, order);
-          answer.clock = workers.ClockOf(*worker);
-          if (late || lost || worker->answers_lost) {
-            return;
-          }
-          RunIn(workers.time_, node, workers.faults.latency,
-                [answered, done, answer] {
-                  if (!std::exchange(*answered, true)) {
-                    done(answer);
-                  }
-                });
-        });
-  }
-
-  ModelWorkers& workers_;
-  const NodePtr node_;
-};
-
 ModelWorkers::ModelWorkers(VirtualTime& time,
                            ModelStore& store,
                            Promises& promises,
                            uint64_t seed)
     : time_(time), store_(store), promises_(promises), random_(seed) {
-  time_.After(kLeaseCheck, [this] { CheckLeases(); });
-}
-
-std::unique_ptr<WorkerGateway> ModelWorkers::ViewOf(NodePtr node) {
-  return std::make_unique<WorkerView>(*this, std::move(node));
+  time_.After(kWorkerLeaseCheck, [this] { CheckLeases(); });
 }
 
 std::string ModelWorkers::Add(const std::string& pool,
@@ -205,7 +73,7 @@
   worker->report.instance = instance;
   worker->report.capacity = capacity;
   worker->born = time_.Now();
-  const std::string id = worker->report.key.id;
+  std::string id = worker->report.key.id;
   Enter(*worker);
   workers_[id] = std::move(worker);
   return id;
@@ -235,7 +103,8 @@
 void ModelWorkers::Crash(const std::string& id) {
   ModelWorker& worker = *workers_.at(id);
   worker.alive = false;
-  const std::map<std::string, ModelWorker::Run> lost = std::move(worker.running);
+  const std::map<std::string, ModelWorker::Run> lost =
+      std::move(worker.running);
   worker.running.clear();
   promises_.OnWorkerGone(id, time_.Now());
   for (const auto& [task, run] : lost) {
@@ -243,7 +112,7 @@
       continue;
     }
     for (const auto& [there, member] : MembersOf(run)) {
-      EndRun(*there, member, RunEnd::kBroken);
+      EndRun(*there, member, RunResult::kBroken);
     }
   }
   time_.After(kRegistryKeeps,
@@ -322,7 +191,7 @@
     JoinGang(id, run);
   } else if (!run.perpetual || run.behaviour.fails) {
     ScheduleEnd(id, run, run.behaviour.duration,
-                run.behaviour.fails ? RunEnd::kFailed : RunEnd::kDone);
+                run.behaviour.fails ? RunResult::kFailed : RunResult::kDone);
   }
   return StartAnswer::kStarted;
 }
@@ -346,7 +215,7 @@
       const auto current = stopped->running.find(task);
       if (current != stopped->running.end() &&
           current->second.serial == serial) {
-        EndRun(*stopped, task, RunEnd::kStopped);
+        EndRun(*stopped, task, RunResult::kStopped);
       }
     });
   }
@@ -366,7 +235,7 @@
 
 void ModelWorkers::Ask(const NodePtr& node,
                        const PolicyQuestion& question,
-                       WorkerGateway::PolicyCallback done) {
+                       const WorkerGateway::PolicyCallback& done) {
   PolicyAnswer answer;
   answer.lifetime = kTicketLifetime;
   const MonoTime expires = time_.Now() + kTicketLifetime;
@@ -394,7 +263,7 @@
 void ModelWorkers::ScheduleEnd(const std::string& worker,
                                const ModelWorker::Run& run,
                                milliseconds delay,
-                               RunEnd end) {
+                               RunResult end) {
   time_.After(delay, [this, worker, run, end] {
     ModelWorker* there = Find(worker);
     const std::string task = TaskText(run.name);
@@ -431,29 +300,28 @@
     time_.After(kGangWait, [this, worker, run] {
       ModelWorker* there = Find(worker);
       const std::string task = TaskText(run.name);
-      const auto current =
-          there == nullptr ? decltype(there->running.end())()
-                           : there->running.find(task);
+      const auto current = there == nullptr ? decltype(there->running.end())()
+                                            : there->running.find(task);
       const bool waits = there != nullptr && there->alive &&
                          current != there->running.end() &&
                          current->second.serial == run.serial &&
                          static_cast<int>(MembersOf(run).size()) < run.gang;
       if (waits) {
         promises_.OnAlone(run.name);
-        EndRun(*there, task, RunEnd::kAlone);
+        EndRun(*there, task, RunResult::kAlone);
       }
     });
     return;
   }
   for (const auto& [there, task] : members) {
     ScheduleEnd(there->report.key.id, there->running.at(task),
-                run.behaviour.duration, RunEnd::kDone);
+                run.behaviour.duration, RunResult::kDone);
   }
 }
 
 void ModelWorkers::EndRun(ModelWorker& worker,
                           const std::string& task,
-                          RunEnd end) {
+                          RunResult end) {
   const auto here = worker.running.find(task);
   const ModelWorker::Run run = here->second;
   worker.running.erase(here);
@@ -466,9 +334,9 @@
   ended.run = run.run;
   ended.end = end;
   worker.ended.push_back(std::move(ended));
-  if (run.gang > 0 && end != RunEnd::kDone && end != RunEnd::kBroken) {
+  if (run.gang > 0 && end != RunResult::kDone && end != RunResult::kBroken) {
     for (const auto& [there, member] : MembersOf(run)) {
-      EndRun(*there, member, RunEnd::kBroken);
+      EndRun(*there, member, RunResult::kBroken);
     }
   }
   std::vector<std::function<void()>> waiting;
@@ -522,11 +390,12 @@
     if (worker->alive && worker->lease <= ClockOf(*worker)) {
       worker->void_ends = worker->next_end - 1;
       while (!worker->running.empty()) {
-        EndRun(*worker, worker->running.begin()->first, RunEnd::kLapsed);
+        const std::string task = worker->running.begin()->first;
+        EndRun(*worker, task, RunResult::kLapsed);
       }
     }
   }
-  time_.After(kLeaseCheck, [this] { CheckLeases(); });
+  time_.After(kWorkerLeaseCheck, [this] { CheckLeases(); });
 }
 
 }  // namespace figflow::model
--- a/Source/StandIns/Fleet/model_workers.h
+++ b/Source/StandIns/Fleet/model_workers.h
@@ -110,10 +110,10 @@
   StartAnswer Pace(ModelWorker& worker, const PaceOrder& order);
   void Ask(const NodePtr& node,
            const PolicyQuestion& question,
-           WorkerGateway::PolicyCallback done);
+           const WorkerGateway::PolicyCallback& done);
   bool TicketHolds(const ModelWorker& worker, const StartOrder& order) const;
   HoldAnswer Look(ModelWorker& worker, const HoldOrder& order);
-  void EndRun(ModelWorker& worker, const std::string& task, RunEnd end);
+  void EndRun(ModelWorker& worker, const std::string& task, RunResult end);
   // Members of the gang's run that are present, by worker and task.
   std::vector<std::pair<ModelWorker*, std::string>> MembersOf(
       const ModelWorker::Run& run);
@@ -121,7 +121,7 @@
   void ScheduleEnd(const std::string& worker,
                    const ModelWorker::Run& run,
                    std::chrono::milliseconds delay,
-                   RunEnd end);
+                   RunResult end);
   void CheckLeases();
   void Enter(const ModelWorker& worker);
 
--- a/Source/StandIns/Fleet/promises.cc
+++ b/Source/StandIns/Fleet/promises.cc
@@ -108,19 +108,19 @@
 void Promises::OnEnded(const std::string& worker,
                        const TaskName& task,
                        uint32_t run,
-                       RunEnd end,
+                       RunResult end,
                        MonoTime /*now*/) {
   const std::string text = Text(task);
   running_[text].erase({worker, run});
   JobRecord& job = jobs_[task.job];
-  if (end == RunEnd::kDone) {
+  if (end == RunResult::kDone) {
     int& level = job.done[text];
     level = std::max(level, 1);
   }
 }
 
-void Promises::OnNoted(const TaskName& task, uint32_t /*run*/, RunEnd end) {
-  if (end == RunEnd::kDone) {
+void Promises::OnNoted(const TaskName& task, uint32_t /*run*/, RunResult end) {
+  if (end == RunResult::kDone) {
     // From now on the task must not start again.
     jobs_[task.job].done[Text(task)] = 2;
   }
--- a/Source/StandIns/Fleet/promises.h
+++ b/Source/StandIns/Fleet/promises.h
@@ -32,10 +32,10 @@
   void OnEnded(const std::string& worker,
                const TaskName& task,
                uint32_t run,
-               RunEnd end,
+               RunResult end,
                MonoTime now);
   // The worker was told to forget this end.
-  void OnNoted(const TaskName& task, uint32_t run, RunEnd end);
+  void OnNoted(const TaskName& task, uint32_t run, RunResult end);
   // The worker and all that it ran are gone.
   void OnWorkerGone(const std::string& worker, MonoTime now);
 
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(WriteSurvivesLostAnswers);
   CPPUNIT_TEST(LateCopyOfAWriteChangesNothing);
   CPPUNIT_TEST(DeposedOwnerWritesNothing);
+  CPPUNIT_TEST(StoppedWriterLetsGoOfItsCallback);
   CPPUNIT_TEST(LeaseIsCertainOnlyFromItsSending);
   CPPUNIT_TEST(EndedLeaseIsReplaced);
   CPPUNIT_TEST(DaemonWithLeastClaimsFirst);
@@ -33,7 +34,8 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  OwnershipTest() : store_(time_, 1), node_(std::make_shared<model::ModelNode>()) {
+  OwnershipTest()
+      : store_(time_, 1), node_(std::make_shared<model::ModelNode>()) {
     view_ = store_.ViewOf(node_);
   }
 
@@ -66,6 +68,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new"), store_.Find("k")->value);
   }
 
+  // A pool that is given up during a write would never be freed.
+  void StoppedWriterLetsGoOfItsCallback() {
+    auto writer = MakeWriter("n1");
+    store_.faults.silent = true;
+    auto state = std::make_shared<int>(0);
+    writer->Write({{"k", "v", 0}}, {},
+                  [state](RecordWriter::Outcome) { ++*state; });
+    writer->Stop();
+    CPPUNIT_ASSERT_EQUAL(1L, state.use_count());
+  }
+
   void DeposedOwnerWritesNothing() {
     auto writer = MakeWriter("n1");
     store_.Remove(OwnerKey("p"));
@@ -183,9 +196,10 @@
                     const std::string& key,
                     const std::string& value,
                     int* written) {
-    writer.Write({{key, value, 0}}, {}, [written](RecordWriter::Outcome result) {
-      *written += result == RecordWriter::Outcome::kWritten ? 1 : 0;
-    });
+    writer.Write(
+        {{key, value, 0}}, {}, [written](RecordWriter::Outcome result) {
+          *written += result == RecordWriter::Outcome::kWritten ? 1 : 0;
+        });
   }
 
   void StepFor(RecordWriter& writer, MonoTime::duration duration) {
