--- a/Source/Bench/capacity_main.cc
+++ b/Source/Bench/capacity_main.cc
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <string>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/metrics.h"
 #include "FleetConfig/fleet_configuration.h"
--- a/Source/Bench/load_main.cc
+++ b/Source/Bench/load_main.cc
@@ -4,7 +4,7 @@
 #include <curl/curl.h>
 #include <popt.h>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Bench/load_generator.h"
 #include "absl/strings/str_split.h"
--- /dev/null
+++ b/Source/Core/Adapter/caller_call.cc
@@ -0,0 +1,18 @@
+#include "Adapter/caller_call.h"
+
+#include <array>
+
+namespace figflow {
+namespace {
+
+constexpr std::array<absl::string_view, 10> kOutcomeNames = {
+    "accepted",  "refused",     "unknown",       "unavailable",   "state",
+    "cancelled", "no-such-job", "pending-count", "no-such-queue", "malformed"};
+
+}  // namespace
+
+absl::string_view CallOutcomeName(CallOutcome outcome) {
+  return kOutcomeNames[static_cast<size_t>(outcome)];
+}
+
+}  // namespace figflow
--- /dev/null
+++ b/Source/Core/Adapter/caller_call.h
@@ -0,0 +1,61 @@
+#ifndef ADAPTER_CALLER_CALL_H_
+#define ADAPTER_CALLER_CALL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "Scheduling/job.h"
+#include "Scheduling/job_spec.h"
+#include "absl/strings/string_view.h"
+
+namespace figflow {
+
+// What a caller asks for.
+enum class CallKind { kSubmit, kQuery, kCancel, kCountPending };
+
+struct CallerCall {
+  CallKind kind = CallKind::kQuery;
+  std::string queue;
+  std::string pool;
+  std::string job;
+  // For kSubmit.
+  JobSpec spec;
+  // How long the caller waits for the answer.
+  std::chrono::milliseconds patience{0};
+};
+
+// How a call ended.
+enum class CallOutcome {
+  kAccepted,
+  // Not taken, and never will be.
+  kRefused,
+  // It is not known whether the job was taken or the call took effect.
+  kUnknown,
+  // The call could not be carried out and had no effect; it may be repeated.
+  kUnavailable,
+  kState,
+  kCancelled,
+  kNoSuchJob,
+  kPendingCount,
+  kNoSuchQueue,
+  kMalformed,
+};
+
+absl::string_view CallOutcomeName(CallOutcome outcome);
+
+struct CallerReply {
+  CallOutcome outcome = CallOutcome::kUnavailable;
+  JobStatus status = JobStatus::kLive;
+  bool started = false;
+  int64_t pending = 0;
+  // For kRefused and kUnavailable: when to come back.
+  std::chrono::milliseconds retry_after{0};
+  std::string reason;
+  // Claim of the pool's owner that answered; 0 if none did.
+  uint64_t fence = 0;
+};
+
+}  // namespace figflow
+
+#endif  // ADAPTER_CALLER_CALL_H_
--- a/Source/Core/Budget/budget_document.cc
+++ b/Source/Core/Budget/budget_document.cc
@@ -2,7 +2,7 @@
 
 #include <limits>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Platform/json_fields.h"
 
--- a/Source/Core/Common/cbor.h
+++ b/Source/Core/Common/cbor.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/error.h"
 #include "absl/strings/string_view.h"
--- a/Source/Core/Common/clock.h
+++ b/Source/Core/Common/clock.h
@@ -6,9 +6,9 @@
 namespace figflow {
 
 // Time that only moves forward within one process and counts the time during
-// which the instance is suspended. Used for deadlines and waits; never stored or
-// sent to another process. To be read from a Clock only: the standard library's
-// steady clock leaves suspensions out.
+// which the instance is suspended. Used for deadlines and waits; never stored
+// or sent to another process. To be read from a Clock only: the standard
+// library's steady clock leaves suspensions out.
 using MonoTime = std::chrono::steady_clock::time_point;
 
 // Time of day in UTC. Used in durable documents and logs.
--- a/Source/Core/Common/metrics.cc
+++ b/Source/Core/Common/metrics.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/histogram.hpp>
+
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
@@ -18,13 +20,23 @@
 
 }  // namespace
 
-LatencyHistogram::LatencyHistogram()
-    : histogram_(boost::histogram::make_histogram(
-          Axis(kBuckets, kLowestSeconds, kHighestSeconds))) {}
+struct LatencyHistogram::Buckets {
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Histogram = decltype(boost::histogram::make_histogram(Axis()));
+
+  Histogram histogram = boost::histogram::make_histogram(
+      Axis(kBuckets, kLowestSeconds, kHighestSeconds));
+};
+
+LatencyHistogram::LatencyHistogram() : buckets_(std::make_unique<Buckets>()) {}
+
+LatencyHistogram::~LatencyHistogram() = default;
 
 void LatencyHistogram::Record(std::chrono::nanoseconds duration) {
   absl::MutexLock lock(&mutex_);
-  histogram_(std::max(Seconds(duration), kLowestSeconds));
+  buckets_->histogram(std::max(Seconds(duration), kLowestSeconds));
   sum_ += duration;
   ++count_;
 }
@@ -46,8 +58,8 @@
   }
   const double wanted = q * static_cast<double>(count_);
   double seen = 0;
-  for (auto&& cell :
-       boost::histogram::indexed(histogram_, boost::histogram::coverage::all)) {
+  for (auto&& cell : boost::histogram::indexed(
+           buckets_->histogram, boost::histogram::coverage::all)) {
     seen += static_cast<double>(*cell);
     if (seen >= wanted && seen > 0) {
       const double upper = std::min(cell.bin().upper(), kHighestSeconds);
--- a/Source/Core/Common/metrics.h
+++ b/Source/Core/Common/metrics.h
@@ -9,8 +9,6 @@
 #include <string>
 #include "absl/strings/string_view.h"
 
-#include <boost/histogram.hpp>
-
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 
@@ -29,6 +27,9 @@
 class LatencyHistogram {
  public:
   LatencyHistogram();
+  ~LatencyHistogram();
+  LatencyHistogram(const LatencyHistogram&) = delete;
+  LatencyHistogram& operator=(const LatencyHistogram&) = delete;
   void Record(std::chrono::nanoseconds duration);
   uint64_t Count() const;
   std::chrono::nanoseconds Sum() const;
@@ -36,13 +37,11 @@
   std::chrono::nanoseconds Quantile(double q) const;
 
  private:
-  using Axis =
-      boost::histogram::axis::regular<double,
-                                      boost::histogram::axis::transform::log>;
-  using Histogram = decltype(boost::histogram::make_histogram(Axis()));
+  // Keeps Boost's templates out of the files that only record.
+  struct Buckets;
 
   mutable absl::Mutex mutex_;
-  Histogram histogram_ ABSL_GUARDED_BY(mutex_);
+  const std::unique_ptr<Buckets> buckets_ ABSL_PT_GUARDED_BY(mutex_);
   std::chrono::nanoseconds sum_ ABSL_GUARDED_BY(mutex_){0};
   uint64_t count_ ABSL_GUARDED_BY(mutex_) = 0;
 };
--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -23,7 +23,7 @@
 constexpr int kStoreConnections = 24;
 // A worker is called at least this often while it runs anything.
 constexpr std::chrono::seconds kIdleConnection{60};
-constexpr unsigned kAdminConnections = 32;
+constexpr unsigned kProbeConnections = 32;
 constexpr unsigned kPeerConnections = 512;
 // The balancer probes each second and acts on the second miss.
 constexpr std::chrono::milliseconds kBalancerNotices{2'100};
@@ -42,7 +42,7 @@
                       absl::Hex(random(), absl::kZeroPad8));
 }
 
-HttpClientOptions ClientOptions(const Settings& settings) {
+HttpClientOptions FleetClientOptions(const Settings& settings) {
   HttpClientOptions options;
   options.threads = 1;
   // A hold takes one of them for most of the time; orders are answered within
@@ -98,7 +98,8 @@
 };
 
 FleetDaemon::Parts::Parts(const Settings& settings, const Clock& clock)
-    : client(std::make_unique<HttpClient>(ClientOptions(settings), metrics)),
+    : client(
+          std::make_unique<HttpClient>(FleetClientOptions(settings), metrics)),
       platform(wire::MakeAdapter(
           {settings.platform_address.ToString(), settings.instances_address,
            settings.policy_address},
@@ -177,10 +178,10 @@
     }
   };
   Result<void> started =
-      listen(settings_.admin_listen.ToString(), kAdminConnections, on_admin,
+      listen(settings_.admin_listen.ToString(), kProbeConnections, on_admin,
              &parts.admin_server);
   if (started && !settings_.metrics_listen.empty()) {
-    started = listen(settings_.metrics_listen, kAdminConnections, on_metrics,
+    started = listen(settings_.metrics_listen, kProbeConnections, on_metrics,
                      &parts.metrics_server);
   }
   if (started) {
--- a/Source/Core/Daemon/maintenance_driver.h
+++ b/Source/Core/Daemon/maintenance_driver.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <thread>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Budget/budget_store.h"
 #include "Common/clock.h"
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -7,6 +7,7 @@
 #include "Common/log.h"
 #include "Fleet/peer_calls.h"
 #include "Fleet/route_choice.h"
+#include "Http/http_status.h"
 #include "Ownership/owner_record.h"
 #include "absl/strings/str_cat.h"
 
@@ -34,8 +35,6 @@
 constexpr std::chrono::milliseconds kComeBack{1'000};
 
 constexpr char kAskStep[] = "peer.pool";
-constexpr int kOk = 200;
-constexpr int kNotOwner = 409;
 
 CallerReply Unavailable(std::string reason) {
   CallerReply reply;
@@ -182,32 +181,32 @@
   transfer.address = address;
   transfer.message = std::make_shared<HttpRequest>(FormatPeerCall(call));
   transfer.deadline = std::min(routed->deadline, now + kPeerTimeout);
-  peers_.Start(std::move(transfer), [this, routed,
-                                     claim](const TransferResult& result) {
-    if (result.response) {
-      const Result<CallerReply> reply = ParsePeerReply(*result.response);
-      if (reply) {
-        if (reply->outcome == CallOutcome::kUnavailable) {
-          routed->attempts.failed_claims.insert(claim);
+  peers_.Start(
+      std::move(transfer), [this, routed, claim](const TransferResult& result) {
+        if (result.response) {
+          const Result<CallerReply> reply = ParsePeerReply(*result.response);
+          if (reply) {
+            if (reply->outcome == CallOutcome::kUnavailable) {
+              routed->attempts.failed_claims.insert(claim);
+            }
+            OnReply(routed, *reply);
+            return;
+          }
         }
-        OnReply(routed, *reply);
-        return;
-      }
-    }
-    metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
-    routed->attempts.failed_claims.insert(claim);
-    if (result.sent) {
-      // A relay may have passed the call to an owner that this daemon does not
-      // know.
-      routed->unanswered_by = std::max(
-          routed->unanswered_by, claim == 0 ? kAnyClaim : claim);
-    }
-    if (routed->call.kind == CallKind::kQuery) {
-      TryStore(routed);
-    } else {
-      TryLater(routed);
-    }
-  });
+        metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
+        routed->attempts.failed_claims.insert(claim);
+        if (result.sent) {
+          // A relay may have passed the call to an owner that this daemon does
+          // not know.
+          routed->unanswered_by =
+              std::max(routed->unanswered_by, claim == 0 ? kAnyClaim : claim);
+        }
+        if (routed->call.kind == CallKind::kQuery) {
+          TryStore(routed);
+        } else {
+          TryLater(routed);
+        }
+      });
 }
 
 void CallRouter::TryStore(const std::shared_ptr<Routed>& routed) {
@@ -333,7 +332,7 @@
                [pool, done = std::move(done)](const TransferResult& result) {
                  if (!result.response) {
                    done(tl::unexpected<Error>(result.response.error()));
-                 } else if (result.response->status != kOk) {
+                 } else if (result.response->status != http_status::kOk) {
                    done(Fail(ErrorCode::kUnavailable, kAskStep, pool,
                              "the peer does not own the pool"));
                  } else {
@@ -352,8 +351,9 @@
             ? Result<PoolReport>(Fail(ErrorCode::kUnavailable, kAskStep,
                                       question->pool, "not the owner"))
             : runner->Ask(question->orders);
-    exchange->Respond(report ? HttpResponse{kOk, {}, FormatPoolReport(*report)}
-                             : HttpResponse{kNotOwner, {}, ""});
+    exchange->Respond(
+        report ? HttpResponse{http_status::kOk, {}, FormatPoolReport(*report)}
+               : HttpResponse{http_status::kConflict, {}, ""});
     return;
   }
   Result<PeerCall> call = ParsePeerCall(request);
@@ -380,7 +380,7 @@
 
 void CallRouter::AnswerHere(const CallerCall& call,
                             const std::string& spec_bytes,
-                            Reply done) {
+                            const Reply& done) {
   const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(call.pool);
   if (runner == nullptr) {
     done(Unavailable("not-owner"));
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -7,10 +7,10 @@
 #include <set>
 #include <string>
 
+#include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
 #include "Common/metrics.h"
 #include "Fleet/fleet_engine.h"
-#include "Fleet/platform_adapter.h"
 #include "Http/http_exchange.h"
 #include "Http/http_transport.h"
 
@@ -46,7 +46,7 @@
   // not own the pool.
   void AnswerHere(const CallerCall& call,
                   const std::string& spec_bytes,
-                  Reply done);
+                  const Reply& done);
   void Begin(const std::shared_ptr<Routed>& routed);
   void Try(const std::shared_ptr<Routed>& routed);
   // `claim` is the owner's, or 0 for a relay by any daemon.
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -9,11 +9,11 @@
 #include <utility>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
+#include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
 #include "Common/metrics.h"
-#include "Fleet/platform_adapter.h"
 #include "Fleet/pool_runner.h"
 #include "Fleet/route_choice.h"
 #include "Instances/instance_keeper.h"
--- /dev/null
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -0,0 +1,184 @@
+// What the engine learns from the store's entries.
+#include <utility>
+
+#include "Common/log.h"
+#include "Fleet/fleet_engine.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+
+void FleetEngine::OnOperatorItem(const StoreItem& item) {
+  if (item.removed) {
+    return;
+  }
+  if (platform_.IsPlanKey(item.key)) {
+    OnPlanItem(item);
+  } else if (platform_.IsWaveKey(item.key)) {
+    OnWaveItem(item);
+  }
+}
+
+void FleetEngine::OnWaveItem(const StoreItem& item) {
+  const Result<MaintenanceWave> wave =
+      platform_.ParseWave(item.key, item.value);
+  if (!wave) {
+    LogEvent(LogLevel::kError, LogCategory::kMaintenance, "wave_unreadable",
+             {{"key", item.key}, {"error", ToString(wave.error())}});
+    return;
+  }
+  const MonoTime now = clock_.Now();
+  std::shared_ptr<InstanceKeeper> keeper;
+  {
+    absl::MutexLock lock(&mutex_);
+    waves_.emplace(wave->number, SeenWave{*wave, now});
+    keeper = keeper_;
+  }
+  if (keeper) {
+    keeper->OnWave(*wave, now);
+  }
+}
+
+void FleetEngine::OnPlanItem(const StoreItem& item) {
+  Result<FleetPlan> parsed = platform_.ParsePlan(item.value);
+  if (!parsed) {
+    LogEvent(LogLevel::kError, LogCategory::kConfig, "plan_unreadable",
+             {{"revision", absl::StrCat(item.revision)},
+              {"error", ToString(parsed.error())}});
+    return;
+  }
+  auto plan = std::make_shared<const FleetPlan>(std::move(*parsed));
+  std::vector<std::shared_ptr<PoolRunner>> runners;
+  std::shared_ptr<InstanceKeeper> keeper;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (plan_ != nullptr && plan_->version >= plan->version) {
+      return;
+    }
+    plan_ = plan;
+    for (const auto& [pool, runner] : runners_) {
+      runners.push_back(runner);
+    }
+    keeper = keeper_;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kConfig, "plan_in_force",
+           {{"version", absl::StrCat(plan->version)},
+            {"revision", absl::StrCat(item.revision)},
+            {"queues", absl::StrCat(plan->queues.size())}});
+  for (const auto& runner : runners) {
+    runner->SetPlan(plan);
+  }
+  if (keeper) {
+    keeper->SetPlan(plan);
+  }
+  WakeAt(clock_.Now());
+}
+
+void FleetEngine::OnWorkerItem(const StoreItem& item) {
+  const std::string id = platform_.WorkerIdOf(item.key);
+  std::optional<WorkerReport> report;
+  if (!item.removed) {
+    Result<WorkerReport> parsed = platform_.ParseWorker(item.key, item.value);
+    if (parsed) {
+      report = std::move(*parsed);
+    } else {
+      metrics_.GetCounter("figflow_worker_reports_unreadable_total").Add();
+      LogEvent(LogLevel::kWarning, LogCategory::kPools,
+               "worker_report_unreadable",
+               {{"worker", id}, {"error", ToString(parsed.error())}});
+    }
+  }
+  std::shared_ptr<PoolRunner> left;
+  std::shared_ptr<PoolRunner> runner;
+  std::shared_ptr<PoolRunner> earlier;
+  std::string ended;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto find = [this](const std::string& pool) {
+      mutex_.AssertHeld();
+      const auto it = runners_.find(pool);
+      return it == runners_.end() ? nullptr : it->second;
+    };
+    const auto known = reports_.find(id);
+    if (known != reports_.end() &&
+        (!report || known->second.pool != report->pool)) {
+      left = find(known->second.pool);
+    }
+    if (report && !report->instance.empty()) {
+      WorkerKey& latest = worker_on_[report->instance];
+      if (latest.id != id && latest.incarnation < report->key.incarnation) {
+        ended = latest.id;
+        latest = report->key;
+        const auto other = reports_.find(ended);
+        if (other != reports_.end()) {
+          earlier = find(other->second.pool);
+        }
+      }
+    }
+    if (report) {
+      reports_[id] = *report;
+      runner = find(report->pool);
+    } else if (known != reports_.end()) {
+      reports_.erase(known);
+    }
+  }
+  if (earlier) {
+    earlier->OnWorkerEnded(ended);
+  }
+  if (left) {
+    left->OnWorkerUnlisted(id);
+  }
+  if (runner) {
+    runner->OnWorkerListed(*report);
+  }
+}
+
+void FleetEngine::OnOwnerItem(const StoreItem& item) {
+  const std::string scope = LastKeyPart(item.key);
+  Owner owner;
+  owner.revision = item.revision;
+  if (!item.removed) {
+    Result<OwnerRecord> record = ParseOwnerRecord(item.value);
+    if (!record) {
+      LogEvent(LogLevel::kError, LogCategory::kPools, "owner_unreadable",
+               {{"scope", scope}, {"error", ToString(record.error())}});
+      return;
+    }
+    owner.record = std::move(*record);
+  }
+  bool own = false;
+  bool lost = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto known = known_owners_.find(scope);
+    if (known != known_owners_.end() &&
+        known->second.revision >= item.revision) {
+      return;
+    }
+    if (item.removed) {
+      known_owners_.erase(scope);
+      const uint64_t working = WorkingRevision(scope);
+      lost = working != 0 && working < item.revision;
+    } else {
+      known_owners_[scope] = owner;
+      if (owner.record.entry != options_.entry) {
+        peers_[owner.record.entry] = owner.record.address;
+      }
+      claims_.OnOwned(scope);
+      own = absl::StartsWith(owner.record.nonce, options_.process_id);
+    }
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kPools,
+           item.removed ? "owner_gone" : "owner_changed",
+           {{"scope", scope},
+            {"owner", owner.record.entry},
+            {"revision", absl::StrCat(item.revision)}});
+  if (own) {
+    OnOwned(scope, owner.record.nonce, owner.revision, item.lease);
+  } else if (lost) {
+    EndScope(scope, "key-removed");
+  }
+  WakeAt(clock_.Now());
+}
+
+}  // namespace figflow
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -1,9 +1,9 @@
 #include "Fleet/peer_calls.h"
 
-#include <array>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
+#include "Http/http_status.h"
 
 #include "Common/cbor.h"
 
@@ -15,15 +15,10 @@
 constexpr char kPath[] = "/figflow/v1/call";
 constexpr char kPoolPath[] = "/figflow/v1/pool";
 constexpr char kStep[] = "peer.call";
-constexpr int kOk = 200;
 constexpr int kLastKind = static_cast<int>(CallKind::kCountPending);
 constexpr int kLastOutcome = static_cast<int>(CallOutcome::kMalformed);
 constexpr int kLastStatus = static_cast<int>(JobStatus::kCancelled);
 
-constexpr std::array<absl::string_view, 10> kOutcomeNames = {
-    "accepted",  "refused",     "unknown",       "unavailable",   "state",
-    "cancelled", "no-such-job", "pending-count", "no-such-queue", "malformed"};
-
 // The value as an enumerator, or kInvalid through the caller's decoder.
 template <typename Enum>
 Enum ToEnum(const json& value, int last) {
@@ -36,21 +31,17 @@
 
 }  // namespace
 
-absl::string_view CallOutcomeName(CallOutcome outcome) {
-  return kOutcomeNames[static_cast<size_t>(outcome)];
-}
-
 HttpRequest FormatPeerCall(const PeerCall& call) {
   HttpRequest request;
   request.method = "POST";
   request.target = kPath;
   request.headers = {{"Content-Type", "application/cbor"}};
-  request.body = FormatCbor(json::array(
-      {static_cast<int>(call.call.kind), call.call.queue, call.call.pool,
-       call.call.job,
-       json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
-                                         call.spec_bytes.end())),
-       call.relay, call.call.patience.count()}));
+  request.body = FormatCbor(
+      json::array({static_cast<int>(call.call.kind), call.call.queue,
+                   call.call.pool, call.call.job,
+                   json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
+                                                     call.spec_bytes.end())),
+                   call.relay, call.call.patience.count()}));
   return request;
 }
 
@@ -85,17 +76,17 @@
 
 HttpResponse FormatPeerReply(const CallerReply& reply) {
   HttpResponse response;
-  response.status = kOk;
+  response.status = http_status::kOk;
   response.headers = {{"Content-Type", "application/cbor"}};
-  response.body = FormatCbor(json::array(
-      {static_cast<int>(reply.outcome), static_cast<int>(reply.status),
-       reply.started, reply.pending, reply.retry_after.count(), reply.reason,
-       reply.fence}));
+  response.body = FormatCbor(
+      json::array({static_cast<int>(reply.outcome),
+                   static_cast<int>(reply.status), reply.started, reply.pending,
+                   reply.retry_after.count(), reply.reason, reply.fence}));
   return response;
 }
 
 Result<CallerReply> ParsePeerReply(const HttpResponse& response) {
-  if (response.status != kOk) {
+  if (response.status != http_status::kOk) {
     return Fail(ErrorCode::kInvalid, kStep, "", "unexpected status");
   }
   return ParseCbor<CallerReply>(response.body, kStep, [](const json& row) {
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -9,8 +9,6 @@
 namespace figflow {
 namespace {
 
-constexpr std::chrono::milliseconds kReadTimeout{1'000};
-constexpr std::chrono::milliseconds kReadRetry{100};
 // A write that has not been answered for this long means that the store is
 // silent: a slow one answers within 300 ms, and a single lost answer is made up
 // for by the repeated call.
@@ -28,13 +26,6 @@
 
 }  // namespace
 
-// What the store holds of the pool, while it is being read.
-struct PoolRunner::Recovery {
-  uint64_t sequence_revision = 0;
-  std::map<std::string, StoredJob> records;
-  std::string after;
-};
-
 // What the scheduler wants done, carried out without the lock.
 struct PoolRunner::Work {
   SchedulerOutput output;
@@ -56,63 +47,6 @@
   ReadSequence();
 }
 
-void PoolRunner::RetryRead(std::function<void()> read) {
-  const MonoTime at = parts_.clock.Now() + kReadRetry;
-  {
-    absl::MutexLock lock(&mutex_);
-    retry_ = std::move(read);
-    retry_at_ = at;
-  }
-  parts_.wake_at(at);
-}
-
-void PoolRunner::ReadSequence() {
-  parts_.platform.store().Get(
-      SequenceKey(claim_.pool), kReadTimeout,
-      [self =
-           shared_from_this()](const Result<std::optional<StoreItem>>& item) {
-        if (!item) {
-          self->RetryRead([self] { self->ReadSequence(); });
-          return;
-        }
-        auto recovery = std::make_shared<Recovery>();
-        recovery->sequence_revision = *item ? (*item)->revision : 0;
-        self->ReadRecords(recovery, false);
-      });
-}
-
-void PoolRunner::ReadRecords(std::shared_ptr<Recovery> recovery,
-                             bool progress) {
-  const std::string prefix =
-      progress ? ProgressKey(claim_.pool, "") : AcceptedKey(claim_.pool, "");
-  parts_.platform.store().Range(
-      prefix, recovery->after, kReadTimeout,
-      [self = shared_from_this(), recovery,
-       progress](const Result<RangePage>& page) {
-        if (!page) {
-          self->RetryRead([self, recovery, progress] {
-            self->ReadRecords(recovery, progress);
-          });
-          return;
-        }
-        for (const StoreItem& item : page->items) {
-          StoredJob& record = recovery->records[LastKeyPart(item.key)];
-          (progress ? record.progress : record.accepted) = item.value;
-          recovery->after = item.key;
-        }
-        if (page->truncated && !page->items.empty()) {
-          self->ReadRecords(recovery, progress);
-          return;
-        }
-        recovery->after.clear();
-        if (!progress) {
-          self->ReadRecords(recovery, true);
-        } else {
-          self->Activate(*recovery);
-        }
-      });
-}
-
 void PoolRunner::Activate(const Recovery& recovery) {
   const MonoTime now = parts_.clock.Now();
   {
@@ -275,12 +209,12 @@
   }
   for (PolicyQuestion& question : work.output.questions) {
     const MonoTime sent_at = parts_.clock.Now();
-    workers.Ask(question, [self, question,
-                           sent_at](const Result<PolicyAnswer>& answer) {
-      self->Run([&](PoolScheduler& scheduler, MonoTime now) {
-        scheduler.OnPolicyAnswer(question, answer, sent_at, now);
-      });
-    });
+    workers.Ask(question,
+                [self, question, sent_at](const Result<PolicyAnswer>& answer) {
+                  self->Run([&](PoolScheduler& scheduler, MonoTime now) {
+                    scheduler.OnPolicyAnswer(question, answer, sent_at, now);
+                  });
+                });
   }
   for (HoldOrder& order : work.output.holds) {
     const MonoTime sent_at = parts_.clock.Now();
@@ -412,9 +346,8 @@
 }
 
 Result<PoolReport> PoolRunner::Ask(const WorkerOrders& orders) {
-  Result<PoolReport> report =
-      Fail(ErrorCode::kUnavailable, "pool.ask", claim_.pool,
-           "the pool is not owned here");
+  Result<PoolReport> report = Fail(ErrorCode::kUnavailable, "pool.ask",
+                                   claim_.pool, "the pool is not owned here");
   Run([&](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     if (TakesCalls()) {
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -8,9 +8,9 @@
 #include <optional>
 #include <string>
 
+#include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
 #include "Common/metrics.h"
-#include "Fleet/platform_adapter.h"
 #include "Ownership/record_writer.h"
 #include "Scheduling/pool_scheduler.h"
 #include "absl/base/thread_annotations.h"
@@ -85,11 +85,16 @@
   MonoTime active_since() const;
 
  private:
-  struct Recovery;
+  // What the store holds of the pool, while it is being read.
+  struct Recovery {
+    uint64_t sequence_revision = 0;
+    std::map<std::string, JobRecords> records;
+    std::string after;
+  };
   struct Work;
 
   void ReadSequence();
-  void ReadRecords(std::shared_ptr<Recovery> recovery, bool progress);
+  void ReadRecords(const std::shared_ptr<Recovery>& recovery, bool progress);
   void RetryRead(std::function<void()> read);
   void Activate(const Recovery& recovery);
 
--- /dev/null
+++ b/Source/Core/Fleet/pool_runner_recovery.cc
@@ -0,0 +1,72 @@
+// Reads a pool's records after a claim.
+#include <utility>
+
+#include "Fleet/pool_runner.h"
+#include "Ownership/owner_record.h"
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kReadTimeout{1'000};
+constexpr std::chrono::milliseconds kReadRetry{100};
+
+}  // namespace
+
+void PoolRunner::RetryRead(std::function<void()> read) {
+  const MonoTime at = parts_.clock.Now() + kReadRetry;
+  {
+    absl::MutexLock lock(&mutex_);
+    retry_ = std::move(read);
+    retry_at_ = at;
+  }
+  parts_.wake_at(at);
+}
+
+void PoolRunner::ReadSequence() {
+  parts_.platform.store().Get(
+      SequenceKey(claim_.pool), kReadTimeout,
+      [self =
+           shared_from_this()](const Result<std::optional<StoreItem>>& item) {
+        if (!item) {
+          self->RetryRead([self] { self->ReadSequence(); });
+          return;
+        }
+        auto recovery = std::make_shared<Recovery>();
+        recovery->sequence_revision = *item ? (*item)->revision : 0;
+        self->ReadRecords(recovery, false);
+      });
+}
+
+void PoolRunner::ReadRecords(const std::shared_ptr<Recovery>& recovery,
+                             bool progress) {
+  const std::string prefix =
+      progress ? ProgressKey(claim_.pool, "") : AcceptedKey(claim_.pool, "");
+  parts_.platform.store().Range(
+      prefix, recovery->after, kReadTimeout,
+      [self = shared_from_this(), recovery,
+       progress](const Result<RangePage>& page) {
+        if (!page) {
+          self->RetryRead([self, recovery, progress] {
+            self->ReadRecords(recovery, progress);
+          });
+          return;
+        }
+        for (const StoreItem& item : page->items) {
+          JobRecords& record = recovery->records[LastKeyPart(item.key)];
+          (progress ? record.progress : record.accepted) = item.value;
+          recovery->after = item.key;
+        }
+        if (page->truncated && !page->items.empty()) {
+          self->ReadRecords(recovery, progress);
+          return;
+        }
+        recovery->after.clear();
+        if (!progress) {
+          self->ReadRecords(recovery, true);
+        } else {
+          self->Activate(*recovery);
+        }
+      });
+}
+
+}  // namespace figflow
--- a/Source/Core/Fleet/route_choice.cc
+++ b/Source/Core/Fleet/route_choice.cc
@@ -23,8 +23,8 @@
     return choice;
   }
   std::vector<PeerAddress> others;
-  std::copy_if(view.peers.begin(), view.peers.end(),
-               std::back_inserter(others), [&](const PeerAddress& peer) {
+  std::copy_if(view.peers.begin(), view.peers.end(), std::back_inserter(others),
+               [&](const PeerAddress& peer) {
                  return !view.owner || peer.entry != view.owner->entry;
                });
   // Without an owner and with fresh knowledge, a take-over is under way: no
--- a/Source/Core/FleetConfig/config_documents.cc
+++ b/Source/Core/FleetConfig/config_documents.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "absl/strings/str_cat.h"
 
--- a/Source/Core/Http/client_loop.cc
+++ b/Source/Core/Http/client_loop.cc
@@ -9,7 +9,7 @@
 namespace figflow {
 namespace {
 
-constexpr int kEventsPerWait = 128;
+constexpr int kTransferEvents = 128;
 // Idle easy handles kept for reuse; each holds a 16 KB receive buffer.
 constexpr size_t kFreeTransfers = 64;
 constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
@@ -88,7 +88,7 @@
 }
 
 void ClientLoop::Run() {
-  epoll_event events[kEventsPerWait];
+  epoll_event events[kTransferEvents];
   std::vector<Command> commands;
   while (true) {
     int wait_ms = 0;
@@ -104,7 +104,7 @@
     RunTimers();
     wait_ms = commands.empty() ? WaitMilliseconds() : 0;
     commands.clear();
-    const int count = epoll_wait(epoll_fd_, events, kEventsPerWait, wait_ms);
+    const int count = epoll_wait(epoll_fd_, events, kTransferEvents, wait_ms);
     for (int i = 0; i < count; ++i) {
       const int fd = events[i].data.fd;
       if (fd == wake_fd_) {
--- a/Source/Core/Http/close_watcher.cc
+++ b/Source/Core/Http/close_watcher.cc
@@ -11,7 +11,7 @@
 
 // Id of the event that stops the thread; connections start at 1.
 constexpr uint64_t kStopId = 0;
-constexpr int kEventsPerWait = 64;
+constexpr int kCloseEvents = 64;
 
 }  // namespace
 
@@ -75,9 +75,9 @@
 }
 
 void CloseWatcher::Run() {
-  epoll_event events[kEventsPerWait];
+  epoll_event events[kCloseEvents];
   while (true) {
-    const int count = epoll_wait(epoll_fd_, events, kEventsPerWait, -1);
+    const int count = epoll_wait(epoll_fd_, events, kCloseEvents, -1);
     for (int i = 0; i < count; ++i) {
       if (events[i].data.u64 == kStopId) {
         return;
--- a/Source/Core/Http/figflow_response.cc
+++ b/Source/Core/Http/figflow_response.cc
@@ -1,6 +1,6 @@
 #include "Http/figflow_response.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 namespace figflow {
 
--- a/Source/Core/Idempotency/claim_document.cc
+++ b/Source/Core/Idempotency/claim_document.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include <openssl/evp.h>
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -14,18 +14,8 @@
 constexpr std::chrono::milliseconds kReadTimeout{1'000};
 // Time between two reports of a pool: a peak is noticed after this time.
 constexpr std::chrono::milliseconds kAskInterval{150};
-// Time between two lists of the instances.
-constexpr std::chrono::milliseconds kListInterval{1'000};
-// And while instances are on their way or down.
-constexpr std::chrono::milliseconds kBusyListInterval{500};
-// A move that has not shown by then is forgotten, and may be planned again.
-constexpr std::chrono::milliseconds kMoveForgotten{6'000};
-// A report older than this says too little about what runs.
-constexpr std::chrono::milliseconds kReportAge{700};
 // The registry drops a worker that has ended within this time.
 constexpr std::chrono::seconds kEndedKept{10};
-// An order that was turned away or not answered is repeated after this time.
-constexpr std::chrono::milliseconds kRepeat{300};
 
 }  // namespace
 
@@ -49,36 +39,34 @@
     absl::MutexLock lock(&mutex_);
     reading_ = true;
   }
-  platform_.store().Get(
-      SequenceKey(kInstancesScope), kReadTimeout,
-      [self = shared_from_this()](
-          const Result<std::optional<StoreItem>>& item) {
-        if (item) {
-          self->ReadHandOver(*item ? (*item)->revision : 0);
-          return;
-        }
-        {
-          absl::MutexLock lock(&self->mutex_);
-          self->reading_ = false;
-        }
-        self->wake_();
-      });
+  platform_.store().Get(SequenceKey(kInstancesScope), kReadTimeout,
+                        [self = shared_from_this()](
+                            const Result<std::optional<StoreItem>>& item) {
+                          if (item) {
+                            self->ReadHandOver(*item ? (*item)->revision : 0);
+                            return;
+                          }
+                          {
+                            absl::MutexLock lock(&self->mutex_);
+                            self->reading_ = false;
+                          }
+                          self->wake_();
+                        });
 }
 
 void InstanceKeeper::ReadHandOver(uint64_t sequence_revision) {
-  platform_.store().Get(
-      HandOverKey(), kReadTimeout,
-      [self = shared_from_this(), sequence_revision](
-          const Result<std::optional<StoreItem>>& item) {
-        {
-          absl::MutexLock lock(&self->mutex_);
-          self->reading_ = false;
-        }
-        if (item) {
-          self->Begin(sequence_revision, *item);
-        }
-        self->wake_();
-      });
+  platform_.store().Get(HandOverKey(), kReadTimeout,
+                        [self = shared_from_this(), sequence_revision](
+                            const Result<std::optional<StoreItem>>& item) {
+                          {
+                            absl::MutexLock lock(&self->mutex_);
+                            self->reading_ = false;
+                          }
+                          if (item) {
+                            self->Begin(sequence_revision, *item);
+                          }
+                          self->wake_();
+                        });
 }
 
 void InstanceKeeper::Begin(uint64_t sequence_revision,
@@ -175,9 +163,9 @@
     wave.state.number = asked.number;
     wave.state.max_down = asked.max_down;
     wave.state.deadline = seen_at + asked.complete_within;
-    wave.due = clock_.WallNow() +
-               std::chrono::duration_cast<WallTime::duration>(
-                   wave.state.deadline - clock_.Now());
+    wave.due =
+        clock_.WallNow() + std::chrono::duration_cast<WallTime::duration>(
+                               wave.state.deadline - clock_.Now());
     for (const std::string& instance : asked.instances) {
       wave.state.instances[instance] = MaintenanceStep::kWaiting;
     }
@@ -371,379 +359,4 @@
   }
 }
 
-void InstanceKeeper::ReadList(MonoTime now) {
-  {
-    absl::MutexLock lock(&mutex_);
-    if (listing_ || now < next_list_) {
-      return;
-    }
-    listing_ = true;
-    next_list_ = now + (moving_.empty() && !WaveOpen() ? kListInterval
-                                                       : kBusyListInterval);
-  }
-  platform_.instances().List(
-      [self = shared_from_this(),
-       now](const Result<std::vector<Instance>>& list) {
-        self->OnList(now, list);
-      });
-}
-
-void InstanceKeeper::OnList(MonoTime sent_at,
-                            const Result<std::vector<Instance>>& list) {
-  absl::MutexLock lock(&mutex_);
-  listing_ = false;
-  if (!list) {
-    return;
-  }
-  instances_.clear();
-  for (const Instance& instance : *list) {
-    instances_[instance.id] = instance;
-  }
-  for (auto it = moving_.begin(); it != moving_.end();) {
-    const auto known = instances_.find(it->first);
-    const bool arrived = sent_at > it->second.ordered_at &&
-                         known != instances_.end() &&
-                         known->second.state == InstanceState::kUp;
-    const bool forgotten = sent_at - it->second.ordered_at > kMoveForgotten;
-    it = arrived || forgotten ? moving_.erase(it) : std::next(it);
-  }
-  // An instance is back once a list that was asked for after the order's
-  // answer shows it up.
-  for (auto& [number, wave] : waves_) {
-    for (auto& [instance, step] : wave.state.instances) {
-      if (step != MaintenanceStep::kDown) {
-        continue;
-      }
-      const auto answered = wave.answered_at.find(instance);
-      if (answered != wave.answered_at.end() && sent_at <= answered->second) {
-        continue;
-      }
-      const auto known = instances_.find(instance);
-      if (known == instances_.end() ||
-          known->second.state == InstanceState::kUp) {
-        step = MaintenanceStep::kOver;
-        wave.changed = true;
-      }
-    }
-  }
-}
-
-std::map<std::string, PoolReport> InstanceKeeper::FreshReports(
-    MonoTime now) const {
-  std::map<std::string, PoolReport> pools;
-  for (const auto& [pool, report] : reports_) {
-    if (now - report_times_.at(pool) < kReportAge) {
-      pools[pool] = report;
-    }
-  }
-  return pools;
-}
-
-bool InstanceKeeper::MayOrder(MonoTime now) const {
-  return !stopped_ && !deposed_ && !handing_over_ && active_written_ &&
-         now < certain_until_;
-}
-
-void InstanceKeeper::PlanMoves(MonoTime now) {
-  MoveInput input;
-  input.pools = FreshReports(now);
-  input.pending = moving_;
-  for (const PoolConfig& pool : plan_->pools) {
-    if (pool.spare) {
-      input.spare_pool = pool.name;
-    }
-  }
-  for (const auto& [number, wave] : waves_) {
-    for (const auto& [instance, step] : wave.state.instances) {
-      if (!wave.completed && (step == MaintenanceStep::kOrdered ||
-                              step == MaintenanceStep::kDown ||
-                              wave.emptying.count(instance) > 0)) {
-        input.blocked.insert(instance);
-      }
-    }
-  }
-  input.all_instances = static_cast<int>(instances_.size());
-  for (const auto& [id, instance] : instances_) {
-    if (TooRecent(id, now)) {
-      input.blocked.insert(id);
-    }
-    if (instance.pool == input.spare_pool && instance.worker.empty() &&
-        instance.state == InstanceState::kUp) {
-      input.spare[id] = 0;
-    }
-  }
-  MovePlan plan = move_planner_.Plan(input, now);
-  emptying_for_moves_ = std::move(plan.evacuate);
-  moves_to_send_ = std::move(plan.moves);
-}
-
-void InstanceKeeper::SendMoves(MonoTime now) {
-  std::vector<InstanceMove> moves;
-  {
-    absl::MutexLock lock(&mutex_);
-    if (!MayOrder(now)) {
-      return;
-    }
-    moves.swap(moves_to_send_);
-    for (const InstanceMove& move : moves) {
-      moving_[move.instance] = {move.pool, now, WorkerOn(move.instance)};
-      ordered_at_[move.instance] = now;
-      ++orders_in_flight_;
-    }
-  }
-  for (const InstanceMove& move : moves) {
-    InstanceOrder order;
-    order.instance = move.instance;
-    order.pool = move.pool;
-    order.holder = options_.holder;
-    order.fence = options_.fence;
-    platform_.instances().Move(
-        order, [self = shared_from_this(),
-                move](const Result<InstanceAnswer>& answer) {
-          self->OnMoveAnswer(move, answer);
-        });
-  }
-}
-
-void InstanceKeeper::OnMoveAnswer(const InstanceMove& move,
-                                  const Result<InstanceAnswer>& answer) {
-  {
-    absl::MutexLock lock(&mutex_);
-    --orders_in_flight_;
-  }
-  TryHandOver();
-  absl::MutexLock lock(&mutex_);
-  const MonoTime now = clock_.Now();
-  if (answer && *answer == InstanceAnswer::kDone) {
-    PendingMove& pending = moving_[move.instance];
-    pending.pool = move.pool;
-    pending.ordered_at = now;
-    ended_[pending.worker] = now;
-    LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
-             {{"instance", move.instance}, {"pool", move.pool}});
-    return;
-  }
-  if (answer && *answer == InstanceAnswer::kFenced) {
-    deposed_ = true;
-    return;
-  }
-  LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "move_not_done",
-           {{"instance", move.instance},
-            {"pool", move.pool},
-            {"answered", answer ? "yes" : "no"}});
-  // Without an answer the order may have been carried out: the list will show.
-  if (answer) {
-    moving_.erase(move.instance);
-  }
-}
-
-void InstanceKeeper::PlanWaves(MonoTime now) {
-  const std::map<std::string, PoolReport> pools = FreshReports(now);
-  std::set<std::string> without_worker;
-  for (const auto& [id, instance] : instances_) {
-    if (instance.state == InstanceState::kUp && instance.worker.empty() &&
-        moving_.count(id) == 0) {
-      without_worker.insert(id);
-    }
-  }
-  WavePlannerOptions options;
-  options.maintenance = options_.maintenance;
-  for (auto& [number, wave] : waves_) {
-    if (!wave.loaded || wave.completed) {
-      continue;
-    }
-    // Instances that do not exist any more need no maintenance.
-    for (auto& [instance, step] : wave.state.instances) {
-      if (step == MaintenanceStep::kWaiting && !instances_.empty() &&
-          instances_.count(instance) == 0) {
-        step = MaintenanceStep::kOver;
-        wave.changed = true;
-      }
-    }
-    const WavePlan plan = PlanWave(wave.state, pools, without_worker,
-                                   wave.emptying, options, now);
-    wave.emptying = plan.evacuate;
-    for (const auto& [instance, step] : wave.state.instances) {
-      const bool old_worker = step == MaintenanceStep::kDown &&
-                              wave.worker_before.count(instance) > 0;
-      if (step == MaintenanceStep::kOrdered || old_worker) {
-        wave.emptying.insert(instance);
-      }
-    }
-    if (MayOrder(now)) {
-      for (const std::string& instance : plan.begin) {
-        wave.state.instances[instance] = MaintenanceStep::kOrdered;
-        wave.changed = true;
-        wave.emptying.insert(instance);
-        wave.worker_before[instance] = WorkerOn(instance);
-        wave.to_order.push_back(instance);
-      }
-    }
-    const bool over = std::all_of(
-        wave.state.instances.begin(), wave.state.instances.end(),
-        [](const auto& item) {
-          return item.second == MaintenanceStep::kOver ||
-                 item.second == MaintenanceStep::kDown;
-        });
-    if (over) {
-      wave.completed = true;
-      wave.changed = true;
-    }
-  }
-}
-
-void InstanceKeeper::WriteRecords() {
-  std::vector<StoreWrite> writes;
-  std::vector<uint64_t> written;
-  std::shared_ptr<RecordWriter> writer;
-  {
-    absl::MutexLock lock(&mutex_);
-    if (writing_ || !writer_ || stopped_ || handing_over_) {
-      return;
-    }
-    if (!active_written_) {
-      HandOverRecord record;
-      record.active = true;
-      writes.push_back({HandOverKey(), FormatHandOver(record), 0});
-    }
-    for (auto& [number, wave] : waves_) {
-      if (!wave.changed) {
-        continue;
-      }
-      wave.changed = false;
-      WaveRecord record;
-      record.due = wave.due;
-      record.completed = wave.completed;
-      record.instances = wave.state.instances;
-      writes.push_back({WaveKey(number), FormatWaveRecord(record), 0});
-      writes.push_back({platform_.WaveStatusKey(number),
-                        platform_.FormatWaveStatus(number, wave.completed), 0});
-      written.push_back(number);
-    }
-    if (writes.empty()) {
-      return;
-    }
-    writing_ = true;
-    writer = writer_;
-  }
-  writer->Write(std::move(writes), {},
-                [self = shared_from_this(),
-                 written](RecordWriter::Outcome outcome) {
-                  self->OnWritten(written, outcome);
-                });
-}
-
-void InstanceKeeper::OnWritten(const std::vector<uint64_t>& waves,
-                               RecordWriter::Outcome outcome) {
-  {
-    absl::MutexLock lock(&mutex_);
-    writing_ = false;
-    if (outcome == RecordWriter::Outcome::kDeposed) {
-      deposed_ = true;
-    } else {
-      active_written_ = true;
-      for (const uint64_t number : waves) {
-        Wave& wave = waves_[number];
-        // What was planned during the write is in the next one.
-        if (wave.changed) {
-          continue;
-        }
-        for (const std::string& instance : wave.to_order) {
-          wave.repeat_at[instance] = MonoTime::min();
-        }
-        wave.to_order.clear();
-        if (wave.completed) {
-          LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "wave_completed",
-                   {{"wave", absl::StrCat(number)}});
-        }
-      }
-    }
-  }
-  TryHandOver();
-  wake_();
-}
-
-void InstanceKeeper::SendOrders(MonoTime now) {
-  std::vector<std::pair<uint64_t, std::string>> to_send;
-  {
-    absl::MutexLock lock(&mutex_);
-    if (!MayOrder(now)) {
-      return;
-    }
-    for (auto& [number, wave] : waves_) {
-      if (!wave.loaded) {
-        continue;
-      }
-      for (const auto& [instance, step] : wave.state.instances) {
-        // An earlier keeper may have sent the order, which may be repeated.
-        const bool recorded =
-            step == MaintenanceStep::kOrdered &&
-            std::find(wave.to_order.begin(), wave.to_order.end(), instance) ==
-                wave.to_order.end();
-        const auto repeat = wave.repeat_at.find(instance);
-        const bool due = repeat == wave.repeat_at.end() || repeat->second <= now;
-        if (recorded && due && !TooRecent(instance, now) &&
-            wave.in_flight.insert(instance).second) {
-          to_send.emplace_back(number, instance);
-          ordered_at_[instance] = now;
-          ++orders_in_flight_;
-        }
-      }
-    }
-  }
-  for (const auto& [number, instance] : to_send) {
-    InstanceOrder order;
-    order.instance = instance;
-    order.wave = number;
-    order.holder = options_.holder;
-    order.fence = options_.fence;
-    platform_.instances().Maintain(
-        order, [self = shared_from_this(), number = number,
-                instance = instance](const Result<InstanceAnswer>& answer) {
-          self->OnAnswer(number, instance, answer);
-        });
-  }
-}
-
-void InstanceKeeper::OnAnswer(uint64_t number,
-                              const std::string& instance,
-                              const Result<InstanceAnswer>& answer) {
-  {
-    absl::MutexLock lock(&mutex_);
-    --orders_in_flight_;
-  }
-  TryHandOver();
-  absl::MutexLock lock(&mutex_);
-  Wave& wave = waves_[number];
-  const MonoTime now = clock_.Now();
-  wave.in_flight.erase(instance);
-  wave.repeat_at[instance] = now + kRepeat;
-  if (!answer) {
-    return;
-  }
-  switch (*answer) {
-    case InstanceAnswer::kDone:
-      wave.state.instances[instance] = MaintenanceStep::kDown;
-      wave.answered_at[instance] = now;
-      ended_[wave.worker_before[instance]] = now;
-      wave.changed = true;
-      LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
-               {{"wave", absl::StrCat(number)}, {"instance", instance}});
-      return;
-    case InstanceAnswer::kFenced:
-      deposed_ = true;
-      return;
-    case InstanceAnswer::kRefused:
-      wave.state.instances[instance] = MaintenanceStep::kOver;
-      wave.changed = true;
-      LogEvent(LogLevel::kWarning, LogCategory::kMaintenance,
-               "maintenance_refused",
-               {{"wave", absl::StrCat(number)}, {"instance", instance}});
-      return;
-    case InstanceAnswer::kBusy:
-    case InstanceAnswer::kTurnedAway:
-      return;
-  }
-}
-
 }  // namespace figflow
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
 #include "Common/metrics.h"
-#include "Fleet/platform_adapter.h"
 #include "Instances/move_planner.h"
 #include "Instances/wave_planner.h"
 #include "Ownership/record_writer.h"
--- /dev/null
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -0,0 +1,189 @@
+// Moves of instances between pools, from the pools' reports and the list of
+// instances.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Instances/instance_keeper.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+// Time between two lists of the instances.
+constexpr std::chrono::milliseconds kListInterval{1'000};
+// And while instances are on their way or down.
+constexpr std::chrono::milliseconds kBusyListInterval{500};
+// A move that has not shown by then is forgotten, and may be planned again.
+constexpr std::chrono::milliseconds kMoveForgotten{6'000};
+// A report older than this says too little about what runs.
+constexpr std::chrono::milliseconds kReportAge{700};
+
+}  // namespace
+
+void InstanceKeeper::ReadList(MonoTime now) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (listing_ || now < next_list_) {
+      return;
+    }
+    listing_ = true;
+    next_list_ = now + (moving_.empty() && !WaveOpen() ? kListInterval
+                                                       : kBusyListInterval);
+  }
+  platform_.instances().List([self = shared_from_this(),
+                              now](const Result<std::vector<Instance>>& list) {
+    self->OnList(now, list);
+  });
+}
+
+void InstanceKeeper::OnList(MonoTime sent_at,
+                            const Result<std::vector<Instance>>& list) {
+  absl::MutexLock lock(&mutex_);
+  listing_ = false;
+  if (!list) {
+    return;
+  }
+  instances_.clear();
+  for (const Instance& instance : *list) {
+    instances_[instance.id] = instance;
+  }
+  for (auto it = moving_.begin(); it != moving_.end();) {
+    const auto known = instances_.find(it->first);
+    const bool arrived = sent_at > it->second.ordered_at &&
+                         known != instances_.end() &&
+                         known->second.state == InstanceStatus::kUp;
+    const bool forgotten = sent_at - it->second.ordered_at > kMoveForgotten;
+    it = arrived || forgotten ? moving_.erase(it) : std::next(it);
+  }
+  // An instance is back once a list that was asked for after the order's
+  // answer shows it up.
+  for (auto& [number, wave] : waves_) {
+    for (auto& [instance, step] : wave.state.instances) {
+      if (step != MaintenanceStep::kDown) {
+        continue;
+      }
+      const auto answered = wave.answered_at.find(instance);
+      if (answered != wave.answered_at.end() && sent_at <= answered->second) {
+        continue;
+      }
+      const auto known = instances_.find(instance);
+      if (known == instances_.end() ||
+          known->second.state == InstanceStatus::kUp) {
+        step = MaintenanceStep::kOver;
+        wave.changed = true;
+      }
+    }
+  }
+}
+
+std::map<std::string, PoolReport> InstanceKeeper::FreshReports(
+    MonoTime now) const {
+  std::map<std::string, PoolReport> pools;
+  for (const auto& [pool, report] : reports_) {
+    if (now - report_times_.at(pool) < kReportAge) {
+      pools[pool] = report;
+    }
+  }
+  return pools;
+}
+
+bool InstanceKeeper::MayOrder(MonoTime now) const {
+  return !stopped_ && !deposed_ && !handing_over_ && active_written_ &&
+         now < certain_until_;
+}
+
+void InstanceKeeper::PlanMoves(MonoTime now) {
+  MoveInput input;
+  input.pools = FreshReports(now);
+  input.pending = moving_;
+  for (const PoolConfig& pool : plan_->pools) {
+    if (pool.spare) {
+      input.spare_pool = pool.name;
+    }
+  }
+  for (const auto& [number, wave] : waves_) {
+    for (const auto& [instance, step] : wave.state.instances) {
+      if (!wave.completed && (step == MaintenanceStep::kOrdered ||
+                              step == MaintenanceStep::kDown ||
+                              wave.emptying.count(instance) > 0)) {
+        input.blocked.insert(instance);
+      }
+    }
+  }
+  input.all_instances = static_cast<int>(instances_.size());
+  for (const auto& [id, instance] : instances_) {
+    if (TooRecent(id, now)) {
+      input.blocked.insert(id);
+    }
+    if (instance.pool == input.spare_pool && instance.worker.empty() &&
+        instance.state == InstanceStatus::kUp) {
+      input.spare[id] = 0;
+    }
+  }
+  MovePlan plan = move_planner_.Plan(input, now);
+  emptying_for_moves_ = std::move(plan.evacuate);
+  moves_to_send_ = std::move(plan.moves);
+}
+
+void InstanceKeeper::SendMoves(MonoTime now) {
+  std::vector<InstanceMove> moves;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!MayOrder(now)) {
+      return;
+    }
+    moves.swap(moves_to_send_);
+    for (const InstanceMove& move : moves) {
+      moving_[move.instance] = {move.pool, now, WorkerOn(move.instance)};
+      ordered_at_[move.instance] = now;
+      ++orders_in_flight_;
+    }
+  }
+  for (const InstanceMove& move : moves) {
+    InstanceOrder order;
+    order.instance = move.instance;
+    order.pool = move.pool;
+    order.holder = options_.holder;
+    order.fence = options_.fence;
+    platform_.instances().Move(order,
+                               [self = shared_from_this(),
+                                move](const Result<InstanceAnswer>& answer) {
+                                 self->OnMoveAnswer(move, answer);
+                               });
+  }
+}
+
+void InstanceKeeper::OnMoveAnswer(const InstanceMove& move,
+                                  const Result<InstanceAnswer>& answer) {
+  {
+    absl::MutexLock lock(&mutex_);
+    --orders_in_flight_;
+  }
+  TryHandOver();
+  absl::MutexLock lock(&mutex_);
+  const MonoTime now = clock_.Now();
+  if (answer && *answer == InstanceAnswer::kDone) {
+    PendingMove& pending = moving_[move.instance];
+    pending.pool = move.pool;
+    pending.ordered_at = now;
+    ended_[pending.worker] = now;
+    LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
+             {{"instance", move.instance}, {"pool", move.pool}});
+    return;
+  }
+  if (answer && *answer == InstanceAnswer::kFenced) {
+    deposed_ = true;
+    return;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "move_not_done",
+           {{"instance", move.instance},
+            {"pool", move.pool},
+            {"answered", answer ? "yes" : "no"}});
+  // Without an answer the order may have been carried out: the list will show.
+  if (answer) {
+    moving_.erase(move.instance);
+  }
+}
+
+}  // namespace figflow
--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -66,8 +66,8 @@
     PoolNeed& need = needs[name];
     need.report = &report;
     for (const WorkerLoad& load : report.workers) {
-      instance_size =
-          std::max(instance_size, static_cast<double>(load.capacity_millicores));
+      instance_size = std::max(instance_size,
+                               static_cast<double>(load.capacity_millicores));
       if (load.usable && !load.evacuating) {
         need.capacity += static_cast<double>(load.capacity_millicores);
         ++need.size;
@@ -91,9 +91,9 @@
     need.offered = static_cast<double>(report.offered_millicores +
                                        report.perpetual_millicores) /
                    kUsableShare;
-    need.wanted = need.offered +
-                  static_cast<double>(report.backlog_millicore_ms) / 1000.0 /
-                      kDrainSeconds / kUsableShare;
+    need.wanted =
+        need.offered + static_cast<double>(report.backlog_millicore_ms) /
+                           1000.0 / kDrainSeconds / kUsableShare;
     // Whatever keeps a perpetual task from the present workers, one more may
     // take it.
     if (report.unplaced_tasks > 0) {
@@ -148,6 +148,7 @@
   }
   // The pool with the longest backlog first.
   std::vector<PoolNeed*> by_need;
+  by_need.reserve(needs.size());
   for (auto& [name, need] : needs) {
     by_need.push_back(&need);
   }
@@ -171,14 +172,13 @@
         PoolNeed* donor = nullptr;
         for (auto& [other, candidate] : needs) {
           const bool gives =
-              &candidate != need && !idle[other].empty() &&
-              !candidate.Busy() &&
-              candidate.wanted < kDonorLoad * (candidate.capacity -
-                                               instance_size) &&
+              &candidate != need && !idle[other].empty() && !candidate.Busy() &&
+              candidate.wanted <
+                  kDonorLoad * (candidate.capacity - instance_size) &&
               candidate.size > floor;
-          if (gives && (donor == nullptr ||
-                        candidate.capacity - candidate.wanted >
-                            donor->capacity - donor->wanted)) {
+          if (gives &&
+              (donor == nullptr || candidate.capacity - candidate.wanted >
+                                       donor->capacity - donor->wanted)) {
             donor = &candidate;
           }
         }
--- a/Source/Core/Instances/wave_planner.cc
+++ b/Source/Core/Instances/wave_planner.cc
@@ -83,13 +83,11 @@
 
   // Instances under way at once that the time left demands.
   const auto each = options.maintenance + kEmptying + kReturn;
-  const auto time_left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(wave.deadline -
-                                                            now) -
-      kReserve;
-  const double rounds =
-      std::max(1.0, static_cast<double>(time_left.count()) /
-                        static_cast<double>(each.count()));
+  const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             wave.deadline - now) -
+                         kReserve;
+  const double rounds = std::max(1.0, static_cast<double>(time_left.count()) /
+                                          static_cast<double>(each.count()));
   const int needed = static_cast<int>(std::ceil(left / rounds));
   const bool short_of_time = time_left < each;
   for (const Candidate& candidate : candidates) {
@@ -112,9 +110,9 @@
     }
     const int limit =
         load.tasks == 0 ? wave.max_down : std::min(needed, wave.max_down);
-    const int pool_limit = std::max(
-        1, static_cast<int>(kPoolShare *
-                            static_cast<double>(pool.workers.size())));
+    const int pool_limit =
+        std::max(1, static_cast<int>(kPoolShare *
+                                     static_cast<double>(pool.workers.size())));
     const bool crowded =
         emptying_in[candidate.pool] >= pool_limit && !short_of_time;
     const bool pool_is_full = pool.waiting_millicores > 0 && !short_of_time &&
--- a/Source/Core/Instances/wave_record.cc
+++ b/Source/Core/Instances/wave_record.cc
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 
@@ -35,8 +35,7 @@
         record.completed = row.at(1).get<bool>();
         for (const auto& [instance, step] : row.at(2).items()) {
           const int number = step.get<int>();
-          if (number < 0 ||
-              number > static_cast<int>(MaintenanceStep::kOver)) {
+          if (number < 0 || number > static_cast<int>(MaintenanceStep::kOver)) {
             return Fail(ErrorCode::kInvalid, kStep, instance, "unknown step");
           }
           record.instances[instance] = static_cast<MaintenanceStep>(number);
@@ -50,14 +49,13 @@
 }
 
 Result<HandOverRecord> ParseHandOver(absl::string_view bytes) {
-  return ParseCbor<HandOverRecord>(bytes, "handover.record",
-                                   [](const json& row) {
-                                     HandOverRecord record;
-                                     record.active = row.at(0).get<bool>();
-                                     record.recent =
-                                         row.at(1).get<std::set<std::string>>();
-                                     return record;
-                                   });
+  return ParseCbor<HandOverRecord>(
+      bytes, "handover.record", [](const json& row) {
+        HandOverRecord record;
+        record.active = row.at(0).get<bool>();
+        record.recent = row.at(1).get<std::set<std::string>>();
+        return record;
+      });
 }
 
 }  // namespace figflow
--- a/Source/Core/Maintenance/wave_document.cc
+++ b/Source/Core/Maintenance/wave_document.cc
@@ -3,7 +3,7 @@
 #include <limits>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Platform/json_fields.h"
 
--- a/Source/Core/Ownership/owner_record.cc
+++ b/Source/Core/Ownership/owner_record.cc
@@ -1,6 +1,6 @@
 #include "Ownership/owner_record.h"
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 #include "absl/strings/str_cat.h"
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -7,7 +7,7 @@
 namespace figflow {
 namespace {
 
-constexpr std::chrono::milliseconds kRetryPause{150};
+constexpr std::chrono::milliseconds kWatchRetry{150};
 
 }  // namespace
 
@@ -188,7 +188,7 @@
   {
     absl::MutexLock lock(&mutex_);
     busy_ = false;
-    retry_at_ = now + kRetryPause;
+    retry_at_ = now + kWatchRetry;
     lost = !std::exchange(failing_, true) && !stopped_;
   }
   if (lost) {
--- a/Source/Core/Ownership/store_session.cc
+++ b/Source/Core/Ownership/store_session.cc
@@ -12,7 +12,7 @@
 constexpr int kRenewalsPerTtl = 4;
 // Pause after a failed call, so that a store that turns this daemon away is
 // not asked in a loop.
-constexpr std::chrono::milliseconds kRetryPause{100};
+constexpr std::chrono::milliseconds kLeaseRetry{100};
 // No such key exists; any answer will do.
 constexpr char kProbeKey[] = "figflow/probe";
 
@@ -66,14 +66,14 @@
   absl::MutexLock lock(&mutex_);
   calling_ = false;
   unanswered_ = !answered;
-  next_call_ = answered ? sent_at : sent_at + kRetryPause;
+  next_call_ = answered ? sent_at : sent_at + kLeaseRetry;
 }
 
 void StoreSession::OnGranted(MonoTime sent_at, const Result<LeaseId>& lease) {
   absl::MutexLock lock(&mutex_);
   calling_ = false;
   if (!lease) {
-    next_call_ = sent_at + kRetryPause;
+    next_call_ = sent_at + kLeaseRetry;
     return;
   }
   lease_ = *lease;
@@ -92,7 +92,7 @@
     certain_until_ = std::max(certain_until_, sent_at + *ttl);
     return;
   }
-  next_call_ = sent_at + kRetryPause;
+  next_call_ = sent_at + kLeaseRetry;
   unanswered_ = ttl.error().code != ErrorCode::kNotFound &&
                 ttl.error().code != ErrorCode::kUnavailable;
   if (ttl.error().code == ErrorCode::kNotFound) {
--- a/Source/Core/Peer/peer_message.cc
+++ b/Source/Core/Peer/peer_message.cc
@@ -4,7 +4,7 @@
 #include <limits>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "absl/strings/str_cat.h"
 
--- a/Source/Core/Peer/peer_relay.cc
+++ b/Source/Core/Peer/peer_relay.cc
@@ -1,6 +1,7 @@
 // The relays of PeerCore: requests sent to peers and served for peers.
 #include <utility>
 
+#include "Http/http_status.h"
 #include "Peer/peer_core.h"
 #include "absl/strings/str_cat.h"
 
@@ -8,7 +9,6 @@
 namespace {
 
 constexpr char kRelayStep[] = "peer.relay";
-constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
@@ -43,7 +43,7 @@
 void PeerCore::RefuseRelay(LinkId link, uint64_t id, const char* reason) {
   counters_.relays_refused.Add();
   RelayAnswerMessage refusal{id, settings_.incarnation, {}, ""};
-  refusal.answer.status = kServiceUnavailable;
+  refusal.answer.status = http_status::kServiceUnavailable;
   refusal.answer.headers = {{"Figflow-Reason", reason}};
   refusal.answer.not_run = true;
   Send(link, refusal);
--- a/Source/Core/Platform/fleet_json.h
+++ b/Source/Core/Platform/fleet_json.h
@@ -1,7 +1,7 @@
 #ifndef PLATFORM_FLEET_JSON_H_
 #define PLATFORM_FLEET_JSON_H_
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/error.h"
 #include "Platform/fleet_service.h"
--- a/Source/Core/Platform/json_fields.h
+++ b/Source/Core/Platform/json_fields.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/clock.h"
 #include "Common/error.h"
--- a/Source/Core/Pools/data_centre_document.cc
+++ b/Source/Core/Pools/data_centre_document.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Platform/json_fields.h"
 
--- a/Source/Core/Requests/attempt_decision.cc
+++ b/Source/Core/Requests/attempt_decision.cc
@@ -1,15 +1,11 @@
 #include "Requests/attempt_decision.h"
 
 #include "Http/http_headers.h"
+#include "Http/http_status.h"
 
 namespace figflow {
 namespace {
 
-constexpr int kClientClosed = 499;
-constexpr int kBadGateway = 502;
-constexpr int kServiceUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // Another attempt would fail in the same way.
 bool FailsAgain(ErrorCode error) {
   return error == ErrorCode::kInvalid ||
@@ -43,23 +39,25 @@
 FailureName NameFailure(ErrorCode error, bool sent) {
   switch (error) {
     case ErrorCode::kDeadlineExceeded:
-      return {kGatewayTimeout, "deadline-passed"};
+      return {http_status::kGatewayTimeout, "deadline-passed"};
     case ErrorCode::kCancelled:
-      return {kClientClosed, "cancelled"};
+      return {http_status::kClientClosed, "cancelled"};
     case ErrorCode::kResourceExhausted:
-      return {kBadGateway, "answer-too-large"};
+      return {http_status::kBadGateway, "answer-too-large"};
     case ErrorCode::kInvalid:
       return {400, "malformed-request"};
     default:
-      return sent ? FailureName{kBadGateway, "target-failed"}
-                  : FailureName{kServiceUnavailable, "target-unreachable"};
+      return sent ? FailureName{http_status::kBadGateway, "target-failed"}
+                  : FailureName{http_status::kServiceUnavailable,
+                                "target-unreachable"};
   }
 }
 
 FailureName NameRefusal(Refusal refusal, bool sent) {
   // After an attempt that may have run, a refused retry leaves the outcome of
   // that attempt open.
-  const int unavailable = sent ? kBadGateway : kServiceUnavailable;
+  const int unavailable =
+      sent ? http_status::kBadGateway : http_status::kServiceUnavailable;
   switch (refusal) {
     case Refusal::kUnknownPool:
       return {unavailable, "unknown-pool"};
@@ -70,9 +68,9 @@
     case Refusal::kWouldMissDeadline:
       return {unavailable, "would-miss-deadline"};
     case Refusal::kDeadlinePassed:
-      return {kGatewayTimeout, "deadline-passed"};
+      return {http_status::kGatewayTimeout, "deadline-passed"};
     case Refusal::kCancelled:
-      return {kClientClosed, "cancelled"};
+      return {http_status::kClientClosed, "cancelled"};
     case Refusal::kStopping:
       return {unavailable, "stopping"};
   }
@@ -100,7 +98,7 @@
   if (leaving != nullptr && *leaving == "1") {
     return true;
   }
-  return response.status == kServiceUnavailable &&
+  return response.status == http_status::kServiceUnavailable &&
          HeaderHasToken(response.headers, "connection", "close");
 }
 
--- a/Source/Core/Requests/request_flow.cc
+++ b/Source/Core/Requests/request_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Http/http_headers.h"
+#include "Http/http_status.h"
 #include "Requests/caller_request.h"
 #include "absl/hash/hash.h"
 
@@ -11,11 +12,6 @@
 namespace {
 
 constexpr char kTicketStep[] = "ticket.redeem";
-constexpr int kConflict = 409;
-constexpr int kClientClosed = 499;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 // Fields of a target that would make its response look like one of figflow's.
 void RemoveOwnFields(HttpHeaders& headers) {
@@ -143,8 +139,9 @@
     }
     cancelled_ = true;
   }
-  Finish(MakeOwn(sent_ ? kBadGateway : kUnavailable, "stopping", "request.stop",
-                 "", "the daemon stopped"));
+  Finish(MakeOwn(
+      sent_ ? http_status::kBadGateway : http_status::kServiceUnavailable,
+      "stopping", "request.stop", "", "the daemon stopped"));
 }
 
 void RequestFlow::Begin() {
@@ -180,28 +177,29 @@
     case TicketVerdict::kOtherEntry:
       sent_ = true;
       if (request_.hops > 0) {
-        Finish(MakeOwn(kConflict, "ticket-of-other-entry", kTicketStep,
-                       check.issuer.value(),
+        Finish(MakeOwn(http_status::kConflict, "ticket-of-other-entry",
+                       kTicketStep, check.issuer.value(),
                        "the ticket was not issued by this entry instance"));
         return;
       }
       issuer_ = check.issuer;
-      Relay(issuer_, MakeOwn(kBadGateway, "issuer-unreachable", kTicketStep,
-                             check.issuer.value(),
+      Relay(issuer_, MakeOwn(http_status::kBadGateway, "issuer-unreachable",
+                             kTicketStep, check.issuer.value(),
                              "the issuer of the ticket cannot be reached"));
       return;
     case TicketVerdict::kAlreadyUsed:
       sent_ = true;
-      Finish(MakeOwn(kConflict, "ticket-already-used", kTicketStep, "", ""));
+      Finish(MakeOwn(http_status::kConflict, "ticket-already-used", kTicketStep,
+                     "", ""));
       return;
     case TicketVerdict::kEarlierIncarnation:
       sent_ = true;
-      Finish(
-          MakeOwn(kConflict, "ticket-issuer-restarted", kTicketStep, "", ""));
+      Finish(MakeOwn(http_status::kConflict, "ticket-issuer-restarted",
+                     kTicketStep, "", ""));
       return;
     default:
       sent_ = true;
-      Finish(MakeOwn(kConflict, "ticket-invalid", kTicketStep, "",
+      Finish(MakeOwn(http_status::kConflict, "ticket-invalid", kTicketStep, "",
                      "the ticket has expired or is not genuine"));
       return;
   }
@@ -210,8 +208,9 @@
 void RequestFlow::OnClaim(Result<ClaimVerdict> claim) {
   if (!claim) {
     const Error& error = claim.error();
-    Finish(MakeOwn(error.code == ErrorCode::kDeadlineExceeded ? kGatewayTimeout
-                                                              : kUnavailable,
+    Finish(MakeOwn(error.code == ErrorCode::kDeadlineExceeded
+                       ? http_status::kGatewayTimeout
+                       : http_status::kServiceUnavailable,
                    error.code == ErrorCode::kUnknownOutcome
                        ? "claim-outcome-unknown"
                        : "store-unavailable",
@@ -236,7 +235,7 @@
     return;
   }
   sent_ = true;
-  Finish(MakeOwn(kConflict, "already-claimed", "claim", "",
+  Finish(MakeOwn(http_status::kConflict, "already-claimed", "claim", "",
                  "a request with this key was accepted before"));
 }
 
@@ -388,8 +387,9 @@
     reason = cancel_reason_;
   }
   const bool stopping = reason == "stopping";
-  const int stopped = sent_ ? kBadGateway : kUnavailable;
-  Finish(MakeOwn(stopping ? stopped : kClientClosed,
+  const int stopped =
+      sent_ ? http_status::kBadGateway : http_status::kServiceUnavailable;
+  Finish(MakeOwn(stopping ? stopped : http_status::kClientClosed,
                  reason.empty() ? "cancelled" : reason, "request.cancel", "",
                  ""));
 }
--- a/Source/Core/Requests/request_service.cc
+++ b/Source/Core/Requests/request_service.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
+#include "Http/http_status.h"
 
 #include "Http/figflow_response.h"
 #include "Http/http_headers.h"
@@ -13,12 +14,6 @@
 namespace figflow {
 namespace {
 
-constexpr int kCreated = 201;
-constexpr int kAccepted = 202;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
 // After the bound of Stop: time for cancelled attempts to report.
 constexpr std::chrono::milliseconds kCancelGrace{1000};
 
@@ -32,13 +27,14 @@
 
 HttpResponse FromError(const Error& error) {
   const bool unknown_path = error.code == ErrorCode::kNotFound;
-  return NotRun(unknown_path ? kNotFound : kBadRequest,
-                unknown_path ? "unknown-path" : "malformed-request", error.step,
-                error.message);
+  return NotRun(
+      unknown_path ? http_status::kNotFound : http_status::kBadRequest,
+      unknown_path ? "unknown-path" : "malformed-request", error.step,
+      error.message);
 }
 
 HttpResponse Stopping() {
-  return NotRun(kUnavailable, "stopping", "request.admit",
+  return NotRun(http_status::kServiceUnavailable, "stopping", "request.admit",
                 "this entry instance accepts no new requests");
 }
 
@@ -100,7 +96,7 @@
   }
   if (target->route == CallerRoute::kTicket) {
     HttpResponse response =
-        NotRun(kCreated, "ticket-issued", "ticket.issue", "");
+        NotRun(http_status::kCreated, "ticket-issued", "ticket.issue", "");
     response.body =
         nlohmann::json{
             {"ticket", context_.tickets.Issue(context_.clock.WallNow())}}
@@ -126,7 +122,7 @@
   const absl::optional<PoolId> pool = projects_.PoolOf(target.project);
   if (!pool) {
     exchange->Respond(
-        NotRun(kNotFound, "unknown-project", "request.admit", ""));
+        NotRun(http_status::kNotFound, "unknown-project", "request.admit", ""));
     return;
   }
   PrepareForTarget(request.headers);
@@ -150,7 +146,8 @@
                  exchange->Respond(std::move(result.response));
                });
   if (flow == nullptr) {
-    exchange->Respond(NotRun(kBadRequest, "request-id-in-use", "request.admit",
+    exchange->Respond(NotRun(http_status::kBadRequest, "request-id-in-use",
+                             "request.admit",
                              "an open request has this Figflow-Request-Id"));
     return;
   }
@@ -168,7 +165,7 @@
   const std::shared_ptr<RequestFlow> flow = registry_.Find(request_id);
   if (flow == nullptr) {
     exchange->Respond(
-        NotRun(kNotFound, "no-such-request", "request.cancel",
+        NotRun(http_status::kNotFound, "no-such-request", "request.cancel",
                "no open request at this entry instance has this id"));
     return;
   }
@@ -176,12 +173,13 @@
   flow->WaitForEnd([exchange](const Disposition* disposition) {
     if (disposition == nullptr) {
       exchange->Respond(MakeFigflowResponse(
-          {kConflict, Disposition::kUnknown, "already-answered",
+          {http_status::kConflict, Disposition::kUnknown, "already-answered",
            "request.cancel", "", "the target had answered the request"}));
       return;
     }
-    exchange->Respond(MakeFigflowResponse(
-        {kAccepted, *disposition, "cancelled", "request.cancel", "", ""}));
+    exchange->Respond(
+        MakeFigflowResponse({http_status::kAccepted, *disposition, "cancelled",
+                             "request.cancel", "", ""}));
   });
   flow->Cancel("cancelled");
 }
@@ -222,7 +220,8 @@
   }
   const absl::optional<PoolId> pool = projects_.PoolOf(relay.project);
   if (!pool) {
-    refuse(NotRun(kNotFound, "unknown-project", "request.admit", ""));
+    refuse(
+        NotRun(http_status::kNotFound, "unknown-project", "request.admit", ""));
     return;
   }
   FlowRequest flow_request;
@@ -252,7 +251,8 @@
                                   std::move(result.response.body), not_run});
                });
   if (flow == nullptr) {
-    refuse(NotRun(kBadRequest, "relay-id-in-use", "request.admit", ""));
+    refuse(NotRun(http_status::kBadRequest, "relay-id-in-use", "request.admit",
+                  ""));
     return;
   }
   flow->Begin();
--- a/Source/Core/Routing/sharded_dispatcher.h
+++ b/Source/Core/Routing/sharded_dispatcher.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/metrics.h"
 #include "Routing/dispatcher.h"
--- a/Source/Core/Routing/size_class_learner.h
+++ b/Source/Core/Routing/size_class_learner.h
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <string>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/clock.h"
 #include "Routing/quantile_sketch.h"
--- a/Source/Core/Routing/slot_accounts.h
+++ b/Source/Core/Routing/slot_accounts.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <optional>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/clock.h"
 #include "Common/strong_id.h"
--- a/Source/Core/Scheduling/dispatch_order.cc
+++ b/Source/Core/Scheduling/dispatch_order.cc
@@ -23,21 +23,21 @@
 constexpr int kLateFactor = 3;
 
 bool HasBegun(const Occurrence& occurrence) {
-  return std::any_of(
-      occurrence.stages.begin(), occurrence.stages.end(),
-      [](const Stage& stage) {
-        return stage.done > 0 ||
-               stage.waiting < static_cast<int>(stage.tasks.size());
-      });
+  return std::any_of(occurrence.stages.begin(), occurrence.stages.end(),
+                     [](const Stage& stage) {
+                       return stage.done > 0 ||
+                              stage.waiting <
+                                  static_cast<int>(stage.tasks.size());
+                     });
 }
 
+constexpr std::array<absl::string_view, 6> kUrgencyNames = {
+    "perpetual", "begun-in-time", "in-time", "last-chance", "late", "overdue"};
+
 }  // namespace
 
 absl::string_view UrgencyName(Urgency urgency) {
-  constexpr std::array<absl::string_view, 6> kNames = {
-      "perpetual",   "begun-in-time", "in-time",
-      "last-chance", "late",          "overdue"};
-  return kNames[static_cast<size_t>(urgency)];
+  return kUrgencyNames[static_cast<size_t>(urgency)];
 }
 
 WorkChain ChainOf(const JobSpec& spec,
@@ -105,9 +105,8 @@
 std::vector<size_t> DispatchSequence(const std::vector<DispatchRank>& ranks) {
   std::vector<size_t> sorted(ranks.size());
   std::iota(sorted.begin(), sorted.end(), size_t{0});
-  std::stable_sort(
-      sorted.begin(), sorted.end(),
-      [&](size_t a, size_t b) { return ranks[a] < ranks[b]; });
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [&](size_t a, size_t b) { return ranks[a] < ranks[b]; });
   const auto first_of = [&](Urgency urgency) {
     return std::find_if(sorted.begin(), sorted.end(), [&](size_t index) {
       return ranks[index].urgency >= urgency;
--- a/Source/Core/Scheduling/duration_model.cc
+++ b/Source/Core/Scheduling/duration_model.cc
@@ -42,8 +42,7 @@
   const double covariance = xy_ - weight_ * mean_x * mean_y;
   const double slope =
       std::clamp((covariance + kPrior) / (variance + kPrior), 0.0, 1.0);
-  const double predicted =
-      std::exp(mean_y + slope * (Log(estimate) - mean_x));
+  const double predicted = std::exp(mean_y + slope * (Log(estimate) - mean_x));
   return std::chrono::milliseconds(static_cast<int64_t>(predicted) + 1);
 }
 
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -5,7 +5,7 @@
 #include <tuple>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 #include "Scheduling/worker_state.h"
--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 #include "absl/strings/str_cat.h"
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/cbor.h"
 
@@ -16,10 +16,10 @@
 std::string FormatPoolReport(const PoolReport& report) {
   json workers = json::array();
   for (const WorkerLoad& load : report.workers) {
-    workers.push_back(json::array(
-        {load.worker, load.instance, load.tasks, load.perpetual_tasks,
-         load.used_millicores, load.capacity_millicores, load.evacuating,
-         load.usable}));
+    workers.push_back(
+        json::array({load.worker, load.instance, load.tasks,
+                     load.perpetual_tasks, load.used_millicores,
+                     load.capacity_millicores, load.evacuating, load.usable}));
   }
   return FormatCbor(json::array(
       {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -28,7 +28,7 @@
 struct SchedulerMetrics;
 
 // Records of one job in the store.
-struct StoredJob {
+struct JobRecords {
   std::string accepted;
   // Later than the progress in `accepted`; empty if there is none.
   std::string progress;
@@ -65,7 +65,7 @@
 
   // Takes over the pool's jobs. Records that cannot be read are logged and left
   // alone in the store.
-  void Load(const std::map<std::string, StoredJob>& records,
+  void Load(const std::map<std::string, JobRecords>& records,
             MonoTime now,
             WallTime wall);
 
@@ -150,7 +150,7 @@
 
   // pool_scheduler_jobs.cc
   void LoadJob(const std::string& id,
-               const StoredJob& record,
+               const JobRecords& record,
                MonoTime now,
                WallTime wall);
   void MarkChanged(const std::shared_ptr<Job>& job);
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -191,9 +191,8 @@
   std::vector<bool> allowed(board.workers.size(), true);
   if (has_policy) {
     for (size_t i = 0; i < board.workers.size(); ++i) {
-      allowed[i] = !stage.advice
-                        .TicketFor(board.workers[i]->report.key, now)
-                        .empty();
+      allowed[i] =
+          !stage.advice.TicketFor(board.workers[i]->report.key, now).empty();
     }
   }
   std::vector<std::pair<int, int>> chosen;
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -20,9 +20,7 @@
 
 // Not known to be at work. What runs on a worker that does not answer may be
 // gone already.
-bool IsAway(const WorkerState* worker,
-            const Task& task,
-            const TaskRef& ref) {
+bool IsAway(const WorkerState* worker, const Task& task, const TaskRef& ref) {
   if (task.phase != TaskPhase::kRunning || task.percent < kAtWork ||
       worker == nullptr || worker->misses > 0) {
     return true;
@@ -129,9 +127,9 @@
     load.worker = key.id;
     load.instance = worker->report.instance;
     load.tasks = static_cast<int>(worker->tasks.size() + worker->stops.size());
-    load.perpetual_tasks = static_cast<int>(std::count_if(
-        worker->tasks.begin(), worker->tasks.end(),
-        [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+    load.perpetual_tasks = static_cast<int>(
+        std::count_if(worker->tasks.begin(), worker->tasks.end(),
+                      [](const TaskRef& ref) { return ref.Spec().perpetual; }));
     for (const TaskRef& ref : worker->tasks) {
       report.perpetual_millicores +=
           ref.Spec().perpetual ? CountedSize(ref.Spec()).cpu_millicores : 0;
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -26,7 +26,7 @@
 
 PoolScheduler::~PoolScheduler() = default;
 
-void PoolScheduler::Load(const std::map<std::string, StoredJob>& records,
+void PoolScheduler::Load(const std::map<std::string, JobRecords>& records,
                          MonoTime now,
                          WallTime wall) {
   for (const auto& [id, record] : records) {
@@ -35,7 +35,7 @@
 }
 
 void PoolScheduler::LoadJob(const std::string& id,
-                            const StoredJob& record,
+                            const JobRecords& record,
                             MonoTime now,
                             WallTime wall) {
   std::shared_ptr<Job> job;
@@ -245,8 +245,8 @@
 void PoolScheduler::AddOffered(double millicore_ms, MonoTime now) {
   const auto passed =
       std::chrono::duration<double, std::milli>(now - offered_at_);
-  offered_ *= std::exp(-passed.count() /
-                       static_cast<double>(kOfferedWindow.count()));
+  offered_ *=
+      std::exp(-passed.count() / static_cast<double>(kOfferedWindow.count()));
   offered_at_ = now;
   offered_ += millicore_ms;
 }
--- /dev/null
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -0,0 +1,233 @@
+// What the answers of workers say about runs.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Scheduling/pool_scheduler.h"
+#include "Scheduling/scheduler_metrics.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {}  // namespace
+
+void PoolScheduler::AdvanceNotes(WorkerState& worker) {
+  while (!worker.notes.empty()) {
+    const EndNote& note = worker.notes.front();
+    if (note.job != nullptr && note.job->durable_version < note.version) {
+      return;
+    }
+    worker.acknowledged = note.number;
+    worker.notes.pop_front();
+  }
+}
+
+void PoolScheduler::ApplyEnd(WorkerState& worker,
+                             const EndedRun& end,
+                             MonoTime now) {
+  EndStop(worker, end.name, end.run);
+  EndNote note;
+  note.number = end.number;
+  const std::optional<TaskRef> ref = FindTask(end.name);
+  const bool current = ref && ref->Get().worker == &worker &&
+                       ref->Get().run == end.run &&
+                       ref->Get().phase != TaskPhase::kDone;
+  // The worker was given up before it could tell that its run was done, and no
+  // other run has begun.
+  const bool done_after_all = ref && end.end == RunResult::kDone &&
+                              ref->Get().phase == TaskPhase::kWaiting &&
+                              ref->Get().run == end.run && !ref->Spec().gang &&
+                              !ref->Spec().perpetual;
+  // The first copy to finish counts.
+  const bool copy_done = ref && !current && end.end == RunResult::kDone &&
+                         ref->Spec().speculative && !ref->Spec().gang &&
+                         ref->Get().phase != TaskPhase::kDone;
+  if (done_after_all || copy_done) {
+    const Task& task = ref->Get();
+    if (task.worker != nullptr && task.phase != TaskPhase::kPlanned) {
+      RequestStop(*task.worker, end.name, task.run, Resources(), now);
+    }
+    CompleteTask(*ref, now);
+    note.job = ref->job;
+    note.version = ref->job->version;
+  }
+  if (current) {
+    Task& task = ref->Get();
+    if (!end.checkpoint.empty()) {
+      task.checkpoint = end.checkpoint;
+    }
+    switch (end.end) {
+      case RunResult::kDone: {
+        stats_->runs_done.Add();
+        worker.health.OnDone(now);
+        if (ref->Spec().perpetual) {
+          ReturnTask(*ref, now);
+          break;
+        }
+        if (task.phase == TaskPhase::kRunning && task.checkpoint.empty()) {
+          durations_[ref->job->spec.queue].Learn(
+              ref->Spec().estimate,
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  now - task.since));
+        }
+        if (!ref->Spec().gang) {
+          CompleteTask(*ref, now);
+          break;
+        }
+        // One member's end stands for the whole gang.
+        const int members = ref->Spec().count;
+        for (int i = 0; i < members; ++i) {
+          CompleteTask({ref->job, ref->occurrence, ref->stage, i}, now);
+        }
+        break;
+      }
+      case RunResult::kFailed:
+        worker.health.OnFailed(now);
+        FailTask(*ref, worker, now);
+        break;
+      case RunResult::kStopped:
+        ReturnTask(*ref, now);
+        break;
+      case RunResult::kLapsed:
+      case RunResult::kBroken:
+      case RunResult::kAlone:
+        stats_->runs_lapsed.Add();
+        LogEvent(LogLevel::kWarning, LogCategory::kJobs, "run_broken_off",
+                 {{"task", TaskText(end.name)},
+                  {"run", absl::StrCat(end.run)},
+                  {"worker", worker.report.key.id},
+                  {"how", std::string(RunResultName(end.end))}});
+        ReturnTask(*ref, now);
+        break;
+    }
+    note.job = ref->job;
+    note.version = ref->job->version;
+  }
+  worker.notes.push_back(std::move(note));
+}
+
+void PoolScheduler::ApplyRunning(WorkerState& worker,
+                                 const WorkerStatus& status,
+                                 MonoTime sent_at,
+                                 MonoTime now) {
+  std::set<TaskRef> seen;
+  std::set<std::pair<std::string, uint32_t>> present;
+  for (const RunningTask& running : status.running) {
+    const std::optional<TaskRef> ref = FindTask(running.name);
+    const bool wanted =
+        ref && ref->job->live() && ref->Get().worker == &worker &&
+        ref->Get().run == running.run && ref->Get().phase != TaskPhase::kDone;
+    present.insert({TaskText(running.name), running.run});
+    if (!wanted) {
+      const Resources size = ref ? CountedSize(ref->Spec()) : Resources();
+      RequestStop(worker, running.name, running.run, size, now);
+      continue;
+    }
+    Task& task = ref->Get();
+    seen.insert(*ref);
+    if (task.phase != TaskPhase::kRunning) {
+      task.phase = TaskPhase::kRunning;
+      task.since = now;
+      task.inherited = false;
+      ref->job->started = true;
+    }
+    task.percent = running.percent;
+    if (!running.checkpoint.empty()) {
+      task.checkpoint = running.checkpoint;
+    }
+  }
+  const std::set<TaskRef> tasks = worker.tasks;
+  for (const TaskRef& ref : tasks) {
+    Task& task = ref.Get();
+    if (seen.count(ref) > 0 || task.phase == TaskPhase::kPlanned) {
+      continue;
+    }
+    // A run confirmed before this hold was sent, and not listed in its answer,
+    // is gone. A run that only an earlier owner ordered cannot begin any more:
+    // the worker knows the new fence.
+    const bool gone =
+        task.inherited ||
+        (task.since < sent_at &&
+         (task.phase == TaskPhase::kRunning || task.order_outdated));
+    if (gone && !worker.HasStop(ref.Name(), task.run)) {
+      stats_->runs_lost.Add();
+      ReturnTask(ref, now);
+    }
+  }
+  for (auto it = worker.stops.begin(); it != worker.stops.end();) {
+    const StopRequest& stop = (it++)->second;
+    if (!stop.accepted || sent_at < stop.accepted_at ||
+        present.count({TaskText(stop.task), stop.run}) > 0) {
+      continue;
+    }
+    const TaskName name = stop.task;
+    const uint32_t run = stop.run;
+    EndStop(worker, name, run);
+    const std::optional<TaskRef> ref = FindTask(name);
+    if (ref && ref->Get().worker == &worker && ref->Get().run == run) {
+      ReturnTask(*ref, now);
+    }
+  }
+}
+
+void PoolScheduler::ApplyStatus(WorkerState& worker,
+                                const WorkerStatus& status,
+                                MonoTime sent_at,
+                                MonoTime now) {
+  OnAnswered(worker, status.clock, now);
+  if (!worker.fenced) {
+    worker.fenced = true;
+    dispatch_wanted_ = true;
+    // An earlier owner's lease may be as long as the worker grants.
+    worker.latest_deadline = std::max(
+        worker.latest_deadline, status.clock + options_.bounds.longest_lease);
+  }
+  for (const EndedRun& end : status.ended) {
+    if (end.number > worker.read_ends) {
+      worker.read_ends = end.number;
+      ApplyEnd(worker, end, now);
+    }
+  }
+  ApplyRunning(worker, status, sent_at, now);
+  AdjustPace(worker, status, now);
+  AdvanceNotes(worker);
+}
+
+void PoolScheduler::OnHoldAnswer(const HoldOrder& order,
+                                 const Result<HoldAnswer>& answer,
+                                 MonoTime sent_at,
+                                 MonoTime now) {
+  WorkerState* worker = FindWorker(order.target.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->hold_in_flight = false;
+  if (!answer) {
+    OnUnanswered(*worker, now);
+    return;
+  }
+  const int64_t known = worker->report.key.incarnation;
+  const int64_t shown = answer->status.incarnation;
+  const bool replaced = answer->answer == StartAnswer::kReplaced ||
+                        (known != 0 && shown != 0 && known != shown);
+  if (replaced) {
+    EndWorker(*worker, "replaced", now);
+    worker->addressable = false;
+    return;
+  }
+  switch (answer->answer) {
+    case StartAnswer::kStarted:
+      worker->acknowledged_there =
+          std::max(worker->acknowledged_there, order.acknowledged);
+      ApplyStatus(*worker, answer->status, sent_at, now);
+      return;
+    case StartAnswer::kFenced:
+      deposed_ = true;
+      return;
+    default:
+      // The worker answers but tells nothing about its runs.
+      OnUnanswered(*worker, now);
+      return;
+  }
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/worker.cc
+++ b/Source/Core/Scheduling/worker.cc
@@ -31,7 +31,7 @@
          std::tie(b.job, b.occurrence, b.stage, b.index);
 }
 
-absl::string_view RunEndName(RunEnd end) {
+absl::string_view RunResultName(RunResult end) {
   return kEndNames[static_cast<size_t>(end)];
 }
 
--- a/Source/Core/Scheduling/worker.h
+++ b/Source/Core/Scheduling/worker.h
@@ -57,7 +57,7 @@
 bool operator==(const TaskName& a, const TaskName& b);
 
 // How a run ended.
-enum class RunEnd {
+enum class RunResult {
   kDone,
   // By its own fault or the worker's.
   kFailed,
@@ -71,7 +71,7 @@
   kAlone,
 };
 
-absl::string_view RunEndName(RunEnd end);
+absl::string_view RunResultName(RunResult end);
 
 struct RunningTask {
   TaskName name;
@@ -89,7 +89,7 @@
   uint64_t number = 0;
   TaskName name;
   uint32_t run = 0;
-  RunEnd end = RunEnd::kFailed;
+  RunResult end = RunResult::kFailed;
   std::string checkpoint;
 };
 
--- a/Source/Core/Settings/settings.cc
+++ b/Source/Core/Settings/settings.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <variant>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Settings/settings_table.h"
 #include "absl/strings/match.h"
@@ -25,9 +25,9 @@
 constexpr std::chrono::seconds kRequestGrace{2};
 
 // One name for each alternative of SettingMember.
-constexpr const char* kUnitNames[] = {"text", "ip:port", "list of ip:port",
-                                      "milliseconds", "whole number",
-                                      "number"};
+constexpr const char* kUnitNames[] = {
+    "text",         "ip:port",      "list of ip:port",
+    "milliseconds", "whole number", "number"};
 static_assert(std::variant_size_v<SettingMember> == std::size(kUnitNames));
 
 // Leaves of the document by dotted path.
--- a/Source/Core/Sheet/sheet_columns.cc
+++ b/Source/Core/Sheet/sheet_columns.cc
@@ -14,7 +14,6 @@
 constexpr size_t kMaxNameBytes = 40;
 // With the longest names, 4,000 rows still fit a store value of 1 MB.
 constexpr double kMaxInstances = 10'000;
-constexpr double kMinutesPerDay = 24 * 60;
 
 constexpr std::array<absl::string_view, 4> kPriorityNames = {"urgent", "high",
                                                              "normal", "low"};
--- a/Source/Core/Sheet/sheet_columns.h
+++ b/Source/Core/Sheet/sheet_columns.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <variant>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Sheet/sheet_document.h"
 #include "Sheet/sheet_fault.h"
@@ -13,6 +13,8 @@
 
 namespace figflow {
 
+inline constexpr int kMinutesPerDay = 24 * 60;
+
 using ColumnMember = std::variant<ProjectId SheetRow::*,
                                   TeamId SheetRow::*,
                                   PoolId SheetRow::*,
--- a/Source/Core/Sheet/sheet_diff.h
+++ b/Source/Core/Sheet/sheet_diff.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Sheet/sheet_document.h"
 
--- a/Source/Core/Sheet/sheet_document.h
+++ b/Source/Core/Sheet/sheet_document.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/error.h"
 #include "Common/strong_id.h"
--- a/Source/Core/Sheet/sheet_parser.cc
+++ b/Source/Core/Sheet/sheet_parser.cc
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr absl::string_view kRevisionMark = "#revision";
-constexpr int kMinutesPerDay = 24 * 60;
 
 int ColumnNumber(absl::string_view name) {
   for (size_t i = 0; i < kColumnCount; ++i) {
--- /dev/null
+++ b/Source/Core/precompiled.cc
@@ -0,0 +1,1 @@
+// The precompiled header needs a target of its own.
--- a/Source/Ctl/run.cc
+++ b/Source/Ctl/run.cc
@@ -2,7 +2,7 @@
 
 #include <ostream>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Ctl/options.h"
 #include "Ctl/output.h"
--- a/Source/Ctl/verbs.cc
+++ b/Source/Ctl/verbs.cc
@@ -8,7 +8,7 @@
 #include <random>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
@@ -22,7 +22,7 @@
 
 using Json = nlohmann::json;
 
-tl::unexpected<Error> Bad(std::string message) {
+tl::unexpected<Error> BadArguments(std::string message) {
   return Fail(ErrorCode::kInvalid, "ctl.arguments", "", std::move(message));
 }
 
@@ -75,12 +75,12 @@
   }
   std::istream& input = path == "-" ? std::cin : file;
   if (!input.good()) {
-    return Bad(absl::StrCat("cannot read ", path));
+    return BadArguments(absl::StrCat("cannot read ", path));
   }
   std::string csv((std::istreambuf_iterator<char>(input)),
                   std::istreambuf_iterator<char>());
   if (input.bad() || csv.empty()) {
-    return Bad(absl::StrCat(path, " cannot be read or is empty"));
+    return BadArguments(absl::StrCat(path, " cannot be read or is empty"));
   }
   return ApiCall{"POST", std::move(target), "text/csv", std::move(csv)};
 }
@@ -148,7 +148,7 @@
     // Parsed as JSON so that integers stay integers; the server checks ranges.
     const Json number = Json::parse(*value, nullptr, false);
     if (!value->empty() && !number.is_number()) {
-      return Bad(absl::StrCat(name, ": ", *value, " is not a number"));
+      return BadArguments(absl::StrCat(name, ": ", *value, " is not a number"));
     }
     if (!value->empty()) {
       job[name] = number;
--- a/Source/StandIns/Platform/answer.h
+++ b/Source/StandIns/Platform/answer.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 namespace figflow::standin {
 
--- a/Source/StandIns/Platform/fault_plan.h
+++ b/Source/StandIns/Platform/fault_plan.h
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <optional>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/clock.h"
 #include "Common/error.h"
--- a/Source/StandIns/Platform/fleet_model.h
+++ b/Source/StandIns/Platform/fleet_model.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/clock.h"
 #include "StandIns/Platform/answer.h"
--- a/Source/StandIns/Platform/key_value_model.h
+++ b/Source/StandIns/Platform/key_value_model.h
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/clock.h"
 #include "StandIns/Platform/answer.h"
--- a/Source/StandIns/Platform/standin_settings.cc
+++ b/Source/StandIns/Platform/standin_settings.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Platform/fleet_json.h"
 
--- a/Source/StandIns/Target/target_state.cc
+++ b/Source/StandIns/Target/target_state.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 namespace figflow {
 namespace {
--- a/Source/UnitTests/Admin/admin_router_test.cc
+++ b/Source/UnitTests/Admin/admin_router_test.cc
@@ -2,7 +2,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Admin/fake_admin_backend.h"
 
--- a/Source/UnitTests/Fleet/fleet_test_support.h
+++ b/Source/UnitTests/Fleet/fleet_test_support.h
@@ -50,6 +50,14 @@
   }
 }
 
+// Starts three daemons and lets them settle who owns which pool.
+inline void Begin(ModelFleet& fleet, int pools, int each, int spare) {
+  fleet.SetPlan(SimplePlan(pools));
+  AddInstances(fleet, pools, each, spare);
+  fleet.AddDaemons(3);
+  fleet.Run(std::chrono::seconds(2));
+}
+
 // No promise was broken, and every accepted job has ended.
 inline void AssertKept(const ModelFleet& fleet) {
   CPPUNIT_ASSERT_EQUAL(std::string(),
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_work_test.cc
@@ -0,0 +1,392 @@
+// Faults of workers and the kinds of work that need more than one of them: the
+// whole engine against the model of the platform.
+#include <algorithm>
+#include <string>
+
+#include "Fleet/fleet_test_support.h"
+
+namespace figflow::test {
+namespace {
+
+class FleetWorkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetWorkTest);
+  CPPUNIT_TEST(SilentWorkerIsNotReplacedTooEarly);
+  CPPUNIT_TEST(WorkerWithLostAnswers);
+  CPPUNIT_TEST(OrdersCarriedOutLate);
+  CPPUNIT_TEST(CrashedIdleWorkerIsAskedAgain);
+  CPPUNIT_TEST(GreyWorkerFailsNoJob);
+  CPPUNIT_TEST(HopelessJobFails);
+  CPPUNIT_TEST(CancelledJobStops);
+  CPPUNIT_TEST(DrainingWorkerGetsNothing);
+  CPPUNIT_TEST(MovedWorkerGetsNoTasks);
+  CPPUNIT_TEST(PeakBorrowsInstances);
+  CPPUNIT_TEST(WaveKeepsItsLimits);
+  CPPUNIT_TEST(WaveSurvivesItsKeeper);
+  CPPUNIT_TEST(GangRunsTogether);
+  CPPUNIT_TEST(GangLosesAMember);
+  CPPUNIT_TEST(PolicyTicketsAreCarried);
+  CPPUNIT_TEST(FillersArePacedBeforeHarm);
+  CPPUNIT_TEST(SpeculativeTaskDoesNotWaitForALease);
+  CPPUNIT_TEST(ScheduledJobRunsInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A worker that nobody reaches runs on until its lease ends, on a clock that
+  // is 2% slow.
+  void SilentWorkerIsNotReplacedTooEarly() {
+    ModelFleet fleet(14);
+    Begin(fleet, 1, 3, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(5), false};
+    };
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      fleet.workers.Find(id)->clock_rate = 0.98;
+    }
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(100), 1, 4);
+    fleet.Run(seconds(2));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      if (!fleet.workers.Find(id)->running.empty()) {
+        fleet.workers.Find(id)->cut = true;
+        fleet.time.After(seconds(9),
+                         [&fleet, id] { fleet.workers.Find(id)->cut = false; });
+        break;
+      }
+    }
+    fleet.Run(seconds(60));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(10, fleet.promises.completed());
+  }
+
+  void WorkerWithLostAnswers() {
+    ModelFleet fleet(15);
+    Begin(fleet, 1, 3, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    const std::string id = fleet.workers.Ids("p0").front();
+    fleet.time.After(seconds(1), [&fleet, id] {
+      fleet.workers.Find(id)->answers_lost = true;
+    });
+    fleet.time.After(seconds(9), [&fleet, id] {
+      fleet.workers.Find(id)->answers_lost = false;
+    });
+    fleet.Run(seconds(50));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  void OrdersCarriedOutLate() {
+    ModelFleet fleet(16);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.faults.late_share = 0.1;
+    fleet.workers.faults.answer_lost_share = 0.05;
+    SubmitMany(fleet, "a", "q0", 80, milliseconds(100));
+    fleet.time.After(seconds(4), [&fleet] {
+      fleet.Kill(std::max(0, fleet.OwnerOf("p0")), seconds(1));
+    });
+    fleet.time.After(seconds(10), [&fleet] {
+      fleet.workers.faults.late_share = 0;
+      fleet.workers.faults.answer_lost_share = 0;
+    });
+    fleet.Run(seconds(60));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
+  }
+
+  // An idle worker that once gave no answer was never asked again, and got no
+  // task any more.
+  void CrashedIdleWorkerIsAskedAgain() {
+    ModelFleet fleet(17);
+    Begin(fleet, 1, 1, 0);
+    const std::string id = fleet.workers.Ids("p0").front();
+    fleet.workers.Find(id)->cut = true;
+    fleet.Submit(SimpleJob("a", "q0", 1, 2, 1'000), 0);
+    fleet.Run(seconds(8));
+    fleet.workers.Find(id)->cut = false;
+    fleet.Run(seconds(6));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
+  void GreyWorkerFailsNoJob() {
+    ModelFleet fleet(18);
+    Begin(fleet, 1, 4, 0);
+    const std::string id = fleet.workers.Ids("p0").front();
+    fleet.workers.Find(id)->grey = true;
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  void HopelessJobFails() {
+    ModelFleet fleet(19);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName& task) {
+      return model::TaskBehaviour{milliseconds(300), task.job == "bad"};
+    };
+    fleet.Submit(SimpleJob("bad", "q0", 1, 1, 1'000), 0);
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(100));
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    // The hopeless one has failed.
+    CPPUNIT_ASSERT_EQUAL(10, fleet.promises.completed());
+  }
+
+  void CancelledJobStops() {
+    ModelFleet fleet(20);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(20), false};
+    };
+    SubmitMany(fleet, "a", "q0", 10, milliseconds(50), 1, 4);
+    fleet.Run(seconds(2));
+    for (int i = 0; i < 10; ++i) {
+      fleet.Cancel("q0", absl::StrCat("a", i), i % 3);
+    }
+    fleet.Run(seconds(4));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      CPPUNIT_ASSERT(fleet.workers.Find(id)->running.empty());
+    }
+    AssertKept(fleet);
+  }
+
+  void DrainingWorkerGetsNothing() {
+    ModelFleet fleet(21);
+    Begin(fleet, 1, 2, 0);
+    const std::string id = fleet.workers.Ids("p0").front();
+    SubmitMany(fleet, "a", "q0", 40, milliseconds(100));
+    fleet.Run(seconds(1));
+    fleet.workers.Drain(id);
+    // Longer than a task takes.
+    fleet.Run(seconds(2));
+    CPPUNIT_ASSERT(fleet.workers.Find(id)->running.empty());
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+  }
+
+  // The registry lists a moved instance's old worker for 4.5 s more. It looked
+  // idle and got tasks, which then waited for its lease to end.
+  void MovedWorkerGetsNoTasks() {
+    ModelFleet fleet(22);
+    Begin(fleet, 2, 3, 6);
+    // p0 has a peak that its three workers cannot hold.
+    SubmitMany(fleet, "a", "q0", 120, milliseconds(25), 2, 6, 2'000);
+    // p1 gets a job every second; none of them may wait for a lease.
+    SubmitMany(fleet, "b", "q1", 20, milliseconds(500), 1, 4);
+    fleet.Run(seconds(12));
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(140, fleet.promises.completed());
+  }
+
+  void PeakBorrowsInstances() {
+    ModelFleet fleet(23);
+    Begin(fleet, 2, 4, 6);
+    SubmitMany(fleet, "a", "q0", 160, milliseconds(20), 2, 6, 2'000);
+    fleet.Run(seconds(4));
+    CPPUNIT_ASSERT(fleet.instances.CountIn("p0") >= 8);
+    fleet.Run(seconds(40));
+    AssertKept(fleet);
+    // They are given back when the peak is over.
+    CPPUNIT_ASSERT(fleet.instances.CountIn("p0") <= 6);
+  }
+
+  void WaveKeepsItsLimits() {
+    ModelFleet fleet(24);
+    Begin(fleet, 2, 5, 2);
+    StartPerpetual(fleet, "keep", "q0", 4);
+    SubmitMany(fleet, "a", "q0", 100, milliseconds(100));
+    fleet.Run(seconds(3));
+    const MaintenanceWave wave = StartWave(fleet, 12, 3);
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(12, fleet.instances.Maintained(wave.number));
+    const StoreItem* status =
+        fleet.store.Find(model::ModelWaveStatusKey(wave.number));
+    CPPUNIT_ASSERT(status != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), status->value);
+  }
+
+  // The successor must know which instances may be down.
+  void WaveSurvivesItsKeeper() {
+    ModelFleet fleet(25);
+    Begin(fleet, 2, 5, 2);
+    SubmitMany(fleet, "a", "q0", 100, milliseconds(100));
+    fleet.Run(seconds(3));
+    const MaintenanceWave wave = StartWave(fleet, 12, 2);
+    for (int i = 0; i < 4; ++i) {
+      fleet.time.After(milliseconds(1'000 + 5'000 * i), [&fleet] {
+        const int keeper = fleet.OwnerOf("@instances");
+        if (keeper >= 0) {
+          fleet.Kill(keeper, seconds(1));
+        }
+      });
+    }
+    fleet.Run(seconds(60));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(12, fleet.instances.Maintained(wave.number));
+  }
+
+  void GangRunsTogether() {
+    ModelFleet fleet(27);
+    Begin(fleet, 1, 4, 0);
+    for (int i = 0; i < 10; ++i) {
+      JobSpec spec = SimpleJob(absl::StrCat("g", i), "q0", 1, 6, 4'000);
+      spec.stages[0].gang = true;
+      fleet.time.After(milliseconds(100 * i),
+                       [&fleet, spec] { fleet.Submit(spec, 0); });
+    }
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(100), 1, 4);
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(30, fleet.promises.completed());
+  }
+
+  void GangLosesAMember() {
+    ModelFleet fleet(28);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(2), false};
+    };
+    JobSpec spec = SimpleJob("g", "q0", 1, 8, 4'000);
+    spec.stages[0].gang = true;
+    fleet.Submit(spec, 0);
+    fleet.Run(seconds(1));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      if (!fleet.workers.Find(id)->running.empty()) {
+        fleet.workers.Crash(id);
+        break;
+      }
+    }
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
+  void PolicyTicketsAreCarried() {
+    ModelFleet fleet(29);
+    FleetPlan plan = SimplePlan(1);
+    plan.queues[0].policy = PlacementPolicy();
+    fleet.SetPlan(plan);
+    AddInstances(fleet, 1, 4, 0);
+    fleet.AddDaemons(3);
+    fleet.Run(seconds(2));
+    // Half of the workers are allowed.
+    fleet.workers.allows = [](const TaskName&, const std::string& worker) {
+      return worker == "w1" || worker == "w3";
+    };
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(200), 2, 4);
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(20, fleet.promises.completed());
+  }
+
+  // A serving task must not be over its target for 4 s because of fillers.
+  void FillersArePacedBeforeHarm() {
+    ModelFleet fleet(30);
+    Begin(fleet, 1, 1, 0);
+    JobSpec serving = SimpleJob("s", "q0", 1, 1, 4'000);
+    serving.stages[0].perpetual = true;
+    serving.stages[0].latency_target = milliseconds(100);
+    JobSpec fillers = SimpleJob("f", "q0", 1, 4, 4'000);
+    fillers.stages[0].perpetual = true;
+    fillers.stages[0].filler = true;
+    // Each filler at full pace adds 40 ms to a tail of 30 ms.
+    fleet.workers.load = [](const model::ModelWorker& worker,
+                            const model::ModelWorker::Run& run) -> int64_t {
+      if (run.name.job != "s") {
+        return 0;
+      }
+      int64_t tail = 30;
+      for (const auto& [task, other] : worker.running) {
+        tail += other.filler ? 40 * other.pace / 100 : 0;
+      }
+      return tail;
+    };
+    fleet.Submit(serving, 0);
+    fleet.Submit(fillers, 1);
+    fleet.Run(seconds(5));
+    milliseconds over{0};
+    milliseconds longest{0};
+    for (int i = 0; i < 100; ++i) {
+      fleet.Run(milliseconds(100));
+      const model::ModelWorker& worker = *fleet.workers.Find("w1");
+      int64_t tail = 0;
+      int pace = 0;
+      for (const auto& [task, run] : worker.running) {
+        tail = std::max(tail, fleet.workers.load(worker, run));
+        pace += run.filler ? run.pace : 0;
+      }
+      over = tail > 100 ? over + milliseconds(100) : milliseconds(0);
+      longest = std::max(longest, over);
+    }
+    CPPUNIT_ASSERT(longest < seconds(2));
+    AssertKept(fleet);
+  }
+
+  // A copy may run while the first one is out of reach.
+  void SpeculativeTaskDoesNotWaitForALease() {
+    ModelFleet fleet(31);
+    Begin(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(2), false};
+    };
+    JobSpec spec = SimpleJob("s", "q0", 1, 4, 4'000);
+    spec.stages[0].speculative = true;
+    fleet.Submit(spec, 0);
+    fleet.Run(milliseconds(300));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      model::ModelWorker* worker = fleet.workers.Find(id);
+      worker->cut = !worker->running.empty();
+    }
+    // 1 s to notice, 2 s of work; a lease of 4 s would take longer.
+    fleet.Run(milliseconds(3'900));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+    AssertKept(fleet);
+  }
+
+  void ScheduledJobRunsInTime() {
+    ModelFleet fleet(32);
+    Begin(fleet, 1, 4, 0);
+    JobSpec spec = SimpleJob("t", "q0", 1, 2, 1'000);
+    spec.occurrences = 5;
+    spec.first_due = fleet.time.WallNow() + seconds(1);
+    spec.interval = seconds(2);
+    fleet.Submit(spec, 0);
+    fleet.Run(milliseconds(900));
+    CPPUNIT_ASSERT(fleet.workers.Find("w1")->running.empty());
+    fleet.time.After(seconds(3),
+                     [&fleet] { fleet.Kill(fleet.OwnerOf("p0"), seconds(1)); });
+    fleet.Run(seconds(25));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+  }
+
+ private:
+  static void StartPerpetual(ModelFleet& fleet,
+                             const std::string& id,
+                             const std::string& queue,
+                             int tasks) {
+    JobSpec spec = SimpleJob(id, queue, 1, tasks, 2'000);
+    spec.stages[0].perpetual = true;
+    spec.stages[0].max_unavailable = 1;
+    fleet.Submit(spec, 0);
+  }
+
+  static MaintenanceWave StartWave(ModelFleet& fleet, int count, int max_down) {
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.max_down = max_down;
+    wave.complete_within = seconds(25);
+    for (int i = 1; i <= count; ++i) {
+      wave.instances.push_back(absl::StrCat("m", i));
+    }
+    fleet.instances.SetWave(wave);
+    fleet.store.Put(model::ModelWaveKey(1), model::FormatModelWave(wave));
+    return wave;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetWorkTest);
+
+}  // namespace
+}  // namespace figflow::test
--- a/Source/UnitTests/Http/http_client_test.cc
+++ b/Source/UnitTests/Http/http_client_test.cc
@@ -254,8 +254,7 @@
     std::this_thread::sleep_for(milliseconds(20));
     client_->Cancel(id);
     CPPUNIT_ASSERT(result.get().response.error().code == ErrorCode::kCancelled);
-    CPPUNIT_ASSERT(SystemClock().Now() - start <
-                   milliseconds(400));
+    CPPUNIT_ASSERT(SystemClock().Now() - start < milliseconds(400));
     client_->Cancel(id);  // An ended transfer is left alone.
   }
 
--- a/Source/UnitTests/Instances/planners_test.cc
+++ b/Source/UnitTests/Instances/planners_test.cc
@@ -179,8 +179,7 @@
       load.evacuating = true;
       emptying.insert(load.instance);
     }
-    const WavePlan plan =
-        PlanWave(wave, {{"a", pool}}, {}, emptying, {}, kNow);
+    const WavePlan plan = PlanWave(wave, {{"a", pool}}, {}, emptying, {}, kNow);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, plan.begin.size());
   }
 
--- a/Source/UnitTests/Peer/peer_message_test.cc
+++ b/Source/UnitTests/Peer/peer_message_test.cc
@@ -4,7 +4,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 namespace figflow {
 namespace {
--- a/Source/UnitTests/Peer/peer_protocol_test.cc
+++ b/Source/UnitTests/Peer/peer_protocol_test.cc
@@ -3,7 +3,7 @@
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Peer/peer_test_node.h"
 #include "Peer/raw_peer.h"
--- a/Source/UnitTests/Peer/relay_table_test.cc
+++ b/Source/UnitTests/Peer/relay_table_test.cc
@@ -16,7 +16,7 @@
 const EntryId kPeer("b");
 constexpr uint64_t kPeerIncarnation = 5;
 constexpr LinkId kLink = 3;
-const MonoTime kStart = MonoTime() + std::chrono::hours(1);
+const MonoTime kRelayStart = MonoTime() + std::chrono::hours(1);
 
 RelayAnswerMessage AnswerTo(uint64_t id, uint64_t incarnation) {
   return RelayAnswerMessage{id, incarnation, RelayAnswer{200, {}, "ok", false},
@@ -73,15 +73,15 @@
      [](RelayTable& t, uint64_t) { t.FailLink(kLink + 1, "cut"); }, ""},
     {"deadline after sending", true,
      [](RelayTable& t, uint64_t id) {
-       CPPUNIT_ASSERT(t.Expire(kStart + milliseconds(99)).empty());
+       CPPUNIT_ASSERT(t.Expire(kRelayStart + milliseconds(99)).empty());
        CPPUNIT_ASSERT_EQUAL(size_t{1},
-                            t.Expire(kStart + milliseconds(100)).size());
+                            t.Expire(kRelayStart + milliseconds(100)).size());
        CPPUNIT_ASSERT(t.OnAnswer(kPeer, AnswerTo(id, 5)) == AnswerFate::kLate);
      },
      "unknown-outcome"},
     {"deadline before sending", false,
      [](RelayTable& t, uint64_t id) {
-       CPPUNIT_ASSERT(t.Expire(kStart + milliseconds(100)).empty());
+       CPPUNIT_ASSERT(t.Expire(kRelayStart + milliseconds(100)).empty());
        CPPUNIT_ASSERT(!t.MarkSent(id));
      },
      "unavailable"},
@@ -120,7 +120,7 @@
                          : std::string(ErrorCodeName(result.error().code));
       };
       const uint64_t id = *table.Add(RelayRoute{kPeer, kPeerIncarnation, kLink},
-                                     kStart + milliseconds(100), &done);
+                                     kRelayStart + milliseconds(100), &done);
       if (c.sent) {
         CPPUNIT_ASSERT(table.MarkSent(id));
       }
@@ -138,12 +138,12 @@
     for (const bool accepted : {true, true, false}) {
       RelayCallback done = [](const Result<RelayAnswer>&) {};
       CPPUNIT_ASSERT_EQUAL(
-          accepted,
-          table.Add(RelayRoute{kPeer, 5, kLink}, kStart, &done).has_value());
+          accepted, table.Add(RelayRoute{kPeer, 5, kLink}, kRelayStart, &done)
+                        .has_value());
     }
-    table.Expire(kStart);
+    table.Expire(kRelayStart);
     RelayCallback done = [](const Result<RelayAnswer>&) {};
-    CPPUNIT_ASSERT(table.Add(RelayRoute{kPeer, 5, kLink}, kStart, &done));
+    CPPUNIT_ASSERT(table.Add(RelayRoute{kPeer, 5, kLink}, kRelayStart, &done));
   }
 
   // Guards against a repeated request that runs a second time.
@@ -157,9 +157,9 @@
     CPPUNIT_ASSERT(served.Begin(1, 9) == Admission::kFull);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, served.DropLink(1).size());
     CPPUNIT_ASSERT(!served.IsServed(1, 7));
-    CPPUNIT_ASSERT(!served.AwaitNone(kStart, kStart));
+    CPPUNIT_ASSERT(!served.AwaitNone(kRelayStart, kRelayStart));
     served.End(2, 7);
-    CPPUNIT_ASSERT(served.AwaitNone(kStart, kStart));
+    CPPUNIT_ASSERT(served.AwaitNone(kRelayStart, kRelayStart));
   }
 };
 
--- a/Source/UnitTests/Platform/key_value_store_test.cc
+++ b/Source/UnitTests/Platform/key_value_store_test.cc
@@ -12,7 +12,7 @@
 using test::FakeKeyValueStore;
 using WriteFault = FakeKeyValueStore::WriteFault;
 
-constexpr milliseconds kTimeout{100};
+constexpr milliseconds kStoreTimeout{100};
 
 bool SameValue(absl::string_view stored, absl::string_view written) {
   return stored == written;
@@ -48,7 +48,7 @@
       FakeKeyValueStore store;
       if (c.racing_writer) {
         store.BeforeNextWrite([&store] {
-          (void)store.CompareAndSwap("k", 0, "other", kTimeout);
+          (void)store.CompareAndSwap("k", 0, "other", kStoreTimeout);
         });
       }
       // The racing write runs first and must not consume the fault.
@@ -58,8 +58,8 @@
         store.QueueWriteFault(WriteFault::kNone);
         store.QueueWriteFault(c.fault);
       }
-      const Result<uint64_t> written =
-          CompareAndSwapSettled(store, "k", 0, "mine", kTimeout, SameValue);
+      const Result<uint64_t> written = CompareAndSwapSettled(
+          store, "k", 0, "mine", kStoreTimeout, SameValue);
       const std::string error =
           written ? "" : std::string(ErrorCodeName(written.error().code));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, std::string(c.error), error);
--- a/Source/UnitTests/Platform/platform_client_test.cc
+++ b/Source/UnitTests/Platform/platform_client_test.cc
@@ -20,7 +20,7 @@
 using std::chrono::milliseconds;
 using test::CodeOf;
 
-constexpr milliseconds kTimeout{2'000};
+constexpr milliseconds kClientTimeout{2'000};
 
 // Answers the first request on its first connection and closes that connection
 // after reading the second. Further connections get complete answers.
@@ -94,7 +94,8 @@
       DyingServer server;
       MetricsRegistry metrics;
       PlatformClient client(server.address(), metrics);
-      const PlatformCall call{"kv.test", c.effect, "/", {{"a", 1}}, kTimeout};
+      const PlatformCall call{
+          "kv.test", c.effect, "/", {{"a", 1}}, kClientTimeout};
       CPPUNIT_ASSERT_EQUAL(std::string("ok"), CodeOf(client.Call(call)));
       CPPUNIT_ASSERT_EQUAL(std::string(c.code), CodeOf(client.Call(call)));
       CPPUNIT_ASSERT_EQUAL(c.requests, server.requests());
@@ -109,7 +110,8 @@
     for (const CallEffect effect : {CallEffect::kWrite, CallEffect::kRead}) {
       CPPUNIT_ASSERT_EQUAL(
           std::string("unavailable"),
-          CodeOf(client.Call({"kv.test", effect, "/", {{"a", 1}}, kTimeout})));
+          CodeOf(client.Call(
+              {"kv.test", effect, "/", {{"a", 1}}, kClientTimeout})));
     }
     CPPUNIT_ASSERT_EQUAL(
         uint64_t{2},
--- a/Source/UnitTests/Process/cluster.h
+++ b/Source/UnitTests/Process/cluster.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Process/child_process.h"
 #include "Process/http_call.h"
--- a/Source/UnitTests/Scheduling/overload_test.cc
+++ b/Source/UnitTests/Scheduling/overload_test.cc
@@ -86,6 +86,7 @@
       }
     }
     std::vector<DispatchRank> ranks;
+    ranks.reserve(order.size());
     for (const size_t index : order) {
       ranks.push_back(
           rank_of(*jobs[index].job, jobs[index].job->occurrences.at(0), now));
@@ -115,13 +116,12 @@
     queue.stretch = 1.6;
     queue.objective = milliseconds(600);
     const DurationModel durations;
-    const Replay by_urgency =
-        ReplayPeaks([&](const Job& job, const Occurrence& occurrence,
-                        MonoTime now) {
+    const Replay by_urgency = ReplayPeaks(
+        [&](const Job& job, const Occurrence& occurrence, MonoTime now) {
           return RankOf(job, occurrence, &queue, durations, now);
         });
-    const Replay by_arrival = ReplayPeaks(
-        [](const Job& job, const Occurrence&, MonoTime) {
+    const Replay by_arrival =
+        ReplayPeaks([](const Job& job, const Occurrence&, MonoTime) {
           DispatchRank rank;
           rank.key = job.arrived;
           return rank;
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <nlohmann/json.hpp>
+#include "Common/json.h"
 
 #include "Common/metrics.h"
 #include "Http/http_transport.h"
@@ -139,21 +139,20 @@
         R"({"Key":"k/2","Revision":10,"Tombstone":true}],"StoreRevision":10})";
     Result<StoreChanges> changes = Fail(ErrorCode::kInternal, "", "", "");
     store_.Watch("k/", 8, milliseconds(100),
-                 [&](Result<StoreChanges> result) { changes = result; });
+                 [&](const Result<StoreChanges>& result) { changes = result; });
     CPPUNIT_ASSERT(changes.has_value());
     CPPUNIT_ASSERT(!changes->changes[0].removed);
     CPPUNIT_ASSERT(changes->changes[1].removed);
     transport_.status = 410;
     store_.Watch("k/", 8, milliseconds(100),
-                 [&](Result<StoreChanges> result) { changes = result; });
+                 [&](const Result<StoreChanges>& result) { changes = result; });
     CPPUNIT_ASSERT(changes->history_lost);
     transport_.status = 200;
-    transport_.body =
-        R"({"items":[{"Key":"k/1","Value":"!!","Revision":9}],)"
-        R"("Truncated":true,"StoreRevision":11})";
+    transport_.body = R"({"items":[{"Key":"k/1","Value":"!!","Revision":9}],)"
+                      R"("Truncated":true,"StoreRevision":11})";
     Result<RangePage> page = Fail(ErrorCode::kInternal, "", "", "");
     store_.Range("k/", "k/0 &", milliseconds(100),
-                 [&](Result<RangePage> result) { page = result; });
+                 [&](const Result<RangePage>& result) { page = result; });
     CPPUNIT_ASSERT(page->truncated);
     // Bytes that are no base64 are an empty value, which no decoder takes.
     CPPUNIT_ASSERT(page->items[0].value.empty());
@@ -223,8 +222,8 @@
     CPPUNIT_ASSERT_EQUAL(41, status.running[0].percent);
     CPPUNIT_ASSERT_EQUAL(int64_t{1'976}, status.running[0].load);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, status.ended.size());
-    CPPUNIT_ASSERT(status.ended[0].end == RunEnd::kDone);
-    CPPUNIT_ASSERT(status.ended[1].end == RunEnd::kLapsed);
+    CPPUNIT_ASSERT(status.ended[0].end == RunResult::kDone);
+    CPPUNIT_ASSERT(status.ended[1].end == RunResult::kLapsed);
     const json body = transport_.LastBody();
     CPPUNIT_ASSERT_EQUAL(57, body["LastSeen"].get<int>());
     // Without a deadline the lease is left alone.
@@ -249,14 +248,15 @@
     question.stage.stage = 1;
     question.workers = {{"i-1", 1}, {"i-2", 1}};
     workers_.Ask(question,
-                 [&](Result<PolicyAnswer> result) { answer = result; });
+                 [&](const Result<PolicyAnswer>& result) { answer = result; });
     CPPUNIT_ASSERT(answer.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("t-1"), answer->allowed[0].ticket);
     CPPUNIT_ASSERT(answer->lifetime == milliseconds(3'000));
     CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.0.1"),
                          transport_.LastBody()["Step"].get<std::string>());
     transport_.status = 429;
-    workers_.Ask(PolicyQuestion(), [&](Result<PolicyAnswer> result) { answer = result; });
+    workers_.Ask(PolicyQuestion(),
+                 [&](const Result<PolicyAnswer>& result) { answer = result; });
     CPPUNIT_ASSERT(!answer.has_value());
   }
 
@@ -274,7 +274,7 @@
     CPPUNIT_ASSERT(list.has_value());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, list->size());
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), (*list)[0].worker);
-    CPPUNIT_ASSERT((*list)[1].state == InstanceState::kMaintenance);
+    CPPUNIT_ASSERT((*list)[1].state == InstanceStatus::kMaintenance);
     transport_.body = "nonsense";
     instances_.List(read);
     CPPUNIT_ASSERT(!list.has_value());
@@ -301,7 +301,7 @@
       Result<InstanceAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
       instances_.Maintain(
           {"m-1", "", 3, "holder", 12},
-          [&](Result<InstanceAnswer> result) { answer = result; });
+          [&](const Result<InstanceAnswer>& result) { answer = result; });
       CPPUNIT_ASSERT(answer.has_value());
       CPPUNIT_ASSERT(*answer == test.answer);
     }
@@ -313,8 +313,9 @@
  private:
   Result<TransactionResult> Commit(const Transaction& transaction) {
     Result<TransactionResult> read = Fail(ErrorCode::kInternal, "", "", "");
-    store_.Commit(transaction, milliseconds(100),
-                  [&](Result<TransactionResult> result) { read = result; });
+    store_.Commit(
+        transaction, milliseconds(100),
+        [&](const Result<TransactionResult>& result) { read = result; });
     return read;
   }
 
@@ -338,7 +339,7 @@
     order.deadline = milliseconds(486'000);
     Result<OrderAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
     workers_.Start(order,
-                   [&](Result<OrderAnswer> result) { answer = result; });
+                   [&](const Result<OrderAnswer>& result) { answer = result; });
     return answer;
   }
 
@@ -347,7 +348,8 @@
     order.target = Target();
     order.acknowledged = 57;
     Result<HoldAnswer> answer = Fail(ErrorCode::kInternal, "", "", "");
-    workers_.Hold(order, [&](Result<HoldAnswer> result) { answer = result; });
+    workers_.Hold(order,
+                  [&](const Result<HoldAnswer>& result) { answer = result; });
     return answer;
   }
 
--- a/Source/UnitTests/Wire/codec_test.cc
+++ b/Source/UnitTests/Wire/codec_test.cc
@@ -67,7 +67,8 @@
     CPPUNIT_ASSERT(plan.pools[1].spare);
     CPPUNIT_ASSERT(!wire::ParsePlan("{}").has_value());
     CPPUNIT_ASSERT(!wire::ParsePlan("no json").has_value());
-    CPPUNIT_ASSERT(!wire::ParsePlan(R"({"Version":"x","Routes":[]})").has_value());
+    CPPUNIT_ASSERT(
+        !wire::ParsePlan(R"({"Version":"x","Routes":[]})").has_value());
   }
 
   void WorkerIsRead() {
--- a/Tools/test.sh
+++ b/Tools/test.sh
@@ -15,8 +15,13 @@
   echo "== $label: done in $((SECONDS - start)) s"
 }
 
+# build DIR SANITIZER TYPE: compiles file by file, so that a missing include shows.
+# Sanitizer builds compile several files at once: they repeat what was compiled.
 build() {
-  cmake -S . -B "$1" -G Ninja -DFIGFLOW_SANITIZER="$2" -DCMAKE_BUILD_TYPE="$3" >/dev/null
+  local unity=OFF
+  if [ -n "$2" ]; then unity=ON; fi
+  cmake -S . -B "$1" -G Ninja -DFIGFLOW_SANITIZER="$2" -DCMAKE_BUILD_TYPE="$3" \
+    -DCMAKE_UNITY_BUILD=$unity >/dev/null
   cmake --build "$1" --parallel "$(nproc)"
 }
 
@@ -25,7 +30,7 @@
 }
 
 step "build" build build "" RelWithDebInfo
-step "lint" Tools/lint.sh build
+step "lint" Tools/lint.sh
 step "build for AddressSanitizer" build build-asan address Debug
 step "build for ThreadSanitizer" build build-tsan thread RelWithDebInfo
 step "unit tests under AddressSanitizer and UBSan" run_tests build-asan -LE process
