Keep callers out of doubt while peers or the store are away

Change: a job goes to a daemon only if it has answered within the last second; else a ping goes first. A daemon that the store does not answer asks all others at once whether it answers them, relays only to those, and refuses at once if there are none. Probes of a silent store overlap, and its return restarts the watches. Retry-After grows with the age of the outage, as far as the patience of the caller allows.

Ruled out: a longer Retry-After alone (callers of this site try for 3 s only).

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -6,6 +6,7 @@
 
 #include "Common/log.h"
 #include "Fleet/peer_calls.h"
+#include "Fleet/retry_advice.h"
 #include "Fleet/route_choice.h"
 #include "Http/http_status.h"
 #include "Ownership/owner_record.h"
@@ -19,27 +20,22 @@
 constexpr std::chrono::milliseconds kRefuseAfter{450};
 // Reads and cancellations wait for an owner longer: refusing them helps nobody.
 constexpr std::chrono::milliseconds kReadPatience{2'000};
+// A job that a peer has passed on is handed back sooner, so that the peer can
+// try another way within its own time.
+constexpr std::chrono::milliseconds kRelayPatience{150};
 constexpr std::chrono::milliseconds kTryAgain{40};
 // Time for the answer to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kAnswerMargin{150};
-// A peer that has not answered by then is asked again on a new connection.
-constexpr std::chrono::milliseconds kPeerTimeout{500};
-// Later than any claim.
-constexpr uint64_t kAnyClaim = std::numeric_limits<uint64_t>::max();
 // A daemon that hears from the store knows the owners at most this late.
 constexpr std::chrono::milliseconds kStaleAfter{3'000};
 constexpr std::chrono::milliseconds kStoreReadTimeout{500};
 constexpr std::chrono::milliseconds kDefaultPatience{3'000};
-// Told to callers whose job was refused because no owner was there: a take-over
-// after a crash takes 2 s.
-constexpr std::chrono::milliseconds kComeBack{1'000};
-
-constexpr char kAskStep[] = "peer.pool";
 
 CallerReply Unavailable(std::string reason) {
   CallerReply reply;
   reply.outcome = CallOutcome::kUnavailable;
-  reply.retry_after = kComeBack;
+  reply.retry_after =
+      ComeBackAfter(std::chrono::milliseconds(0), kDefaultPatience, "");
   reply.reason = std::move(reason);
   return reply;
 }
@@ -54,24 +50,6 @@
 
 }  // namespace
 
-// One call on its way to the owner of its pool.
-struct CallRouter::Routed {
-  CallerCall call;
-  std::string spec_bytes;
-  // A peer passed it on.
-  bool relayed = false;
-  MonoTime arrived;
-  MonoTime deadline;
-  // After this time a call that has certainly had no effect is refused.
-  MonoTime give_up;
-  RouteAttempts attempts;
-  // Latest claim of an owner to which an attempt was sent that got no answer:
-  // it may have taken effect, or may still do so. 0 if there is none. An owner
-  // with a later claim knows what became of it.
-  uint64_t unanswered_by = 0;
-  Reply respond;
-};
-
 CallRouter::CallRouter(FleetEngine& engine,
                        PlatformAdapter& platform,
                        HttpTransport& peers,
@@ -127,14 +105,20 @@
   routed->deadline =
       routed->arrived + std::max(patience - kAnswerMargin, patience / 2);
   const bool submit = routed->call.kind == CallKind::kSubmit;
-  routed->give_up =
-      std::min(routed->deadline,
-               routed->arrived + (submit ? kRefuseAfter : kReadPatience));
+  const std::chrono::milliseconds wait = !submit           ? kReadPatience
+                                         : routed->relayed ? kRelayPatience
+                                                           : kRefuseAfter;
+  routed->give_up = std::min(routed->deadline, routed->arrived + wait);
   Try(routed);
 }
 
-void CallRouter::Try(const std::shared_ptr<Routed>& routed) {
-  const std::string& pool = routed->call.pool;
+RouteView CallRouter::ViewFor(const Routed& routed) {
+  const std::string& pool = routed.call.pool;
+  const MonoTime now = clock_.Now();
+  const bool away = engine_.StoreSilence(now) > kStoreAway;
+  if (away) {
+    SurveyPeers(now);
+  }
   RouteView view;
   const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(pool);
   view.owned_here = runner != nullptr && runner->TakesCallsNow();
@@ -143,10 +127,42 @@
     view.owner = PeerAddress{owner->record.entry, owner->record.address};
     view.owner_claim = owner->revision;
   }
-  view.stale = clock_.Now() - engine_.OwnersFreshAt() > kStaleAfter;
-  view.peers = engine_.Peers();
-  view.relayed = routed->relayed;
+  view.stale = away || now - engine_.OwnersFreshAt() > kStaleAfter;
+  for (PeerAddress& peer : engine_.Peers()) {
+    // Without the store this daemon knows no more than the others: one that
+    // the store answers can help.
+    const bool helps = away ? peer_health_.StoreAnswers(peer.address, now)
+                            : peer_health_.StateOf(peer.address, now) !=
+                                  PeerHealth::State::kSilent;
+    if (helps) {
+      view.peers.push_back(std::move(peer));
+    }
+  }
+  view.relayed = routed.relayed;
+  return view;
+}
+
+void CallRouter::TryNext(const std::shared_ptr<Routed>& routed) {
+  const RouteView view = ViewFor(*routed);
   const RouteChoice choice = ChooseRoute(view, routed->attempts);
+  const bool tried_before =
+      choice.step == RouteChoice::Step::kOwner &&
+      routed->attempts.failed_claims.count(view.owner_claim) > 0;
+  if (tried_before) {
+    TryLater(routed);
+  } else {
+    Follow(routed, view, choice);
+  }
+}
+
+void CallRouter::Try(const std::shared_ptr<Routed>& routed) {
+  const RouteView view = ViewFor(*routed);
+  Follow(routed, view, ChooseRoute(view, routed->attempts));
+}
+
+void CallRouter::Follow(const std::shared_ptr<Routed>& routed,
+                        const RouteView& view,
+                        const RouteChoice& choice) {
   switch (choice.step) {
     case RouteChoice::Step::kHere:
       AnswerHere(
@@ -167,48 +183,6 @@
   }
 }
 
-void CallRouter::TryPeer(const std::shared_ptr<Routed>& routed,
-                         const std::string& address,
-                         uint64_t claim) {
-  const MonoTime now = clock_.Now();
-  PeerCall call;
-  call.call = routed->call;
-  call.spec_bytes = routed->spec_bytes;
-  call.relay = claim == 0;
-  call.call.patience = std::chrono::duration_cast<std::chrono::milliseconds>(
-      routed->deadline - now);
-  TransferRequest transfer;
-  transfer.address = address;
-  transfer.message = std::make_shared<HttpRequest>(FormatPeerCall(call));
-  transfer.deadline = std::min(routed->deadline, now + kPeerTimeout);
-  peers_.Start(
-      std::move(transfer), [this, routed, claim](const TransferResult& result) {
-        if (result.response) {
-          const Result<CallerReply> reply = ParsePeerReply(*result.response);
-          if (reply) {
-            if (reply->outcome == CallOutcome::kUnavailable) {
-              routed->attempts.failed_claims.insert(claim);
-            }
-            OnReply(routed, *reply);
-            return;
-          }
-        }
-        metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
-        routed->attempts.failed_claims.insert(claim);
-        if (result.sent) {
-          // A relay may have passed the call to an owner that this daemon does
-          // not know.
-          routed->unanswered_by =
-              std::max(routed->unanswered_by, claim == 0 ? kAnyClaim : claim);
-        }
-        if (routed->call.kind == CallKind::kQuery) {
-          TryStore(routed);
-        } else {
-          TryLater(routed);
-        }
-      });
-}
-
 void CallRouter::TryStore(const std::shared_ptr<Routed>& routed) {
   const CallerCall& call = routed->call;
   platform_.store().Get(
@@ -248,13 +222,22 @@
 void CallRouter::TryLater(const std::shared_ptr<Routed>& routed) {
   const MonoTime now = clock_.Now();
   const bool uncertain = routed->unanswered_by != 0;
+  const bool submit = routed->call.kind == CallKind::kSubmit;
+  const std::chrono::milliseconds silence = engine_.StoreSilence(now);
+  const bool hopeless = submit && !uncertain && silence > kStoreAway &&
+                        !peer_health_.SurveyOpen();
   const MonoTime last = uncertain ? routed->deadline : routed->give_up;
-  if (now + kTryAgain < last) {
-    engine_.After(kTryAgain, [this, routed] { Try(routed); });
+  if (!hopeless && now + kTryAgain < last) {
+    engine_.After(kTryAgain, [this, routed] {
+      routed->attempts.relays = 0;
+      Try(routed);
+    });
     return;
   }
-  CallerReply reply = Unavailable("no-owner");
-  if (uncertain && routed->call.kind == CallKind::kSubmit) {
+  CallerReply reply = Unavailable(hopeless ? "store-away" : "no-owner");
+  reply.retry_after =
+      ComeBackAfter(silence, routed->call.patience, routed->call.job);
+  if (uncertain && submit) {
     reply.outcome = CallOutcome::kUnknown;
   }
   Finish(routed, reply);
@@ -267,7 +250,9 @@
       TryLater(routed);
       return;
     case CallOutcome::kUnknown:
-      routed->unanswered_by = std::max(routed->unanswered_by, reply.fence);
+      // A daemon that passed the call on may not name the owner in doubt.
+      routed->unanswered_by = std::max(
+          routed->unanswered_by, reply.fence == 0 ? kAnyClaim : reply.fence);
       TryLater(routed);
       return;
     case CallOutcome::kRefused:
@@ -294,7 +279,9 @@
       .Add();
   const bool submit = routed->call.kind == CallKind::kSubmit;
   const bool unknown_job = reply.outcome == CallOutcome::kNoSuchJob;
-  if ((submit && reply.outcome != CallOutcome::kAccepted) || unknown_job) {
+  // A relayed call is logged where its caller is.
+  if (!routed->relayed &&
+      ((submit && reply.outcome != CallOutcome::kAccepted) || unknown_job)) {
     LogEvent(LogLevel::kInfo, LogCategory::kRequests,
              unknown_job ? "job_unknown" : "job_not_accepted",
              {{"job", routed->call.job},
@@ -310,74 +297,6 @@
   routed->respond(reply);
 }
 
-void CallRouter::AskPool(const std::string& pool,
-                         const WorkerOrders& orders,
-                         std::function<void(Result<PoolReport>)> done) {
-  const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(pool);
-  if (runner != nullptr) {
-    done(runner->Ask(orders));
-    return;
-  }
-  const std::optional<FleetEngine::Owner> owner = engine_.OwnerOf(pool);
-  if (!owner || owner->record.entry == engine_.entry()) {
-    done(Fail(ErrorCode::kUnavailable, kAskStep, pool, "no owner is known"));
-    return;
-  }
-  TransferRequest transfer;
-  transfer.address = owner->record.address;
-  transfer.message =
-      std::make_shared<HttpRequest>(FormatPoolQuestion({pool, orders}));
-  transfer.deadline = clock_.Now() + kPeerTimeout;
-  peers_.Start(std::move(transfer),
-               [pool, done = std::move(done)](const TransferResult& result) {
-                 if (!result.response) {
-                   done(tl::unexpected<Error>(result.response.error()));
-                 } else if (result.response->status != http_status::kOk) {
-                   done(Fail(ErrorCode::kUnavailable, kAskStep, pool,
-                             "the peer does not own the pool"));
-                 } else {
-                   done(ParsePoolReport(result.response->body));
-                 }
-               });
-}
-
-void CallRouter::HandlePeer(const HttpRequest& request,
-                            const std::shared_ptr<HttpExchange>& exchange) {
-  if (const Result<PoolQuestion> question = ParsePoolQuestion(request)) {
-    const std::shared_ptr<PoolRunner> runner =
-        engine_.OwnRunner(question->pool);
-    const Result<PoolReport> report =
-        runner == nullptr
-            ? Result<PoolReport>(Fail(ErrorCode::kUnavailable, kAskStep,
-                                      question->pool, "not the owner"))
-            : runner->Ask(question->orders);
-    exchange->Respond(
-        report ? HttpResponse{http_status::kOk, {}, FormatPoolReport(*report)}
-               : HttpResponse{http_status::kConflict, {}, ""});
-    return;
-  }
-  Result<PeerCall> call = ParsePeerCall(request);
-  if (!call) {
-    metrics_.GetCounter("figflow_peer_calls_malformed_total").Add();
-    exchange->Respond(HttpResponse{400, {}, call.error().message});
-    return;
-  }
-  const Reply respond = [exchange](const CallerReply& reply) {
-    exchange->Respond(FormatPeerReply(reply));
-  };
-  if (!call->relay) {
-    AnswerHere(call->call, call->spec_bytes, respond);
-    return;
-  }
-  auto routed = std::make_shared<Routed>();
-  routed->arrived = clock_.Now();
-  routed->relayed = true;
-  routed->call = std::move(call->call);
-  routed->spec_bytes = std::move(call->spec_bytes);
-  routed->respond = respond;
-  Begin(routed);
-}
-
 void CallRouter::AnswerHere(const CallerCall& call,
                             const std::string& spec_bytes,
                             const Reply& done) {
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <string>
@@ -11,6 +12,8 @@
 #include "Common/clock.h"
 #include "Common/metrics.h"
 #include "Fleet/fleet_engine.h"
+#include "Fleet/peer_health.h"
+#include "Fleet/route_choice.h"
 #include "Http/http_exchange.h"
 #include "Http/http_transport.h"
 
@@ -40,7 +43,23 @@
 
  private:
   using Reply = std::function<void(const CallerReply&)>;
-  struct Routed;
+  // One call on its way to the owner of its pool.
+  struct Routed {
+    CallerCall call;
+    std::string spec_bytes;
+    // A peer passed it on.
+    bool relayed = false;
+    MonoTime arrived;
+    MonoTime deadline;
+    // After this time a call that has certainly had no effect is refused.
+    MonoTime give_up;
+    RouteAttempts attempts;
+    // Latest claim of an owner to which an attempt was sent that got no answer:
+    // it may have taken effect, or may still do so. 0 if there is none. An
+    // owner with a later claim knows what became of it.
+    uint64_t unanswered_by = 0;
+    Reply respond;
+  };
 
   // Answers from this daemon's own pool. `done` gets kUnavailable if it does
   // not own the pool.
@@ -48,12 +67,37 @@
                   const std::string& spec_bytes,
                   const Reply& done);
   void Begin(const std::shared_ptr<Routed>& routed);
+  // Later than any claim.
+  static constexpr uint64_t kAnyClaim = std::numeric_limits<uint64_t>::max();
+  // A store that has not answered for this long is away: two renewals of the
+  // lease have failed. Nobody can accept a job, so nothing is gained by
+  // waiting.
+  static constexpr std::chrono::milliseconds kStoreAway{1'000};
+
+  RouteView ViewFor(const Routed& routed);
   void Try(const std::shared_ptr<Routed>& routed);
-  // `claim` is the owner's, or 0 for a relay by any daemon.
+  // After a way has failed: tries another one at once, the same one later.
+  void TryNext(const std::shared_ptr<Routed>& routed);
+  void Follow(const std::shared_ptr<Routed>& routed,
+              const RouteView& view,
+              const RouteChoice& choice);
+  // `claim` is the owner's, or 0 for a relay by any daemon. A job is not sent
+  // to a daemon that may be cut off before it has given a sign of life.
   void TryPeer(const std::shared_ptr<Routed>& routed,
                const std::string& address,
                uint64_t claim);
+  void SendToPeer(const std::shared_ptr<Routed>& routed,
+                  const std::string& address,
+                  uint64_t claim);
+  // Learns whether a daemon answers, and whether the store answers it.
+  void Ping(const std::string& address,
+            std::chrono::milliseconds timeout,
+            std::function<void(bool answered)> done);
+  // Pings all daemons if that is due.
+  void SurveyPeers(MonoTime now);
   void TryStore(const std::shared_ptr<Routed>& routed);
+  // Tries again after a pause, or gives the call up: at the end of its time, or
+  // when nobody can accept a job because the store is away.
   void TryLater(const std::shared_ptr<Routed>& routed);
   void OnReply(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
   void Finish(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
@@ -64,6 +108,7 @@
   const Clock& clock_;
   MetricsRegistry& metrics_;
   LatencyHistogram& latency_;
+  PeerHealth peer_health_;
 };
 
 }  // namespace figflow
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -131,7 +131,11 @@
 MonoTime FleetEngine::Step(MonoTime now) {
   RunTasks(now);
   MonoTime next = std::min(now + kLongestPause, session_->Step(now));
+  const bool regained = session_->TakeRegained();
   for (const auto& follower : {operator_keys_, workers_, owners_}) {
+    if (regained) {
+      follower->Resync();
+    }
     next = std::min(next, follower->Step(now));
   }
   next = std::min(next, StepOwnership(now));
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -82,6 +82,11 @@
   std::vector<PeerAddress> Peers() const;
   // The owners' keys are known at least as of this time.
   MonoTime OwnersFreshAt() const { return owners_->fresh_at(); }
+  // How long the store has not answered this daemon.
+  std::chrono::milliseconds StoreSilence(MonoTime now) const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        session_->Silence(now));
+  }
   const std::string& entry() const { return options_.entry; }
   bool releasing() const;
 
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -14,6 +14,9 @@
 
 constexpr char kPath[] = "/figflow/v1/call";
 constexpr char kPoolPath[] = "/figflow/v1/pool";
+constexpr char kPingPath[] = "/figflow/v1/ping";
+constexpr char kStoreAnswers[] = "store answers";
+constexpr char kStoreAway[] = "store away";
 constexpr char kStep[] = "peer.call";
 constexpr int kLastKind = static_cast<int>(CallKind::kCountPending);
 constexpr int kLastOutcome = static_cast<int>(CallOutcome::kMalformed);
@@ -102,6 +105,25 @@
   });
 }
 
+HttpRequest FormatPing() {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = kPingPath;
+  return request;
+}
+
+bool IsPing(const HttpRequest& request) {
+  return request.target == kPingPath;
+}
+
+HttpResponse FormatPingAnswer(bool store_answers) {
+  return {http_status::kOk, {}, store_answers ? kStoreAnswers : kStoreAway};
+}
+
+bool PingTellsStoreAnswers(const HttpResponse& response) {
+  return response.status == http_status::kOk && response.body == kStoreAnswers;
+}
+
 HttpRequest FormatPoolQuestion(const PoolQuestion& question) {
   HttpRequest request;
   request.method = "POST";
--- a/Source/Core/Fleet/peer_calls.h
+++ b/Source/Core/Fleet/peer_calls.h
@@ -29,6 +29,13 @@
 // Error kInvalid.
 Result<CallerReply> ParsePeerReply(const HttpResponse& response);
 
+// A question without effect, to learn whether a daemon answers.
+HttpRequest FormatPing();
+bool IsPing(const HttpRequest& request);
+// `store_answers`: the store answers the daemon that was asked.
+HttpResponse FormatPingAnswer(bool store_answers);
+bool PingTellsStoreAnswers(const HttpResponse& response);
+
 // The question of the instances' keeper to the owner of a pool. The answer is a
 // PoolReport, or status 409 if the daemon does not own the pool.
 struct PoolQuestion {
--- a/Source/Core/Fleet/route_choice.cc
+++ b/Source/Core/Fleet/route_choice.cc
@@ -30,8 +30,8 @@
   // Without an owner and with fresh knowledge, a take-over is under way: no
   // other daemon knows more.
   const bool others_may_know = view.owner || view.stale;
-  if (!view.relayed && others_may_know && !others.empty() &&
-      attempts.relays < kMostRelays) {
+  const int relays = std::min(kMostRelays, static_cast<int>(others.size()));
+  if (!view.relayed && others_may_know && attempts.relays < relays) {
     choice.step = RouteChoice::Step::kRelay;
     choice.peer = others[attempts.relays % others.size()];
     return choice;
--- a/Source/Core/Fleet/route_choice.h
+++ b/Source/Core/Fleet/route_choice.h
@@ -34,6 +34,7 @@
 struct RouteAttempts {
   // Claims whose owner did not answer or did not take the call.
   std::set<uint64_t> failed_claims;
+  // Since the last pause.
   int relays = 0;
 };
 
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -133,22 +133,44 @@
   on_change_(item);
 }
 
+void PrefixFollower::Resync() {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopped_ || !busy_ || !watching_ || applying_) {
+      return;
+    }
+  }
+  Watch();
+}
+
 void PrefixFollower::Watch() {
+  uint64_t watch = 0;
   {
     absl::MutexLock lock(&mutex_);
+    applying_ = false;
     if (stopped_) {
       return;
     }
+    watch = ++watch_;
   }
   const MonoTime sent_at = clock_.Now();
-  store_.Watch(
-      options_.prefix, next_revision_, options_.wait,
-      [self = shared_from_this(), sent_at](Result<StoreChanges> changes) {
-        self->OnChanges(sent_at, std::move(changes));
-      });
+  store_.Watch(options_.prefix, next_revision_, options_.wait,
+               [self = shared_from_this(), watch,
+                sent_at](Result<StoreChanges> changes) {
+                 self->OnChanges(watch, sent_at, std::move(changes));
+               });
 }
 
-void PrefixFollower::OnChanges(MonoTime sent_at, Result<StoreChanges> changes) {
+void PrefixFollower::OnChanges(uint64_t watch,
+                               MonoTime sent_at,
+                               Result<StoreChanges> changes) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (watch != watch_) {
+      return;
+    }
+    applying_ = true;
+  }
   if (!changes) {
     OnFailure(changes.error(), clock_.Now());
     return;
@@ -157,6 +179,7 @@
     {
       absl::MutexLock lock(&mutex_);
       watching_ = false;
+      applying_ = false;
       if (stopped_) {
         return;
       }
@@ -188,6 +211,7 @@
   {
     absl::MutexLock lock(&mutex_);
     busy_ = false;
+    applying_ = false;
     retry_at_ = now + kWatchRetry;
     lost = !std::exchange(failing_, true) && !stopped_;
   }
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -47,6 +47,10 @@
   // Retries a failed call if its pause is over. Returns when to call again.
   MonoTime Step(MonoTime now);
 
+  // The store has answered again after a silence: a watch that waits may be
+  // lost, so another one begins.
+  void Resync();
+
   // Start of the last call that was answered: the keys are at least that new.
   MonoTime fresh_at() const;
   bool synced() const;
@@ -55,7 +59,9 @@
   void ReadPage(const std::string& after);
   void OnPage(MonoTime sent_at, Result<RangePage> page);
   void Watch();
-  void OnChanges(MonoTime sent_at, Result<StoreChanges> changes);
+  void OnChanges(uint64_t watch,
+                 MonoTime sent_at,
+                 Result<StoreChanges> changes);
   void OnFailure(const Error& error, MonoTime now);
   void Apply(const StoreItem& item);
 
@@ -72,6 +78,9 @@
   // A call is under way or about to be made.
   bool busy_ ABSL_GUARDED_BY(mutex_) = false;
   bool watching_ ABSL_GUARDED_BY(mutex_) = false;
+  // The watch whose answer counts, and whether it is being applied.
+  uint64_t watch_ ABSL_GUARDED_BY(mutex_) = 0;
+  bool applying_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime retry_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   MonoTime fresh_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
 
--- a/Source/Core/Ownership/store_session.cc
+++ b/Source/Core/Ownership/store_session.cc
@@ -13,6 +13,11 @@
 // Pause after a failed call, so that a store that turns this daemon away is
 // not asked in a loop.
 constexpr std::chrono::milliseconds kLeaseRetry{100};
+// Time between two probes of a silent store, which may swallow each of them.
+constexpr std::chrono::milliseconds kProbeInterval{150};
+// Without an answer for longer than this, what else waits for one is lost as
+// well: a renewal that is repeated once takes less.
+constexpr std::chrono::milliseconds kSilence{900};
 // No such key exists; any answer will do.
 constexpr char kProbeKey[] = "figflow/probe";
 
@@ -24,21 +29,24 @@
 MonoTime StoreSession::Step(MonoTime now) {
   LeaseId lease = 0;
   bool probe = false;
+  MonoTime next;
   {
     absl::MutexLock lock(&mutex_);
-    if (closed_ || calling_) {
+    if (closed_ || (calling_ && !unanswered_)) {
       return now + options_.call_timeout;
     }
     if (now < next_call_) {
       return next_call_;
     }
-    calling_ = true;
-    next_call_ = now + options_.ttl / kRenewalsPerTtl;
     lease = lease_;
     probe = unanswered_;
+    calling_ = !probe;
+    next_call_ =
+        now + (probe ? kProbeInterval : options_.ttl / kRenewalsPerTtl);
+    next = next_call_;
   }
   Call(lease, probe, now);
-  return now + options_.ttl / kRenewalsPerTtl;
+  return next;
 }
 
 void StoreSession::Call(LeaseId lease, bool probe, MonoTime now) {
@@ -64,9 +72,24 @@
 
 void StoreSession::OnProbed(bool answered, MonoTime sent_at) {
   absl::MutexLock lock(&mutex_);
-  calling_ = false;
-  unanswered_ = !answered;
-  next_call_ = answered ? sent_at : sent_at + kLeaseRetry;
+  // Several probes may be under way; the first answer counts.
+  if (!answered || !unanswered_) {
+    return;
+  }
+  unanswered_ = false;
+  OnAnswered(sent_at);
+  next_call_ = sent_at;
+}
+
+void StoreSession::OnAnswered(MonoTime sent_at) {
+  const bool first = answered_at_ == MonoTime();
+  regained_ = regained_ || (!first && sent_at - answered_at_ > kSilence);
+  answered_at_ = std::max(answered_at_, sent_at);
+}
+
+bool StoreSession::TakeRegained() {
+  absl::MutexLock lock(&mutex_);
+  return std::exchange(regained_, false);
 }
 
 void StoreSession::OnGranted(MonoTime sent_at, const Result<LeaseId>& lease) {
@@ -77,6 +100,7 @@
     return;
   }
   lease_ = *lease;
+  OnAnswered(sent_at);
   certain_until_ = sent_at + options_.ttl;
 }
 
@@ -89,6 +113,7 @@
     return;
   }
   if (ttl) {
+    OnAnswered(sent_at);
     certain_until_ = std::max(certain_until_, sent_at + *ttl);
     return;
   }
@@ -113,6 +138,11 @@
   return certain_until_;
 }
 
+MonoTime::duration StoreSession::Silence(MonoTime now) const {
+  absl::MutexLock lock(&mutex_);
+  return now - answered_at_;
+}
+
 void StoreSession::Close() {
   LeaseId lease = 0;
   {
--- a/Source/Core/Ownership/store_session.h
+++ b/Source/Core/Ownership/store_session.h
@@ -36,11 +36,16 @@
   // Until when the lease certainly lasts. Counted from the sending of the last
   // renewal that was answered, so a delayed answer extends nothing.
   MonoTime certain_until() const;
+  // How long the store has not answered this daemon with success.
+  MonoTime::duration Silence(MonoTime now) const;
+  // The store has answered again after a silence, since the last call of this.
+  bool TakeRegained();
   // Ends the lease and grants no other.
   void Close();
 
  private:
   void Call(LeaseId lease, bool probe, MonoTime now);
+  void OnAnswered(MonoTime sent_at) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void OnGranted(MonoTime sent_at, const Result<LeaseId>& lease);
   void OnProbed(bool answered, MonoTime sent_at);
   void OnKept(LeaseId lease,
@@ -52,6 +57,9 @@
   mutable absl::Mutex mutex_;
   LeaseId lease_ ABSL_GUARDED_BY(mutex_) = 0;
   MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  // When the last call that was answered with success was sent.
+  MonoTime answered_at_ ABSL_GUARDED_BY(mutex_);
+  bool regained_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime next_call_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   bool calling_ ABSL_GUARDED_BY(mutex_) = false;
   // The last renewal got no answer. Another one might reach the store without
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(RollingRestartRefusesNothingForLong);
   CPPUNIT_TEST(LostAnswersOfTheStore);
   CPPUNIT_TEST(WritesCarriedOutLate);
+  CPPUNIT_TEST(CutOffOwnerLeavesNoCallerInDoubt);
+  CPPUNIT_TEST(ReturnOfTheStoreIsNoticedByAll);
   CPPUNIT_TEST(SilentStoreRefusesAtOnce);
   CPPUNIT_TEST(SwallowedWatchIsNoticed);
   CPPUNIT_TEST(ForgottenHistoryIsReadAgain);
@@ -139,6 +141,62 @@
     CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
   }
 
+  // Guards against daemons that go on waiting for watches which the store has
+  // swallowed: they would not know the new owners.
+  void ReturnOfTheStoreIsNoticedByAll() {
+    ModelFleet fleet(35);
+    Begin(fleet, 1, 4, 0);
+    fleet.store.faults.silent = true;
+    fleet.store.faults.lapse = true;
+    fleet.Run(milliseconds(5'300));
+    fleet.store.faults.silent = false;
+    fleet.Run(milliseconds(700));
+    fleet.first_answers.clear();
+    for (int i = 0; i < fleet.daemons(); ++i) {
+      fleet.Submit(SimpleJob(absl::StrCat("a", i), "q0", 1, 2, 1'000), i);
+    }
+    fleet.Run(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(fleet.daemons(), fleet.first_answers[200]);
+    fleet.Run(seconds(10));
+    AssertKept(fleet);
+  }
+
+  // Guards against jobs that are sent to an owner which cannot answer: their
+  // callers would wait, and could not hand them in again.
+  void CutOffOwnerLeavesNoCallerInDoubt() {
+    ModelFleet fleet(34);
+    Begin(fleet, 1, 4, 0);
+    const int owner = fleet.OwnerOf("p0");
+    fleet.Node(owner)->peers_cut = true;
+    const auto submit = [&](const std::string& prefix, int i) {
+      const int other = (owner + 1 + i % 2) % fleet.daemons();
+      fleet.Submit(SimpleJob(absl::StrCat(prefix, i), "q0", 1, 2, 1'000),
+                   other);
+    };
+    // The first callers find out.
+    submit("a", 0);
+    submit("a", 1);
+    fleet.Run(milliseconds(600));
+    fleet.first_answers.clear();
+    fleet.longest_answer.clear();
+    for (int i = 0; i < 20; ++i) {
+      submit("b", i);
+      fleet.Run(milliseconds(50));
+    }
+    fleet.Run(milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(20, fleet.first_answers[503]);
+    CPPUNIT_ASSERT_MESSAGE(
+        absl::StrCat(
+            std::chrono::duration_cast<milliseconds>(fleet.longest_answer[503])
+                .count(),
+            " ms"),
+        fleet.longest_answer[503] <= milliseconds(600));
+    fleet.Node(owner)->peers_cut = false;
+    fleet.Run(seconds(30));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(22, fleet.promises.completed());
+  }
+
   // Guards against holding callers until their deadline during an outage of
   // the store, with an answer that forbids another try.
   void SilentStoreRefusesAtOnce() {
@@ -151,11 +209,16 @@
     SubmitMany(fleet, "a", "q0", 20, milliseconds(100));
     fleet.Run(seconds(3));
     CPPUNIT_ASSERT(fleet.first_answers[503] >= 15);
+    // The lease has run out by then: nobody waits for an owner any more.
     CPPUNIT_ASSERT(fleet.longest_answer[503] <= milliseconds(1'200));
+    fleet.longest_answer.clear();
+    SubmitMany(fleet, "b", "q0", 20, milliseconds(50));
+    fleet.Run(seconds(2));
+    CPPUNIT_ASSERT(fleet.longest_answer[503] <= milliseconds(100));
     fleet.store.faults.silent = false;
     fleet.Run(seconds(30));
     AssertKept(fleet);
-    CPPUNIT_ASSERT_EQUAL(20, fleet.promises.completed());
+    CPPUNIT_ASSERT_EQUAL(40, fleet.promises.completed());
   }
 
   // A watch that the store lost during an outage, on a connection that stays
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(StoppedWriterLetsGoOfItsCallback);
   CPPUNIT_TEST(LeaseIsCertainOnlyFromItsSending);
   CPPUNIT_TEST(EndedLeaseIsReplaced);
+  CPPUNIT_TEST(ReturnOfASilentStoreIsNoticedSoon);
   CPPUNIT_TEST(DaemonWithLeastClaimsFirst);
   CPPUNIT_TEST(FailedClaimantWaits);
   CPPUNIT_TEST(FollowerReportsWhatVanishedUnseen);
@@ -120,6 +121,20 @@
     CPPUNIT_ASSERT(session->certain_until() > time_.Now());
   }
 
+  // A probe that the silent store has swallowed must not delay the next one.
+  void ReturnOfASilentStoreIsNoticedSoon() {
+    auto session = std::make_shared<StoreSession>(*view_, SessionOptions());
+    RunSession(*session, seconds(1));
+    store_.faults.silent = true;
+    store_.faults.lapse = true;
+    RunSession(*session, milliseconds(3'130));
+    store_.faults.silent = false;
+    RunSession(*session, milliseconds(300));
+    CPPUNIT_ASSERT(session->certain_until() > time_.Now());
+    CPPUNIT_ASSERT(session->TakeRegained());
+    CPPUNIT_ASSERT(!session->TakeRegained());
+  }
+
   void DaemonWithLeastClaimsFirst() {
     const MonoTime now = time_.Now();
     for (const char* scope : {"a", "b", "c"}) {
