Log each decision that touches a request; bound the log and never wait for it

Cause: accepted jobs, placements and ends left no line, so the way from a complaint to its cause broke off, and a full pipe would have blocked a daemon.

At most 50 lines of one event a second, bursts of 200, with a count of what was left out; a line that standard output does not take at once is dropped and counted (figflow_log_lines_lost_total).

--- a/Source/Core/Adapter/caller_call.cc
+++ b/Source/Core/Adapter/caller_call.cc
@@ -9,8 +9,15 @@
     "accepted",  "refused",     "unknown",       "unavailable",   "state",
     "cancelled", "no-such-job", "pending-count", "no-such-queue", "malformed"};
 
+constexpr std::array<absl::string_view, 4> kKindNames = {
+    "submit", "query", "cancel", "count-pending"};
+
 }  // namespace
 
+absl::string_view CallKindName(CallKind kind) {
+  return kKindNames[static_cast<size_t>(kind)];
+}
+
 absl::string_view CallOutcomeName(CallOutcome outcome) {
   return kOutcomeNames[static_cast<size_t>(outcome)];
 }
--- a/Source/Core/Adapter/caller_call.h
+++ b/Source/Core/Adapter/caller_call.h
@@ -14,6 +14,8 @@
 // What a caller asks for.
 enum class CallKind { kSubmit, kQuery, kCancel, kCountPending };
 
+absl::string_view CallKindName(CallKind kind);
+
 struct CallerCall {
   CallKind kind = CallKind::kQuery;
   std::string queue;
--- a/Source/Core/Common/log.cc
+++ b/Source/Core/Common/log.cc
@@ -1,9 +1,15 @@
 #include "Common/log.h"
 
+#include <unistd.h>
+
 #include <array>
+#include <optional>
 
 #include <easylogging++.h>
 
+#include "Common/clock.h"
+#include "Common/log_limiter.h"
+#include "Common/log_sink.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 
@@ -27,6 +33,28 @@
       "\"");
 }
 
+// Never destroyed: threads may log until the program has ended.
+LogLimiter& Limiter() {
+  static auto* const limiter = new LogLimiter();
+  return *limiter;
+}
+
+LogSink& StandardOutput() {
+  static auto* const sink = new LogSink(STDOUT_FILENO);
+  return *sink;
+}
+
+// Takes the place of the library's own output, which blocks.
+class SinkDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    const el::LogMessage* message = data->logMessage();
+    StandardOutput().Write(message->logger()->logBuilder()->build(
+        message,
+        data->dispatchAction() == el::base::DispatchAction::NormalLog));
+  }
+};
+
 }  // namespace
 
 void InitLogging(LogLevel level) {
@@ -44,18 +72,29 @@
                       "false");
   }
   el::Loggers::reconfigureAllLoggers(configuration);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<SinkDispatch>("SinkDispatch");
 }
 
 void LogEvent(LogLevel level,
               LogCategory category,
               absl::string_view event,
               std::initializer_list<LogField> fields) {
+  const std::optional<uint64_t> omitted =
+      Limiter().Admit(event, SystemClock().Now());
+  if (!omitted) {
+    return;
+  }
   std::string line =
       absl::StrCat("category=", kCategoryNames[static_cast<size_t>(category)],
                    " event=", event);
   for (const LogField& field : fields) {
     absl::StrAppend(&line, " ", field.first, "=", FieldValue(field.second));
   }
+  if (*omitted > 0) {
+    absl::StrAppend(&line, " omitted=", *omitted);
+  }
   switch (level) {
     case LogLevel::kInfo:
       LOG(INFO) << line;
@@ -69,4 +108,8 @@
   }
 }
 
+LogLosses GetLogLosses() {
+  return {Limiter().omitted(), StandardOutput().dropped()};
+}
+
 }  // namespace figflow
--- a/Source/Core/Common/log.h
+++ b/Source/Core/Common/log.h
@@ -1,6 +1,7 @@
 #ifndef COMMON_LOG_H_
 #define COMMON_LOG_H_
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <utility>
@@ -34,12 +35,24 @@
 // Call once at program start, before other threads run.
 void InitLogging(LogLevel level);
 
-// Writes one line for a change of state. Frequent events use a counter.
+// Writes one line for a decision that touches a request, or for a change of
+// what the process believes. Never blocks: lines are dropped while standard
+// output takes none. At most LogLimiter::kLinesPerSecond lines of one event are
+// written in a second; the next line says how many were `omitted`.
 void LogEvent(LogLevel level,
               LogCategory category,
               absl::string_view event,
               std::initializer_list<LogField> fields);
 
+// Lines that were not written since the start of the program.
+struct LogLosses {
+  // Beyond the rate of their event.
+  uint64_t omitted = 0;
+  // Standard output took nothing.
+  uint64_t dropped = 0;
+};
+LogLosses GetLogLosses();
+
 }  // namespace figflow
 
 #endif  // COMMON_LOG_H_
--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -78,6 +78,15 @@
   return options;
 }
 
+std::string LogLossMetrics() {
+  const LogLosses losses = GetLogLosses();
+  return absl::StrCat("# TYPE figflow_log_lines_lost_total counter\n",
+                      "figflow_log_lines_lost_total{cause=\"rate\"} ",
+                      losses.omitted, "\n",
+                      "figflow_log_lines_lost_total{cause=\"full-output\"} ",
+                      losses.dropped, "\n");
+}
+
 }  // namespace
 
 // Declared in the order of construction: each part uses only earlier ones.
@@ -168,7 +177,7 @@
     if (request.target == "/metrics") {
       exchange->Respond({200,
                          {{"Content-Type", "text/plain; version=0.0.4"}},
-                         parts.metrics.Expose()});
+                         parts.metrics.Expose() + LogLossMetrics()});
     } else if (request.target == "/state") {
       exchange->Respond({200,
                          {{"Content-Type", "application/json"}},
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -269,6 +269,34 @@
   }
 }
 
+void CallRouter::LogAnswer(const Routed& routed,
+                           const CallerReply& reply,
+                           MonoTime::duration taken) const {
+  const auto milliseconds = [](MonoTime::duration duration) {
+    return absl::StrCat(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+            .count());
+  };
+  const MonoTime now = clock_.Now();
+  const std::optional<FleetEngine::Owner> owner =
+      engine_.OwnerOf(routed.call.pool);
+  LogEvent(
+      LogLevel::kInfo, LogCategory::kRequests, "call_answered",
+      {{"job", routed.call.job},
+       {"call", std::string(CallKindName(routed.call.kind))},
+       {"queue", routed.call.queue},
+       {"pool", routed.call.pool},
+       {"outcome", std::string(CallOutcomeName(reply.outcome))},
+       {"reason", reply.reason},
+       {"fence", absl::StrCat(reply.fence)},
+       {"owner", owner ? owner->record.entry : "none"},
+       {"owner_fence", absl::StrCat(owner ? owner->revision : 0)},
+       {"owners_age_ms", milliseconds(now - engine_.OwnersFreshAt())},
+       {"store_silent_ms", absl::StrCat(engine_.StoreSilence(now).count())},
+       {"relays", absl::StrCat(routed.attempts.relays)},
+       {"held_ms", milliseconds(taken)}});
+}
+
 void CallRouter::Finish(const std::shared_ptr<Routed>& routed,
                         const CallerReply& reply) {
   const auto taken = clock_.Now() - routed->arrived;
@@ -277,22 +305,13 @@
       .GetCounter(absl::StrCat("figflow_calls_total{outcome=\"",
                                CallOutcomeName(reply.outcome), "\"}"))
       .Add();
-  const bool submit = routed->call.kind == CallKind::kSubmit;
+  // A relayed call is logged where its caller is. Reads change nothing and come
+  // often; only an answer that denies a job is worth a line.
   const bool unknown_job = reply.outcome == CallOutcome::kNoSuchJob;
-  // A relayed call is logged where its caller is.
-  if (!routed->relayed &&
-      ((submit && reply.outcome != CallOutcome::kAccepted) || unknown_job)) {
-    LogEvent(LogLevel::kInfo, LogCategory::kRequests,
-             unknown_job ? "job_unknown" : "job_not_accepted",
-             {{"job", routed->call.job},
-              {"pool", routed->call.pool},
-              {"outcome", std::string(CallOutcomeName(reply.outcome))},
-              {"reason", reply.reason},
-              {"fence", absl::StrCat(reply.fence)},
-              {"held_ms",
-               absl::StrCat(
-                   std::chrono::duration_cast<std::chrono::milliseconds>(taken)
-                       .count())}});
+  const bool reads = routed->call.kind == CallKind::kQuery ||
+                     routed->call.kind == CallKind::kCountPending;
+  if (!routed->relayed && (!reads || unknown_job)) {
+    LogAnswer(*routed, reply, taken);
   }
   routed->respond(reply);
 }
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -93,6 +93,8 @@
   void Ping(const std::string& address,
             std::chrono::milliseconds timeout,
             std::function<void(bool answered)> done);
+  // What a call to a daemon has shown.
+  void OnPeer(const std::string& address, bool answered);
   // Pings all daemons if that is due.
   void SurveyPeers(MonoTime now);
   void TryStore(const std::shared_ptr<Routed>& routed);
@@ -100,6 +102,9 @@
   // when nobody can accept a job because the store is away.
   void TryLater(const std::shared_ptr<Routed>& routed);
   void OnReply(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
+  void LogAnswer(const Routed& routed,
+                 const CallerReply& reply,
+                 MonoTime::duration taken) const;
   void Finish(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
 
   FleetEngine& engine_;
--- a/Source/Core/Fleet/call_router_peers.cc
+++ b/Source/Core/Fleet/call_router_peers.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/log.h"
 #include "Fleet/call_router.h"
 #include "Fleet/peer_calls.h"
 #include "Http/http_status.h"
@@ -65,7 +66,7 @@
   peers_.Start(std::move(transfer), [this, routed, address,
                                      claim](const TransferResult& result) {
     if (result.response) {
-      peer_health_.OnAnswer(address, clock_.Now());
+      OnPeer(address, true);
       const Result<CallerReply> reply = ParsePeerReply(*result.response);
       if (reply) {
         if (reply->outcome == CallOutcome::kUnavailable) {
@@ -78,7 +79,7 @@
       }
     }
     metrics_.GetCounter("figflow_peer_calls_failed_total").Add();
-    peer_health_.OnSilence(address, clock_.Now());
+    OnPeer(address, false);
     routed->attempts.failed_claims.insert(claim);
     if (result.sent) {
       // A relay may have passed the call to an owner that this daemon does
@@ -103,17 +104,26 @@
   transfer.deadline = clock_.Now() + timeout;
   peers_.Start(std::move(transfer), [this, address, done = std::move(done)](
                                         const TransferResult& result) {
-    const MonoTime now = clock_.Now();
+    OnPeer(address, result.response.has_value());
     if (result.response) {
       peer_health_.OnStoreTold(address, PingTellsStoreAnswers(*result.response),
-                               now);
-    } else {
-      peer_health_.OnSilence(address, now);
+                               clock_.Now());
     }
     done(result.response.has_value());
   });
 }
 
+void CallRouter::OnPeer(const std::string& address, bool answered) {
+  const MonoTime now = clock_.Now();
+  const bool changed = answered ? peer_health_.OnAnswer(address, now)
+                                : peer_health_.OnSilence(address, now);
+  if (changed) {
+    LogEvent(answered ? LogLevel::kInfo : LogLevel::kWarning,
+             LogCategory::kPeer, answered ? "peer_regained" : "peer_lost",
+             {{"peer", address}});
+  }
+}
+
 void CallRouter::SurveyPeers(MonoTime now) {
   const std::vector<PeerAddress> peers = engine_.Peers();
   if (!peer_health_.BeginSurvey(static_cast<int>(peers.size()), now)) {
--- a/Source/Core/Fleet/peer_health.cc
+++ b/Source/Core/Fleet/peer_health.cc
@@ -16,23 +16,27 @@
 
 }  // namespace
 
-void PeerHealth::OnAnswer(const std::string& address, MonoTime now) {
+bool PeerHealth::OnAnswer(const std::string& address, MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  peers_[address].answered_at = now;
+  Peer& peer = peers_[address];
+  const bool was_silent = peer.silent_at > peer.answered_at;
+  peer.answered_at = now;
+  return was_silent;
 }
 
-void PeerHealth::OnSilence(const std::string& address, MonoTime now) {
+bool PeerHealth::OnSilence(const std::string& address, MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  peers_[address].silent_at = now;
+  Peer& peer = peers_[address];
+  const bool was_silent = peer.silent_at > peer.answered_at;
+  peer.silent_at = now;
+  return !was_silent;
 }
 
 void PeerHealth::OnStoreTold(const std::string& address,
                              bool store_answers,
                              MonoTime now) {
   absl::MutexLock lock(&mutex_);
-  Peer& peer = peers_[address];
-  peer.answered_at = now;
-  peer.store_answered_at = store_answers ? now : MonoTime::min();
+  peers_[address].store_answered_at = store_answers ? now : MonoTime::min();
 }
 
 PeerHealth::State PeerHealth::StateOf(const std::string& address,
--- a/Source/Core/Fleet/peer_health.h
+++ b/Source/Core/Fleet/peer_health.h
@@ -31,9 +31,10 @@
     kSilent,
   };
 
-  void OnAnswer(const std::string& address, MonoTime now);
-  void OnSilence(const std::string& address, MonoTime now);
-  // As OnAnswer, and the daemon has told whether the store answers it.
+  // These return whether what is known of the daemon has changed.
+  bool OnAnswer(const std::string& address, MonoTime now);
+  bool OnSilence(const std::string& address, MonoTime now);
+  // The daemon has told whether the store answers it.
   void OnStoreTold(const std::string& address,
                    bool store_answers,
                    MonoTime now);
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -247,6 +247,10 @@
       const ReadyStage& item,
       const std::vector<bool>& allowed,
       Board& board);
+  void LogPlaced(const ReadyStage& item,
+                 const Board& board,
+                 const std::vector<std::pair<int, int>>& chosen,
+                 MonoTime now) const;
   void AskPolicy(const ReadyStage& item, const Board& board, MonoTime now);
   void ExplainWait(const ReadyStage& item,
                    const Board& board,
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -7,6 +7,7 @@
 #include "Scheduling/placement.h"
 #include "Scheduling/pool_scheduler.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace figflow {
 namespace {
@@ -257,9 +258,38 @@
   for (const auto& [index, worker] : chosen) {
     stage.tasks[index].planned_version = item.job->version;
   }
+  LogPlaced(item, board, chosen, now);
   return complete;
 }
 
+void PoolScheduler::LogPlaced(const ReadyStage& item,
+                              const Board& board,
+                              const std::vector<std::pair<int, int>>& chosen,
+                              MonoTime now) const {
+  std::map<std::string, int> on_worker;
+  for (const auto& [index, worker] : chosen) {
+    ++on_worker[board.workers[worker]->report.key.id];
+  }
+  const std::string workers =
+      absl::StrJoin(on_worker, ",", absl::PairFormatter(":"));
+  const Occurrence& occurrence = item.job->occurrences.at(item.occurrence);
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "stage_placed",
+           {{"job", item.job->spec.id},
+            {"occurrence", absl::StrCat(item.occurrence)},
+            {"stage", absl::StrCat(item.stage)},
+            {"pool", options_.pool},
+            {"fence", absl::StrCat(options_.fence)},
+            {"tasks", absl::StrCat(chosen.size())},
+            {"left", absl::StrCat(item.GetStage().waiting)},
+            {"urgency", std::string(UrgencyName(item.rank.urgency))},
+            {"since_due_ms",
+             absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
+                              now - occurrence.due)
+                              .count())},
+            {"usable_workers", absl::StrCat(board.options.size())},
+            {"workers", workers}});
+}
+
 void PoolScheduler::AskPolicy(const ReadyStage& item,
                               const Board& board,
                               MonoTime now) {
