Log the load of each pool every two seconds

Cause: nobody could tell from the logs why an instance was moved or left in its pool. The keeper of the instances now writes one pool_load line per pool every 2 s: workers, idle workers, used, waiting and offered millicores, tasks without a place, spare instances, moves under way, and the age of the report. The volume is bounded by the number of pools.

--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -109,6 +109,8 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanMoves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void LogPools(const MoveInput& input, MonoTime now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool MayOrder(MonoTime now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // An earlier keeper's order for the instance is too recent.
   bool TooRecent(const std::string& instance, MonoTime now) const
@@ -163,6 +165,7 @@
   MonoTime next_list_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   bool listing_ ABSL_GUARDED_BY(mutex_) = false;
 
+  MonoTime next_pool_log_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   MovePlanner move_planner_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> emptying_for_moves_ ABSL_GUARDED_BY(mutex_);
   std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Instances/instance_keeper_moves.cc
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kBusyListInterval{500};
 // A move that has not shown by then is forgotten, and may be planned again.
 constexpr std::chrono::milliseconds kMoveForgotten{6'000};
+// Time between two lines on the load of the pools.
+constexpr std::chrono::milliseconds kPoolLogInterval{2'000};
 // A report older than this says too little about what runs.
 constexpr std::chrono::milliseconds kReportAge{700};
 
@@ -121,11 +123,46 @@
       input.spare[id] = 0;
     }
   }
+  LogPools(input, now);
   MovePlan plan = move_planner_.Plan(input, now);
   emptying_for_moves_ = std::move(plan.evacuate);
   moves_to_send_ = std::move(plan.moves);
 }
 
+void InstanceKeeper::LogPools(const MoveInput& input, MonoTime now) {
+  if (now < next_pool_log_) {
+    return;
+  }
+  next_pool_log_ = now + kPoolLogInterval;
+  for (const auto& [name, report] : input.pools) {
+    int idle = 0;
+    int with_perpetual = 0;
+    int64_t used = 0;
+    for (const WorkerLoad& load : report.workers) {
+      idle += load.usable && load.tasks == 0 ? 1 : 0;
+      with_perpetual += load.perpetual_tasks > 0 ? 1 : 0;
+      used += load.used_millicores;
+    }
+    LogEvent(
+        LogLevel::kInfo, LogCategory::kPools, "pool_load",
+        {{"pool", name},
+         {"workers", absl::StrCat(report.workers.size())},
+         {"idle", absl::StrCat(idle)},
+         {"with_perpetual", absl::StrCat(with_perpetual)},
+         {"used_millicores", absl::StrCat(used)},
+         {"perpetual_millicores", absl::StrCat(report.perpetual_millicores)},
+         {"waiting_millicores", absl::StrCat(report.waiting_millicores)},
+         {"offered_millicores", absl::StrCat(report.offered_millicores)},
+         {"unplaced", absl::StrCat(report.unplaced_tasks)},
+         {"spare", absl::StrCat(input.spare.size())},
+         {"pending", absl::StrCat(input.pending.size())},
+         {"age_ms",
+          absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           now - report_times_.at(name))
+                           .count())}});
+  }
+}
+
 void InstanceKeeper::SendMoves(MonoTime now) {
   std::vector<InstanceMove> moves;
   {
