Explain a request from the logs; take over changed settings without a signal

Change: - SettingsFileWatch looks at the file once a second. Bounds hold for owned pools too; longer leases of earlier owners are still waited for. Settings that need a restart are named as such in the settings_reloaded line. - Gauges and type lines; figflow_owner_changes_total, figflow_scopes_given_up_total, figflow_instance_moves_total, figflow_maintenances_begun_total, figflow_queue_waiting_tasks. - figflowctl entry, owners, queues, waves (from the metrics address) and explain ID [LOG...]: lines that name the id, and those of its pool, workers and the daemons' dependencies around them.

Tests: explain_test, settings_file_test, StateShowsOwnersQueuesAndWaves, ChangedBoundsHoldForOwnedPools (seen red without PoolRunner::SetBounds).

--- a/Source/Core/Common/metrics.cc
+++ b/Source/Core/Common/metrics.cc
@@ -18,6 +18,33 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+template <typename Map>
+auto& FindOrCreate(Map& metrics, absl::string_view name) {
+  auto it = metrics.find(name);
+  if (it == metrics.end()) {
+    using Metric = typename Map::mapped_type::element_type;
+    it = metrics.emplace(std::string(name), std::make_unique<Metric>()).first;
+  }
+  return *it->second;
+}
+
+// One line a metric, with the type before the first one of each name.
+template <typename Map>
+void AppendValues(const Map& metrics,
+                  absl::string_view type,
+                  std::string* text) {
+  absl::string_view last;
+  for (const auto& [name, metric] : metrics) {
+    const absl::string_view family(name.data(),
+                                   std::min(name.find('{'), name.size()));
+    if (family != last) {
+      absl::StrAppend(text, "# TYPE ", family, " ", type, "\n");
+      last = family;
+    }
+    absl::StrAppend(text, name, " ", metric->value(), "\n");
+  }
+}
+
 }  // namespace
 
 struct LatencyHistogram::Buckets {
@@ -73,32 +100,26 @@
 
 Counter& MetricsRegistry::GetCounter(absl::string_view name) {
   absl::MutexLock lock(&mutex_);
-  auto it = counters_.find(name);
-  if (it == counters_.end()) {
-    it =
-        counters_.emplace(std::string(name), std::make_unique<Counter>()).first;
-  }
-  return *it->second;
+  return FindOrCreate(counters_, name);
+}
+
+Gauge& MetricsRegistry::GetGauge(absl::string_view name) {
+  absl::MutexLock lock(&mutex_);
+  return FindOrCreate(gauges_, name);
 }
 
 LatencyHistogram& MetricsRegistry::GetHistogram(absl::string_view name) {
   absl::MutexLock lock(&mutex_);
-  auto it = histograms_.find(name);
-  if (it == histograms_.end()) {
-    it = histograms_
-             .emplace(std::string(name), std::make_unique<LatencyHistogram>())
-             .first;
-  }
-  return *it->second;
+  return FindOrCreate(histograms_, name);
 }
 
 std::string MetricsRegistry::Expose() const {
   absl::MutexLock lock(&mutex_);
   std::string text;
-  for (const auto& [name, counter] : counters_) {
-    absl::StrAppend(&text, name, " ", counter->value(), "\n");
-  }
+  AppendValues(counters_, "counter", &text);
+  AppendValues(gauges_, "gauge", &text);
   for (const auto& [name, histogram] : histograms_) {
+    absl::StrAppend(&text, "# TYPE ", name, "_seconds summary\n");
     for (const double q : {0.5, 0.9, 0.99}) {
       absl::StrAppend(&text, name, "_seconds{quantile=\"", q, "\"} ",
                       Seconds(histogram->Quantile(q)), "\n");
--- a/Source/Core/Common/metrics.h
+++ b/Source/Core/Common/metrics.h
@@ -23,6 +23,16 @@
   std::atomic<uint64_t> value_{0};
 };
 
+// A value that goes up and down.
+class Gauge {
+ public:
+  void Set(int64_t value) { value_.store(value, std::memory_order_relaxed); }
+  int64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<int64_t> value_{0};
+};
+
 // Durations in logarithmic buckets from 10 us to 1,000 s.
 class LatencyHistogram {
  public:
@@ -49,19 +59,23 @@
 // Named metrics of one process. Returned references stay valid for the life of
 // the registry. Names follow "figflow_<subsystem>_<what>_total" for counters;
 // labels are part of the name, as in `figflow_requests_total{class="short"}`.
+// Histograms are named without a unit: the exposition adds "_seconds".
 class MetricsRegistry {
  public:
   Counter& GetCounter(absl::string_view name);
+  Gauge& GetGauge(absl::string_view name);
   LatencyHistogram& GetHistogram(absl::string_view name);
 
-  // Prometheus text exposition: counters, and histograms as summaries in
-  // seconds with quantiles 0.5, 0.9, 0.99.
+  // Prometheus text exposition: counters, gauges, and histograms as summaries
+  // in seconds with quantiles 0.5, 0.9, 0.99.
   std::string Expose() const;
 
  private:
   mutable absl::Mutex mutex_;
   std::map<std::string, std::unique_ptr<Counter>, std::less<>> counters_
       ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, std::unique_ptr<Gauge>, std::less<>> gauges_
+      ABSL_GUARDED_BY(mutex_);
   std::map<std::string, std::unique_ptr<LatencyHistogram>, std::less<>>
       histograms_ ABSL_GUARDED_BY(mutex_);
 };
--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <utility>
 
 #include "Common/log.h"
@@ -58,19 +59,25 @@
       std::chrono::duration<double>(seconds));
 }
 
+ExecutionBounds BoundsOf(const Settings& settings) {
+  ExecutionBounds bounds;
+  bounds.longest_lease = settings.longest_lease;
+  bounds.stop_time = settings.stop_time;
+  bounds.gang_wait = settings.gang_wait;
+  bounds.status_retention = ToMilliseconds(settings.status_retention_s);
+  bounds.early_start = settings.early_start;
+  bounds.unavailable_notice = settings.unavailable_notice;
+  bounds.harm_time = settings.harm_time;
+  bounds.far_factor = settings.far_factor;
+  return bounds;
+}
+
 FleetEngineOptions EngineOptions(const Settings& settings) {
   FleetEngineOptions options;
   options.entry = settings.entry;
   options.peer_address = settings.peer_listen.ToString();
   options.process_id = NewProcessId(settings.entry);
-  options.bounds.longest_lease = settings.longest_lease;
-  options.bounds.stop_time = settings.stop_time;
-  options.bounds.gang_wait = settings.gang_wait;
-  options.bounds.status_retention = ToMilliseconds(settings.status_retention_s);
-  options.bounds.early_start = settings.early_start;
-  options.bounds.unavailable_notice = settings.unavailable_notice;
-  options.bounds.harm_time = settings.harm_time;
-  options.bounds.far_factor = settings.far_factor;
+  options.bounds = BoundsOf(settings);
   options.instances.holder_interval = settings.holder_interval;
   options.instances.move = ToMilliseconds(settings.instance_move_s);
   options.instances.maintenance =
@@ -216,12 +223,20 @@
 }
 
 void FleetDaemon::Reload(const Settings& settings) {
-  const bool changed = settings.caller_listen == settings_.caller_listen &&
-                       settings.longest_lease == settings_.longest_lease;
-  LogEvent(
-      LogLevel::kInfo, LogCategory::kDaemon, "settings_reloaded",
-      {{"entry", settings.entry}, {"needs_restart", changed ? "no" : "yes"}});
+  const auto fixed = [](const Settings& of) {
+    return std::tie(of.entry, of.data_centre, of.caller_listen, of.admin_listen,
+                    of.peer_listen, of.metrics_listen, of.platform_kind,
+                    of.platform_address, of.instances_address,
+                    of.policy_address, of.worker_connections,
+                    of.max_open_requests, of.max_body_bytes, of.holder_interval,
+                    of.instance_move_s, of.instance_maintenance_s);
+  };
+  const bool needs_restart = fixed(settings) != fixed(settings_);
   settings_.stop_grace_s = settings.stop_grace_s;
+  parts_->engine.SetBounds(BoundsOf(settings));
+  LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "settings_reloaded",
+           {{"entry", settings_.entry},
+            {"needs_restart", needs_restart ? "yes" : "no"}});
 }
 
 void FleetDaemon::Stop() {
--- a/Source/Core/Daemon/main.cc
+++ b/Source/Core/Daemon/main.cc
@@ -11,6 +11,7 @@
 #include "Daemon/daemon.h"
 #include "Daemon/fleet_daemon.h"
 #include "Settings/settings.h"
+#include "Settings/settings_file.h"
 #include "absl/synchronization/mutex.h"
 
 namespace {
@@ -67,12 +68,23 @@
   if (const figflow::Result<void> started = daemon.Start(); !started) {
     return ReportStartFailure(started.error());
   }
+  figflow::SettingsFileWatch watch(path);
+  const auto reload = [&] {
+    if (const auto changed = LoadSettings(path)) {
+      daemon.Reload(*changed);
+    }
+  };
   WaitForStop(
-      signals, [] { return true; },
+      signals,
       [&] {
-        if (const auto changed = LoadSettings(path)) {
-          daemon.Reload(*changed);
+        if (watch.Changed()) {
+          reload();
         }
+        return true;
+      },
+      [&] {
+        watch.Changed();
+        reload();
       });
   daemon.Stop();
   return 0;
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -60,7 +60,7 @@
       peers_(peers),
       clock_(clock),
       metrics_(metrics),
-      latency_(metrics.GetHistogram("figflow_call_seconds")) {}
+      latency_(metrics.GetHistogram("figflow_call")) {}
 
 void CallRouter::Handle(const HttpRequest& request,
                         const std::shared_ptr<HttpExchange>& exchange) {
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -31,6 +31,7 @@
       clock_(clock),
       metrics_(metrics),
       options_(std::move(options)),
+      bounds_(options_.bounds),
       claims_(options_.entry) {
   session_ =
       std::make_shared<StoreSession>(platform_.store(), options_.session);
@@ -293,7 +294,7 @@
           }
           Owner& owner = known_owners_[scope];
           if (result->revision > owner.revision) {
-            owner = {record, result->revision};
+            owner = {record, result->revision, clock_.Now()};
           }
         }
         OnOwned(scope, record.nonce, result->revision, lease);
@@ -330,7 +331,7 @@
     PoolRunner::Parts parts{platform_, clock_, metrics_,
                             [this](MonoTime at) { WakeAt(at); }};
     runner = std::make_shared<PoolRunner>(
-        parts, PoolRunner::Claim{pool, nonce, revision}, options_.bounds);
+        parts, PoolRunner::Claim{pool, nonce, revision}, bounds_);
     runners_[pool] = runner;
     for (const auto& [id, report] : reports_) {
       if (report.pool == pool) {
@@ -367,6 +368,20 @@
   keeper->Start();
 }
 
+void FleetEngine::SetBounds(const ExecutionBounds& bounds) {
+  std::vector<std::shared_ptr<PoolRunner>> runners;
+  {
+    absl::MutexLock lock(&mutex_);
+    bounds_ = bounds;
+    for (const auto& [pool, runner] : runners_) {
+      runners.push_back(runner);
+    }
+  }
+  for (const auto& runner : runners) {
+    runner->SetBounds(bounds);
+  }
+}
+
 void FleetEngine::EndScope(const std::string& scope, const char* cause) {
   std::shared_ptr<PoolRunner> runner;
   std::shared_ptr<InstanceKeeper> keeper;
@@ -386,6 +401,10 @@
     claims_.OnFailed(scope, clock_.Now());
     removed_at_[scope] = clock_.Now() + kRemoveAgain;
   }
+  metrics_
+      .GetCounter(
+          absl::StrCat("figflow_scopes_given_up_total{cause=\"", cause, "\"}"))
+      .Add();
   if (runner) {
     runner->End(cause);
   }
@@ -463,24 +482,4 @@
   return releasing_;
 }
 
-nlohmann::json FleetEngine::DumpState() const {
-  absl::MutexLock lock(&mutex_);
-  nlohmann::json owners = nlohmann::json::object();
-  for (const auto& [scope, owner] : known_owners_) {
-    owners[scope] = {{"entry", owner.record.entry}, {"fence", owner.revision}};
-  }
-  nlohmann::json owned = nlohmann::json::array();
-  for (const auto& [pool, runner] : runners_) {
-    const auto [listed, reached] = runner->Reached();
-    owned.push_back({{"pool", pool},
-                     {"fence", runner->claim().revision},
-                     {"workers", listed},
-                     {"reached", reached}});
-  }
-  return {{"plan_version", plan_ == nullptr ? 0 : plan_->version},
-          {"workers", reports_.size()},
-          {"owners", std::move(owners)},
-          {"owned", std::move(owned)}};
-}
-
 }  // namespace figflow
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -46,6 +46,8 @@
   struct Owner {
     OwnerRecord record;
     uint64_t revision = 0;
+    // When this daemon learnt of it.
+    MonoTime seen_at;
   };
 
   FleetEngine(PlatformAdapter& platform,
@@ -61,6 +63,8 @@
   // Called, from any thread, to ask for a Step at a time. It must not call
   // back.
   void SetWake(std::function<void(MonoTime)> wake_at);
+  // Takes over changed bounds of the platform, for the pools owned now as well.
+  void SetBounds(const ExecutionBounds& bounds);
   // Begins to follow the store.
   void Start();
   // Does what is due; to be called from one thread. Returns when to call again.
@@ -93,6 +97,7 @@
   // Runs `task` once, after `delay`, in a Step.
   void After(std::chrono::milliseconds delay, std::function<void()> task);
 
+  // What this daemon believes, for operators.
   nlohmann::json DumpState() const;
 
  private:
@@ -137,6 +142,7 @@
   std::shared_ptr<PrefixFollower> owners_;
 
   mutable absl::Mutex mutex_;
+  ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
   // Latest worker of each instance.
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -137,6 +137,7 @@
   const std::string scope = LastKeyPart(item.key);
   Owner owner;
   owner.revision = item.revision;
+  owner.seen_at = clock_.Now();
   if (!item.removed) {
     Result<OwnerRecord> record = ParseOwnerRecord(item.value);
     if (!record) {
@@ -173,6 +174,10 @@
            {{"scope", scope},
             {"owner", owner.record.entry},
             {"revision", absl::StrCat(item.revision)}});
+  metrics_
+      .GetCounter(absl::StrCat("figflow_owner_changes_total{kind=\"",
+                               item.removed ? "gone" : "owned", "\"}"))
+      .Add();
   if (own) {
     OnOwned(scope, owner.record.nonce, owner.revision, item.lease);
   } else if (lost) {
--- /dev/null
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -0,0 +1,52 @@
+// What a daemon believes, for operators.
+#include <chrono>
+#include <utility>
+
+#include "Common/json.h"
+#include "Fleet/fleet_engine.h"
+
+namespace figflow {
+
+nlohmann::json FleetEngine::DumpState() const {
+  const MonoTime now = clock_.Now();
+  const auto age_ms = [now](MonoTime since) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since)
+        .count();
+  };
+  absl::MutexLock lock(&mutex_);
+  nlohmann::json owners = nlohmann::json::array();
+  for (const auto& [scope, owner] : known_owners_) {
+    owners.push_back({{"scope", scope},
+                      {"owner", owner.record.entry},
+                      {"fence", owner.revision},
+                      {"age_ms", age_ms(owner.seen_at)}});
+  }
+  nlohmann::json pools = nlohmann::json::array();
+  nlohmann::json queues = nlohmann::json::array();
+  for (const auto& [pool, runner] : runners_) {
+    const auto [listed, reached] = runner->Reached();
+    pools.push_back({{"pool", pool},
+                     {"fence", runner->claim().revision},
+                     {"workers", listed},
+                     {"reached", reached},
+                     {"takes_calls", runner->TakesCallsNow()}});
+    for (const auto& [queue, tasks] : runner->WaitingByQueue()) {
+      queues.push_back(
+          {{"pool", pool}, {"queue", queue}, {"waiting_tasks", tasks}});
+    }
+  }
+  return {{"entry", options_.entry},
+          {"plan_version", plan_ == nullptr ? 0 : plan_->version},
+          {"store_silent_ms", StoreSilence(now).count()},
+          {"owners_age_ms", age_ms(OwnersFreshAt())},
+          {"workers", reports_.size()},
+          {"peers", peers_.size()},
+          {"releasing", releasing_},
+          {"owners", std::move(owners)},
+          {"pools", std::move(pools)},
+          {"queues", std::move(queues)},
+          {"waves", keeper_ == nullptr ? nlohmann::json::array()
+                                       : keeper_->DumpWaves(now)}};
+}
+
+}  // namespace figflow
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -256,6 +256,14 @@
   Run([&](PoolScheduler& scheduler, MonoTime) { scheduler.SetPlan(plan); });
 }
 
+void PoolRunner::SetBounds(const ExecutionBounds& bounds) {
+  {
+    absl::MutexLock lock(&mutex_);
+    bounds_ = bounds;
+  }
+  Run([&](PoolScheduler& scheduler, MonoTime) { scheduler.SetBounds(bounds); });
+}
+
 void PoolRunner::OnWorkerListed(const WorkerReport& report) {
   {
     absl::MutexLock lock(&mutex_);
@@ -461,6 +469,12 @@
   return scheduler_ == nullptr ? std::make_pair(0, 0) : scheduler_->Reached();
 }
 
+std::map<std::string, int> PoolRunner::WaitingByQueue() const {
+  absl::MutexLock lock(&mutex_);
+  return scheduler_ == nullptr ? std::map<std::string, int>()
+                               : scheduler_->waiting_by_queue();
+}
+
 MonoTime PoolRunner::active_since() const {
   absl::MutexLock lock(&mutex_);
   return active_since_;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -49,6 +49,7 @@
   void Start();
 
   void SetPlan(std::shared_ptr<const FleetPlan> plan);
+  void SetBounds(const ExecutionBounds& bounds);
   void OnWorkerListed(const WorkerReport& report);
   void OnWorkerUnlisted(const std::string& worker);
 
@@ -82,6 +83,7 @@
   bool deposed() const;
   const Claim& claim() const { return claim_; }
   std::pair<int, int> Reached() const;
+  std::map<std::string, int> WaitingByQueue() const;
   MonoTime active_since() const;
 
  private:
@@ -112,9 +114,9 @@
 
   const Parts parts_;
   const Claim claim_;
-  const ExecutionBounds bounds_;
 
   mutable absl::Mutex mutex_;
+  ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
   State state_ ABSL_GUARDED_BY(mutex_) = State::kLoading;
   std::unique_ptr<PoolScheduler> scheduler_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<RecordWriter> writer_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -10,6 +10,7 @@
 
 #include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
+#include "Common/json.h"
 #include "Common/metrics.h"
 #include "Instances/move_planner.h"
 #include "Instances/wave_planner.h"
@@ -65,6 +66,10 @@
   void OnWave(const MaintenanceWave& wave, MonoTime seen_at);
   void SetCertainUntil(MonoTime until);
 
+  // One row for each wave that is not completed: how far it is, and how long it
+  // may take.
+  nlohmann::json DumpWaves(MonoTime now) const;
+
   bool deposed() const;
   uint64_t fence() const { return options_.fence; }
   MonoTime Step(MonoTime now);
--- a/Source/Core/Instances/instance_keeper_moves.cc
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -205,6 +205,10 @@
     pending.pool = move.pool;
     pending.ordered_at = now;
     ended_[pending.worker] = now;
+    metrics_
+        .GetCounter(absl::StrCat("figflow_instance_moves_total{to=\"",
+                                 move.pool, "\"}"))
+        .Add();
     LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
              {{"instance", move.instance}, {"pool", move.pool}});
     return;
--- a/Source/Core/Instances/instance_keeper_waves.cc
+++ b/Source/Core/Instances/instance_keeper_waves.cc
@@ -72,6 +72,44 @@
   }
 }
 
+nlohmann::json InstanceKeeper::DumpWaves(MonoTime now) const {
+  absl::MutexLock lock(&mutex_);
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [number, wave] : waves_) {
+    if (wave.completed) {
+      continue;
+    }
+    std::map<MaintenanceStep, int> count;
+    for (const auto& [instance, step] : wave.state.instances) {
+      ++count[step];
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        wave.state.deadline - now);
+    const char* held_by = "nothing";
+    if (!wave.loaded) {
+      held_by = "its record is being read";
+    } else if (!MayOrder(now)) {
+      held_by = "ownership is not certain";
+    } else if (count[MaintenanceStep::kOrdered] +
+                   count[MaintenanceStep::kDown] >=
+               wave.state.max_down) {
+      held_by = "max_down is reached";
+    } else if (!wave.emptying.empty()) {
+      held_by = "instances are being emptied";
+    }
+    rows.push_back({{"wave", number},
+                    {"max_down", wave.state.max_down},
+                    {"waiting", count[MaintenanceStep::kWaiting]},
+                    {"emptying", wave.emptying.size()},
+                    {"ordered", count[MaintenanceStep::kOrdered]},
+                    {"down", count[MaintenanceStep::kDown]},
+                    {"over", count[MaintenanceStep::kOver]},
+                    {"left_ms", left.count()},
+                    {"held_by", held_by}});
+  }
+  return rows;
+}
+
 void InstanceKeeper::WriteRecords() {
   std::vector<StoreWrite> writes;
   std::vector<uint64_t> written;
@@ -208,6 +246,7 @@
       wave.answered_at[instance] = now;
       ended_[wave.worker_before[instance]] = now;
       wave.changed = true;
+      metrics_.GetCounter("figflow_maintenances_begun_total").Add();
       LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
                {{"wave", absl::StrCat(number)}, {"instance", instance}});
       return;
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -70,6 +70,9 @@
             WallTime wall);
 
   void SetPlan(std::shared_ptr<const FleetPlan> plan);
+  // The platform's bounds have changed. Longer leases that an earlier owner
+  // gave under the earlier ones are still waited for.
+  void SetBounds(const ExecutionBounds& bounds);
   // The registry lists this life of a worker now.
   void OnWorkerListed(const WorkerReport& report, MonoTime now);
   // The registry has dropped it, which proves nothing about what it runs.
@@ -121,6 +124,10 @@
   // every 2 s.
   void SetEvacuating(const std::set<std::string>& workers, MonoTime now);
   PoolReport Report(MonoTime now);
+  // Tasks that could start and wait, by queue, as of the last report.
+  const std::map<std::string, int>& waiting_by_queue() const {
+    return waiting_by_queue_;
+  }
 
   // Refuses the jobs that no write has included yet: the store does not answer.
   // None of them can ever run.
@@ -258,9 +265,11 @@
                    int waiting,
                    MonoTime now);
 
-  const Options options_;
+  Options options_;
   const std::unique_ptr<SchedulerMetrics> stats_;
   std::shared_ptr<const FleetPlan> plan_;
+  // Longest lease that any owner can have given.
+  std::chrono::milliseconds longest_inherited_lease_;
   JobMap jobs_;
   // Jobs that may have waiting tasks, and scheduled ones with more to come.
   std::map<std::string, std::shared_ptr<Job>> open_jobs_;
@@ -278,6 +287,7 @@
   SchedulerOutput output_;
   MonoTime next_wake_ = MonoTime::max();
   const MonoTime activated_;
+  std::map<std::string, int> waiting_by_queue_;
   // When it was last logged why something waits.
   MonoTime explained_at_;
   // Something changed that may let a waiting task be placed.
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -5,6 +5,7 @@
 
 #include "Common/log.h"
 #include "Scheduling/pool_scheduler.h"
+#include "Scheduling/scheduler_metrics.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
@@ -141,6 +142,9 @@
                   worker->misses == 0 && !worker->report.draining;
     report.workers.push_back(std::move(load));
   }
+  for (auto& [queue, tasks] : waiting_by_queue_) {
+    tasks = 0;
+  }
   for (const auto& [id, job] : open_jobs_) {
     for (const auto& [number, occurrence] : job->occurrences) {
       for (size_t i = 0; i < occurrence.stages.size(); ++i) {
@@ -149,6 +153,7 @@
         const int64_t asked = waiting * CountedSize(spec).cpu_millicores;
         if (IsReady(*job, occurrence, i)) {
           report.waiting_millicores += asked;
+          waiting_by_queue_[job->spec.queue] += waiting;
           if (spec.perpetual || spec.gang) {
             report.unplaced_tasks += waiting;
           }
@@ -160,6 +165,7 @@
       }
     }
   }
+  stats_->SetWaiting(options_.pool, waiting_by_queue_);
   return report;
 }
 
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -22,6 +22,7 @@
     : options_(std::move(options)),
       stats_(std::make_unique<SchedulerMetrics>(metrics)),
       plan_(std::make_shared<FleetPlan>()),
+      longest_inherited_lease_(options_.bounds.longest_lease),
       activated_(now) {}
 
 PoolScheduler::~PoolScheduler() = default;
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -178,8 +178,8 @@
     worker.fenced = true;
     dispatch_wanted_ = true;
     // An earlier owner's lease may be as long as the worker grants.
-    worker.latest_deadline = std::max(
-        worker.latest_deadline, status.clock + options_.bounds.longest_lease);
+    worker.latest_deadline = std::max(worker.latest_deadline,
+                                      status.clock + longest_inherited_lease_);
   }
   for (const EndedRun& end : status.ended) {
     if (end.number > worker.read_ends) {
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -29,6 +29,11 @@
 // Longest sleep between two steps.
 constexpr std::chrono::milliseconds kIdleStep{250};
 
+std::chrono::milliseconds LeaseOf(const ExecutionBounds& bounds) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      bounds.longest_lease * kLeaseShare);
+}
+
 }  // namespace
 
 void PoolScheduler::SetMayOrder(bool may_start, bool may_renew) {
@@ -98,10 +103,8 @@
       worker.tasks.empty()) {
     return std::nullopt;
   }
-  const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
-      options_.bounds.longest_lease * kLeaseShare);
   const std::chrono::milliseconds deadline =
-      worker.clock.DeadlineIn(lease, now);
+      worker.clock.DeadlineIn(LeaseOf(options_.bounds), now);
   worker.latest_deadline = std::max(worker.latest_deadline, deadline);
   return worker.latest_deadline;
 }
@@ -180,8 +183,10 @@
       continue;
     }
     if (worker.misses == 0) {
-      task.order_deadline = std::max(worker.latest_deadline,
-                                     worker.clock.DeadlineIn(kFirstLease, now));
+      const std::chrono::milliseconds lease =
+          std::min(kFirstLease, LeaseOf(options_.bounds));
+      task.order_deadline =
+          std::max(worker.latest_deadline, worker.clock.DeadlineIn(lease, now));
       worker.latest_deadline =
           std::max(worker.latest_deadline, task.order_deadline);
     }
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -20,6 +20,13 @@
 
 }  // namespace
 
+void PoolScheduler::SetBounds(const ExecutionBounds& bounds) {
+  options_.bounds = bounds;
+  longest_inherited_lease_ =
+      std::max(longest_inherited_lease_, bounds.longest_lease);
+  dispatch_wanted_ = true;
+}
+
 WorkerState* PoolScheduler::FindWorker(const WorkerKey& key) {
   const auto known = workers_.find(key);
   return known == workers_.end() ? nullptr : known->second.get();
@@ -32,7 +39,7 @@
   worker->last_answer = now;
   worker->next_hold = now;
   const auto lease = std::chrono::duration_cast<MonoTime::duration>(
-      options_.bounds.longest_lease / kSlowestWorkerClock);
+      longest_inherited_lease_ / kSlowestWorkerClock);
   worker->inherited_until = activated_ + options_.earlier_owner_grace + lease;
   return *worker;
 }
--- a/Source/Core/Scheduling/scheduler_metrics.cc
+++ b/Source/Core/Scheduling/scheduler_metrics.cc
@@ -23,9 +23,9 @@
       stops(metrics.GetCounter("figflow_stop_orders_total")),
       holds(metrics.GetCounter("figflow_hold_orders_total")),
       workers_lost(metrics.GetCounter("figflow_workers_lost_total")),
-      time_to_accept(metrics.GetHistogram("figflow_job_accept_seconds")),
-      time_to_start(metrics.GetHistogram("figflow_job_start_seconds")),
-      time_to_complete(metrics.GetHistogram("figflow_job_complete_seconds")),
+      time_to_accept(metrics.GetHistogram("figflow_job_accept")),
+      time_to_start(metrics.GetHistogram("figflow_job_start")),
+      time_to_complete(metrics.GetHistogram("figflow_job_complete")),
       registry_(metrics) {}
 
 Counter& SchedulerMetrics::Rejected(StartAnswer answer) const {
@@ -34,4 +34,15 @@
                    StartAnswerName(answer), "\"}"));
 }
 
+void SchedulerMetrics::SetWaiting(
+    const std::string& pool,
+    const std::map<std::string, int>& tasks_by_queue) const {
+  for (const auto& [queue, tasks] : tasks_by_queue) {
+    registry_
+        .GetGauge(absl::StrCat("figflow_queue_waiting_tasks{pool=\"", pool,
+                               "\",queue=\"", queue, "\"}"))
+        .Set(tasks);
+  }
+}
+
 }  // namespace figflow
--- a/Source/Core/Scheduling/scheduler_metrics.h
+++ b/Source/Core/Scheduling/scheduler_metrics.h
@@ -1,6 +1,9 @@
 #ifndef SCHEDULING_SCHEDULER_METRICS_H_
 #define SCHEDULING_SCHEDULER_METRICS_H_
 
+#include <map>
+#include <string>
+
 #include "Common/metrics.h"
 #include "Scheduling/worker.h"
 
@@ -12,6 +15,8 @@
   explicit SchedulerMetrics(MetricsRegistry& metrics);
 
   Counter& Rejected(StartAnswer answer) const;
+  void SetWaiting(const std::string& pool,
+                  const std::map<std::string, int>& tasks_by_queue) const;
 
   Counter& accepted;
   Counter& refused;
--- a/Source/Ctl/run.cc
+++ b/Source/Ctl/run.cc
@@ -106,11 +106,32 @@
   }
 }
 
+ExitCode RunHere(const Verb& verb,
+                 const Options& options,
+                 bool terminal,
+                 std::ostream& out,
+                 std::ostream& err) {
+  const Result<ApiAnswer> answer = verb.answer_here(options);
+  if (!answer) {
+    return Usage(err, absl::StrCat(verb.name, ": ", answer.error().message));
+  }
+  const ExitCode code = ExitCodeOf(verb, answer);
+  if (code != ExitCode::kDone) {
+    err << "figflowctl: " << verb.name << ": no line names "
+        << options.arguments[0] << "\n";
+  }
+  PrintAnswer(verb, options, *answer, terminal, out);
+  return code;
+}
+
 ExitCode RunVerb(const Verb& verb,
                  const Options& options,
                  bool terminal,
                  std::ostream& out,
                  std::ostream& err) {
+  if (verb.answer_here != nullptr) {
+    return RunHere(verb, options, terminal, out, err);
+  }
   const Result<ApiCall> call = verb.make_call(options);
   if (!call) {
     return Usage(err, absl::StrCat(verb.name, ": ", call.error().message));
--- a/Source/Ctl/verbs.cc
+++ b/Source/Ctl/verbs.cc
@@ -10,6 +10,7 @@
 
 #include "Common/json.h"
 
+#include "Ctl/explain.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -18,6 +19,8 @@
 namespace figflow::ctl {
 namespace {
 
+constexpr int kOkStatus = 200;
+constexpr size_t kMostLogFiles = 1'000;
 constexpr char kJsonType[] = "application/json";
 
 using Json = nlohmann::json;
@@ -206,6 +209,32 @@
       ""};
 }
 
+Result<ApiAnswer> ExplainId(const Options& options) {
+  std::vector<SourcedLine> lines;
+  std::vector<std::string> paths(options.arguments.begin() + 1,
+                                 options.arguments.end());
+  if (paths.empty()) {
+    paths.emplace_back("-");
+  }
+  for (const std::string& path : paths) {
+    if (path == "-") {
+      ReadLog(std::cin, path, &lines);
+      continue;
+    }
+    std::ifstream file(path);
+    if (!file.good()) {
+      return BadArguments(absl::StrCat("cannot read ", path));
+    }
+    ReadLog(file, path, &lines);
+  }
+  const Json rows = Explain(options.arguments[0], std::move(lines));
+  const Json body = {
+      {"id", options.arguments[0]}, {"ok", !rows.empty()}, {"lines", rows}};
+  return ApiAnswer{
+      kOkStatus,
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
 Result<ApiCall> Dump(const Options& /*options*/) {
   return Get("/state");
 }
@@ -402,6 +431,59 @@
        Dump,
        "",
        {}},
+      {"entry",
+       "",
+       "Show what one daemon believes of the plan, the store and its peers",
+       {},
+       0,
+       0,
+       false,
+       Dump,
+       "",
+       {"entry", "plan_version", "store_silent_ms", "owners_age_ms", "workers",
+        "peers", "releasing"}},
+      {"owners",
+       "",
+       "List the pools' owners that one daemon knows",
+       {},
+       0,
+       0,
+       false,
+       Dump,
+       "owners",
+       {"scope", "owner", "fence", "age_ms"}},
+      {"queues",
+       "",
+       "List the waiting tasks of the pools that the daemon owns",
+       {},
+       0,
+       0,
+       false,
+       Dump,
+       "queues",
+       {"pool", "queue", "waiting_tasks"}},
+      {"waves",
+       "",
+       "List the open maintenance waves of the daemon that keeps the instances",
+       {},
+       0,
+       0,
+       false,
+       Dump,
+       "waves",
+       {"wave", "max_down", "waiting", "emptying", "ordered", "down", "over",
+        "left_ms", "held_by"}},
+      {"explain",
+       "ID [LOG...]",
+       "Gather what the daemons' logs say of a request, job or task",
+       {},
+       1,
+       kMostLogFiles,
+       false,
+       nullptr,
+       "lines",
+       {"time", "source", "about", "event", "details"},
+       ExplainId},
   };
 }
 
--- a/Source/Ctl/verbs.h
+++ b/Source/Ctl/verbs.h
@@ -22,12 +22,14 @@
   size_t max_arguments = 0;
   // The request changes state, so a lost answer leaves its outcome unknown.
   bool changes = false;
-  Result<ApiCall> (*make_call)(const Options& options);
+  Result<ApiCall> (*make_call)(const Options& options) = nullptr;
   // Member of the answer that holds the rows; empty when the answer itself is
   // the only row.
   std::string rows;
   // Empty: the answer is always printed as JSON.
   std::vector<std::string> columns;
+  // For verbs that need no daemon, in place of make_call.
+  Result<ApiAnswer> (*answer_here)(const Options& options) = nullptr;
 };
 
 const std::vector<Verb>& Verbs();
--- a/Source/StandIns/Fleet/model_fleet.cc
+++ b/Source/StandIns/Fleet/model_fleet.cc
@@ -252,6 +252,10 @@
   return daemons_[daemon]->process ? daemons_[daemon]->process->node : nullptr;
 }
 
+FleetEngine& ModelFleet::Engine(int daemon) const {
+  return *daemons_[daemon]->process->engine;
+}
+
 int ModelFleet::OwnerOf(const std::string& scope) const {
   const StoreItem* item = store.Find(OwnerKey(scope));
   if (item == nullptr) {
--- a/Source/StandIns/Fleet/model_fleet.h
+++ b/Source/StandIns/Fleet/model_fleet.h
@@ -39,6 +39,8 @@
   // The process is asked to stop, hands over and starts again.
   void Restart(int daemon);
   NodePtr Node(int daemon) const;
+  // Of a process that is running.
+  FleetEngine& Engine(int daemon) const;
   int daemons() const { return static_cast<int>(daemons_.size()); }
   // The daemon that owns the pool by the store; -1 if there is none.
   int OwnerOf(const std::string& scope) const;
--- a/Source/UnitTests/Fleet/fleet_work_test.cc
+++ b/Source/UnitTests/Fleet/fleet_work_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(SpeculativeTaskDoesNotWaitForALease);
   CPPUNIT_TEST(CopiesCountTowardsTheLimitOfAWorker);
   CPPUNIT_TEST(ScheduledJobRunsInTime);
+  CPPUNIT_TEST(StateShowsOwnersQueuesAndWaves);
+  CPPUNIT_TEST(ChangedBoundsHoldForOwnedPools);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -385,6 +387,55 @@
     CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
   }
 
+  // Guards against an operator who sees no reason why work or a wave waits.
+  void StateShowsOwnersQueuesAndWaves() {
+    ModelFleet fleet(33);
+    Begin(fleet, 2, 2, 0);
+    SubmitMany(fleet, "a", "q0", 200, milliseconds(10), 1, 4, 8'000);
+    StartWave(fleet, 4, 1);
+    fleet.Run(seconds(2));
+    const nlohmann::json owner = fleet.Engine(fleet.OwnerOf("p0")).DumpState();
+    const nlohmann::json keeper =
+        fleet.Engine(fleet.OwnerOf("@instances")).DumpState();
+    // Two pools and the instances.
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, owner["owners"].size());
+    CPPUNIT_ASSERT_EQUAL(std::string("q0"),
+                         owner["queues"][0]["queue"].get<std::string>());
+    CPPUNIT_ASSERT(owner["queues"][0]["waiting_tasks"].get<int>() > 100);
+    const nlohmann::json& wave = keeper["waves"][0];
+    CPPUNIT_ASSERT_EQUAL(
+        4, wave["waiting"].get<int>() + wave["ordered"].get<int>() +
+               wave["down"].get<int>() + wave["over"].get<int>());
+    CPPUNIT_ASSERT(wave["held_by"].get<std::string>() != "nothing");
+  }
+
+  // Guards against settings that reach only pools claimed later. Under
+  // the earlier bounds the tasks of a silent worker wait for 4 s, and then
+  // run for 1 s.
+  void ChangedBoundsHoldForOwnedPools() {
+    ModelFleet fleet(34);
+    Begin(fleet, 1, 6, 0);
+    // Leases of owners before the first one are waited for until then.
+    fleet.Run(seconds(7));
+    ExecutionBounds bounds;
+    bounds.longest_lease = seconds(1);
+    for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
+      fleet.Engine(daemon).SetBounds(bounds);
+    }
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(1), false};
+    };
+    fleet.Submit(SimpleJob("a", "q0", 1, 2, 4'000), 0);
+    fleet.Run(milliseconds(300));
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      model::ModelWorker& worker = *fleet.workers.Find(id);
+      worker.cut = !worker.running.empty();
+    }
+    fleet.Run(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
+    AssertKept(fleet);
+  }
+
  private:
   static void StartPerpetual(ModelFleet& fleet,
                              const std::string& id,
