Hand over the pools of a daemon that cannot keep up

One daemon gets a fifth of its processor from 11.4 to 18.4 s, while the queue of the pool that it owns peaks; it is the keeper of the instances too. Its client thread began calls 40 ms, then 730 ms late; the pool had 23 workers with 912 of 1,470 cores in use while work for 3,000 waited. It kept the pool until its lease ended at 18.4 s. Its step thread was hardly late, so that is no measure; nor is the processor clock, which counts the wall time here.

Change: OverloadWatch, without input or output. The client measures how late its thread begins calls; above 15 ms, smoothed over 0.5 s, for 0.4 s, the daemon hands everything over, as when it is stopped, and claims after all others for 10 s. It does so at most every 10 s and not in the 3 s after a take-over, whose burst makes calls late by 40 ms for a second.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -126,6 +126,7 @@
       router(engine, *platform, *client, clock, metrics),
       thread(clock, [this](MonoTime now) { return engine.Step(now); }) {
   engine.SetWake([this](MonoTime at) { thread.WakeAt(at); });
+  engine.SetLagProbe([this] { return client->TakeLag(); });
   engine.SetAskPool([this](const std::string& pool, const WorkerOrders& orders,
                            std::function<void(Result<PoolReport>)> done) {
     router.AskPool(pool, orders, std::move(done));
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -21,6 +21,9 @@
 // daemon that may reach more.
 constexpr std::chrono::milliseconds kReachTime{1'200};
 
+// A daemon that gave way claims as late as one with so many scopes.
+constexpr int kRestingCounts = 10;
+
 }  // namespace
 
 FleetEngine::FleetEngine(PlatformAdapter& platform,
@@ -58,6 +61,10 @@
   ask_pool_ = std::move(ask_pool);
 }
 
+void FleetEngine::SetLagProbe(std::function<MonoTime::duration()> lag) {
+  lag_probe_ = std::move(lag);
+}
+
 void FleetEngine::SetWake(std::function<void(MonoTime)> wake_at) {
   wake_at_ = std::move(wake_at);
 }
@@ -139,6 +146,7 @@
     }
     next = std::min(next, follower->Step(now));
   }
+  WatchOverload(now);
   next = std::min(next, StepOwnership(now));
   // After StepOwnership every claim in force belongs to this lease.
   const MonoTime certain = session_->certain_until();
@@ -247,7 +255,8 @@
       if (known_owners_.count(scope) > 0 || claiming_.count(scope) > 0) {
         continue;
       }
-      claims_.OnVacant(scope, owned, now);
+      claims_.OnVacant(
+          scope, owned + (overload_.Resting(now) ? kRestingCounts : 0), now);
       const std::optional<MonoTime> at = claims_.ClaimAt(scope);
       if (at && *at <= now) {
         to_claim.push_back(scope);
@@ -311,6 +320,7 @@
       return;
     }
     claim_leases_[scope] = lease;
+    overload_.OnClaimed(clock_.Now());
   }
   if (scope == kInstancesScope) {
     StartKeeper(nonce, revision);
@@ -424,12 +434,45 @@
                            [](const Result<TransactionResult>&) {});
 }
 
+void FleetEngine::WatchOverload(MonoTime now) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (!lag_probe_ || !overload_.SampleDue(now)) {
+      return;
+    }
+    overload_.OnSample(lag_probe_(), now);
+    // Without other daemons there is nobody to give way to.
+    const bool owns = !runners_.empty() || keeper_ != nullptr;
+    if (!owns || releasing_ || peers_.empty() ||
+        !overload_.ShouldGiveWay(now)) {
+      return;
+    }
+    overload_.OnGaveWay(now);
+    LogEvent(
+        LogLevel::kWarning, LogCategory::kPools, "overloaded",
+        {{"calls_late_ms",
+          absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           overload_.smoothed_lag())
+                           .count())},
+         {"pools", absl::StrCat(runners_.size())},
+         {"peers", absl::StrCat(peers_.size())}});
+  }
+  HandOverAll();
+}
+
 void FleetEngine::BeginRelease() {
+  {
+    absl::MutexLock lock(&mutex_);
+    releasing_ = true;
+  }
+  HandOverAll();
+}
+
+void FleetEngine::HandOverAll() {
   std::map<std::string, std::shared_ptr<PoolRunner>> runners;
   std::shared_ptr<InstanceKeeper> keeper;
   {
     absl::MutexLock lock(&mutex_);
-    releasing_ = true;
     runners = runners_;
     keeper = keeper_;
   }
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -14,6 +14,7 @@
 #include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
 #include "Common/metrics.h"
+#include "Fleet/overload_watch.h"
 #include "Fleet/pool_runner.h"
 #include "Fleet/route_choice.h"
 #include "Instances/instance_keeper.h"
@@ -63,6 +64,9 @@
   // Called, from any thread, to ask for a Step at a time. It must not call
   // back.
   void SetWake(std::function<void(MonoTime)> wake_at);
+  // How late this daemon has begun its calls since the last question. Without
+  // it, the daemon never gives way.
+  void SetLagProbe(std::function<MonoTime::duration()> lag);
   // Takes over changed bounds of the platform, for the pools owned now as well.
   void SetBounds(const ExecutionBounds& bounds);
   // Begins to follow the store.
@@ -104,6 +108,9 @@
   void WakeAt(MonoTime at);
   void RunTasks(MonoTime now);
   MonoTime StepOwnership(MonoTime now);
+  // Hands all scopes over if this daemon cannot keep up.
+  void WatchOverload(MonoTime now);
+  void HandOverAll();
   void Claim(const std::string& scope, LeaseId lease);
   void OnOwned(const std::string& scope,
                const std::string& nonce,
@@ -136,6 +143,7 @@
   MetricsRegistry& metrics_;
   const FleetEngineOptions options_;
   InstanceKeeper::AskPool ask_pool_;
+  std::function<MonoTime::duration()> lag_probe_;
   std::shared_ptr<StoreSession> session_;
   std::shared_ptr<PrefixFollower> operator_keys_;
   std::shared_ptr<PrefixFollower> workers_;
@@ -164,6 +172,7 @@
   // When the removal of an own key may be tried again.
   std::map<std::string, MonoTime> removed_at_ ABSL_GUARDED_BY(mutex_);
   ClaimPolicy claims_ ABSL_GUARDED_BY(mutex_);
+  OverloadWatch overload_ ABSL_GUARDED_BY(mutex_);
   uint64_t claim_number_ ABSL_GUARDED_BY(mutex_) = 0;
   bool releasing_ ABSL_GUARDED_BY(mutex_) = false;
 
--- /dev/null
+++ b/Source/Core/Fleet/overload_watch.cc
@@ -0,0 +1,57 @@
+#include "Fleet/overload_watch.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kSampleInterval{100};
+// Time constant of the smoothed lag: single long steps do not count.
+constexpr std::chrono::milliseconds kWindow{500};
+// Ten times what a call to a worker or the store takes; each stage of a job
+// needs several of them. Calm daemons stay below 3 ms.
+constexpr std::chrono::milliseconds kTooLate{15};
+// The lag has to stay above for so long.
+constexpr std::chrono::milliseconds kSustained{400};
+// Reading the records and asking all workers takes less than this.
+constexpr std::chrono::seconds kSettles{3};
+// When all daemons are short of processor time, handing over helps nobody; each
+// does it at most this often.
+constexpr std::chrono::seconds kRest{10};
+
+}  // namespace
+
+void OverloadWatch::OnSample(MonoTime::duration lag, MonoTime now) {
+  const auto passed =
+      sampled_at_ == MonoTime::min()
+          ? MonoTime::duration(kSampleInterval)
+          : std::max(MonoTime::duration(kSampleInterval), now - sampled_at_);
+  const double part = 1.0 - std::exp(-std::chrono::duration<double>(passed) /
+                                     std::chrono::duration<double>(kWindow));
+  smoothed_lag_ += std::chrono::duration_cast<MonoTime::duration>(
+      (lag - smoothed_lag_) * part);
+  sampled_at_ = now;
+  next_sample_ = now + kSampleInterval;
+  if (smoothed_lag_ < kTooLate) {
+    late_since_ = MonoTime::max();
+  } else {
+    late_since_ = std::min(late_since_, now);
+  }
+}
+
+void OverloadWatch::OnClaimed(MonoTime now) {
+  settled_at_ = now + kSettles;
+}
+
+bool OverloadWatch::ShouldGiveWay(MonoTime now) const {
+  return late_since_ != MonoTime::max() && now - late_since_ >= kSustained &&
+         now >= settled_at_ && !Resting(now);
+}
+
+void OverloadWatch::OnGaveWay(MonoTime now) {
+  rests_until_ = now + kRest;
+}
+
+}  // namespace figflow
--- a/Source/Core/Http/client_loop.cc
+++ b/Source/Core/Http/client_loop.cc
@@ -78,6 +78,9 @@
   bool wake = false;
   {
     absl::MutexLock lock(&mutex_);
+    if (mailbox_.empty()) {
+      mailbox_since_ = Now();
+    }
     mailbox_.push_back(std::move(command));
     wake = !awake_;
     awake_ = true;
@@ -99,6 +102,10 @@
       }
       commands.swap(mailbox_);
       awake_ = !commands.empty();
+      if (!commands.empty()) {
+        lag_sum_ += Now() - mailbox_since_;
+        ++lag_count_;
+      }
     }
     RunCommands(commands);
     RunTimers();
@@ -198,6 +205,17 @@
   }
 }
 
+MonoTime::duration ClientLoop::TakeLag() {
+  absl::MutexLock lock(&mutex_);
+  const auto waiting =
+      mailbox_.empty() ? MonoTime::duration(0) : Now() - mailbox_since_;
+  const auto mean =
+      lag_count_ == 0 ? MonoTime::duration(0) : lag_sum_ / lag_count_;
+  lag_sum_ = MonoTime::duration(0);
+  lag_count_ = 0;
+  return std::max(mean, waiting);
+}
+
 int ClientLoop::OpenConnections(const std::string& address) const {
   absl::MutexLock lock(&mutex_);
   auto it = open_connections_.find(address);
--- a/Source/Core/Http/client_loop.h
+++ b/Source/Core/Http/client_loop.h
@@ -38,6 +38,10 @@
   // closed.
   int OpenConnections(const std::string& address) const;
 
+  // Mean time from a command's posting until the thread has read it, since the
+  // last call, or the time for which the oldest one has waited if that is more.
+  MonoTime::duration TakeLag();
+
   // For AddressPool, on the thread of the loop.
   void PublishOpenConnections(const AddressPool& pool);
 
@@ -92,6 +96,11 @@
   absl::flat_hash_map<std::string, int> open_connections_
       ABSL_GUARDED_BY(mutex_);
   std::vector<Command> mailbox_ ABSL_GUARDED_BY(mutex_);
+  // When the first command in the mailbox was posted.
+  MonoTime mailbox_since_ ABSL_GUARDED_BY(mutex_);
+  // Lateness of the batches read since the last TakeLag.
+  MonoTime::duration lag_sum_ ABSL_GUARDED_BY(mutex_){0};
+  int lag_count_ ABSL_GUARDED_BY(mutex_) = 0;
   // The thread is or will be awake and will read the mailbox.
   bool awake_ ABSL_GUARDED_BY(mutex_) = true;
   bool stop_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/Core/Http/http_client.cc
+++ b/Source/Core/Http/http_client.cc
@@ -50,6 +50,14 @@
   return LoopOf(address).OpenConnections(address);
 }
 
+MonoTime::duration HttpClient::TakeLag() {
+  MonoTime::duration worst{0};
+  for (const auto& loop : loops_) {
+    worst = std::max(worst, loop->TakeLag());
+  }
+  return worst;
+}
+
 ClientLoop& HttpClient::LoopOf(const std::string& address) const {
   return *loops_[absl::Hash<std::string>()(address) % loops_.size()];
 }
--- a/Source/Core/Http/http_client.h
+++ b/Source/Core/Http/http_client.h
@@ -47,6 +47,9 @@
   void SetConnectionLimit(const std::string& address, int limit);
   // Connections to `address` that are open now, idle ones included.
   int OpenConnections(const std::string& address) const;
+  // How late the threads have begun transfers since the last call: the mean of
+  // the thread that is worst. Zero without transfers.
+  MonoTime::duration TakeLag();
 
  private:
   ClientLoop& LoopOf(const std::string& address) const;
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(StoreTurnsTheOwnerAway);
   CPPUNIT_TEST(OwnerWithoutAnswersGivesWay);
   CPPUNIT_TEST(RevokedKeyIsNoticed);
+  CPPUNIT_TEST(OverloadedOwnerGivesWay);
+  CPPUNIT_TEST(OverloadOfAllDaemonsLosesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -315,6 +317,46 @@
     AssertKept(fleet);
     CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
   }
+
+  // A daemon that gets a fraction of its processor kept its pools for 7 s, with
+  // tasks waiting beside idle workers.
+  void OverloadedOwnerGivesWay() {
+    ModelFleet fleet(61);
+    Begin(fleet, 2, 4, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
+    fleet.Run(seconds(3));
+    const int slow = fleet.OwnerOf("p0");
+    fleet.Engine(slow).SetLagProbe([] { return milliseconds(80); });
+    fleet.Run(seconds(2));
+    CPPUNIT_ASSERT(fleet.OwnerOf("p0") >= 0);
+    CPPUNIT_ASSERT(fleet.OwnerOf("p0") != slow);
+    CPPUNIT_ASSERT(fleet.OwnerOf("@instances") != slow);
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
+
+  // Pools must not stay without an owner, nor wander all the time.
+  void OverloadOfAllDaemonsLosesNothing() {
+    ModelFleet fleet(62);
+    Begin(fleet, 2, 4, 0);
+    SubmitMany(fleet, "a", "q0", 60, milliseconds(200));
+    for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
+      fleet.Engine(daemon).SetLagProbe([] { return milliseconds(80); });
+    }
+    int changes = 0;
+    int owner = fleet.OwnerOf("p0");
+    for (int i = 0; i < 300; ++i) {
+      fleet.Run(milliseconds(100));
+      const int present = fleet.OwnerOf("p0");
+      changes += present >= 0 && present != owner ? 1 : 0;
+      owner = present >= 0 ? present : owner;
+    }
+    // Each of three daemons gives way at most every 10 s.
+    CPPUNIT_ASSERT(changes <= 9);
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetFaultTest);
