--- a/Source/Ctl/explain.cc
+++ b/Source/Ctl/explain.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <fstream>
+#include <iostream>
 #include <set>
 
 #include "absl/strings/match.h"
@@ -11,6 +13,8 @@
 namespace figflow::ctl {
 namespace {
 
+constexpr int kOkStatus = 200;
+
 // What happened shortly before the first line may be the cause: a lease ends
 // and an owner is missed after about this time.
 constexpr std::chrono::seconds kBefore{5};
@@ -82,7 +86,8 @@
   std::string text;
   while (std::getline(input, text)) {
     if (std::optional<LogLine> line = ParseLogLine(text)) {
-      lines->push_back({source, std::move(*line)});
+      lines->push_back(
+          {line->origin.empty() ? source : line->origin, std::move(*line)});
     }
   }
 }
@@ -125,4 +130,31 @@
   return rows;
 }
 
+Result<ApiAnswer> ExplainId(const Options& options) {
+  std::vector<SourcedLine> lines;
+  std::vector<std::string> paths(options.arguments.begin() + 1,
+                                 options.arguments.end());
+  if (paths.empty()) {
+    paths.emplace_back("-");
+  }
+  for (const std::string& path : paths) {
+    if (path == "-") {
+      ReadLog(std::cin, path, &lines);
+      continue;
+    }
+    std::ifstream file(path);
+    if (!file.good()) {
+      return Fail(ErrorCode::kInvalid, "ctl.explain", "",
+                  absl::StrCat("cannot read ", path));
+    }
+    ReadLog(file, path, &lines);
+  }
+  const nlohmann::json rows = Explain(options.arguments[0], std::move(lines));
+  const nlohmann::json body = {
+      {"id", options.arguments[0]}, {"ok", !rows.empty()}, {"lines", rows}};
+  return ApiAnswer{
+      kOkStatus,
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
 }  // namespace figflow::ctl
--- a/Source/Ctl/explain.h
+++ b/Source/Ctl/explain.h
@@ -5,12 +5,15 @@
 #include <string>
 #include <vector>
 
+#include "Common/error.h"
 #include "Common/json.h"
+#include "Ctl/api_client.h"
 #include "Ctl/log_line.h"
+#include "Ctl/options.h"
 
 namespace figflow::ctl {
 
-// A log line and the file that it comes from.
+// A log line and the instance, or else the file, that it comes from.
 struct SourcedLine {
   std::string source;
   LogLine line;
@@ -28,6 +31,10 @@
 // Empty if no line names `id`.
 nlohmann::json Explain(const std::string& id, std::vector<SourcedLine> lines);
 
+// Answers the verb "explain": its arguments are the id and the files to read,
+// or standard input.
+Result<ApiAnswer> ExplainId(const Options& options);
+
 }  // namespace figflow::ctl
 
 #endif  // CTL_EXPLAIN_H_
--- a/Source/Ctl/log_line.cc
+++ b/Source/Ctl/log_line.cc
@@ -70,6 +70,8 @@
       parsed.time = absl::ToChronoTime(time);
       parsed.time_text = word;
       timed = true;
+    } else if (!timed && !word.empty()) {
+      parsed.origin = word;
     }
     head.remove_prefix(std::min(end + 1, head.size()));
   }
--- a/Source/Ctl/log_line.h
+++ b/Source/Ctl/log_line.h
@@ -13,6 +13,9 @@
 
 // One structured line of a daemon's log.
 struct LogLine {
+  // The word before the time: log collectors put the name of the instance
+  // there. Empty if there is none.
+  std::string origin;
   WallTime time;
   std::string time_text;
   std::string category;
@@ -26,8 +29,8 @@
   std::string Field(absl::string_view name) const;
 };
 
-// Parses a line of Common/log.h. Text before the time, such as the name of the
-// instance that a log collector adds, is skipped. None if it is no such line.
+// Parses a line of Common/log.h, with any text before the time. None if it is
+// no such line.
 std::optional<LogLine> ParseLogLine(absl::string_view line);
 
 }  // namespace figflow::ctl
--- a/Source/Ctl/verbs.cc
+++ b/Source/Ctl/verbs.cc
@@ -19,7 +19,6 @@
 namespace figflow::ctl {
 namespace {
 
-constexpr int kOkStatus = 200;
 constexpr size_t kMostLogFiles = 1'000;
 constexpr char kJsonType[] = "application/json";
 
@@ -209,32 +208,6 @@
       ""};
 }
 
-Result<ApiAnswer> ExplainId(const Options& options) {
-  std::vector<SourcedLine> lines;
-  std::vector<std::string> paths(options.arguments.begin() + 1,
-                                 options.arguments.end());
-  if (paths.empty()) {
-    paths.emplace_back("-");
-  }
-  for (const std::string& path : paths) {
-    if (path == "-") {
-      ReadLog(std::cin, path, &lines);
-      continue;
-    }
-    std::ifstream file(path);
-    if (!file.good()) {
-      return BadArguments(absl::StrCat("cannot read ", path));
-    }
-    ReadLog(file, path, &lines);
-  }
-  const Json rows = Explain(options.arguments[0], std::move(lines));
-  const Json body = {
-      {"id", options.arguments[0]}, {"ok", !rows.empty()}, {"lines", rows}};
-  return ApiAnswer{
-      kOkStatus,
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
-}
-
 Result<ApiCall> Dump(const Options& /*options*/) {
   return Get("/state");
 }
--- a/Source/UnitTests/Ctl/explain_test.cc
+++ b/Source/UnitTests/Ctl/explain_test.cc
@@ -33,10 +33,11 @@
   // Guards against values that are cut at blanks or keep their escapes.
   void ParsesWhatTheLogWrites() {
     const std::optional<LogLine> line = ParseLogLine(
-        "front-a-1 12.5 2026-12-04T09:30:00.123 WARNING category=jobs "
+        "12.5 front-a-1 2026-12-04T09:30:00.123 WARNING category=jobs "
         "event=run_failed task=j7.0.1.2 reason=\"a \\\"b\\\"\\nc\" empty=\"\" "
         "omitted=3");
     CPPUNIT_ASSERT(line.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("front-a-1"), line->origin);
     CPPUNIT_ASSERT_EQUAL(std::string("jobs"), line->category);
     CPPUNIT_ASSERT_EQUAL(std::string("run_failed"), line->event);
     CPPUNIT_ASSERT_EQUAL(std::string("2026-12-04T09:30:00.123"),
