--- a/Source/Core/Sheet/sheet_parser.cc
+++ b/Source/Core/Sheet/sheet_parser.cc
@@ -29,6 +29,23 @@
   return 0;
 }
 
+// Name of an encoding that cannot be read, from the byte-order mark or, without
+// one, from the zero byte beside the first character. Null for anything else.
+const char* ForeignEncoding(absl::string_view csv) {
+  const auto begins = [csv](absl::string_view mark) {
+    return absl::StartsWith(csv, mark);
+  };
+  if (begins(absl::string_view("\xFF\xFE\0\0", 4)) ||
+      begins(absl::string_view("\0\0\xFE\xFF", 4))) {
+    return "UTF-32";
+  }
+  if (begins("\xFF\xFE") || begins("\xFE\xFF") ||
+      (csv.size() >= 2 && (csv[0] == '\0') != (csv[1] == '\0'))) {
+    return "UTF-16";
+  }
+  return nullptr;
+}
+
 class SheetParser {
  public:
   ParsedSheet Parse(absl::string_view csv) {
@@ -38,6 +55,12 @@
                        kMaxSheetBytes, " are accepted"));
       return std::move(result_);
     }
+    if (const char* encoding = ForeignEncoding(csv)) {
+      Add(SheetFaultKind::kSyntax, 0, 0,
+          absl::StrCat("the sheet is in ", encoding,
+                       "; export it as CSV in UTF-8"));
+      return std::move(result_);
+    }
     CsvTable table = ParseCsv(csv);
     result_.faults = std::move(table.faults);
     auto row = table.rows.cbegin();
--- a/Source/Ctl/output.cc
+++ b/Source/Ctl/output.cc
@@ -40,11 +40,13 @@
                        const std::vector<std::string>& columns,
                        OutputForm form) {
   std::vector<std::vector<std::string>> lines;
-  if (form == OutputForm::kTable) {
-    lines.emplace_back();
-    for (const std::string& column : columns) {
-      lines.back().push_back(absl::AsciiStrToUpper(column));
-    }
+  const bool table = form == OutputForm::kTable;
+  lines.emplace_back();
+  for (const std::string& column : columns) {
+    lines.back().push_back(table ? absl::AsciiStrToUpper(column) : column);
+  }
+  if (!table && !columns.empty()) {
+    lines.back().front().insert(0, "#");
   }
   for (const auto& row : rows) {
     lines.emplace_back();
--- a/Source/Ctl/output.h
+++ b/Source/Ctl/output.h
@@ -11,8 +11,8 @@
 enum class OutputForm { kTable, kTabSeparated };
 
 // Formats the objects in `rows` with one column per name. A table has a
-// heading and aligned columns; the tab-separated form has neither, and its
-// cells hold neither tabs nor line breaks.
+// heading and aligned columns. The first line of the tab-separated form is "#"
+// and the names of the columns; its cells hold neither tabs nor line breaks.
 std::string FormatRows(const nlohmann::json& rows,
                        const std::vector<std::string>& columns,
                        OutputForm form);
--- a/Source/UnitTests/Ctl/run_test.cc
+++ b/Source/UnitTests/Ctl/run_test.cc
@@ -192,7 +192,8 @@
      Fault::kNone,
      {},
      ExitCode::kDone,
-     "rice\trice-long-name\t-\t0",
+     "#project\tpool\tdata_centre\twanted\tactive\tdraining\tfree_slots\t"
+     "queued_short\tqueued_long\nrice\trice-long-name\t-\t0",
      ""},
     {"json",
      "pools|-s|SERVER|--json",
--- a/Source/UnitTests/Sheet/sheet_parser_test.cc
+++ b/Source/UnitTests/Sheet/sheet_parser_test.cc
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(RefusesBadJson);
   CPPUNIT_TEST(DiffNamesChangedColumns);
   CPPUNIT_TEST(ExamplesAreAccepted);
+  CPPUNIT_TEST(ForeignEncodingIsOneFault);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -249,6 +250,23 @@
       CPPUNIT_ASSERT_EQUAL(example.instances, instances);
     }
   }
+
+  // A spreadsheet's "Unicode text" gave a fault for each of its cells.
+  void ForeignEncodingIsOneFault() {
+    using namespace std::string_literals;
+    const std::pair<std::string, std::string> sheets[] = {
+        {"\xFF\xFE#\0r\0e\0v\0,\0\n\0a\0,\0"s, "UTF-16"},
+        {"\xFE\xFF\0#\0r\0e\0v"s, "UTF-16"},
+        {"#\0r\0e\0v\0,\0"s, "UTF-16"},
+        {"\xFF\xFE\0\0#\0\0\0"s, "UTF-32"},
+    };
+    for (const auto& [sheet, encoding] : sheets) {
+      const ParsedSheet parsed = ParseSheet(sheet);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, parsed.faults.size());
+      CPPUNIT_ASSERT(parsed.faults[0].message.find(encoding) !=
+                     std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SheetParserTest);
