Let a new owner settle for 8 s before it may give way

The pool was without an owner for most of the time.

Change: a daemon gives way as overloaded only 8 s after its last take-over, and has 20 ms more for each worker to reach them.

--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -17,8 +17,10 @@
 // A key that could not be removed is tried again after this time.
 constexpr std::chrono::milliseconds kRemoveAgain{400};
 // An owner that reaches fewer than half of its workers by then gives way to a
-// daemon that may reach more.
-constexpr std::chrono::milliseconds kReachTime{1'200};
+// daemon that may reach more. A small entry instance needs some time for the
+// first call to each worker.
+constexpr std::chrono::milliseconds kReachTime{1'000};
+constexpr std::chrono::milliseconds kReachTimeOfWorker{20};
 // A daemon that gave way claims as late as one with so many scopes.
 constexpr int kRestingCounts = 10;
 
@@ -55,7 +57,8 @@
   }
   const auto [listed, reached] = runner.Reached();
   if (runner.state() == PoolRunner::State::kActive &&
-      now > runner.active_since() + kReachTime && reached * 2 < listed) {
+      now > runner.active_since() + kReachTime + kReachTimeOfWorker * listed &&
+      reached * 2 < listed) {
     return "workers-unreachable";
   }
   return nullptr;
--- a/Source/Core/Fleet/overload_watch.cc
+++ b/Source/Core/Fleet/overload_watch.cc
@@ -15,8 +15,10 @@
 constexpr std::chrono::milliseconds kTooLate{15};
 // The lag has to stay above for so long.
 constexpr std::chrono::milliseconds kSustained{400};
-// Reading the records and asking all workers takes less than this.
-constexpr std::chrono::seconds kSettles{3};
+// Reading the records and asking all workers takes less than this. A pool that
+// overloads its owner again and again is too large for any daemon: it should
+// not be without an owner for a larger part of the time.
+constexpr std::chrono::seconds kSettles{8};
 // When all daemons are short of processor time, handing over helps nobody; each
 // does it at most this often.
 constexpr std::chrono::seconds kRest{10};
--- a/Source/Core/Fleet/overload_watch.h
+++ b/Source/Core/Fleet/overload_watch.h
@@ -19,8 +19,8 @@
   bool SampleDue(MonoTime now) const { return now >= next_sample_; }
   // Mean lateness of the calls begun since the last sample.
   void OnSample(MonoTime::duration lag, MonoTime now);
-  // This daemon has taken something over: reading the records and asking all
-  // workers is a burst that says nothing about what follows.
+  // This daemon has taken something over. The burst of that says nothing about
+  // what follows, and what overloaded one owner may overload the next.
   void OnClaimed(MonoTime now);
 
   // All scopes should be handed over now.
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -323,6 +323,7 @@
   void OverloadedOwnerGivesWay() {
     ModelFleet fleet(61);
     Begin(fleet, 2, 4, 0);
+    fleet.Run(seconds(8));
     SubmitMany(fleet, "a", "q0", 60, milliseconds(100));
     fleet.Run(seconds(3));
     const int slow = fleet.OwnerOf("p0");
