--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -44,7 +44,7 @@
   }
 
   void Change(std::string* input) {
-    static const std::vector<std::string> kTokens = {
+    static const std::vector<std::string> tokens = {
         "null",       "{}",         "[]",         "\"\"",   "-1",
         "1e308",      "4294967296", "true",       "\"\xff", "[[[",
         "9999999999", "1e-320",     "-2147483649"};
@@ -64,10 +64,10 @@
         input->insert(at, input->substr(at, length));
         return;
       case 4:
-        input->replace(at, length, kTokens[Below(kTokens.size())]);
+        input->replace(at, length, tokens[Below(tokens.size())]);
         return;
       default:
-        ReplaceNumber(at, kTokens[Below(kTokens.size())], input);
+        ReplaceNumber(at, tokens[Below(tokens.size())], input);
         return;
     }
   }
@@ -94,31 +94,31 @@
   std::function<bool(const std::string&)> decode;
 };
 
-constexpr char kPlan[] =
+constexpr char kValidPlan[] =
     R"({"Version":7,"Routes":[{"Name":"short","Host":"h.example",)"
     R"("Prefix":"/a/","Service":"s","MaxAttempts":2,"Stretch":1.6,)"
     R"("TargetDurationMs":600,"Priority":1,"Advice":{"DecideMs":5,)"
     R"("PeriodMs":2,"ValidMs":3000}}],"Services":[{"Name":"s",)"
     R"("RejectsOverload":true},{"Name":"spare","Spare":true}],"Limits":{}})";
-constexpr char kWorker[] =
+constexpr char kValidWorker[] =
     R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1",)"
     R"("Slots":8,"State":"ready","Sequence":1,"born":1792894133219,)"
     R"("Capacity":{"Cpu":64000,"MemMb":262144,"Gpu":0},)"
     R"("Labels":["a","r1-3"],"Machine":"m-1","ClockMs":482113})";
-constexpr char kWave[] =
+constexpr char kValidWave[] =
     R"({"Wave":3,"Machines":["m-1","m-2"],"CompleteByS":20.5,"Cap":2})";
-constexpr char kJob[] =
+constexpr char kValidJob[] =
     R"({"Spec":"[text]","Steps":[{"Count":4,"Cpu":500,"MemMb":256,)"
     R"("EstimateMs":900,"Affinity":"r1-3"},{"Count":20,"Cpu":2000,)"
     R"("MemMb":1024,"EstimateMs":7000,"After":[0],"SavesProgress":true,)"
     R"("MayMiss":0,"Perpetual":true,"Fills":true,"TargetMs":40}]})";
-constexpr char kSettings[] =
+constexpr char kValidSettings[] =
     R"({"entry":"e1","data_centre":"suva","listen":{"callers":)"
     R"("127.0.0.1:8080","admin":"127.0.0.1:8081","peers":"[::1]:8082"},)"
     R"("peers":{"seeds":["127.0.0.1:9000"],"credential":)"
     R"("peer-credential-01"},"admin":{"credential":)"
     R"("operator-credential-01"},"platform":{"address":"127.0.0.1:19000"}})";
-constexpr char kSheet[] =
+constexpr char kValidSheet[] =
     "project,pool,data_centre,wanted\nrice,web,suva,3\n\"a \"\"b\"\"\",x,y,2\n";
 
 Job SomeJob() {
@@ -152,7 +152,7 @@
 }
 
 std::vector<Decoder> Decoders() {
-  const auto plan = std::make_shared<FleetPlan>(*wire::ParsePlan(kPlan));
+  const auto plan = std::make_shared<FleetPlan>(*wire::ParsePlan(kValidPlan));
   PeerCall call;
   call.call.kind = CallKind::kSubmit;
   call.call.queue = "q";
@@ -164,21 +164,21 @@
   HandOverRecord hand_over;
   hand_over.recent = {"m-1", "m-2"};
   return {
-      {"plan", kPlan,
+      {"plan", kValidPlan,
        [](const std::string& in) { return wire::ParsePlan(in).has_value(); }},
-      {"worker", kWorker,
+      {"worker", kValidWorker,
        [](const std::string& in) {
          return wire::ParseWorker("i-1", in).has_value();
        }},
-      {"wave", kWave,
+      {"wave", kValidWave,
        [](const std::string& in) { return wire::ParseWave(in).has_value(); }},
-      {"job of a caller", kJob,
+      {"job of a caller", kValidJob,
        [plan](const std::string& in) {
          return wire::ParseCall(CallerRequest(in), *plan).has_value();
        }},
-      {"settings", kSettings,
+      {"settings", kValidSettings,
        [](const std::string& in) { return ParseSettings(in).has_value(); }},
-      {"sheet", kSheet,
+      {"sheet", kValidSheet,
        [](const std::string& in) { return ParseSheet(in).ok(); }},
       {"job record", FormatAcceptedJob(SomeJob()),
        [](const std::string& in) { return ParseAcceptedJob(in).has_value(); }},
