Treat owners that were never read as stale

Cause: the UBSan run of fleet_seeded_tests stopped at CallRouter::ViewFor. A daemon that has never read the owners' keys had the lowest time as their age's start; now minus that overflows to a negative age, so the daemon took its empty list for fresh and waited for an owner instead of asking a peer.

Change: PrefixFollower::Age(now) gives the longest duration before the first answer; nobody subtracts that time any more.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -127,7 +127,7 @@
     view.owner = PeerAddress{owner->record.entry, owner->record.address};
     view.owner_claim = owner->revision;
   }
-  view.stale = away || now - engine_.OwnersFreshAt() > kStaleAfter;
+  view.stale = away || engine_.OwnersAge(now) > kStaleAfter;
   for (PeerAddress& peer : engine_.Peers()) {
     // Without the store this daemon knows no more than the others: one that
     // the store answers can help.
@@ -291,7 +291,7 @@
        {"fence", absl::StrCat(reply.fence)},
        {"owner", owner ? owner->record.entry : "none"},
        {"owner_fence", absl::StrCat(owner ? owner->revision : 0)},
-       {"owners_age_ms", milliseconds(now - engine_.OwnersFreshAt())},
+       {"owners_age_ms", milliseconds(engine_.OwnersAge(now))},
        {"store_silent_ms", absl::StrCat(engine_.StoreSilence(now).count())},
        {"relays", absl::StrCat(routed.attempts.relays)},
        {"held_ms", milliseconds(taken)}});
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -88,8 +88,8 @@
   std::optional<Owner> OwnerOf(const std::string& pool) const;
   // Daemons that own or owned something, without this one.
   std::vector<PeerAddress> Peers() const;
-  // The owners' keys are known at least as of this time.
-  MonoTime OwnersFreshAt() const { return owners_->fresh_at(); }
+  // How old the knowledge of the owners' keys is at most.
+  MonoTime::duration OwnersAge(MonoTime now) const { return owners_->Age(now); }
   // How long the store has not answered this daemon.
   std::chrono::milliseconds StoreSilence(MonoTime now) const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Source/Core/Fleet/fleet_engine_state.cc
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -38,7 +38,9 @@
   return {{"entry", options_.entry},
           {"plan_version", plan_ == nullptr ? 0 : plan_->version},
           {"store_silent_ms", StoreSilence(now).count()},
-          {"owners_age_ms", age_ms(OwnersFreshAt())},
+          {"owners_age_ms",
+           std::chrono::duration_cast<std::chrono::milliseconds>(OwnersAge(now))
+               .count()},
           {"workers", reports_.size()},
           {"peers", peers_.size()},
           {"releasing", releasing_},
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -221,9 +221,10 @@
   }
 }
 
-MonoTime PrefixFollower::fresh_at() const {
+MonoTime::duration PrefixFollower::Age(MonoTime now) const {
   absl::MutexLock lock(&mutex_);
-  return fresh_at_;
+  return fresh_at_ == MonoTime::min() ? MonoTime::duration::max()
+                                      : now - fresh_at_;
 }
 
 bool PrefixFollower::synced() const {
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -51,8 +51,9 @@
   // lost, so another one begins.
   void Resync();
 
-  // Start of the last call that was answered: the keys are at least that new.
-  MonoTime fresh_at() const;
+  // How long ago the last call that was answered began: the keys are at least
+  // that new. The longest duration before the first answer.
+  MonoTime::duration Age(MonoTime now) const;
   bool synced() const;
 
  private:
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(StoreTurnsTheOwnerAway);
   CPPUNIT_TEST(OwnerWithoutAnswersGivesWay);
   CPPUNIT_TEST(RevokedKeyIsNoticed);
+  CPPUNIT_TEST(OwnersNeverReadAreStale);
   CPPUNIT_TEST(OverloadedOwnerGivesWay);
   CPPUNIT_TEST(OverloadOfAllDaemonsLosesNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -318,6 +319,23 @@
     CPPUNIT_ASSERT_EQUAL(60, fleet.promises.completed());
   }
 
+  // A daemon that had never read the owners' keys took its knowledge of them
+  // for fresh, by an overflow, and waited for an owner instead of asking a
+  // peer.
+  void OwnersNeverReadAreStale() {
+    ModelFleet fleet(63);
+    fleet.store.faults.silent = true;
+    fleet.SetPlan(SimplePlan(1));
+    fleet.AddDaemons(2);
+    fleet.Run(seconds(1));
+    CPPUNIT_ASSERT(fleet.Engine(0).OwnersAge(fleet.time.Now()) >
+                   std::chrono::hours(24));
+    fleet.store.faults.silent = false;
+    fleet.Run(seconds(3));
+    // Counted from the start of a watch, which waits for some seconds.
+    CPPUNIT_ASSERT(fleet.Engine(0).OwnersAge(fleet.time.Now()) < seconds(7));
+  }
+
   // A daemon that gets a fraction of its processor kept its pools for 7 s, with
   // tasks waiting beside idle workers.
   void OverloadedOwnerGivesWay() {
