Start the fleets of seeded tests, and plan their faults, in one place

RunSeed and RunMixedSeed each had the same start of a fleet and the same loop over faults, with other figures. A comment of retry_advice named the lease as it was before (2 s instead of 1.5 s).

--- a/Source/Core/Fleet/retry_advice.cc
+++ b/Source/Core/Fleet/retry_advice.cc
@@ -9,7 +9,7 @@
 
 using std::chrono::seconds;
 
-// A take-over after a crash takes 2 s at most, half of it on average.
+// A take-over after a crash takes 1.5 s at most, most of it the lease.
 constexpr seconds kShortest{1};
 // A caller that waited longer would be late for certain when the outage ends
 // early: most objectives are shorter than this.
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -195,20 +195,39 @@
     return spec;
   }
 
-  static void RunMixedSeed(uint64_t seed) {
-    ModelFleet fleet(seed);
-    Trouble trouble(fleet, seed + 2'000);
-    fleet.promises.AllowLoneMembers();
+  // Starts two pools and four daemons; one in `runs_for_a_failure` runs fails.
+  static void StartSeed(ModelFleet& fleet,
+                        Trouble& trouble,
+                        int runs_for_a_failure) {
     fleet.SetPlan(SimplePlan(2));
     AddInstances(fleet, 2, 4, 3);
     fleet.AddDaemons(4);
-    fleet.workers.behaviour = [&trouble](const TaskName&) {
+    fleet.workers.behaviour = [&trouble, runs_for_a_failure](const TaskName&) {
       model::TaskBehaviour behaviour;
       behaviour.duration = milliseconds(trouble.Draw(100, 1'500));
-      behaviour.fails = trouble.Draw(0, 29) == 0;
+      behaviour.fails = trouble.Draw(0, runs_for_a_failure - 1) == 0;
       return behaviour;
     };
     fleet.Run(seconds(2));
+  }
+
+  // Two to six faults from 0.5 s on.
+  static void PlanFaults(ModelFleet& fleet,
+                         Trouble& trouble,
+                         milliseconds latest) {
+    const int faults = trouble.Draw(2, 6);
+    for (int i = 0; i < faults; ++i) {
+      fleet.time.After(
+          milliseconds(trouble.Draw(500, static_cast<int>(latest.count()))),
+          [&trouble] { trouble.Strike(); });
+    }
+  }
+
+  static void RunMixedSeed(uint64_t seed) {
+    ModelFleet fleet(seed);
+    Trouble trouble(fleet, seed + 2'000);
+    fleet.promises.AllowLoneMembers();
+    StartSeed(fleet, trouble, 30);
     for (int i = 0; i < 70; ++i) {
       const bool perpetual = i % 20 == 0;
       const JobSpec spec = perpetual
@@ -226,11 +245,7 @@
         });
       }
     }
-    const int faults = trouble.Draw(2, 6);
-    for (int i = 0; i < faults; ++i) {
-      fleet.time.After(milliseconds(trouble.Draw(500, 14'000)),
-                       [&trouble] { trouble.Strike(); });
-    }
+    PlanFaults(fleet, trouble, milliseconds(14'000));
     fleet.Run(seconds(90));
     AssertSeedKept(fleet, seed);
   }
@@ -246,23 +261,10 @@
   static void RunSeed(uint64_t seed) {
     ModelFleet fleet(seed);
     Trouble trouble(fleet, seed + 1'000);
-    fleet.SetPlan(SimplePlan(2));
-    AddInstances(fleet, 2, 4, 3);
-    fleet.AddDaemons(4);
-    fleet.workers.behaviour = [&trouble](const TaskName&) {
-      model::TaskBehaviour behaviour;
-      behaviour.duration = milliseconds(trouble.Draw(100, 1'500));
-      behaviour.fails = trouble.Draw(0, 199) == 0;
-      return behaviour;
-    };
-    fleet.Run(seconds(2));
+    StartSeed(fleet, trouble, 200);
     SubmitMany(fleet, "a", "q0", 80, milliseconds(150));
     SubmitMany(fleet, "b", "q1", 80, milliseconds(150), 1, 6);
-    const int faults = trouble.Draw(2, 6);
-    for (int i = 0; i < faults; ++i) {
-      fleet.time.After(milliseconds(trouble.Draw(500, 12'000)),
-                       [&trouble] { trouble.Strike(); });
-    }
+    PlanFaults(fleet, trouble, milliseconds(12'000));
     if (trouble.Draw(0, 1) == 1) {
       MaintenanceWave wave;
       wave.number = 1;
