--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -280,6 +280,10 @@
   const MonoTime now = clock_.Now();
   const std::optional<FleetEngine::Owner> owner =
       engine_.OwnerOf(routed.call.pool);
+  std::optional<MonoTime::duration> owner_answered;
+  if (owner) {
+    owner_answered = peer_health_.AnswerAge(owner->record.address, now);
+  }
   LogEvent(
       LogLevel::kInfo, LogCategory::kRequests, "call_answered",
       {{"job", routed.call.job},
@@ -292,6 +296,8 @@
        {"owner", owner ? owner->record.entry : "none"},
        {"owner_fence", absl::StrCat(owner ? owner->revision : 0)},
        {"owners_age_ms", milliseconds(engine_.OwnersAge(now))},
+       {"owner_answered_ms_ago",
+        owner_answered ? milliseconds(*owner_answered) : "never"},
        {"store_silent_ms", absl::StrCat(engine_.StoreSilence(now).count())},
        {"relays", absl::StrCat(routed.attempts.relays)},
        {"held_ms", milliseconds(taken)}});
--- a/Source/Core/Fleet/peer_health.cc
+++ b/Source/Core/Fleet/peer_health.cc
@@ -54,6 +54,17 @@
   return now < peer.answered_at + kProof ? State::kAnswers : State::kUnknown;
 }
 
+std::optional<MonoTime::duration> PeerHealth::AnswerAge(
+    const std::string& address,
+    MonoTime now) const {
+  absl::MutexLock lock(&mutex_);
+  const auto known = peers_.find(address);
+  if (known == peers_.end() || known->second.answered_at == MonoTime::min()) {
+    return std::nullopt;
+  }
+  return now - known->second.answered_at;
+}
+
 bool PeerHealth::StoreAnswers(const std::string& address, MonoTime now) const {
   absl::MutexLock lock(&mutex_);
   const auto known = peers_.find(address);
--- a/Source/Core/Fleet/peer_health.h
+++ b/Source/Core/Fleet/peer_health.h
@@ -1,6 +1,7 @@
 #ifndef FLEET_PEER_HEALTH_H_
 #define FLEET_PEER_HEALTH_H_
 
+#include <optional>
 #include <string>
 
 #include "Common/clock.h"
@@ -39,6 +40,9 @@
                    bool store_answers,
                    MonoTime now);
   State StateOf(const std::string& address, MonoTime now) const;
+  // How long ago the daemon answered last; none if it never has.
+  std::optional<MonoTime::duration> AnswerAge(const std::string& address,
+                                              MonoTime now) const;
   // The daemon has told lately that the store answers it.
   bool StoreAnswers(const std::string& address, MonoTime now) const;
 
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -19,6 +19,8 @@
 constexpr char kAcceptedStep[] = "job.accepted";
 constexpr std::array<absl::string_view, 4> kStatusNames = {
     "live", "completed", "failed", "cancelled"};
+constexpr std::array<absl::string_view, 5> kPhaseNames = {
+    "waiting", "planned", "starting", "running", "done"};
 
 Result<JobStatus> ParseStatus(const json& value) {
   const int status = value.get<int>();
@@ -102,6 +104,10 @@
   return kStatusNames[static_cast<size_t>(status)];
 }
 
+absl::string_view TaskPhaseName(TaskPhase phase) {
+  return kPhaseNames[static_cast<size_t>(phase)];
+}
+
 bool Occurrence::finished() const {
   return std::all_of(stages.begin(), stages.end(),
                      [](const Stage& stage) { return stage.finished(); });
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -40,6 +40,8 @@
   kDone,
 };
 
+absl::string_view TaskPhaseName(TaskPhase phase);
+
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
   // Number of the latest run; 0 before the first.
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -184,6 +184,10 @@
                    MonoTime sent_at,
                    MonoTime now);
   void ApplyEnd(WorkerState& worker, const EndedRun& end, MonoTime now);
+  // The worker is told to forget the end although nothing follows from it.
+  void LogEndWithoutEffect(const WorkerState& worker,
+                           const EndedRun& end,
+                           const std::optional<TaskRef>& ref);
   void ApplyRunning(WorkerState& worker,
                     const WorkerStatus& status,
                     MonoTime sent_at,
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -8,7 +8,22 @@
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
-namespace {}  // namespace
+
+void PoolScheduler::LogEndWithoutEffect(const WorkerState& worker,
+                                        const EndedRun& end,
+                                        const std::optional<TaskRef>& ref) {
+  stats_->ends_without_effect.Add();
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "end_without_effect",
+           {{"task", TaskText(end.name)},
+            {"run", absl::StrCat(end.run)},
+            {"how", std::string(RunResultName(end.end))},
+            {"worker", worker.report.key.id},
+            {"pool", options_.pool},
+            {"fence", absl::StrCat(options_.fence)},
+            {"known_run", absl::StrCat(ref ? ref->Get().run : 0)},
+            {"phase", ref ? std::string(TaskPhaseName(ref->Get().phase))
+                          : "unknown-task"}});
+}
 
 void PoolScheduler::AdvanceNotes(WorkerState& worker) {
   while (!worker.notes.empty()) {
@@ -102,6 +117,9 @@
     note.job = ref->job;
     note.version = ref->job->version;
   }
+  if (note.job == nullptr) {
+    LogEndWithoutEffect(worker, end, ref);
+  }
   worker.notes.push_back(std::move(note));
 }
 
--- a/Source/Core/Scheduling/scheduler_metrics.cc
+++ b/Source/Core/Scheduling/scheduler_metrics.cc
@@ -20,6 +20,8 @@
       runs_lapsed(
           metrics.GetCounter("figflow_runs_ended_total{how=\"lapsed\"}")),
       runs_lost(metrics.GetCounter("figflow_runs_ended_total{how=\"lost\"}")),
+      ends_without_effect(
+          metrics.GetCounter("figflow_ends_without_effect_total")),
       stops(metrics.GetCounter("figflow_stop_orders_total")),
       holds(metrics.GetCounter("figflow_hold_orders_total")),
       workers_lost(metrics.GetCounter("figflow_workers_lost_total")),
--- a/Source/Core/Scheduling/scheduler_metrics.h
+++ b/Source/Core/Scheduling/scheduler_metrics.h
@@ -29,6 +29,7 @@
   Counter& runs_failed;
   Counter& runs_lapsed;
   Counter& runs_lost;
+  Counter& ends_without_effect;
   Counter& stops;
   Counter& holds;
   Counter& workers_lost;
