--- /dev/null
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -0,0 +1,190 @@
+// What the ends of runs do to their tasks when workers were given up and pools
+// have changed hands in between.
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Scheduling/scheduler_driver.h"
+
+namespace figflow::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const MonoTime kStart = MonoTime(std::chrono::hours(1));
+
+WorkerStatus Ended(const StartOrder& start, RunResult how) {
+  WorkerStatus status;
+  EndedRun end;
+  end.number = 1;
+  end.name = start.task;
+  end.run = start.run;
+  end.end = how;
+  status.ended = {end};
+  return status;
+}
+
+class EndsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndsTest);
+  CPPUNIT_TEST(DoneOfAnEarlierRunEndsAPlannedTask);
+  CPPUNIT_TEST(DoneOfAnEarlierRunIsReadByASuccessor);
+  CPPUNIT_TEST(DoneOfAnEarlierRunStopsTheLaterOne);
+  CPPUNIT_TEST(FailureOfAnEarlierRunCounts);
+  CPPUNIT_TEST(FailureIsCountedOnceByASuccessor);
+  CPPUNIT_TEST(WorkerIsInUseUntilItsEndsAreDurable);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Runs the job's task on worker "a", which then answers nothing until its
+  // lease has run out. Returns the first order.
+  static StartOrder LoseFirstRun(SchedulerDriver& driver) {
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    const StartOrder first = driver.AnswerStart();
+    driver.Advance(milliseconds(100));
+    // Longer than any lease.
+    const MonoTime lost = driver.now() + seconds(8);
+    while (driver.now() < lost || !driver.Hold("a")) {
+      if (driver.Hold("a")) {
+        driver.LoseHold("a");
+      }
+      driver.Advance(milliseconds(70));
+    }
+    return first;
+  }
+
+  // Adds worker "b", on which the task is planned again.
+  static void PlanSecondRun(SchedulerDriver& driver) {
+    driver.ListWorker("b");
+    driver.AnswerHold("b", WorkerStatus());
+    driver.Advance(milliseconds(10));
+  }
+
+  static JobStatus StatusOf(SchedulerDriver& driver) {
+    const std::optional<JobView> view = driver.scheduler().Query("job");
+    CPPUNIT_ASSERT(view.has_value());
+    return view->status;
+  }
+
+  // Guards against a task that runs again although its first run is done: the
+  // end was acknowledged without effect while the next run was planned.
+  void DoneOfAnEarlierRunEndsAPlannedTask() {
+    SchedulerDriver driver(kStart);
+    const StartOrder first = LoseFirstRun(driver);
+    PlanSecondRun(driver);
+    driver.AnswerHold("a", Ended(first, RunResult::kDone));
+    driver.Write();
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kCompleted);
+    driver.Advance(milliseconds(300));
+    CPPUNIT_ASSERT(driver.Hold("a").has_value());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, driver.Hold("a")->acknowledged);
+  }
+
+  // As above, across a change of owner: the record names a second run that was
+  // never ordered.
+  void DoneOfAnEarlierRunIsReadByASuccessor() {
+    SchedulerDriver earlier(kStart);
+    const StartOrder first = LoseFirstRun(earlier);
+    PlanSecondRun(earlier);
+    earlier.Write();
+
+    SchedulerDriver driver(earlier.now(), 2);
+    driver.Load(earlier.records());
+    driver.ListWorker("b");
+    driver.ListWorker("a");
+    driver.AnswerHold("b", WorkerStatus());
+    driver.AnswerHold("a", Ended(first, RunResult::kDone));
+    driver.Write();
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, driver.starts.size());
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kCompleted);
+  }
+
+  // Guards against a later run that goes on, and counts, beside a done task.
+  void DoneOfAnEarlierRunStopsTheLaterOne() {
+    SchedulerDriver driver(kStart);
+    const StartOrder first = LoseFirstRun(driver);
+    PlanSecondRun(driver);
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+    const StartOrder second = driver.AnswerStart();
+    driver.AnswerHold("a", Ended(first, RunResult::kDone));
+    driver.Write();
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kCompleted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.stops.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         driver.stops.front().target.worker.id);
+    CPPUNIT_ASSERT_EQUAL(second.run, driver.stops.front().run);
+  }
+
+  // Guards against more attempts than the queue allows: the failure of a run
+  // that was given up was missing from the count.
+  void FailureOfAnEarlierRunCounts() {
+    SchedulerDriver driver(kStart);
+    const StartOrder first = LoseFirstRun(driver);
+    PlanSecondRun(driver);
+    driver.Write();
+    const StartOrder second = driver.AnswerStart();
+    driver.AnswerHold("a", Ended(first, RunResult::kFailed));
+    driver.Write();
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kLive);
+    driver.Advance(milliseconds(50));
+    driver.AnswerHold("b", Ended(second, RunResult::kFailed));
+    driver.Write();
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kFailed);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+  }
+
+  // Guards against a failure that is counted by two owners, because the worker
+  // lists it until it is acknowledged: the job would end with an attempt left.
+  void FailureIsCountedOnceByASuccessor() {
+    SchedulerDriver earlier(kStart);
+    earlier.ListWorker("a");
+    earlier.AnswerHold("a", WorkerStatus());
+    earlier.Submit("job");
+    earlier.Write();
+    const StartOrder first = earlier.AnswerStart();
+    earlier.Advance(milliseconds(50));
+    earlier.AnswerHold("a", Ended(first, RunResult::kFailed));
+    earlier.Write();
+
+    SchedulerDriver driver(earlier.now(), 2);
+    driver.Load(earlier.records());
+    driver.ListWorker("a");
+    driver.AnswerHold("a", Ended(first, RunResult::kFailed));
+    driver.Write();
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kLive);
+  }
+
+  // Guards against an instance that is moved with the only copy of an end: the
+  // next owner would start the task again.
+  void WorkerIsInUseUntilItsEndsAreDurable() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    const StartOrder first = driver.AnswerStart();
+    driver.Advance(milliseconds(50));
+    driver.AnswerHold("a", Ended(first, RunResult::kDone));
+    const auto tasks = [&driver] {
+      const PoolReport report = driver.scheduler().Report(driver.now());
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, report.workers.size());
+      return report.workers.front().tasks;
+    };
+    CPPUNIT_ASSERT(tasks() > 0);
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(0, tasks());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndsTest);
+
+}  // namespace
+}  // namespace figflow::test
--- /dev/null
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -0,0 +1,158 @@
+#ifndef SCHEDULING_SCHEDULER_DRIVER_H_
+#define SCHEDULING_SCHEDULER_DRIVER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Common/metrics.h"
+#include "Scheduling/pool_scheduler.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow::test {
+
+// The scheduler of a pool with a store that answers when the test says so, and
+// workers whose answers the test writes.
+class SchedulerDriver {
+ public:
+  explicit SchedulerDriver(MonoTime now, uint64_t fence = 1) : now_(now) {
+    PoolScheduler::Options options;
+    options.pool = "p";
+    options.fence = fence;
+    scheduler_ = std::make_unique<PoolScheduler>(options, metrics_, now_);
+    auto plan = std::make_shared<FleetPlan>();
+    QueueConfig queue;
+    queue.name = "q";
+    queue.pool = "p";
+    queue.max_attempts = 2;
+    plan->queues = {queue};
+    scheduler_->SetPlan(plan);
+  }
+
+  PoolScheduler& scheduler() { return *scheduler_; }
+  MonoTime now() const { return now_; }
+
+  void Load(const std::map<std::string, JobRecords>& records) {
+    scheduler_->Load(records, now_, wall_);
+  }
+
+  void ListWorker(const std::string& id) {
+    WorkerReport report;
+    report.key = {id, 1};
+    report.pool = "p";
+    report.instance = absl::StrCat("instance-of-", id);
+    report.capacity = {1'000, 1'000, 0};
+    scheduler_->OnWorkerListed(report, now_);
+    Step();
+  }
+
+  // One task that fills a worker.
+  void Submit(const std::string& job) {
+    JobSpec spec;
+    spec.id = job;
+    spec.queue = "q";
+    StageSpec stage;
+    stage.count = 1;
+    stage.per_task = {1'000, 1'000, 0};
+    stage.estimate = std::chrono::milliseconds(500);
+    spec.stages = {stage};
+    scheduler_->Submit(spec, FormatJobSpec(spec), 1, now_, wall_);
+    Step();
+  }
+
+  void Advance(std::chrono::milliseconds passed) {
+    now_ += passed;
+    wall_ += passed;
+    Step();
+  }
+
+  // Keeps what the scheduler asks for until it is looked at.
+  void Step() {
+    scheduler_->Step(now_, wall_);
+    SchedulerOutput output = scheduler_->TakeOutput();
+    for (StartOrder& start : output.starts) {
+      starts.push_back(std::move(start));
+    }
+    for (HoldOrder& hold : output.holds) {
+      holds_[hold.target.worker.id] = std::move(hold);
+    }
+    for (StopOrder& stop : output.stops) {
+      stops.push_back(std::move(stop));
+    }
+  }
+
+  // The store takes all that waits to be written. Returns the records.
+  std::vector<RecordWrite> Write() {
+    std::vector<RecordWrite> writes = scheduler_->TakeWrites(28);
+    for (const RecordWrite& write : writes) {
+      JobRecords& record = records_[write.job];
+      if (write.kind == RecordWrite::Kind::kAccepted) {
+        record.accepted = write.value;
+      } else {
+        record.progress = write.value;
+      }
+    }
+    scheduler_->OnWritten(now_);
+    Step();
+    return writes;
+  }
+  const std::map<std::string, JobRecords>& records() const { return records_; }
+
+  // The hold under way to the worker, if there is one.
+  std::optional<HoldOrder> Hold(const std::string& worker) const {
+    const auto hold = holds_.find(worker);
+    return hold == holds_.end() ? std::nullopt
+                                : std::make_optional(hold->second);
+  }
+
+  // Answers the hold under way to the worker.
+  void AnswerHold(const std::string& worker, const WorkerStatus& status) {
+    HoldAnswer answer;
+    answer.status = status;
+    answer.status.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now_.time_since_epoch());
+    const HoldOrder order = holds_.at(worker);
+    holds_.erase(worker);
+    scheduler_->OnHoldAnswer(order, answer, now_, now_);
+    Step();
+  }
+
+  void LoseHold(const std::string& worker) {
+    const HoldOrder order = holds_.at(worker);
+    holds_.erase(worker);
+    scheduler_->OnHoldAnswer(
+        order, Fail(ErrorCode::kUnknownOutcome, "worker.hold", worker, "lost"),
+        now_, now_);
+    Step();
+  }
+
+  // The latest start order, answered.
+  StartOrder AnswerStart() {
+    const StartOrder order = starts.back();
+    OrderAnswer answer;
+    answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now_.time_since_epoch());
+    scheduler_->OnStartAnswer(order, answer, now_);
+    Step();
+    return order;
+  }
+
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+
+ private:
+  MetricsRegistry metrics_;
+  MonoTime now_;
+  WallTime wall_ = FromEpoch(std::chrono::milliseconds(1'700'000'000'000));
+  std::unique_ptr<PoolScheduler> scheduler_;
+  std::map<std::string, HoldOrder> holds_;
+  std::map<std::string, JobRecords> records_;
+};
+
+}  // namespace figflow::test
+
+#endif  // SCHEDULING_SCHEDULER_DRIVER_H_
