Apply the ends of runs that were given up

Cause: an end had an effect only if it was of the run planned last. When an owner gives a worker up and plans the next run, or a successor reads a record with a later run that was never ordered, the end of the earlier run was acknowledged at once and forgotten: a done task started again, a failure was not counted. The class of fault is a decision that is carried out without a check against what was learnt since.

Change: done of any run completes the task, stops a later run, and is acknowledged once the record says so. A run that may have been ordered and is given up is remembered in the progress record (lost runs), so that its failure counts once and not again at a successor that reads the same end. Ends of unknown effect are acknowledged only after what is pending of their job is durable.

Ruled out: acknowledgement before the record is durable (notes wait for the job's version); a fence that does not hold (the second start has a higher one).

--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -98,6 +98,38 @@
   }
 }
 
+// [[occurrence, stage, index, run, ...] for each task with lost runs]
+json FormatLostRuns(const Job& job) {
+  json rows = json::array();
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (size_t i = 0; i < occurrence.stages.size(); ++i) {
+      const std::vector<Task>& tasks = occurrence.stages[i].tasks;
+      for (size_t k = 0; k < tasks.size(); ++k) {
+        if (tasks[k].lost_runs.empty()) {
+          continue;
+        }
+        json row = json::array({number, i, k});
+        for (const uint32_t run : tasks[k].lost_runs) {
+          row.push_back(run);
+        }
+        rows.push_back(std::move(row));
+      }
+    }
+  }
+  return rows;
+}
+
+void ApplyLostRuns(const json& rows, Job& job) {
+  for (const json& row : rows) {
+    Stage& stage = job.occurrences.at(row.at(0).get<int>())
+                       .stages.at(row.at(1).get<size_t>());
+    Task& task = stage.tasks.at(row.at(2).get<size_t>());
+    for (size_t i = 3; i < row.size(); ++i) {
+      task.lost_runs.push_back(row.at(i).get<uint32_t>());
+    }
+  }
+}
+
 }  // namespace
 
 absl::string_view JobStatusName(JobStatus status) {
@@ -160,7 +192,9 @@
 
 std::string FormatProgress(const Job& job) {
   json occurrences = json::array();
+  json lost_runs = json::array();
   if (job.live()) {
+    lost_runs = FormatLostRuns(job);
     for (const auto& [number, occurrence] : job.occurrences) {
       json stages = json::array();
       for (const Stage& stage : occurrence.stages) {
@@ -169,8 +203,12 @@
       occurrences.push_back(json::array({number, std::move(stages)}));
     }
   }
-  return FormatCbor(json::array({static_cast<int>(job.status),
-                                 job.next_occurrence, std::move(occurrences)}));
+  json record = json::array({static_cast<int>(job.status), job.next_occurrence,
+                             std::move(occurrences)});
+  if (!lost_runs.empty()) {
+    record.push_back(std::move(lost_runs));
+  }
+  return FormatCbor(record);
 }
 
 Result<std::vector<RecordedAssignment>> ApplyProgress(absl::string_view bytes,
@@ -204,6 +242,15 @@
             }
           }
         }
+        // Records without lost runs end here.
+        if (row.size() > 3) {
+          try {
+            ApplyLostRuns(row.at(3), job);
+          } catch (const std::out_of_range&) {
+            return Fail(ErrorCode::kInvalid, kProgressStep, job.spec.id,
+                        "a lost run is of a task that the job does not have");
+          }
+        }
         return assignments;
       });
 }
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -71,6 +71,9 @@
   int pace = 100;
   // Workers on which the task failed: the next attempt goes elsewhere.
   std::vector<std::string> failed_on;
+  // Latest runs that may have been ordered and were given up without knowing
+  // their end. A worker that is reached again may still list it.
+  std::vector<uint32_t> lost_runs;
 };
 
 struct Stage {
@@ -167,8 +170,8 @@
 };
 
 // CBOR of a job's progress: status, tasks that are done, run numbers, failures,
-// assignments and checkpoints. Together with the spec it is all that a
-// successor needs.
+// assignments, checkpoints and lost runs. Together with the spec it is all that
+// a successor needs.
 std::string FormatProgress(const Job& job);
 
 // Puts a record into `job`, whose spec is set. Returns the assignments, whose
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -168,6 +168,8 @@
   void CompleteTask(const TaskRef& ref, MonoTime now);
   // Returns a task to the waiting ones. Its run cannot exist any more.
   void ReturnTask(const TaskRef& ref, MonoTime now);
+  // Returns a task whose run has ended in a way that is not known.
+  void ReturnLostTask(const TaskRef& ref, MonoTime now);
   void AttachTask(const TaskRef& ref, WorkerState& worker);
   void DetachTask(const TaskRef& ref);
   int MaxAttempts(const Job& job) const;
@@ -184,6 +186,19 @@
                    MonoTime sent_at,
                    MonoTime now);
   void ApplyEnd(WorkerState& worker, const EndedRun& end, MonoTime now);
+  // The run is the one that the task has on this worker.
+  void ApplyCurrentEnd(WorkerState& worker,
+                       const TaskRef& ref,
+                       const EndedRun& end,
+                       MonoTime now);
+  // The run was given up, or another owner has planned a later one. Returns
+  // whether anything follows from its end.
+  bool ApplyEarlierEnd(WorkerState& worker,
+                       const TaskRef& ref,
+                       const EndedRun& end,
+                       MonoTime now);
+  // Completes the task, or the whole gang, whatever became of later runs.
+  void CompleteByEarlierRun(const TaskRef& ref, MonoTime now);
   // The worker is told to forget the end although nothing follows from it.
   void LogEndWithoutEffect(const WorkerState& worker,
                            const EndedRun& end,
@@ -193,6 +208,8 @@
                     MonoTime sent_at,
                     MonoTime now);
   void FailTask(const TaskRef& ref, WorkerState& worker, MonoTime now);
+  // Counts a failed run. Returns whether it was the last attempt.
+  bool CountFailure(const TaskRef& ref, uint32_t run, WorkerState& worker);
   // Sets the pace of the fillers on a worker by what its serving tasks report.
   void AdjustPace(WorkerState& worker,
                   const WorkerStatus& status,
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -13,6 +13,9 @@
 
 // Time constant of the offered load: short enough to see a peak begin.
 constexpr std::chrono::milliseconds kOfferedWindow{1'000};
+// Lost runs that are remembered for each task. Each one has cost a lease, so
+// more of them take longer than a caller waits.
+constexpr size_t kMostLostRuns = 8;
 
 }  // namespace
 
@@ -319,6 +322,19 @@
   }
 }
 
+void PoolScheduler::ReturnLostTask(const TaskRef& ref, MonoTime now) {
+  Task& task = ref.Get();
+  const bool may_have_run =
+      task.phase == TaskPhase::kStarting || task.phase == TaskPhase::kRunning;
+  if (may_have_run && !ref.Spec().perpetual) {
+    task.lost_runs.push_back(task.run);
+    if (task.lost_runs.size() > kMostLostRuns) {
+      task.lost_runs.erase(task.lost_runs.begin());
+    }
+  }
+  ReturnTask(ref, now);
+}
+
 void PoolScheduler::CompleteTask(const TaskRef& ref, MonoTime now) {
   Task& task = ref.Get();
   DetachTask(ref);
@@ -332,6 +348,7 @@
   task.phase = TaskPhase::kDone;
   task.checkpoint.clear();
   task.failed_on.clear();
+  task.lost_runs.clear();
   ++stage.done;
   dispatch_wanted_ = true;
   if (!ref.job->live()) {
--- a/Source/Core/Scheduling/pool_scheduler_pace.cc
+++ b/Source/Core/Scheduling/pool_scheduler_pace.cc
@@ -81,7 +81,7 @@
                            task.phase == TaskPhase::kRunning);
     if (may_copy) {
       const uint32_t run = task.run;
-      ReturnTask(ref, now);
+      ReturnLostTask(ref, now);
       // Until its end is certain the copy takes room and a place of its stage.
       RequestStop(worker, ref.Name(), run, CountedSize(ref.Spec()), now);
     }
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -40,87 +40,130 @@
                              const EndedRun& end,
                              MonoTime now) {
   EndStop(worker, end.name, end.run);
-  EndNote note;
-  note.number = end.number;
   const std::optional<TaskRef> ref = FindTask(end.name);
-  const bool current = ref && ref->Get().worker == &worker &&
-                       ref->Get().run == end.run &&
-                       ref->Get().phase != TaskPhase::kDone;
-  // The worker was given up before it could tell that its run was done, and no
-  // other run has begun.
-  const bool done_after_all = ref && end.end == RunResult::kDone &&
-                              ref->Get().phase == TaskPhase::kWaiting &&
-                              ref->Get().run == end.run && !ref->Spec().gang &&
-                              !ref->Spec().perpetual;
-  // The first copy to finish counts.
-  const bool copy_done = ref && !current && end.end == RunResult::kDone &&
-                         ref->Spec().speculative && !ref->Spec().gang &&
-                         ref->Get().phase != TaskPhase::kDone;
-  if (done_after_all || copy_done) {
+  bool applied = false;
+  if (ref) {
     const Task& task = ref->Get();
-    if (task.worker != nullptr && task.phase != TaskPhase::kPlanned) {
-      RequestStop(*task.worker, end.name, task.run, Resources(), now);
+    if (task.worker == &worker && task.run == end.run &&
+        task.phase != TaskPhase::kDone) {
+      ApplyCurrentEnd(worker, *ref, end, now);
+      applied = true;
+    } else {
+      applied = ApplyEarlierEnd(worker, *ref, end, now);
     }
-    CompleteTask(*ref, now);
+  }
+  if (!applied) {
+    LogEndWithoutEffect(worker, end, ref);
+  }
+  EndNote note;
+  note.number = end.number;
+  if (ref) {
     note.job = ref->job;
     note.version = ref->job->version;
   }
-  if (current) {
-    Task& task = ref->Get();
-    if (!end.checkpoint.empty()) {
-      task.checkpoint = end.checkpoint;
+  worker.notes.push_back(std::move(note));
+}
+
+void PoolScheduler::CompleteByEarlierRun(const TaskRef& ref, MonoTime now) {
+  std::vector<TaskRef> completed = {ref};
+  // One member's end stands for the whole gang.
+  if (ref.Spec().gang) {
+    completed.clear();
+    for (int i = 0; i < ref.Spec().count; ++i) {
+      completed.push_back({ref.job, ref.occurrence, ref.stage, i});
     }
-    switch (end.end) {
-      case RunResult::kDone: {
-        stats_->runs_done.Add();
-        worker.health.OnDone(now);
-        if (ref->Spec().perpetual) {
-          ReturnTask(*ref, now);
-          break;
-        }
-        if (task.phase == TaskPhase::kRunning && task.checkpoint.empty()) {
-          durations_[ref->job->spec.queue].Learn(
-              ref->Spec().estimate,
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  now - task.since));
-        }
-        if (!ref->Spec().gang) {
-          CompleteTask(*ref, now);
-          break;
-        }
-        // One member's end stands for the whole gang.
-        const int members = ref->Spec().count;
-        for (int i = 0; i < members; ++i) {
-          CompleteTask({ref->job, ref->occurrence, ref->stage, i}, now);
-        }
-        break;
-      }
-      case RunResult::kFailed:
-        worker.health.OnFailed(now);
-        FailTask(*ref, worker, now);
-        break;
-      case RunResult::kStopped:
-        ReturnTask(*ref, now);
-        break;
-      case RunResult::kLapsed:
-      case RunResult::kBroken:
-      case RunResult::kAlone:
-        stats_->runs_lapsed.Add();
-        LogEvent(LogLevel::kWarning, LogCategory::kJobs, "run_broken_off",
-                 {{"task", TaskText(end.name)},
-                  {"run", absl::StrCat(end.run)},
-                  {"worker", worker.report.key.id},
-                  {"how", std::string(RunResultName(end.end))}});
-        ReturnTask(*ref, now);
-        break;
+  }
+  for (const TaskRef& member : completed) {
+    const Task& task = member.Get();
+    if (task.worker != nullptr && task.phase != TaskPhase::kPlanned &&
+        task.phase != TaskPhase::kDone) {
+      RequestStop(*task.worker, member.Name(), task.run,
+                  CountedSize(member.Spec()), now);
     }
-    note.job = ref->job;
-    note.version = ref->job->version;
+    CompleteTask(member, now);
   }
-  if (note.job == nullptr) {
-    LogEndWithoutEffect(worker, end, ref);
+}
+
+bool PoolScheduler::ApplyEarlierEnd(WorkerState& worker,
+                                    const TaskRef& ref,
+                                    const EndedRun& end,
+                                    MonoTime now) {
+  Task& task = ref.Get();
+  const auto lost =
+      std::find(task.lost_runs.begin(), task.lost_runs.end(), end.run);
+  const bool was_lost = lost != task.lost_runs.end();
+  if (was_lost) {
+    task.lost_runs.erase(lost);
+    MarkChanged(ref.job);
+  }
+  if (task.phase == TaskPhase::kDone || !ref.job->live() ||
+      ref.Spec().perpetual) {
+    return was_lost;
+  }
+  if (end.end == RunResult::kDone) {
+    CompleteByEarlierRun(ref, now);
+    return true;
+  }
+  // A failure that is not of a lost run was counted by an earlier owner.
+  if (end.end == RunResult::kFailed && was_lost) {
+    worker.health.OnFailed(now);
+    if (CountFailure(ref, end.run, worker)) {
+      Finish(ref.job, JobStatus::kFailed, now);
+    }
+  }
+  return was_lost;
+}
+
+void PoolScheduler::ApplyCurrentEnd(WorkerState& worker,
+                                    const TaskRef& ref,
+                                    const EndedRun& end,
+                                    MonoTime now) {
+  Task& task = ref.Get();
+  if (!end.checkpoint.empty()) {
+    task.checkpoint = end.checkpoint;
+  }
+  switch (end.end) {
+    case RunResult::kDone:
+      stats_->runs_done.Add();
+      worker.health.OnDone(now);
+      if (ref.Spec().perpetual) {
+        ReturnTask(ref, now);
+        return;
+      }
+      if (task.phase == TaskPhase::kRunning && task.checkpoint.empty()) {
+        durations_[ref.job->spec.queue].Learn(
+            ref.Spec().estimate,
+            std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                  task.since));
+      }
+      if (!ref.Spec().gang) {
+        CompleteTask(ref, now);
+        return;
+      }
+      // One member's end stands for the whole gang.
+      for (int i = 0; i < ref.Spec().count; ++i) {
+        CompleteTask({ref.job, ref.occurrence, ref.stage, i}, now);
+      }
+      return;
+    case RunResult::kFailed:
+      worker.health.OnFailed(now);
+      FailTask(ref, worker, now);
+      return;
+    case RunResult::kStopped:
+      ReturnTask(ref, now);
+      return;
+    case RunResult::kLapsed:
+    case RunResult::kBroken:
+    case RunResult::kAlone:
+      stats_->runs_lapsed.Add();
+      LogEvent(LogLevel::kWarning, LogCategory::kJobs, "run_broken_off",
+               {{"task", TaskText(end.name)},
+                {"run", absl::StrCat(end.run)},
+                {"worker", worker.report.key.id},
+                {"how", std::string(RunResultName(end.end))}});
+      ReturnTask(ref, now);
+      return;
   }
-  worker.notes.push_back(std::move(note));
 }
 
 void PoolScheduler::ApplyRunning(WorkerState& worker,
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -142,10 +142,9 @@
   }
   const std::set<TaskRef> tasks = worker.tasks;
   for (const TaskRef& ref : tasks) {
-    ReturnTask(ref, now);
+    ReturnLostTask(ref, now);
   }
   worker.stops.clear();
-  worker.notes.clear();
   worker.used = Resources();
 }
 
@@ -334,9 +333,9 @@
   }
 }
 
-void PoolScheduler::FailTask(const TaskRef& ref,
-                             WorkerState& worker,
-                             MonoTime now) {
+bool PoolScheduler::CountFailure(const TaskRef& ref,
+                                 uint32_t run,
+                                 WorkerState& worker) {
   Task& task = ref.Get();
   ++task.failures;
   task.failed_on.push_back(worker.report.key.id);
@@ -345,10 +344,17 @@
                     task.failures >= MaxAttempts(*ref.job) && ref.job->live();
   LogEvent(LogLevel::kInfo, LogCategory::kJobs, "run_failed",
            {{"task", TaskText(ref.Name())},
-            {"run", absl::StrCat(task.run)},
+            {"run", absl::StrCat(run)},
             {"worker", worker.report.key.id},
             {"failures", absl::StrCat(task.failures)},
             {"job_fails", last ? "yes" : "no"}});
+  return last;
+}
+
+void PoolScheduler::FailTask(const TaskRef& ref,
+                             WorkerState& worker,
+                             MonoTime now) {
+  const bool last = CountFailure(ref, ref.Get().run, worker);
   if (ref.Spec().gang) {
     BreakGang(ref, now);
   } else {
--- a/Source/UnitTests/Scheduling/records_test.cc
+++ b/Source/UnitTests/Scheduling/records_test.cc
@@ -101,6 +101,7 @@
     --stage.waiting;
     stage.tasks[2].run = 3;
     stage.tasks[2].failures = 2;
+    stage.tasks[2].lost_runs = {1, 3};
 
     Job read;
     read.SetSpec(FullSpec());
@@ -117,6 +118,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), restored.tasks[1].checkpoint);
     // Attempts count on after a take-over.
     CPPUNIT_ASSERT_EQUAL(2, static_cast<int>(restored.tasks[2].failures));
+    CPPUNIT_ASSERT(restored.tasks[1].lost_runs.empty());
+    CPPUNIT_ASSERT(restored.tasks[2].lost_runs ==
+                   (std::vector<uint32_t>{1, 3}));
   }
 
   void ProgressOfAnotherJobIsRefused() {
