Keep an instance in its pool until the ends on it are durable

Cause: an owner reported a worker as empty as soon as it had read the last end. The keeper then moved the instance, and with it the only other copy of the end. The owner lost the pool before its write; the successor read the older record, found the worker gone and started the task again.

Change: a worker's load counts ends that are not durable, so neither moves nor maintenance take the instance before.

Ruled out: a move during the run (the run had ended by itself before).

--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -25,7 +25,8 @@
   std::string worker;
   // The instance that it runs on.
   std::string instance;
-  // Tasks and stops that are not over yet.
+  // Tasks and stops that are not over yet, and ends that are not durable. The
+  // instance can be taken away without loss when there are none.
   int tasks = 0;
   int perpetual_tasks = 0;
   int64_t used_millicores = 0;
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -127,7 +127,9 @@
     WorkerLoad load;
     load.worker = key.id;
     load.instance = worker->report.instance;
-    load.tasks = static_cast<int>(worker->tasks.size() + worker->stops.size());
+    // The worker has the only copy of an end until its record is durable.
+    load.tasks = static_cast<int>(worker->tasks.size() + worker->stops.size() +
+                                  worker->notes.size());
     load.perpetual_tasks = static_cast<int>(
         std::count_if(worker->tasks.begin(), worker->tasks.end(),
                       [](const TaskRef& ref) { return ref.Spec().perpetual; }));
