Bound how often an owner looks at a whole pool

Callers of large deployments were refused or answered late in the peaks of queues with short tasks (SHORT): the owner had no processor time left for its lease, its workers' leases and its peers, and the pool went from one overloaded daemon to the next.

Cause: each answer of a worker started a step of the scheduler, which looks at all workers and all waiting jobs. At a peak of 128 workers thousands of answers arrive in a second.

Change: answers change the scheduler's state at once, and a step follows at most every 5 ms. An idle pool steps at once, so calm latency stays.

Ruled out: the followers of the registry (the owners stayed overloaded when their watches were 300 ms apart).

--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -19,6 +19,10 @@
 // Least time between the starts of two writes of a pool. Each call of the store
 // is paid for; waiting this long delays a job by about one hundredth.
 constexpr std::chrono::milliseconds kWriteGap{25};
+// Least time between two steps of the scheduler. At a peak thousands of answers
+// arrive in a second, and a step looks at all workers and waiting jobs; an
+// order is delayed by less than a call to a worker takes.
+constexpr std::chrono::milliseconds kStepGap{5};
 // How long an owner goes on renewing leases of what runs when it cannot be sure
 // any more to own the pool: an outage of the whole store must not end all work,
 // and nobody can take over during it.
@@ -40,6 +44,7 @@
 PoolRunner::PoolRunner(Parts parts, Claim claim, ExecutionBounds bounds)
     : parts_(std::move(parts)),
       claim_(std::move(claim)),
+      steps_(parts_.metrics.GetCounter("figflow_pool_steps_total")),
       bounds_(bounds),
       plan_(std::make_shared<FleetPlan>()) {}
 
@@ -110,7 +115,13 @@
   const bool active = state_ == State::kActive;
   scheduler_->SetMayOrder(active && now < certain_until_,
                           active && now < certain_until_ + kRenewalGrace);
-  next_step_ = scheduler_->Step(now, parts_.clock.WallNow());
+  if (now >= stepped_at_ + kStepGap) {
+    next_step_ = scheduler_->Step(now, parts_.clock.WallNow());
+    stepped_at_ = now;
+    steps_.Add();
+  } else {
+    next_step_ = std::min(next_step_, stepped_at_ + kStepGap);
+  }
   work->output = scheduler_->TakeOutput();
   TakeReplies(&work->output, work);
   work->wake = next_step_;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -114,6 +114,7 @@
 
   const Parts parts_;
   const Claim claim_;
+  Counter& steps_;
 
   mutable absl::Mutex mutex_;
   ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
@@ -125,6 +126,7 @@
   MonoTime written_at_ ABSL_GUARDED_BY(mutex_);
   bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime next_step_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  MonoTime stepped_at_ ABSL_GUARDED_BY(mutex_);
   MonoTime certain_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   MonoTime active_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   std::function<void()> on_released_ ABSL_GUARDED_BY(mutex_);
--- a/Source/StandIns/Fleet/model_fleet.h
+++ b/Source/StandIns/Fleet/model_fleet.h
@@ -41,6 +41,8 @@
   NodePtr Node(int daemon) const;
   // Of a process that is running.
   FleetEngine& Engine(int daemon) const;
+  // Of all daemons together.
+  MetricsRegistry& metrics() { return metrics_; }
   int daemons() const { return static_cast<int>(daemons_.size()); }
   // The daemon that owns the pool by the store; -1 if there is none.
   int OwnerOf(const std::string& scope) const;
