Pause between watches of the registry

Cause: each of 375 workers renews its entry every 1.5 s. A watch ends at the first change, so each of 38 daemons began a new one 80 times a second, for one or two changes each.

Change: daemons that own something begin a watch of the registry at most every 50 ms, others once a second; an answer then carries all changes since. The owners' keys and the plan are followed as before.

Test: OwnershipTest::FollowerOfBusyKeysPausesBetweenWatches.

--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -9,6 +9,13 @@
 
 // Longest time between two steps: followers and the lease ask for no wake.
 constexpr std::chrono::milliseconds kLongestPause{100};
+// Least time between two watches of the registry by a daemon that owns pools. A
+// worker's change is known this much later; a move of its instance takes 30
+// times as long.
+constexpr std::chrono::milliseconds kRegistryGap{50};
+// And by a daemon that owns none: it only has to know most workers when it
+// takes a pool over.
+constexpr std::chrono::milliseconds kIdleRegistryGap{1'000};
 
 }  // namespace
 
@@ -125,6 +132,12 @@
 MonoTime FleetEngine::Step(MonoTime now) {
   RunTasks(now);
   MonoTime next = std::min(now + kLongestPause, session_->Step(now));
+  bool owns = false;
+  {
+    absl::MutexLock lock(&mutex_);
+    owns = !runners_.empty() || keeper_ != nullptr;
+  }
+  workers_->SetGap(owns ? kRegistryGap : kIdleRegistryGap);
   const bool regained = session_->TakeRegained();
   for (const auto& follower : {operator_keys_, workers_, owners_}) {
     if (regained) {
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -20,7 +20,8 @@
       clock_(clock),
       options_(std::move(options)),
       on_change_(std::move(on_change)),
-      on_sync_(std::move(on_sync)) {}
+      on_sync_(std::move(on_sync)),
+      gap_(options_.gap) {}
 
 void PrefixFollower::Start() {
   {
@@ -42,10 +43,12 @@
     if (stopped_ || busy_) {
       return MonoTime::max();
     }
-    if (now < retry_at_) {
-      return retry_at_;
+    const MonoTime due = pausing_ ? watched_at_ + gap_ : retry_at_;
+    if (now < due) {
+      return due;
     }
     retry_at_ = MonoTime::max();
+    pausing_ = false;
     busy_ = true;
     watch = watching_;
   }
@@ -57,6 +60,11 @@
   return MonoTime::max();
 }
 
+void PrefixFollower::SetGap(std::chrono::milliseconds gap) {
+  absl::MutexLock lock(&mutex_);
+  gap_ = gap;
+}
+
 void PrefixFollower::ReadPage(const std::string& after) {
   if (after.empty()) {
     page_items_.clear();
@@ -145,6 +153,7 @@
 
 void PrefixFollower::Watch() {
   uint64_t watch = 0;
+  const MonoTime sent_at = clock_.Now();
   {
     absl::MutexLock lock(&mutex_);
     applying_ = false;
@@ -152,8 +161,8 @@
       return;
     }
     watch = ++watch_;
+    watched_at_ = sent_at;
   }
-  const MonoTime sent_at = clock_.Now();
   store_.Watch(options_.prefix, next_revision_, options_.wait,
                [self = shared_from_this(), watch,
                 sent_at](Result<StoreChanges> changes) {
@@ -203,9 +212,24 @@
     LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
              {{"prefix", options_.prefix}});
   }
+  if (PauseBeforeWatch()) {
+    return;
+  }
   Watch();
 }
 
+bool PrefixFollower::PauseBeforeWatch() {
+  absl::MutexLock lock(&mutex_);
+  if (clock_.Now() >= watched_at_ + gap_) {
+    return false;
+  }
+  // The next Step that is due begins the watch.
+  pausing_ = true;
+  busy_ = false;
+  applying_ = false;
+  return true;
+}
+
 void PrefixFollower::OnFailure(const Error& error, MonoTime now) {
   bool lost = false;
   {
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -22,6 +22,10 @@
   // watch while its connection stays open, so this bounds how long changes can
   // go unnoticed after it.
   std::chrono::milliseconds wait{2'000};
+  // Least time between the starts of two watches. A watch ends at the first
+  // change; many keys that change by turns would have the daemon ask again all
+  // the time, and each call is paid for.
+  std::chrono::milliseconds gap{0};
 };
 
 // Follows the keys under a prefix: reads the range, then watches, and reads the
@@ -44,8 +48,11 @@
 
   void Start();
   void Stop();
-  // Retries a failed call if its pause is over. Returns when to call again.
+  // Retries a failed call, or watches again, if the pause is over. Returns when
+  // to call again.
   MonoTime Step(MonoTime now);
+  // Changes the least time between two watches, from the next Step on.
+  void SetGap(std::chrono::milliseconds gap);
 
   // The store has answered again after a silence: a watch that waits may be
   // lost, so another one begins.
@@ -63,6 +70,8 @@
   void OnChanges(uint64_t watch,
                  MonoTime sent_at,
                  Result<StoreChanges> changes);
+  // True if the next watch has to wait for the gap.
+  bool PauseBeforeWatch();
   void OnFailure(const Error& error, MonoTime now);
   void Apply(const StoreItem& item);
 
@@ -76,6 +85,11 @@
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
   bool synced_ ABSL_GUARDED_BY(mutex_) = false;
   bool failing_ ABSL_GUARDED_BY(mutex_) = false;
+  std::chrono::milliseconds gap_ ABSL_GUARDED_BY(mutex_);
+  // When the last watch began.
+  MonoTime watched_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  // The next watch waits for the gap to pass, not for a failure.
+  bool pausing_ ABSL_GUARDED_BY(mutex_) = false;
   // A call is under way or about to be made.
   bool busy_ ABSL_GUARDED_BY(mutex_) = false;
   bool watching_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -1,5 +1,6 @@
 // Claims, the lease and durable writes against the model of the store.
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "Ownership/record_writer.h"
 #include "Ownership/store_session.h"
 #include "StandIns/Fleet/model_store.h"
+#include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
@@ -31,6 +33,7 @@
   CPPUNIT_TEST(DaemonWithLeastClaimsFirst);
   CPPUNIT_TEST(FailedClaimantWaits);
   CPPUNIT_TEST(FollowerReportsWhatVanishedUnseen);
+  CPPUNIT_TEST(FollowerOfBusyKeysPausesBetweenWatches);
   CPPUNIT_TEST(RecordsSurviveAndGarbageIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -183,6 +186,45 @@
     follower->Stop();
   }
 
+  // Guards against a daemon that asks the store again for each change of keys
+  // that change all the time.
+  void FollowerOfBusyKeysPausesBetweenWatches() {
+    std::string last;
+    // Changes that one answer carried are reported at the same time.
+    std::set<MonoTime> answers;
+    PrefixFollowerOptions options;
+    options.prefix = "x/";
+    options.gap = milliseconds(100);
+    auto follower = std::make_shared<PrefixFollower>(
+        *view_, time_, options,
+        [&](const StoreItem& item) {
+          last = item.value;
+          answers.insert(time_.Now());
+        },
+        [] {});
+    follower->Start();
+    for (int i = 0; i < 200; ++i) {
+      store_.Put("x/1", absl::StrCat(i));
+      follower->Step(time_.Now());
+      time_.RunFor(milliseconds(5));
+    }
+    CPPUNIT_ASSERT(answers.size() <= 11);
+    CPPUNIT_ASSERT(answers.size() >= 8);
+    for (int i = 0; i < 30; ++i) {
+      follower->Step(time_.Now());
+      time_.RunFor(milliseconds(5));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("199"), last);
+    // An owner's gap takes effect at once.
+    follower->SetGap(milliseconds(0));
+    store_.Put("x/1", "soon");
+    time_.RunFor(milliseconds(10));
+    follower->Step(time_.Now());
+    time_.RunFor(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::string("soon"), last);
+    follower->Stop();
+  }
+
   void RecordsSurviveAndGarbageIsRefused() {
     const Result<OwnerRecord> owner =
         ParseOwnerRecord(FormatOwnerRecord({"e", "1.2.3.4:5", "n"}));
