Split the pools of large fleets between owners

Callers of large deployments were refused or late in the peaks of queues with short tasks (SHORT): the whole load of a pool falls to one daemon.

Cause: one owner for each pool, whatever its size. In a peak the pool of a queue has up to 128 workers and 1,500 starts a second; instances have 0.12 to 0.5 cores.

Change: a pool has one part for each 25 instances of the fleet, at the first start, kept under figflow/owner/@layout. Jobs hash to a part by their id, workers by their instance. Each part has its own owner, fence and records; part k of all pools is planned like a fleet of its own, by the one keeper of the instances, whose questions to owners become rarer as parts get more and carry only what concerns the part. Counts of pending jobs are summed over the parts.

--- a/Source/Core/Adapter/caller_call.h
+++ b/Source/Core/Adapter/caller_call.h
@@ -19,6 +19,7 @@
 struct CallerCall {
   CallKind kind = CallKind::kQuery;
   std::string queue;
+  // The queue's pool; once the call is routed, the scope that holds the job.
   std::string pool;
   std::string job;
   // For kSubmit.
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -70,8 +70,9 @@
     exchange->Respond(platform_.FormatReply(reply));
   };
   const std::shared_ptr<const FleetPlan> plan = engine_.plan();
-  if (plan == nullptr) {
-    Finish(routed, Unavailable("no-plan"));
+  const std::optional<PoolLayout> layout = engine_.layout();
+  if (plan == nullptr || !layout) {
+    Finish(routed, Unavailable(plan == nullptr ? "no-plan" : "no-layout"));
     return;
   }
   Result<CallerCall> call = platform_.ParseCall(request, *plan);
@@ -95,9 +96,54 @@
     }
     routed->spec_bytes = FormatJobSpec(routed->call.spec);
   }
+  if (routed->call.kind == CallKind::kCountPending) {
+    CountInAllParts(routed, layout->ScopesOf(routed->call.pool));
+    return;
+  }
+  routed->call.pool = layout->ScopeOfJob(routed->call.pool, routed->call.job);
   Begin(routed);
 }
 
+void CallRouter::CountInAllParts(const std::shared_ptr<Routed>& routed,
+                                 const std::vector<std::string>& scopes) {
+  struct Sum {
+    absl::Mutex mutex;
+    size_t left ABSL_GUARDED_BY(mutex) = 0;
+    // The sum so far, or the first answer that is no count.
+    CallerReply reply ABSL_GUARDED_BY(mutex);
+  };
+  auto sum = std::make_shared<Sum>();
+  {
+    absl::MutexLock lock(&sum->mutex);
+    sum->left = scopes.size();
+    sum->reply.outcome = CallOutcome::kPendingCount;
+  }
+  for (const std::string& scope : scopes) {
+    auto part = std::make_shared<Routed>();
+    part->arrived = routed->arrived;
+    part->call = routed->call;
+    part->call.pool = scope;
+    part->of_many = true;
+    part->respond = [this, routed, sum](const CallerReply& reply) {
+      CallerReply total;
+      {
+        absl::MutexLock lock(&sum->mutex);
+        if (reply.outcome != CallOutcome::kPendingCount) {
+          sum->reply = reply;
+        } else if (sum->reply.outcome == CallOutcome::kPendingCount) {
+          sum->reply.pending += reply.pending;
+        }
+        if (--sum->left > 0) {
+          return;
+        }
+        total = sum->reply;
+      }
+      Finish(routed, total);
+    };
+    Begin(part);
+  }
+}
+
 void CallRouter::Begin(const std::shared_ptr<Routed>& routed) {
   const std::chrono::milliseconds patience = routed->call.patience.count() > 0
                                                  ? routed->call.patience
@@ -305,6 +351,10 @@
 
 void CallRouter::Finish(const std::shared_ptr<Routed>& routed,
                         const CallerReply& reply) {
+  if (routed->of_many) {
+    routed->respond(reply);
+    return;
+  }
   const auto taken = clock_.Now() - routed->arrived;
   latency_.Record(taken);
   metrics_
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
@@ -49,6 +50,8 @@
     std::string spec_bytes;
     // A peer passed it on.
     bool relayed = false;
+    // One of several questions that make up a caller's call.
+    bool of_many = false;
     MonoTime arrived;
     MonoTime deadline;
     // After this time a call that has certainly had no effect is refused.
@@ -67,6 +70,10 @@
                   const std::string& spec_bytes,
                   const Reply& done);
   void Begin(const std::shared_ptr<Routed>& routed);
+  // Asks the owners of all parts of a pool; answers with the sum, or with what
+  // one of them answered instead.
+  void CountInAllParts(const std::shared_ptr<Routed>& routed,
+                       const std::vector<std::string>& scopes);
   // Later than any claim.
   static constexpr uint64_t kAnyClaim = std::numeric_limits<uint64_t>::max();
   // A store that has not answered for this long is away: two renewals of the
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -146,6 +146,7 @@
     next = std::min(next, follower->Step(now));
   }
   WatchOverload(now);
+  ProposeLayout(now);
   next = std::min(next, StepOwnership(now));
   // After StepOwnership every claim in force belongs to this lease.
   const MonoTime certain = session_->certain_until();
@@ -189,17 +190,22 @@
   return plan_;
 }
 
+std::optional<PoolLayout> FleetEngine::layout() const {
+  absl::MutexLock lock(&mutex_);
+  return layout_;
+}
+
 std::shared_ptr<PoolRunner> FleetEngine::OwnRunner(
-    const std::string& pool) const {
+    const std::string& scope) const {
   absl::MutexLock lock(&mutex_);
-  const auto it = runners_.find(pool);
+  const auto it = runners_.find(scope);
   return it == runners_.end() ? nullptr : it->second;
 }
 
 std::optional<FleetEngine::Owner> FleetEngine::OwnerOf(
-    const std::string& pool) const {
+    const std::string& scope) const {
   absl::MutexLock lock(&mutex_);
-  const auto it = known_owners_.find(pool);
+  const auto it = known_owners_.find(scope);
   if (it == known_owners_.end()) {
     return std::nullopt;
   }
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -20,6 +21,7 @@
 #include "Instances/instance_keeper.h"
 #include "Ownership/claim_policy.h"
 #include "Ownership/owner_record.h"
+#include "Ownership/pool_layout.h"
 #include "Ownership/prefix_follower.h"
 #include "Ownership/store_session.h"
 #include "absl/base/thread_annotations.h"
@@ -82,10 +84,12 @@
 
   // Null until the operators' plan is known.
   std::shared_ptr<const FleetPlan> plan() const;
-  // Null unless this daemon owns the pool and has read its records.
-  std::shared_ptr<PoolRunner> OwnRunner(const std::string& pool) const;
+  // None until it is known how pools are split.
+  std::optional<PoolLayout> layout() const;
+  // Null unless this daemon owns the scope and has read its records.
+  std::shared_ptr<PoolRunner> OwnRunner(const std::string& scope) const;
   // None while no owner is known.
-  std::optional<Owner> OwnerOf(const std::string& pool) const;
+  std::optional<Owner> OwnerOf(const std::string& scope) const;
   // Daemons that own or owned something, without this one.
   std::vector<PeerAddress> Peers() const;
   // How old the knowledge of the owners' keys is at most.
@@ -116,9 +120,16 @@
                const std::string& nonce,
                uint64_t revision,
                LeaseId lease);
-  void StartRunner(const std::string& pool,
+  void StartRunner(const std::string& scope,
                    const std::string& nonce,
                    uint64_t revision);
+  // Begins to write the layout of the pools if there is none yet.
+  void ProposeLayout(MonoTime now);
+  void WriteLayout(int instances);
+  void SetLayout(const PoolLayout& layout);
+  // The scope that the worker serves; empty while the layout is not known.
+  std::string ScopeOf(const WorkerReport& report) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void StartKeeper(const std::string& nonce, uint64_t revision);
   // Ends what this daemon does under its claim of `scope`, and the claim.
   void EndScope(const std::string& scope, const char* cause);
@@ -137,6 +148,7 @@
   void OnWaveItem(const StoreItem& item);
   void OnWorkerItem(const StoreItem& item);
   void OnOwnerItem(const StoreItem& item);
+  void OnLayoutItem(const StoreItem& item);
 
   PlatformAdapter& platform_;
   const Clock& clock_;
@@ -152,12 +164,17 @@
   mutable absl::Mutex mutex_;
   ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
+  std::optional<PoolLayout> layout_ ABSL_GUARDED_BY(mutex_);
+  MonoTime layout_wanted_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  // When the layout may be proposed next.
+  MonoTime propose_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
   // Latest worker of each instance.
   std::map<std::string, WorkerKey> worker_on_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Owner> known_owners_ ABSL_GUARDED_BY(mutex_);
   // Addresses of other daemons by entry, as learnt from owners' keys.
   std::map<std::string, std::string> peers_ ABSL_GUARDED_BY(mutex_);
+  // By scope, as are the owners.
   std::map<std::string, std::shared_ptr<PoolRunner>> runners_
       ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<InstanceKeeper> keeper_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -5,6 +5,7 @@
 #include "Fleet/fleet_engine.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
 
 namespace figflow {
 
@@ -94,15 +95,15 @@
   std::string ended;
   {
     absl::MutexLock lock(&mutex_);
-    const auto find = [this](const std::string& pool) {
+    const auto find = [this](const WorkerReport& of) {
       mutex_.AssertHeld();
-      const auto it = runners_.find(pool);
+      const auto it = runners_.find(ScopeOf(of));
       return it == runners_.end() ? nullptr : it->second;
     };
     const auto known = reports_.find(id);
     if (known != reports_.end() &&
-        (!report || known->second.pool != report->pool)) {
-      left = find(known->second.pool);
+        (!report || ScopeOf(known->second) != ScopeOf(*report))) {
+      left = find(known->second);
     }
     if (report && !report->instance.empty()) {
       WorkerKey& latest = worker_on_[report->instance];
@@ -111,13 +112,13 @@
         latest = report->key;
         const auto other = reports_.find(ended);
         if (other != reports_.end()) {
-          earlier = find(other->second.pool);
+          earlier = find(other->second);
         }
       }
     }
     if (report) {
       reports_[id] = *report;
-      runner = find(report->pool);
+      runner = find(*report);
     } else if (known != reports_.end()) {
       reports_.erase(known);
     }
@@ -134,7 +135,11 @@
 }
 
 void FleetEngine::OnOwnerItem(const StoreItem& item) {
-  const std::string scope = LastKeyPart(item.key);
+  const std::string scope(absl::StripPrefix(item.key, kOwnerPrefix));
+  if (scope == kLayoutScope) {
+    OnLayoutItem(item);
+    return;
+  }
   Owner owner;
   owner.revision = item.revision;
   owner.seen_at = clock_.Now();
--- /dev/null
+++ b/Source/Core/Fleet/fleet_engine_layout.cc
@@ -0,0 +1,125 @@
+// How the pools are split: agreed once through the store.
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include <xxhash.h>
+
+#include "Common/log.h"
+#include "Fleet/fleet_engine.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kWriteTimeout{600};
+// A proposal that did not show by then is repeated.
+constexpr std::chrono::milliseconds kProposeAgain{700};
+// All daemons of a new fleet start together. The first ones propose; the others
+// see the layout before their time.
+constexpr std::chrono::milliseconds kProposeSpread{400};
+// Without a list of instances for so long, the registry has to do.
+constexpr std::chrono::milliseconds kListPatience{3'000};
+
+}  // namespace
+
+std::string FleetEngine::ScopeOf(const WorkerReport& report) const {
+  if (!layout_) {
+    return "";
+  }
+  return layout_->ScopeOfInstance(
+      report.pool, report.instance.empty() ? report.key.id : report.instance);
+}
+
+void FleetEngine::SetLayout(const PoolLayout& layout) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (layout_) {
+      return;
+    }
+    layout_ = layout;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kPools, "layout_known",
+           {{"parts", absl::StrCat(layout.parts)}});
+  WakeAt(clock_.Now());
+}
+
+void FleetEngine::OnLayoutItem(const StoreItem& item) {
+  if (item.removed) {
+    return;
+  }
+  const Result<PoolLayout> layout = ParsePoolLayout(item.value);
+  if (!layout) {
+    LogEvent(LogLevel::kError, LogCategory::kPools, "layout_unreadable",
+             {{"error", ToString(layout.error())}});
+    return;
+  }
+  SetLayout(*layout);
+}
+
+void FleetEngine::ProposeLayout(MonoTime now) {
+  {
+    absl::MutexLock lock(&mutex_);
+    const bool wanted = !layout_ && !releasing_ && plan_ != nullptr &&
+                        owners_->synced() && session_->lease() != 0;
+    if (!wanted) {
+      return;
+    }
+    if (layout_wanted_since_ == MonoTime::max()) {
+      layout_wanted_since_ = now;
+      const uint64_t hash =
+          XXH64(options_.entry.data(), options_.entry.size(), 0);
+      propose_at_ = now + std::chrono::milliseconds(static_cast<int64_t>(
+                              hash % kProposeSpread.count()));
+    }
+    if (now < propose_at_) {
+      return;
+    }
+    propose_at_ = now + kProposeAgain;
+  }
+  platform_.instances().List(
+      [this](const Result<std::vector<Instance>>& instances) {
+        // An empty list says nothing about the size of the fleet.
+        if (instances && !instances->empty()) {
+          WriteLayout(static_cast<int>(instances->size()));
+          return;
+        }
+        int workers = 0;
+        bool late = false;
+        {
+          absl::MutexLock lock(&mutex_);
+          workers = static_cast<int>(reports_.size());
+          late = clock_.Now() >= layout_wanted_since_ + kListPatience;
+        }
+        if (late) {
+          WriteLayout(workers);
+        }
+      });
+}
+
+void FleetEngine::WriteLayout(int instances) {
+  PoolLayout layout;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (layout_ || plan_ == nullptr) {
+      return;
+    }
+    const auto pools =
+        std::count_if(plan_->pools.begin(), plan_->pools.end(),
+                      [](const PoolConfig& pool) { return !pool.spare; });
+    layout = LayoutFor(instances, static_cast<int>(pools));
+  }
+  Transaction transaction;
+  transaction.expected = {{OwnerKey(kLayoutScope), 0}};
+  transaction.writes = {{OwnerKey(kLayoutScope), FormatPoolLayout(layout), 0}};
+  platform_.store().Commit(
+      transaction, kWriteTimeout,
+      [this, layout](const Result<TransactionResult>& result) {
+        // Another daemon's layout comes with the owners' keys.
+        if (result && result->committed) {
+          SetLayout(layout);
+        }
+      });
+}
+
+}  // namespace figflow
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -96,13 +96,16 @@
       }
     }
     const bool may_claim = !releasing_ && owners_->synced() && lease != 0 &&
-                           now < session_->certain_until() && plan_ != nullptr;
+                           now < session_->certain_until() &&
+                           plan_ != nullptr && layout_;
     std::vector<std::string> scopes;
     if (may_claim) {
       scopes.emplace_back(kInstancesScope);
       for (const PoolConfig& pool : plan_->pools) {
         if (!pool.spare) {
-          scopes.push_back(pool.name);
+          for (std::string& scope : layout_->ScopesOf(pool.name)) {
+            scopes.push_back(std::move(scope));
+          }
         }
       }
     }
@@ -185,11 +188,11 @@
   }
 }
 
-void FleetEngine::StartRunner(const std::string& pool,
+void FleetEngine::StartRunner(const std::string& scope,
                               const std::string& nonce,
                               uint64_t revision) {
   LogEvent(LogLevel::kInfo, LogCategory::kPools, "pool_claimed",
-           {{"pool", pool}, {"fence", absl::StrCat(revision)}});
+           {{"pool", scope}, {"fence", absl::StrCat(revision)}});
   std::shared_ptr<PoolRunner> runner;
   std::vector<WorkerReport> reports;
   {
@@ -197,10 +200,10 @@
     PoolRunner::Parts parts{platform_, clock_, metrics_,
                             [this](MonoTime at) { WakeAt(at); }};
     runner = std::make_shared<PoolRunner>(
-        parts, PoolRunner::Claim{pool, nonce, revision}, bounds_);
-    runners_[pool] = runner;
+        parts, PoolRunner::Claim{scope, nonce, revision}, bounds_);
+    runners_[scope] = runner;
     for (const auto& [id, report] : reports_) {
-      if (report.pool == pool) {
+      if (ScopeOf(report) == scope) {
         reports.push_back(report);
       }
     }
@@ -225,6 +228,7 @@
     absl::MutexLock lock(&mutex_);
     keeper_ = keeper;
     keeper->SetPlan(plan_);
+    keeper->SetLayout(*layout_);
     for (const auto& [number, seen] : waves_) {
       keeper->OnWave(seen.wave, seen.seen_at);
     }
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -14,8 +14,10 @@
 constexpr std::chrono::milliseconds kReadTimeout{1'000};
 // Time between two reports of a pool: a peak is noticed after this time, and
 // each step of a move (choose, empty, move) waits for a report. Shorter times
-// gain nothing more against the 1.5 s that a move takes.
+// gain nothing more against the 1.5 s that a move takes. Each part of the pools
+// adds as much, so that the keeper's work does not grow with the fleet.
 constexpr std::chrono::milliseconds kAskInterval{50};
+constexpr std::chrono::milliseconds kLongestAskInterval{250};
 // The registry drops a worker that has ended within this time.
 constexpr std::chrono::seconds kEndedKept{10};
 
@@ -154,6 +156,12 @@
   plan_ = std::move(plan);
 }
 
+void InstanceKeeper::SetLayout(const PoolLayout& layout) {
+  absl::MutexLock lock(&mutex_);
+  layout_ = layout;
+  move_planners_.resize(layout.parts);
+}
+
 void InstanceKeeper::OnWave(const MaintenanceWave& asked, MonoTime seen_at) {
   {
     absl::MutexLock lock(&mutex_);
@@ -293,15 +301,26 @@
   return "";
 }
 
-WorkerOrders InstanceKeeper::OrdersForPools(MonoTime now) const {
-  WorkerOrders orders;
-  for (const auto& [worker, since] : ended_) {
-    if (now - since < kEndedKept) {
-      orders.ended.insert(worker);
+std::string InstanceKeeper::ScopeOfWorker(const std::string& worker) const {
+  for (const auto& [scope, report] : reports_) {
+    for (const WorkerLoad& load : report.workers) {
+      if (load.worker == worker) {
+        return scope;
+      }
     }
   }
+  return "";
+}
+
+void InstanceKeeper::NoteEnded(const std::string& worker, MonoTime now) {
+  if (!worker.empty()) {
+    ended_[worker] = {now, ScopeOfWorker(worker)};
+  }
+}
+
+std::set<std::string> InstanceKeeper::WorkersToEmpty() const {
   std::set<std::string> instances = emptying_for_moves_;
-  std::set<std::string>& workers = orders.evacuate;
+  std::set<std::string> workers;
   for (const auto& [number, wave] : waves_) {
     for (const std::string& instance : wave.emptying) {
       const auto before = wave.worker_before.find(instance);
@@ -316,48 +335,80 @@
     instances.erase(instance);
     workers.insert(move.worker);
   }
-  for (const auto& [pool, report] : reports_) {
+  for (const auto& [scope, report] : reports_) {
     for (const WorkerLoad& load : report.workers) {
       if (instances.count(load.instance) > 0) {
         workers.insert(load.worker);
       }
     }
   }
+  return workers;
+}
+
+WorkerOrders InstanceKeeper::OrdersFor(
+    const std::string& scope,
+    const std::set<std::string>& to_empty) const {
+  WorkerOrders orders;
+  for (const auto& [worker, ended] : ended_) {
+    const bool concerns = ended.scope.empty() || ended.scope == scope;
+    if (concerns) {
+      orders.ended.insert(worker);
+    }
+  }
+  orders.evacuate = to_empty;
+  for (const auto& [other, report] : reports_) {
+    if (other == scope) {
+      continue;
+    }
+    for (const WorkerLoad& load : report.workers) {
+      orders.evacuate.erase(load.worker);
+    }
+  }
   return orders;
 }
 
 bool InstanceKeeper::AskPools(MonoTime now) {
-  std::set<std::string> to_ask;
-  WorkerOrders orders;
+  std::map<std::string, WorkerOrders> to_ask;
   {
     absl::MutexLock lock(&mutex_);
     if (now < next_ask_) {
       return false;
     }
-    next_ask_ = now + kAskInterval;
-    orders = OrdersForPools(now);
+    next_ask_ =
+        now + std::min(kAskInterval * layout_.parts, kLongestAskInterval);
+    for (auto it = ended_.begin(); it != ended_.end();) {
+      it = now - it->second.since < kEndedKept ? std::next(it)
+                                               : ended_.erase(it);
+    }
+    const std::set<std::string> to_empty = WorkersToEmpty();
     for (const PoolConfig& pool : plan_->pools) {
-      if (!pool.spare && asking_.insert(pool.name).second) {
-        to_ask.insert(pool.name);
+      if (pool.spare) {
+        continue;
+      }
+      for (const std::string& scope : layout_.ScopesOf(pool.name)) {
+        if (asking_.insert(scope).second) {
+          to_ask[scope] = OrdersFor(scope, to_empty);
+        }
       }
     }
   }
-  for (const std::string& pool : to_ask) {
-    ask_pool_(pool, orders,
-              [self = shared_from_this(), pool](Result<PoolReport> report) {
-                self->OnReport(pool, std::move(report));
-              });
+  for (const auto& [scope, orders] : to_ask) {
+    ask_pool_(
+        scope, orders,
+        [self = shared_from_this(), scope = scope](Result<PoolReport> report) {
+          self->OnReport(scope, std::move(report));
+        });
   }
   return true;
 }
 
-void InstanceKeeper::OnReport(const std::string& pool,
+void InstanceKeeper::OnReport(const std::string& scope,
                               Result<PoolReport> report) {
   absl::MutexLock lock(&mutex_);
-  asking_.erase(pool);
+  asking_.erase(scope);
   if (report) {
-    reports_[pool] = std::move(*report);
-    report_times_[pool] = clock_.Now();
+    reports_[scope] = std::move(*report);
+    report_times_[scope] = clock_.Now();
   }
 }
 
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -14,6 +14,7 @@
 #include "Common/metrics.h"
 #include "Instances/move_planner.h"
 #include "Instances/wave_planner.h"
+#include "Ownership/pool_layout.h"
 #include "Ownership/record_writer.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -40,9 +41,9 @@
 // allows. Thread-safe.
 class InstanceKeeper : public std::enable_shared_from_this<InstanceKeeper> {
  public:
-  // Passes orders to the owner of a pool and asks for its report.
+  // Passes orders to the owner of a scope and asks for its report.
   using AskPool =
-      std::function<void(const std::string& pool,
+      std::function<void(const std::string& scope,
                          const WorkerOrders& orders,
                          std::function<void(Result<PoolReport>)> done)>;
 
@@ -62,6 +63,8 @@
   void HandOver(std::function<void()> done);
 
   void SetPlan(std::shared_ptr<const FleetPlan> plan);
+  // Before Start, and never another one.
+  void SetLayout(const PoolLayout& layout);
   // `seen_at` is when this daemon first saw the wave.
   void OnWave(const MaintenanceWave& wave, MonoTime seen_at);
   void SetCertainUntil(MonoTime until);
@@ -102,11 +105,22 @@
   void LoadWave(uint64_t number);
   // Returns whether it was due.
   bool AskPools(MonoTime now);
-  void OnReport(const std::string& pool, Result<PoolReport> report);
+  void OnReport(const std::string& scope, Result<PoolReport> report);
   void ReadList(MonoTime now);
   void OnList(MonoTime sent_at, const Result<std::vector<Instance>>& list);
-  // Empties what is to be moved or maintained, until its end is certain.
-  WorkerOrders OrdersForPools(MonoTime now) const
+  // Workers to be emptied, because they are to be moved or maintained, until
+  // their end is certain.
+  std::set<std::string> WorkersToEmpty() const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // What concerns the scope, and what is not known to concern another one.
+  WorkerOrders OrdersFor(const std::string& scope,
+                         const std::set<std::string>& to_empty) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // The order for its instance was carried out. Empty if it ran no worker.
+  void NoteEnded(const std::string& worker, MonoTime now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // The scope whose latest report has the worker; empty if none has.
+  std::string ScopeOfWorker(const std::string& worker) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::string WorkerOn(const std::string& instance) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -114,6 +128,9 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanMoves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // What the planner of one part of all pools sees, given all of it.
+  MoveInput InputOfPart(const MoveInput& all, int part) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void LogPools(const MoveInput& input, MonoTime now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool MayOrder(MonoTime now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -163,6 +180,8 @@
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<RecordWriter> writer_ ABSL_GUARDED_BY(mutex_);
   std::map<uint64_t, Wave> waves_ ABSL_GUARDED_BY(mutex_);
+  PoolLayout layout_ ABSL_GUARDED_BY(mutex_);
+  // By scope.
   std::map<std::string, PoolReport> reports_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, MonoTime> report_times_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> asking_ ABSL_GUARDED_BY(mutex_);
@@ -171,12 +190,18 @@
   bool listing_ ABSL_GUARDED_BY(mutex_) = false;
 
   MonoTime next_pool_log_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
-  MovePlanner move_planner_ ABSL_GUARDED_BY(mutex_);
+  // One for each part: its pools and spare instances are a fleet of their own.
+  std::vector<MovePlanner> move_planners_ ABSL_GUARDED_BY(mutex_);
   std::set<std::string> emptying_for_moves_ ABSL_GUARDED_BY(mutex_);
   std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, PendingMove> moving_ ABSL_GUARDED_BY(mutex_);
-  // Workers that certainly have ended, and since when.
-  std::map<std::string, MonoTime> ended_ ABSL_GUARDED_BY(mutex_);
+  // A worker that certainly has ended.
+  struct EndedWorker {
+    MonoTime since;
+    // Empty if it is not known.
+    std::string scope;
+  };
+  std::map<std::string, EndedWorker> ended_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace figflow
--- a/Source/Core/Instances/instance_keeper_moves.cc
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -1,6 +1,7 @@
 // Moves of instances between pools, from the pools' reports and the list of
 // instances.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Common/log.h"
@@ -124,9 +125,39 @@
     }
   }
   LogPools(input, now);
-  MovePlan plan = move_planner_.Plan(input, now);
-  emptying_for_moves_ = std::move(plan.evacuate);
-  moves_to_send_ = std::move(plan.moves);
+  emptying_for_moves_.clear();
+  moves_to_send_.clear();
+  for (int part = 0; part < layout_.parts; ++part) {
+    MovePlan plan = move_planners_[part].Plan(InputOfPart(input, part), now);
+    emptying_for_moves_.merge(plan.evacuate);
+    std::move(plan.moves.begin(), plan.moves.end(),
+              std::back_inserter(moves_to_send_));
+  }
+}
+
+MoveInput InstanceKeeper::InputOfPart(const MoveInput& all, int part) const {
+  if (layout_.parts == 1) {
+    return all;
+  }
+  MoveInput input;
+  input.spare_pool = all.spare_pool;
+  input.blocked = all.blocked;
+  for (const PoolConfig& pool : plan_->pools) {
+    const auto report = all.pools.find(layout_.Scope(pool.name, part));
+    if (report != all.pools.end()) {
+      input.pools.insert(*report);
+    }
+  }
+  const auto belongs = [&](const auto& entry) {
+    return layout_.PartOfInstance(entry.first) == part;
+  };
+  std::copy_if(all.spare.begin(), all.spare.end(),
+               std::inserter(input.spare, input.spare.end()), belongs);
+  std::copy_if(all.pending.begin(), all.pending.end(),
+               std::inserter(input.pending, input.pending.end()), belongs);
+  input.all_instances = static_cast<int>(
+      std::count_if(instances_.begin(), instances_.end(), belongs));
+  return input;
 }
 
 void InstanceKeeper::LogPools(const MoveInput& input, MonoTime now) {
@@ -165,11 +196,13 @@
 
 void InstanceKeeper::SendMoves(MonoTime now) {
   std::vector<InstanceMove> moves;
+  PoolLayout layout;
   {
     absl::MutexLock lock(&mutex_);
     if (!MayOrder(now)) {
       return;
     }
+    layout = layout_;
     moves.swap(moves_to_send_);
     for (const InstanceMove& move : moves) {
       moving_[move.instance] = {move.pool, now, WorkerOn(move.instance)};
@@ -180,7 +213,7 @@
   for (const InstanceMove& move : moves) {
     InstanceOrder order;
     order.instance = move.instance;
-    order.pool = move.pool;
+    order.pool = layout.PoolOf(move.pool);
     order.holder = options_.holder;
     order.fence = options_.fence;
     platform_.instances().Move(order,
@@ -204,7 +237,7 @@
     PendingMove& pending = moving_[move.instance];
     pending.pool = move.pool;
     pending.ordered_at = now;
-    ended_[pending.worker] = now;
+    NoteEnded(pending.worker, now);
     metrics_
         .GetCounter(absl::StrCat("figflow_instance_moves_total{to=\"",
                                  move.pool, "\"}"))
--- a/Source/Core/Instances/instance_keeper_waves.cc
+++ b/Source/Core/Instances/instance_keeper_waves.cc
@@ -244,7 +244,7 @@
     case InstanceAnswer::kDone:
       wave.state.instances[instance] = MaintenanceStep::kDown;
       wave.answered_at[instance] = now;
-      ended_[wave.worker_before[instance]] = now;
+      NoteEnded(wave.worker_before[instance], now);
       wave.changed = true;
       metrics_.GetCounter("figflow_maintenances_begun_total").Add();
       LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
--- a/Source/StandIns/Fleet/model_instances.cc
+++ b/Source/StandIns/Fleet/model_instances.cc
@@ -23,6 +23,12 @@
       : instances_(instances), node_(std::move(node)) {}
 
   void List(std::function<void(Result<std::vector<Instance>>)> done) override {
+    if (instances_.list_away) {
+      RunIn(instances_.time_, node_, milliseconds(1'500), [done] {
+        done(Fail(ErrorCode::kUnavailable, "instances.list", "", "no answer"));
+      });
+      return;
+    }
     std::vector<Instance> list;
     for (const auto& [id, record] : instances_.instances_) {
       list.push_back(record.instance);
--- a/Source/StandIns/Fleet/model_instances.h
+++ b/Source/StandIns/Fleet/model_instances.h
@@ -27,6 +27,9 @@
   int Maintained(uint64_t wave) const;
   int CountIn(const std::string& pool) const;
 
+  // The list of instances gets no answer.
+  bool list_away = false;
+
  private:
   friend class InstanceView;
 
--- a/Source/UnitTests/Fleet/fleet_test_support.h
+++ b/Source/UnitTests/Fleet/fleet_test_support.h
@@ -58,6 +58,20 @@
   fleet.Run(std::chrono::seconds(2));
 }
 
+// Asks for the maintenance of the first `count` instances.
+inline MaintenanceWave StartWave(ModelFleet& fleet, int count, int max_down) {
+  MaintenanceWave wave;
+  wave.number = 1;
+  wave.max_down = max_down;
+  wave.complete_within = std::chrono::seconds(25);
+  for (int i = 1; i <= count; ++i) {
+    wave.instances.push_back(absl::StrCat("m", i));
+  }
+  fleet.instances.SetWave(wave);
+  fleet.store.Put(model::ModelWaveKey(1), model::FormatModelWave(wave));
+  return wave;
+}
+
 // No promise was broken, and every accepted job has ended.
 inline void AssertKept(const ModelFleet& fleet) {
   CPPUNIT_ASSERT_EQUAL(std::string(),
--- a/Source/UnitTests/Fleet/fleet_work_test.cc
+++ b/Source/UnitTests/Fleet/fleet_work_test.cc
@@ -467,19 +467,6 @@
     spec.stages[0].max_unavailable = 1;
     fleet.Submit(spec, 0);
   }
-
-  static MaintenanceWave StartWave(ModelFleet& fleet, int count, int max_down) {
-    MaintenanceWave wave;
-    wave.number = 1;
-    wave.max_down = max_down;
-    wave.complete_within = seconds(25);
-    for (int i = 1; i <= count; ++i) {
-      wave.instances.push_back(absl::StrCat("m", i));
-    }
-    fleet.instances.SetWave(wave);
-    fleet.store.Put(model::ModelWaveKey(1), model::FormatModelWave(wave));
-    return wave;
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetWorkTest);
--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -11,6 +11,7 @@
 #include "Fleet/peer_calls.h"
 #include "Instances/wave_record.h"
 #include "Ownership/owner_record.h"
+#include "Ownership/pool_layout.h"
 #include "Scheduling/job.h"
 #include "Scheduling/pool_report.h"
 #include "Settings/settings.h"
@@ -190,6 +191,8 @@
        [](const std::string& in) { return ParsePoolReport(in).has_value(); }},
       {"owner", FormatOwnerRecord({"e", "10.0.0.1:80", "n"}),
        [](const std::string& in) { return ParseOwnerRecord(in).has_value(); }},
+      {"pool layout", FormatPoolLayout({3}),
+       [](const std::string& in) { return ParsePoolLayout(in).has_value(); }},
       {"sequence", FormatSequenceRecord({"n", 7}),
        [](const std::string& in) {
          return ParseSequenceRecord(in).has_value();
