--- /dev/null
+++ b/Source/UnitTests/Fleet/keeper_test.cc
@@ -0,0 +1,310 @@
+// What the keeper of the instances does with decisions of earlier keepers and
+// with orders that are under way.
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/metrics.h"
+#include "Instances/instance_keeper.h"
+#include "Instances/wave_record.h"
+#include "Ownership/owner_record.h"
+#include "StandIns/Fleet/model_platform.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A gateway whose answers to moves take some time.
+class SlowMoves : public InstanceGateway {
+ public:
+  SlowMoves(InstanceGateway& gateway,
+            model::VirtualTime& time,
+            milliseconds delay)
+      : gateway_(gateway), time_(time), delay_(delay) {}
+
+  void List(std::function<void(Result<std::vector<Instance>>)> done) override {
+    gateway_.List(std::move(done));
+  }
+  void Move(const InstanceOrder& order,
+            std::function<void(Result<InstanceAnswer>)> done) override {
+    ++moves;
+    time_.After(delay_, [this, order, done] { gateway_.Move(order, done); });
+  }
+  void Maintain(const InstanceOrder& order,
+                std::function<void(Result<InstanceAnswer>)> done) override {
+    gateway_.Maintain(order, std::move(done));
+  }
+
+  int moves = 0;
+
+ private:
+  InstanceGateway& gateway_;
+  model::VirtualTime& time_;
+  const milliseconds delay_;
+};
+
+// The model's platform with slow moves.
+class SlowPlatform : public PlatformAdapter {
+ public:
+  SlowPlatform(PlatformAdapter& platform,
+               model::VirtualTime& time,
+               milliseconds delay)
+      : platform_(platform), slow(platform.instances(), time, delay) {}
+
+  TransactionalStore& store() override { return platform_.store(); }
+  WorkerGateway& workers() override { return platform_.workers(); }
+  InstanceGateway& instances() override { return slow; }
+  std::string operator_prefix() const override {
+    return platform_.operator_prefix();
+  }
+  bool IsPlanKey(absl::string_view key) const override {
+    return platform_.IsPlanKey(key);
+  }
+  Result<FleetPlan> ParsePlan(absl::string_view bytes) const override {
+    return platform_.ParsePlan(bytes);
+  }
+  bool IsWaveKey(absl::string_view key) const override {
+    return platform_.IsWaveKey(key);
+  }
+  Result<MaintenanceWave> ParseWave(absl::string_view key,
+                                    absl::string_view bytes) const override {
+    return platform_.ParseWave(key, bytes);
+  }
+  std::string WaveStatusKey(uint64_t wave) const override {
+    return platform_.WaveStatusKey(wave);
+  }
+  std::string FormatWaveStatus(uint64_t wave, bool completed) const override {
+    return platform_.FormatWaveStatus(wave, completed);
+  }
+  std::string worker_prefix() const override {
+    return platform_.worker_prefix();
+  }
+  std::string WorkerIdOf(absl::string_view key) const override {
+    return platform_.WorkerIdOf(key);
+  }
+  Result<WorkerReport> ParseWorker(absl::string_view key,
+                                   absl::string_view bytes) const override {
+    return platform_.ParseWorker(key, bytes);
+  }
+  Result<CallerCall> ParseCall(const HttpRequest& request,
+                               const FleetPlan& plan) const override {
+    return platform_.ParseCall(request, plan);
+  }
+  HttpResponse FormatReply(const CallerReply& reply) const override {
+    return platform_.FormatReply(reply);
+  }
+  HttpResponse AnswerProbe(const HttpRequest& request,
+                           bool ready) const override {
+    return platform_.AnswerProbe(request, ready);
+  }
+
+ private:
+  PlatformAdapter& platform_;
+
+ public:
+  SlowMoves slow;
+};
+
+// A keeper beside pools whose reports the test writes.
+struct KeeperDriver {
+  explicit KeeperDriver(milliseconds move_delay = milliseconds(0))
+      : node(std::make_shared<model::ModelNode>()),
+        store(time, 1),
+        workers(time, store, promises, 1),
+        instances(time, workers, promises),
+        model_platform(
+            model::MakeModelPlatform(store, workers, instances, node)),
+        platform(*model_platform, time, move_delay) {
+    store.Put(OwnerKey(kInstancesScope), "owner");
+  }
+
+  void Start(const std::vector<std::string>& pools) {
+    InstanceKeeperOptions options;
+    options.holder = "d0";
+    options.nonce = "d0-1";
+    options.fence = store.Find(OwnerKey(kInstancesScope))->revision;
+    keeper = std::make_shared<InstanceKeeper>(
+        platform, time, metrics, options,
+        [this](const std::string& pool, const WorkerOrders& orders,
+               const std::function<void(Result<PoolReport>)>& done) {
+          if (silent.count(pool) > 0) {
+            done(Fail(ErrorCode::kUnavailable, "pool.ask", pool, "no owner"));
+            return;
+          }
+          evacuate = orders.evacuate;
+          for (WorkerLoad& load : reports[pool].workers) {
+            load.evacuating = orders.evacuate.count(load.worker) > 0;
+          }
+          reports[pool].pool = pool;
+          done(reports[pool]);
+        },
+        [] {});
+    auto plan = std::make_shared<FleetPlan>();
+    for (const std::string& pool : pools) {
+      PoolConfig config;
+      config.name = pool;
+      plan->pools.push_back(config);
+    }
+    keeper->SetPlan(plan);
+    keeper->SetCertainUntil(time.Now() + seconds(60));
+    keeper->Start();
+  }
+
+  void RunFor(milliseconds duration) {
+    for (milliseconds passed{0}; passed < duration; passed += milliseconds(5)) {
+      time.RunFor(milliseconds(5));
+      keeper->Step(time.Now());
+    }
+  }
+
+  WorkerLoad LoadOn(const std::string& instance) const {
+    WorkerLoad load;
+    load.worker = instances.Find(instance)->worker;
+    load.instance = instance;
+    load.capacity_millicores = 1'000;
+    load.usable = true;
+    return load;
+  }
+
+  model::VirtualTime time;
+  model::NodePtr node;
+  model::ModelStore store;
+  model::Promises promises;
+  model::ModelWorkers workers;
+  model::ModelInstances instances;
+  std::unique_ptr<PlatformAdapter> model_platform;
+  SlowPlatform platform;
+  MetricsRegistry metrics;
+  std::map<std::string, PoolReport> reports;
+  // Pools without an owner.
+  std::set<std::string> silent;
+  std::set<std::string> evacuate;
+  std::shared_ptr<InstanceKeeper> keeper;
+};
+
+class KeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KeeperTest);
+  CPPUNIT_TEST(RecordedMaintenanceWaitsForAnEmptyWorker);
+  CPPUNIT_TEST(WorkerIsEvacuatedWhileItsMoveIsUnderWay);
+  CPPUNIT_TEST(EvacuationNamesTheWorkerOfAFreshReport);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against perpetual tasks that a keeper ends: an order that an earlier
+  // keeper recorded and never sent was carried out whatever ran there since.
+  void RecordedMaintenanceWaitsForAnEmptyWorker() {
+    KeeperDriver driver;
+    const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.instances = {instance};
+    wave.complete_within = seconds(30);
+    driver.instances.SetWave(wave);
+    WaveRecord record;
+    record.due = driver.time.WallNow() + seconds(30);
+    record.instances[instance] = MaintenanceStep::kOrdered;
+    driver.store.Put(WaveKey(1), FormatWaveRecord(record));
+    // The earlier keeper handed over and had ordered nothing lately.
+    driver.store.Put(HandOverKey(), FormatHandOver(HandOverRecord()));
+    WorkerLoad load = driver.LoadOn(instance);
+    load.tasks = 1;
+    load.perpetual_tasks = 1;
+    driver.reports["p"].workers = {load};
+    driver.Start({"p"});
+    driver.keeper->OnWave(wave, driver.time.Now());
+    driver.RunFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(0, driver.instances.Maintained(1));
+    driver.reports["p"].workers[0].tasks = 0;
+    driver.reports["p"].workers[0].perpetual_tasks = 0;
+    driver.RunFor(milliseconds(1'500));
+    CPPUNIT_ASSERT_EQUAL(1, driver.instances.Maintained(1));
+  }
+
+  // Guards against tasks that a move ends: a list of the instances that was
+  // read before a slow move took effect ended the evacuation.
+  void WorkerIsEvacuatedWhileItsMoveIsUnderWay() {
+    KeeperDriver driver(milliseconds(1'200));
+    for (int i = 0; i < 4; ++i) {
+      const std::string instance =
+          driver.instances.Add("idle", {1'000, 1'000, 0});
+      driver.reports["idle"].workers.push_back(driver.LoadOn(instance));
+    }
+    const std::string busy = driver.instances.Add("busy", {1'000, 1'000, 0});
+    WorkerLoad load = driver.LoadOn(busy);
+    load.tasks = 1;
+    driver.reports["busy"].workers = {load};
+    driver.reports["busy"].waiting_millicores = 1'000;
+    driver.reports["busy"].backlog_millicore_ms = 2'000'000;
+    driver.reports["busy"].offered_millicores = 1'500;
+    driver.Start({"idle", "busy"});
+    for (int i = 0; i < 100 && driver.platform.slow.moves == 0; ++i) {
+      driver.RunFor(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(driver.platform.slow.moves > 0);
+    // The backlog is gone: no other move is planned.
+    driver.reports["busy"].waiting_millicores = 0;
+    driver.reports["busy"].backlog_millicore_ms = 0;
+    driver.reports["busy"].offered_millicores = 0;
+    driver.RunFor(milliseconds(100));
+    const std::set<std::string> moved = driver.evacuate;
+    CPPUNIT_ASSERT(!moved.empty());
+    driver.RunFor(milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(4, driver.instances.CountIn("idle"));
+    for (const std::string& worker : moved) {
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(worker, " may get tasks"),
+                             driver.evacuate.count(worker) > 0);
+    }
+  }
+
+  // Guards against tasks that a move ends: the evacuation named the worker that
+  // an old report of another pool had on the instance.
+  void EvacuationNamesTheWorkerOfAFreshReport() {
+    KeeperDriver driver(milliseconds(300));
+    std::vector<WorkerLoad> idle;
+    for (int i = 0; i < 4; ++i) {
+      idle.push_back(
+          driver.LoadOn(driver.instances.Add("idle", {1'000, 1'000, 0})));
+    }
+    // The instances have come from a pool that has no owner since.
+    for (const WorkerLoad& load : idle) {
+      WorkerLoad earlier = load;
+      earlier.worker = "earlier-" + load.worker;
+      driver.reports["away"].workers.push_back(earlier);
+    }
+    const std::string busy = driver.instances.Add("busy", {1'000, 1'000, 0});
+    WorkerLoad load = driver.LoadOn(busy);
+    load.tasks = 1;
+    driver.reports["busy"].workers = {load};
+    driver.Start({"away", "idle", "busy"});
+    driver.RunFor(milliseconds(100));
+    driver.silent = {"away"};
+    driver.RunFor(milliseconds(1'000));
+    driver.reports["idle"].workers = idle;
+    driver.reports["busy"].waiting_millicores = 1'000;
+    driver.reports["busy"].backlog_millicore_ms = 2'000'000;
+    driver.reports["busy"].offered_millicores = 1'500;
+    for (int i = 0; i < 100 && driver.platform.slow.moves == 0; ++i) {
+      driver.RunFor(milliseconds(5));
+    }
+    CPPUNIT_ASSERT(driver.platform.slow.moves > 0);
+    driver.RunFor(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(4, driver.instances.CountIn("idle"));
+    CPPUNIT_ASSERT(!driver.evacuate.empty());
+    for (const std::string& worker : driver.evacuate) {
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(worker, " has ended long ago"),
+                             worker.rfind("earlier-", 0) != 0);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeeperTest);
+
+}  // namespace
+}  // namespace figflow::test
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -33,6 +33,11 @@
   CPPUNIT_TEST(FailureOfAnEarlierRunCounts);
   CPPUNIT_TEST(FailureIsCountedOnceByASuccessor);
   CPPUNIT_TEST(WorkerIsInUseUntilItsEndsAreDurable);
+  CPPUNIT_TEST(RunThatIsBeingStoppedTakesRoomAfterItsJobIsCancelled);
+  CPPUNIT_TEST(RunThatIsBeingStoppedTakesRoomAfterItsTaskIsDone);
+  CPPUNIT_TEST(NoOrderFollowsTheLastFailure);
+  CPPUNIT_TEST(EndOfAnEarlierLifeLeavesTheNextOneAlone);
+  CPPUNIT_TEST(OrderOfUnknownOutcomeMayReachTheNextLife);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -182,6 +187,153 @@
     driver.Write();
     CPPUNIT_ASSERT_EQUAL(0, tasks());
   }
+
+  static WorkerStatus Running(const StartOrder& start) {
+    WorkerStatus status;
+    RunningTask running;
+    running.name = start.task;
+    running.run = start.run;
+    status.running = {running};
+    return status;
+  }
+
+  // Evacuates the worker until the run on it is told to stop, then lets it
+  // stay.
+  static void StopByEvacuation(SchedulerDriver& driver,
+                               const std::string& worker) {
+    const size_t before = driver.stops.size();
+    for (int i = 0; i < 20; ++i) {
+      driver.scheduler().SetEvacuating({worker}, driver.now());
+      driver.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(before + 1, driver.stops.size());
+    driver.scheduler().SetEvacuating({}, driver.now());
+  }
+
+  // Guards against a worker above its capacity: the room of a run that an
+  // evacuation stops was free as soon as its job was cancelled.
+  void RunThatIsBeingStoppedTakesRoomAfterItsJobIsCancelled() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    const StartOrder first = driver.AnswerStart();
+    driver.Advance(milliseconds(50));
+    driver.AnswerHold("a", Running(first));
+    StopByEvacuation(driver, "a");
+    driver.AnswerHold("a", Running(first));
+    driver.scheduler().Cancel("job", 2, driver.now());
+    driver.Write();
+    driver.Submit("next");
+    driver.Write();
+    driver.Advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+  }
+
+  // As above, when the end of an earlier run completes the task.
+  void RunThatIsBeingStoppedTakesRoomAfterItsTaskIsDone() {
+    SchedulerDriver driver(kStart);
+    const StartOrder first = LoseFirstRun(driver);
+    PlanSecondRun(driver);
+    driver.Write();
+    const StartOrder second = driver.AnswerStart();
+    driver.Advance(milliseconds(50));
+    driver.AnswerHold("b", Running(second));
+    StopByEvacuation(driver, "b");
+    driver.AnswerHold("b", Running(second));
+    driver.AnswerHold("a", Ended(first, RunResult::kDone));
+    driver.Write();
+    driver.Submit("next");
+    driver.Submit("after");
+    driver.Write();
+    driver.Advance(milliseconds(50));
+    // Worker "a" is idle, "b" still runs the second run.
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, driver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         driver.starts.back().target.worker.id);
+  }
+
+  // Guards against a start after the last attempt has failed: the order of the
+  // next run was repeated until the job's end was durable.
+  void NoOrderFollowsTheLastFailure() {
+    SchedulerDriver driver(kStart);
+    const StartOrder first = LoseFirstRun(driver);
+    PlanSecondRun(driver);
+    driver.Write();
+    const StartOrder second = driver.AnswerStart();
+    driver.Advance(milliseconds(50));
+    driver.AnswerHold("b", Ended(second, RunResult::kFailed));
+    driver.Write();
+    // The task failed on "b", but no other worker can be reached.
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, driver.starts.size());
+    driver.scheduler().OnStartAnswer(
+        driver.starts.back(),
+        Fail(ErrorCode::kUnknownOutcome, "worker.start", "b", "lost"),
+        driver.now());
+    driver.Step();
+    driver.AnswerHold("a", Ended(first, RunResult::kFailed));
+    driver.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, driver.starts.size());
+  }
+
+  // Guards against a task that runs twice: the end of a life is told by id for
+  // some seconds, and the next life under that id was taken for ended.
+  void EndOfAnEarlierLifeLeavesTheNextOneAlone() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.scheduler().OnWorkerEnded("a", driver.now());
+    WorkerReport report;
+    report.key = {"a", 2};
+    report.pool = "p";
+    report.instance = "instance-of-a";
+    report.capacity = {1'000, 1'000, 0};
+    driver.scheduler().OnWorkerListed(report, driver.now());
+    driver.Advance(milliseconds(300));
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    driver.AnswerStart();
+    PlanSecondRun(driver);
+    driver.scheduler().OnWorkerEnded("a", driver.now());
+    driver.Advance(milliseconds(50));
+    driver.Write();
+    driver.Advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+  }
+
+  // Guards against a task that runs twice: the next life under the same id and
+  // address may carry out an order that the earlier one did not answer.
+  void OrderOfUnknownOutcomeMayReachTheNextLife() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    PlanSecondRun(driver);
+    driver.scheduler().OnStartAnswer(
+        driver.starts.front(),
+        Fail(ErrorCode::kUnknownOutcome, "worker.start", "a", "lost"),
+        driver.now());
+    WorkerReport report;
+    report.key = {"a", 2};
+    report.pool = "p";
+    report.instance = "instance-of-a";
+    report.capacity = {1'000, 1'000, 0};
+    driver.scheduler().OnWorkerListed(report, driver.now());
+    driver.Advance(milliseconds(50));
+    driver.Write();
+    // The next life has told nothing of its runs.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    driver.Advance(milliseconds(300));
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Advance(milliseconds(300));
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndsTest);
