Check moves and maintenance against what was learnt since they were planned

Callers see tasks that are ended by an order (AVAIL) or run again.

- A recorded maintenance order was sent, or repeated every 300 ms, whatever ran on the instance.
After a hand-over a new owner of the pool, which knows no evacuation, may have placed tasks there.
It now waits while a fresh report shows tasks.
- A move counted as over when a list showed the instance up, also in its old pool: the evacuation ended while the order was under way, and the owner was not told that the worker had ended.
The pool must match now.
- The worker of an instance was looked up in reports of any age.
A pool without an owner supplied a worker that was gone, and the present one was not emptied.
The latest report counts now.

Part of the list of instances' planners exists without a layout, as tests of the keeper alone need it.

--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -291,14 +291,19 @@
 }
 
 std::string InstanceKeeper::WorkerOn(const std::string& instance) const {
-  for (const auto& [pool, report] : reports_) {
+  // The report of a pool without an owner may still name an earlier worker.
+  std::string worker;
+  MonoTime latest = MonoTime::min();
+  for (const auto& [scope, report] : reports_) {
+    const MonoTime reported = report_times_.at(scope);
     for (const WorkerLoad& load : report.workers) {
-      if (load.instance == instance) {
-        return load.worker;
+      if (load.instance == instance && reported > latest) {
+        latest = reported;
+        worker = load.worker;
       }
     }
   }
-  return "";
+  return worker;
 }
 
 std::string InstanceKeeper::ScopeOfWorker(const std::string& worker) const {
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -126,6 +126,9 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::map<std::string, PoolReport> FreshReports(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // By fresh reports.
+  std::set<std::string> InstancesInUse(MonoTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanMoves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // What the planner of one part of all pools sees, given all of it.
@@ -191,7 +194,8 @@
 
   MonoTime next_pool_log_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   // One for each part: its pools and spare instances are a fleet of their own.
-  std::vector<MovePlanner> move_planners_ ABSL_GUARDED_BY(mutex_);
+  std::vector<MovePlanner> move_planners_ ABSL_GUARDED_BY(mutex_) =
+      std::vector<MovePlanner>(1);
   std::set<std::string> emptying_for_moves_ ABSL_GUARDED_BY(mutex_);
   std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, PendingMove> moving_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Instances/instance_keeper_moves.cc
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -55,7 +55,8 @@
     const auto known = instances_.find(it->first);
     const bool arrived = sent_at > it->second.ordered_at &&
                          known != instances_.end() &&
-                         known->second.state == InstanceStatus::kUp;
+                         known->second.state == InstanceStatus::kUp &&
+                         known->second.pool == layout_.PoolOf(it->second.pool);
     const bool forgotten = sent_at - it->second.ordered_at > kMoveForgotten;
     it = arrived || forgotten ? moving_.erase(it) : std::next(it);
   }
--- a/Source/Core/Instances/instance_keeper_waves.cc
+++ b/Source/Core/Instances/instance_keeper_waves.cc
@@ -181,6 +181,18 @@
   wake_();
 }
 
+std::set<std::string> InstanceKeeper::InstancesInUse(MonoTime now) const {
+  std::set<std::string> in_use;
+  for (const auto& [scope, report] : FreshReports(now)) {
+    for (const WorkerLoad& load : report.workers) {
+      if (load.tasks > 0) {
+        in_use.insert(load.instance);
+      }
+    }
+  }
+  return in_use;
+}
+
 void InstanceKeeper::SendOrders(MonoTime now) {
   std::vector<std::pair<uint64_t, std::string>> to_send;
   {
@@ -188,6 +200,7 @@
     if (!MayOrder(now)) {
       return;
     }
+    const std::set<std::string> in_use = InstancesInUse(now);
     for (auto& [number, wave] : waves_) {
       if (!wave.loaded) {
         continue;
@@ -201,7 +214,9 @@
         const auto repeat = wave.repeat_at.find(instance);
         const bool due =
             repeat == wave.repeat_at.end() || repeat->second <= now;
-        if (recorded && due && !TooRecent(instance, now) &&
+        // A new owner of the pool may have placed tasks there since.
+        if (recorded && due && in_use.count(instance) == 0 &&
+            !TooRecent(instance, now) &&
             wave.in_flight.insert(instance).second) {
           to_send.emplace_back(number, instance);
           ordered_at_[instance] = now;
--- a/Source/Core/Ownership/pool_layout.cc
+++ b/Source/Core/Ownership/pool_layout.cc
@@ -53,6 +53,7 @@
 
 std::vector<std::string> PoolLayout::ScopesOf(absl::string_view pool) const {
   std::vector<std::string> scopes;
+  scopes.reserve(parts);
   for (int part = 0; part < parts; ++part) {
     scopes.push_back(Scope(pool, part));
   }
