Keep an own claim until its pool is being run

Found by the review: between the answer to a claim and the registration of its runner, the engine saw an own key without a runner and removed it (key-removed). The claim stays marked as under way until the runner exists, also when it shows itself in the owners' keys after a lost answer. Reasoned from the code; no run shows how often it happened.

--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -153,6 +153,7 @@
     owner.record = std::move(*record);
   }
   bool own = false;
+  bool starting = false;
   bool lost = false;
   {
     absl::MutexLock lock(&mutex_);
@@ -173,6 +174,8 @@
       claims_.OnOwned(scope);
       own = absl::StartsWith(owner.record.nonce, options_.process_id);
     }
+    // An own key without a runner is removed; here it gets one.
+    starting = own && claiming_.insert(scope).second;
   }
   LogEvent(LogLevel::kInfo, LogCategory::kPools,
            item.removed ? "owner_gone" : "owner_changed",
@@ -185,6 +188,10 @@
       .Add();
   if (own) {
     OnOwned(scope, owner.record.nonce, owner.revision, item.lease);
+    if (starting) {
+      absl::MutexLock lock(&mutex_);
+      claiming_.erase(scope);
+    }
   } else if (lost) {
     EndScope(scope, "key-removed");
   }
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -154,9 +154,9 @@
       [this, scope, record, lease](const Result<TransactionResult>& result) {
         {
           absl::MutexLock lock(&mutex_);
-          claiming_.erase(scope);
           // A claim whose answer is lost shows itself in the owners' keys.
           if (!result || !result->committed) {
+            claiming_.erase(scope);
             claims_.OnOwned(scope);
             return;
           }
@@ -166,6 +166,8 @@
           }
         }
         OnOwned(scope, record.nonce, result->revision, lease);
+        absl::MutexLock lock(&mutex_);
+        claiming_.erase(scope);
       });
 }
 
