Look back at earlier starts when the end of a done run is acknowledged

The model's check of double runs saw starts after an acknowledged end, and not starts between an end and its acknowledgement, which callers count as well.

--- a/Source/StandIns/Fleet/promises.cc
+++ b/Source/StandIns/Fleet/promises.cc
@@ -156,6 +156,10 @@
     job.failed_before[text].push_back(job.failed[text]);
     CheckAttempts(job, text);
   }
+  if (!stage.speculative && !stage.perpetual) {
+    job.done_before[text].insert(job.done_runs[text].begin(),
+                                 job.done_runs[text].end());
+  }
   running_[text].insert({worker, run});
 }
 
@@ -170,6 +174,7 @@
   if (end == RunResult::kDone) {
     int& level = job.done[text];
     level = std::max(level, 1);
+    job.done_runs[text].insert(run);
   }
   if (end == RunResult::kFailed) {
     job.failed[text].insert(run);
@@ -185,6 +190,10 @@
   if (end == RunResult::kDone) {
     // From now on the task must not start again.
     jobs_[task.job].done[Text(task)] = 2;
+    if (jobs_[task.job].done_before[Text(task)].count(run) > 0) {
+      Break(absl::StrCat("task ", Text(task), " started after run ", run,
+                         " was done, whose end was noted later"));
+    }
   }
 }
 
--- a/Source/StandIns/Fleet/promises.h
+++ b/Source/StandIns/Fleet/promises.h
@@ -68,6 +68,10 @@
     MonoTime cancelled_at;
     std::string shown;
     std::map<std::string, int> done;
+    // Runs that ended as done, by task, and those of them that had done so
+    // before a later start of the task.
+    std::map<std::string, std::set<uint32_t>> done_runs;
+    std::map<std::string, std::set<uint32_t>> done_before;
     // Runs that ended as failed, by task, and those of them that were noted.
     std::map<std::string, std::set<uint32_t>> failed;
     std::map<std::string, std::set<uint32_t>> failures_noted;
