Order nothing for ended jobs; withdraw orders from workers that leave

Found by the review of the incident, the same class of fault: - a job that had failed or was cancelled in memory still had start orders repeated until its end was durable (a start after the last attempt); - a task whose assignment was durable was started on a worker that drained or was being emptied meanwhile. It is withdrawn as long as no order was sent; - a stop that was asked for while the task held the room kept size 0 when the task left it: the room counted as free while the run went on; - the keeper repeats for 10 s that a worker has ended, which ended the next life under the same id as well.

done_by_earlier_run logs a task that is completed by the end of an earlier run.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -164,7 +164,6 @@
   void Finish(const std::shared_ptr<Job>& job, JobStatus status, MonoTime now);
   void OpenDueOccurrences(MonoTime now, WallTime wall);
   void ForgetFinished(MonoTime now);
-  void OnJobDurable(const std::shared_ptr<Job>& job, MonoTime now);
   void CompleteTask(const TaskRef& ref, MonoTime now);
   // Returns a task to the waiting ones. Its run cannot exist any more.
   void ReturnTask(const TaskRef& ref, MonoTime now);
@@ -178,6 +177,9 @@
   // Adds work to the offered load, and lets older work fade.
   void AddOffered(double millicore_ms, MonoTime now);
 
+  // pool_scheduler_records.cc
+  void OnJobDurable(const std::shared_ptr<Job>& job, MonoTime now);
+
   // pool_scheduler_workers.cc
   WorkerState* FindWorker(const WorkerKey& key);
   WorkerState& AddWorker(const WorkerKey& key, MonoTime now);
@@ -300,6 +302,12 @@
   std::deque<std::shared_ptr<Job>> changed_;
   std::vector<std::shared_ptr<Job>> writing_;
   WorkerMap workers_;
+  // Latest life that the keeper of the instances has called ended, by id.
+  struct EndedLife {
+    int64_t incarnation = 0;
+    MonoTime told_at;
+  };
+  std::map<std::string, EndedLife> ended_workers_;
   // By queue.
   std::map<std::string, DurationModel> durations_;
   // Work that arrived lately, in millicores times milliseconds, decaying.
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -80,8 +80,10 @@
   const std::set<TaskRef> tasks = worker.tasks;
   for (const TaskRef& ref : tasks) {
     Task& task = ref.Get();
-    if (task.phase == TaskPhase::kPlanned && !ref.Spec().gang) {
-      // No order was sent.
+    const bool ordered = task.phase != TaskPhase::kPlanned &&
+                         (task.phase != TaskPhase::kStarting ||
+                          task.order_deadline.count() > 0 || task.inherited);
+    if (!ordered && !ref.Spec().gang) {
       LogEvent(LogLevel::kInfo, LogCategory::kJobs, "assignment_withdrawn",
                {{"task", TaskText(ref.Name())},
                 {"run", absl::StrCat(task.run)},
--- /dev/null
+++ b/Source/Core/Scheduling/pool_scheduler_records.cc
@@ -0,0 +1,158 @@
+// Durable records of jobs, and what follows once the store holds them.
+#include <algorithm>
+#include <utility>
+
+#include "Common/log.h"
+#include "Scheduling/pool_scheduler.h"
+#include "Scheduling/scheduler_metrics.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+
+std::vector<RecordWrite> PoolScheduler::TakeWrites(size_t limit) {
+  std::vector<RecordWrite> writes;
+  // A job that changes again while it is being written waits for the next
+  // write.
+  while (writes.size() < limit && !changed_.empty()) {
+    std::shared_ptr<Job> job = std::move(changed_.front());
+    changed_.pop_front();
+    job->queued_for_write = false;
+    job->writing_version = job->version;
+    job->write_sent = true;
+    RecordWrite write;
+    write.job = job->spec.id;
+    if (job->durable_version == 0) {
+      write.kind = RecordWrite::Kind::kAccepted;
+      write.value = FormatAcceptedJob(*job);
+    } else {
+      write.value = FormatProgress(*job);
+    }
+    writes.push_back(std::move(write));
+    writing_.push_back(std::move(job));
+  }
+  while (writes.size() + 1 < limit && !removals_.empty()) {
+    for (const auto kind :
+         {RecordWrite::Kind::kAccepted, RecordWrite::Kind::kProgress}) {
+      writes.push_back({kind, removals_.front(), "", true});
+    }
+    removals_.pop_front();
+  }
+  return writes;
+}
+
+bool PoolScheduler::HasWrites() const {
+  return !changed_.empty() || !removals_.empty();
+}
+
+void PoolScheduler::OnWritten(MonoTime now) {
+  std::vector<std::shared_ptr<Job>> written = std::move(writing_);
+  writing_.clear();
+  for (const std::shared_ptr<Job>& job : written) {
+    job->durable_version = std::exchange(job->writing_version, 0);
+    OnJobDurable(job, now);
+  }
+  for (auto& [key, worker] : workers_) {
+    AdvanceNotes(*worker);
+  }
+}
+
+void PoolScheduler::OnJobDurable(const std::shared_ptr<Job>& job,
+                                 MonoTime now) {
+  for (const uint64_t token : job->submit_tokens) {
+    output_.submit_replies.push_back(
+        {token, SubmitOutcome::kAccepted, std::chrono::milliseconds(0), ""});
+    stats_->accepted.Add();
+    stats_->time_to_accept.Record(now - job->arrived);
+  }
+  job->submit_tokens.clear();
+  if (job->durable_version < job->version && !job->live()) {
+    // The end of the job is in a later write.
+    return;
+  }
+  if (!job->live()) {
+    if (job->durable_status == JobStatus::kLive) {
+      job->durable_status = job->status;
+      Counter& ended = job->status == JobStatus::kCompleted ? stats_->completed
+                       : job->status == JobStatus::kFailed  ? stats_->failed
+                                                            : stats_->cancelled;
+      ended.Add();
+      LogEvent(
+          LogLevel::kInfo, LogCategory::kJobs, "job_ended",
+          {{"job", job->spec.id},
+           {"queue", job->spec.queue},
+           {"pool", options_.pool},
+           {"fence", absl::StrCat(options_.fence)},
+           {"status", std::string(JobStatusName(job->status))},
+           {"since_arrival_ms",
+            absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - job->arrived)
+                             .count())}});
+      if (job->status == JobStatus::kCompleted) {
+        stats_->time_to_complete.Record(now - job->arrived);
+      }
+      StopJobTasks(job, now);
+    }
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kCancelled});
+    }
+    job->cancel_tokens.clear();
+    return;
+  }
+  for (auto& [number, occurrence] : job->occurrences) {
+    for (size_t i = 0; i < occurrence.stages.size(); ++i) {
+      for (Task& task : occurrence.stages[i].tasks) {
+        if (task.phase == TaskPhase::kPlanned &&
+            task.planned_version <= job->durable_version) {
+          task.phase = TaskPhase::kStarting;
+          task.since = now;
+          task.next_order = now;
+        }
+      }
+    }
+  }
+}
+
+void PoolScheduler::RefuseUnwritten(std::chrono::milliseconds retry_after,
+                                    MonoTime now) {
+  std::deque<std::shared_ptr<Job>> kept;
+  for (const std::shared_ptr<Job>& job : changed_) {
+    if (job->durable_version > 0 || job->write_sent) {
+      kept.push_back(job);
+      continue;
+    }
+    for (const uint64_t token : job->submit_tokens) {
+      output_.submit_replies.push_back(
+          {token, SubmitOutcome::kRefused, retry_after, "store-silent"});
+      stats_->refused.Add();
+    }
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kNotFound});
+    }
+    // Planned tasks were never ordered.
+    job->status = JobStatus::kCancelled;
+    StopJobTasks(job, now);
+    open_jobs_.erase(job->spec.id);
+    finished_.erase(std::remove(finished_.begin(), finished_.end(), job),
+                    finished_.end());
+    jobs_.erase(job->spec.id);
+  }
+  changed_ = std::move(kept);
+}
+
+void PoolScheduler::Abandon() {
+  for (const auto& [id, job] : jobs_) {
+    for (const uint64_t token : job->submit_tokens) {
+      output_.submit_replies.push_back(
+          {token,
+           job->write_sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused,
+           std::chrono::milliseconds(0), "owner-changed"});
+    }
+    job->submit_tokens.clear();
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kUnknown});
+    }
+    job->cancel_tokens.clear();
+  }
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -101,6 +101,12 @@
     return was_lost;
   }
   if (end.end == RunResult::kDone) {
+    LogEvent(LogLevel::kInfo, LogCategory::kJobs, "done_by_earlier_run",
+             {{"task", TaskText(end.name)},
+              {"run", absl::StrCat(end.run)},
+              {"worker", worker.report.key.id},
+              {"known_run", absl::StrCat(task.run)},
+              {"phase", std::string(TaskPhaseName(task.phase))}});
     CompleteByEarlierRun(ref, now);
     return true;
   }
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -173,7 +173,7 @@
   for (const TaskRef& ref : worker.tasks) {
     Task& task = ref.Get();
     if (task.phase != TaskPhase::kStarting || task.order_in_flight ||
-        task.order_outdated || task.inherited) {
+        task.order_outdated || task.inherited || !ref.job->live()) {
       continue;
     }
     if (now < task.next_order) {
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -15,6 +15,8 @@
 // An order without an answer is sent again after this time; an answer takes a
 // few milliseconds.
 constexpr std::chrono::milliseconds kOrderRetry{150};
+// Longer than the keeper of the instances repeats that a worker has ended.
+constexpr std::chrono::seconds kEndedRemembered{15};
 // A worker that did not answer twice is asked again after this time.
 constexpr std::chrono::milliseconds kHoldRetry{200};
 
@@ -149,8 +151,20 @@
 }
 
 void PoolScheduler::OnWorkerEnded(const std::string& id, MonoTime now) {
+  // The keeper repeats itself, and a next life may have the same id.
+  const auto [told, first] = ended_workers_.emplace(id, EndedLife{0, now});
+  if (first || now - told->second.told_at > kEndedRemembered) {
+    told->second = {0, now};
+    for (const auto& [key, worker] : workers_) {
+      if (key.id == id) {
+        told->second.incarnation =
+            std::max(told->second.incarnation, key.incarnation);
+      }
+    }
+  }
   for (auto& [key, worker] : workers_) {
-    if (key.id == id && (worker->listed || !worker->tasks.empty())) {
+    if (key.id == id && key.incarnation <= told->second.incarnation &&
+        (worker->listed || !worker->tasks.empty())) {
       EndWorker(*worker, "instance-reassigned", now);
       worker->listed = false;
       worker->addressable = false;
@@ -258,6 +272,12 @@
       std::make_pair(TaskText(name), run), std::move(stop));
   if (added) {
     worker.used += size;
+    return;
+  }
+  // A stop that was asked for while the task still had the room.
+  if (entry->second.size == Resources()) {
+    entry->second.size = size;
+    worker.used += size;
   }
 }
 
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -49,7 +49,7 @@
     driver.Submit("job");
     driver.Write();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
-    const StartOrder first = driver.AnswerStart();
+    StartOrder first = driver.AnswerStart();
     driver.Advance(milliseconds(100));
     // Longer than any lease.
     const MonoTime lost = driver.now() + seconds(8);
