Deliver answers that are there when the client is late

Callers saw calls to workers fail as timed out although the worker had answered in time, whenever the owner's process lacked processor time.

Cause: libcurl compares the time with the deadline of a transfer before it reads the transfer's socket, so a thread that comes back after the deadline ends a transfer whose answer is already in the socket's buffer, and closes its connection. The deadline also ran from the call, so an order that the thread took up late had little or no time left for its answer.

The loop keeps the deadlines itself and ends a transfer only if a poll that began after the deadline found nothing to read for it. With TransferRequest::answer_time the time runs from the sending of the request. Transfers that wait for a connection use the same list of deadlines; the poll every 5 ms and the search of all pools are gone, and libcurl sets no timer per call.

Tests: AnswerThatIsThereIsDeliveredByALateThread failed before the change, AnswerTimeBeginsWithTheSending covers the new field, and LateThreadStillTimesOutSilentTargets that silent targets still time out.

--- a/Source/Core/Http/client_loop.cc
+++ b/Source/Core/Http/client_loop.cc
@@ -13,8 +13,6 @@
 // Idle easy handles kept for reuse; each holds a 16 KB receive buffer.
 constexpr size_t kFreeTransfers = 64;
 constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
-// Deadlines of transfers that wait for a connection are checked this often.
-constexpr int kWaitingPollMs = 5;
 
 MonoTime Now() {
   return SystemClock().Now();
@@ -111,6 +109,7 @@
     RunTimers();
     wait_ms = commands.empty() ? WaitMilliseconds() : 0;
     commands.clear();
+    const MonoTime polled_at = Now();
     const int count = epoll_wait(epoll_fd_, events, kTransferEvents, wait_ms);
     for (int i = 0; i < count; ++i) {
       const int fd = events[i].data.fd;
@@ -136,6 +135,10 @@
       curl_multi_socket_action(pool->multi, fd, flags, &running);
       Collect(*pool);
     }
+    // More sockets may be ready if the events did not fit.
+    if (count < kTransferEvents) {
+      RunDeadlines(polled_at);
+    }
     RunHousekeeping(Now());
   }
 
@@ -272,10 +275,13 @@
   AddressPool& pool = PoolOf(transfer->address());
   transfer->pool = &pool;
   pool.last_used = now;
+  if (transfer->answer_time().count() > 0) {
+    transfer->set_deadline(now + transfer->answer_time());
+  }
   if (pool.active >= pool.limit) {
     transfer->queued = true;
     pool.waiting.push_back(transfer);
-    ++waiting_;
+    SetDeadline(*transfer, transfer->deadline());
     return;
   }
   Attach(transfer, now);
@@ -294,16 +300,33 @@
     return;
   }
   ++transfer->pool->active;
+  SetDeadline(*transfer, transfer->AttemptDeadline());
   // Sets a timer for now, which RunTimers serves before the next wait.
   curl_multi_add_handle(transfer->pool->multi, transfer->easy());
 }
 
+void ClientLoop::OnSent(ClientTransfer& transfer, MonoTime now) {
+  if (transfer.answer_time().count() > 0) {
+    transfer.set_deadline(now + transfer.answer_time());
+  }
+  SetDeadline(transfer, transfer.AttemptDeadline());
+}
+
+void ClientLoop::SetDeadline(ClientTransfer& transfer, MonoTime at) {
+  if (transfer.expires != MonoTime::max()) {
+    deadlines_.erase({transfer.expires, &transfer});
+  }
+  transfer.expires = at;
+  if (at != MonoTime::max()) {
+    deadlines_.insert({at, &transfer});
+  }
+}
+
 void ClientLoop::Detach(ClientTransfer* transfer) {
   if (transfer->queued) {
     auto& waiting = transfer->pool->waiting;
     waiting.erase(std::find(waiting.begin(), waiting.end(), transfer));
     transfer->queued = false;
-    --waiting_;
     return;
   }
   curl_multi_remove_handle(transfer->pool->multi, transfer->easy());
@@ -327,6 +350,7 @@
   if (!result.response) {
     failures_.Add();
   }
+  SetDeadline(*transfer, MonoTime::max());
   const TransferCallback done = transfer->TakeCallback();
   auto it = transfers_by_id_.find(transfer->id());
   std::unique_ptr<ClientTransfer> owned = std::move(it->second);
@@ -366,7 +390,6 @@
     ClientTransfer* transfer = pool.waiting.front();
     pool.waiting.pop_front();
     transfer->queued = false;
-    --waiting_;
     Attach(transfer, now);
   }
 }
@@ -405,30 +428,48 @@
   if (!timers_.empty()) {
     wake = std::min(wake, timers_.begin()->first);
   }
+  if (!deadlines_.empty()) {
+    wake = std::min(wake, deadlines_.begin()->first);
+  }
   const auto wait = std::chrono::ceil<std::chrono::milliseconds>(wake - now);
   int milliseconds = static_cast<int>(std::max<int64_t>(0, wait.count()));
-  if (waiting_ > 0) {
-    milliseconds = std::min(milliseconds, kWaitingPollMs);
-  }
   return milliseconds;
 }
 
-void ClientLoop::RunHousekeeping(MonoTime now) {
-  if (waiting_ > 0) {
-    std::vector<ClientTransfer*> late;
-    for (auto& [address, pool] : pools_) {
-      std::copy_if(pool->waiting.begin(), pool->waiting.end(),
-                   std::back_inserter(late), [now](ClientTransfer* transfer) {
-                     return transfer->deadline() <= now;
-                   });
+void ClientLoop::RunDeadlines(MonoTime polled_at) {
+  std::vector<uint64_t> late;
+  for (const auto& [at, transfer] : deadlines_) {
+    if (at > polled_at) {
+      break;
+    }
+    late.push_back(transfer->id());
+  }
+  for (const uint64_t id : late) {
+    // The end of an earlier one may have launched or ended it.
+    const auto it = transfers_by_id_.find(id);
+    if (it == transfers_by_id_.end() || it->second->expires > polled_at) {
+      continue;
     }
-    for (ClientTransfer* transfer : late) {
+    ClientTransfer* transfer = it->second.get();
+    AddressPool& pool = *transfer->pool;
+    if (transfer->queued) {
       Detach(transfer);
       Complete(transfer,
                transfer->MakeFailure(ErrorCode::kDeadlineExceeded,
                                      "no free connection before the deadline"));
+      continue;
+    }
+    // The rest of a response may be there as well.
+    if (transfer->TakeProgress()) {
+      continue;
     }
+    Detach(transfer);
+    Complete(transfer, transfer->MakeTimeout(Now()));
+    LaunchWaiting(pool, Now());
   }
+}
+
+void ClientLoop::RunHousekeeping(MonoTime now) {
   if (now < next_housekeeping_) {
     return;
   }
--- a/Source/Core/Http/client_loop.h
+++ b/Source/Core/Http/client_loop.h
@@ -42,6 +42,8 @@
   // last call, or the time for which the oldest one has waited if that is more.
   MonoTime::duration TakeLag();
 
+  // For ClientTransfer, on the thread of the loop.
+  void OnSent(ClientTransfer& transfer, MonoTime now);
   // For AddressPool, on the thread of the loop.
   void PublishOpenConnections(const AddressPool& pool);
 
@@ -67,6 +69,10 @@
   void RunCommands(std::vector<Command>& commands);
   void RunTimers();
   void RunHousekeeping(MonoTime now);
+  // Ends the transfers whose deadline has passed by `polled_at`. All that had
+  // arrived by then has been read.
+  void RunDeadlines(MonoTime polled_at);
+  void SetDeadline(ClientTransfer& transfer, MonoTime at);
   int WaitMilliseconds();
 
   // Closes the pool's connections if there are more than its limit and none is
@@ -114,7 +120,9 @@
   std::set<std::pair<MonoTime, AddressPool*>> timers_;
   // Pool of each registered socket, indexed by descriptor.
   std::vector<AddressPool*> pool_by_fd_;
-  size_t waiting_ = 0;
+  // Transfers by the time at which they are given up. libcurl's own limit is
+  // not used: it looks at the time before it reads the socket.
+  std::set<std::pair<MonoTime, ClientTransfer*>> deadlines_;
   MonoTime next_housekeeping_;
 
   std::thread thread_;
--- a/Source/Core/Http/client_transfer.cc
+++ b/Source/Core/Http/client_transfer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Http/client_loop.h"
 #include "Http/http_headers.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -18,6 +19,9 @@
 // Larger declared bodies are not reserved in advance: the declaration may be
 // wrong.
 constexpr int64_t kReserveLimit = int64_t{1} << 20;
+// Reads of a response past its deadline. Each takes what the socket holds, so
+// this is more than any socket buffer.
+constexpr int kLateReads = 8;
 constexpr int kLowestStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -46,8 +50,6 @@
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
                    static_cast<long>(options.idle_timeout.count()));
-  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(options.connect_timeout.count()));
   curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &OnBody);
@@ -83,6 +85,9 @@
   chunked_ = false;
   framing_fault_ = nullptr;
   response_ = HttpResponse();
+  attempt_at_ = now;
+  bytes_seen_ = 0;
+  late_reads_ = 0;
 
   const HttpRequest& message = *request_.message;
   if (!IsToken(message.method) || !IsToken(message.target)) {
@@ -130,12 +135,6 @@
   curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, use_fresh_ ? 1L : 0L);
   curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE,
                    request_.fresh_connection ? 1L : 0L);
-  // Zero would mean no limit.
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      request_.deadline - now);
-  curl_easy_setopt(
-      easy_, CURLOPT_TIMEOUT_MS,
-      static_cast<long>(std::max<int64_t>(int64_t{1}, left.count())));
   return true;
 }
 
@@ -161,9 +160,24 @@
   }
   transfer->sent_ = true;
   transfer->sent_at_ = SystemClock().Now();
+  transfer->pool->loop->OnSent(*transfer, transfer->sent_at_);
   return CURL_PREREQFUNC_OK;
 }
 
+MonoTime ClientTransfer::AttemptDeadline() const {
+  return sent_ ? request_.deadline
+               : std::min(request_.deadline,
+                          attempt_at_ + options_.connect_timeout);
+}
+
+bool ClientTransfer::TakeProgress() {
+  const size_t bytes = head_bytes_ + response_.body.size();
+  const bool progress = bytes > bytes_seen_ && late_reads_ < kLateReads;
+  bytes_seen_ = bytes;
+  ++late_reads_;
+  return progress;
+}
+
 bool ClientTransfer::TakeStaleConnection() {
   // Only one more try: a fresh connection with bytes on it is a fault.
   if (!stale_ || sent_ || use_fresh_) {
@@ -294,6 +308,19 @@
   return result;
 }
 
+TransferResult ClientTransfer::MakeTimeout(MonoTime now) {
+  TransferResult result =
+      sent_ || now >= request_.deadline
+          ? MakeFailure(ErrorCode::kDeadlineExceeded,
+                        "no whole response before the deadline")
+          : MakeFailure(ErrorCode::kUnavailable,
+                        "no connection within the connect timeout");
+  if (sent_) {
+    result.service_time = now - sent_at_;
+  }
+  return result;
+}
+
 TransferResult ClientTransfer::MakeResult(CURLcode code, MonoTime now) {
   TransferResult result;
   if (too_large_) {
@@ -304,12 +331,6 @@
   } else if (resend_refused_) {
     result = MakeFailure(ErrorCode::kUnknownOutcome,
                          "the connection closed before the response");
-  } else if (code == CURLE_OPERATION_TIMEDOUT) {
-    result = sent_ || now >= request_.deadline
-                 ? MakeFailure(ErrorCode::kDeadlineExceeded,
-                               "no whole response before the deadline")
-                 : MakeFailure(ErrorCode::kUnavailable,
-                               "no connection within the connect timeout");
   } else if (code != CURLE_OK) {
     result = MakeFailure(
         sent_ ? ErrorCode::kUnknownOutcome : ErrorCode::kUnavailable,
--- a/Source/Core/Http/client_transfer.h
+++ b/Source/Core/Http/client_transfer.h
@@ -34,6 +34,8 @@
 
   // The result of an attempt that libcurl ended with `code`.
   TransferResult MakeResult(CURLcode code, MonoTime now);
+  // The result of an attempt whose time is up.
+  TransferResult MakeTimeout(MonoTime now);
   TransferResult MakeFailure(ErrorCode code, const char* message);
 
   // Moves the callback out and releases the request.
@@ -42,11 +44,22 @@
   CURL* easy() const { return easy_; }
   uint64_t id() const { return id_; }
   const std::string& address() const { return request_.address; }
+  std::chrono::milliseconds answer_time() const { return request_.answer_time; }
+  // When the transfer ends, whether a connection was made or not.
   MonoTime deadline() const { return request_.deadline; }
+  void set_deadline(MonoTime deadline) { request_.deadline = deadline; }
+  // When the attempt under way has to have a connection, and after that
+  // deadline().
+  MonoTime AttemptDeadline() const;
+  // Whether bytes of the response have arrived since the last call. False
+  // after a few calls, so that a slow response does not hold off its deadline.
+  bool TakeProgress();
 
   AddressPool* pool = nullptr;
   // Waits for a connection of its address.
   bool queued = false;
+  // Place among the deadlines of the loop; MonoTime::max() for none.
+  MonoTime expires = MonoTime::max();
 
  private:
   static size_t OnHeader(char* data, size_t size, size_t count, void* self);
@@ -68,6 +81,9 @@
   TransferCallback done_;
   curl_slist* headers_ = nullptr;
 
+  MonoTime attempt_at_;
+  size_t bytes_seen_ = 0;
+  int late_reads_ = 0;
   bool sent_ = false;
   MonoTime sent_at_;
   bool stale_ = false;
--- a/Source/Core/Http/http_transport.h
+++ b/Source/Core/Http/http_transport.h
@@ -20,6 +20,10 @@
   // Content-Length are set by the transport.
   std::shared_ptr<const HttpRequest> message;
   MonoTime deadline;
+  // If not zero, takes the place of `deadline`: the time for a connection, and
+  // from the sending of the request for the whole response. Time before the
+  // transport took up the request is not part of it.
+  std::chrono::milliseconds answer_time{0};
   size_t max_answer_bytes = size_t{16} << 20;
   // Uses a new connection and closes it afterwards, for requests that must not
   // meet a connection that the target is closing.
--- a/Source/UnitTests/Http/http_client_test.cc
+++ b/Source/UnitTests/Http/http_client_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <thread>
@@ -25,6 +26,7 @@
   milliseconds deadline{3000};
   bool fresh = false;
   size_t max_answer = 1 << 20;
+  milliseconds answer_time{0};
 };
 
 class HttpClientTest : public CppUnit::TestFixture {
@@ -34,6 +36,9 @@
   CPPUNIT_TEST(PostOnDyingConnectionArrivesOnce);
   CPPUNIT_TEST(LateResponseIsNotTakenForTheNext);
   CPPUNIT_TEST(TimedOutConnectionIsNotReused);
+  CPPUNIT_TEST(AnswerThatIsThereIsDeliveredByALateThread);
+  CPPUNIT_TEST(LateThreadStillTimesOutSilentTargets);
+  CPPUNIT_TEST(AnswerTimeBeginsWithTheSending);
   CPPUNIT_TEST(MethodsShareOneConnection);
   CPPUNIT_TEST(FreshConnectionIsNeverReused);
   CPPUNIT_TEST(ConnectionLimitHolds);
@@ -192,6 +197,53 @@
     CPPUNIT_ASSERT(Stat("\"accepted_connections\":2"));
   }
 
+  // Guards against a time-out although the answer came in time: the thread
+  // was late, and looked at the time before it read the socket.
+  void AnswerThatIsThereIsDeliveredByALateThread() {
+    auto late = FetchLater({"GET", "/sleep/100", {}, "", milliseconds(1'000)},
+                           server_->address());
+    HoldThread(milliseconds(1'200));
+    const TransferResult result = late.get();
+    CPPUNIT_ASSERT(result.response.has_value());
+    CPPUNIT_ASSERT_EQUAL(200, result.response->status);
+  }
+
+  // Guards against targets that are waited for without end once the thread was
+  // late.
+  void LateThreadStillTimesOutSilentTargets() {
+    auto silent = FetchLater({"GET", "/sleep/2000", {}, "", milliseconds(50)},
+                             server_->address());
+    HoldThread(milliseconds(200));
+    CPPUNIT_ASSERT(silent.wait_for(std::chrono::seconds(1)) ==
+                   std::future_status::ready);
+    const TransferResult result = silent.get();
+    CPPUNIT_ASSERT(result.sent);
+    CPPUNIT_ASSERT(result.response.error().code ==
+                   ErrorCode::kDeadlineExceeded);
+  }
+
+  // Guards against a worker that is taken for silent because its order left
+  // late.
+  void AnswerTimeBeginsWithTheSending() {
+    CPPUNIT_ASSERT_EQUAL(200, Fetch({}).response->status);
+    std::future<TransferResult> answered;
+    std::future<TransferResult> silent;
+    HoldThread(milliseconds(1'200), [&] {
+      Call call{"GET", "/sleep/40"};
+      call.deadline = milliseconds(1'000);
+      call.answer_time = milliseconds(1'000);
+      answered = FetchLater(call, server_->address());
+      call.target = "/sleep/3000";
+      silent = FetchLater(call, server_->address());
+    });
+    CPPUNIT_ASSERT(answered.get().response.has_value());
+    const TransferResult result = silent.get();
+    CPPUNIT_ASSERT(result.sent);
+    CPPUNIT_ASSERT(result.response.error().code ==
+                   ErrorCode::kDeadlineExceeded);
+    CPPUNIT_ASSERT(result.service_time < milliseconds(2'500));
+  }
+
   // Guards against options of one request that stay set for the next.
   void MethodsShareOneConnection() {
     const struct {
@@ -291,6 +343,7 @@
     request.deadline = SystemClock().Now() + call.deadline;
     request.fresh_connection = call.fresh;
     request.max_answer_bytes = call.max_answer;
+    request.answer_time = call.answer_time;
     auto promise = std::make_shared<std::promise<TransferResult>>();
     const uint64_t started =
         client_->Start(std::move(request), [promise](TransferResult result) {
@@ -307,6 +360,27 @@
   TransferResult Fetch(const Call& call, const std::string& address) {
     return FetchLater(call, address).get();
   }
+  // Keeps the thread that serves the target busy for some time, in which
+  // `meanwhile` runs here.
+  void HoldThread(
+      milliseconds time,
+      const std::function<void()>& meanwhile = [] {}) {
+    TransferRequest request;
+    request.address = server_->address();
+    request.message =
+        std::make_shared<const HttpRequest>(HttpRequest{"GET", "/", {}, ""});
+    request.deadline = SystemClock().Now() + std::chrono::seconds(3);
+    std::promise<void> begun;
+    std::promise<void> ended;
+    client_->Start(std::move(request), [&](const TransferResult&) {
+      begun.set_value();
+      std::this_thread::sleep_for(time);
+      ended.set_value();
+    });
+    begun.get_future().wait();
+    meanwhile();
+    ended.get_future().wait();
+  }
   bool Stat(const std::string& part) {
     return server_->state().StatsJson().find(part) != std::string::npos;
   }
