Give a worker up only if its silence is certain

Callers saw tasks run again that had ended as done or still ran: an owner that came back late found the leases of its workers lapsed and gave up their runs before it had looked at the answers to its holds.

Cause: CheckWorkers needed one missed call and the end of the lease by the clock. Neither says anything about the worker if the owner was late.

The runs of a worker are now given up after the end of its lease only if a hold that was sent in the last 1.5 s failed and the owner noticed the failure in time. An owner that is late every time gives a worker up after three holds that were sent after the end of the lease. A worker that has left the registry is asked as well until its tasks are given up. The answer time of a hold is part of the order, and calls to workers use it from their sending, so the lateness follows from the times that the scheduler is given.

Tests: LateOwnerWaitsForAHold and HoldThatFailedLateProvesNothing failed before the change. SilentWorkerIsGivenUpWithItsLease bounds the time to give up a lost worker by its lease and two steps of 10 ms, and passed before and after; so did the other three.

--- a/Source/Core/Scheduling/orders.h
+++ b/Source/Core/Scheduling/orders.h
@@ -53,6 +53,8 @@
   uint64_t acknowledged = 0;
   // How long the answer may wait for an end.
   std::chrono::milliseconds wait{0};
+  // From the sending to the whole answer, with `wait`.
+  std::chrono::milliseconds answer_time{0};
 };
 
 // Share of its processor time that a task may use.
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -263,6 +263,8 @@
   }
   worker->hold_in_flight = false;
   if (!answer) {
+    worker->silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
+                                 worker->DeadAt());
     OnUnanswered(*worker, now);
     return;
   }
@@ -286,6 +288,8 @@
       return;
     default:
       // The worker answers but tells nothing about its runs.
+      worker->silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
+                                   worker->DeadAt());
       OnUnanswered(*worker, now);
       return;
   }
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -21,6 +21,8 @@
 // Longest wait of a hold's answer. It bounds the time to notice that a worker
 // is silent, and the age of what is known of its tasks.
 constexpr std::chrono::milliseconds kHoldWait{700};
+// A worker answers within a few milliseconds, or of an end.
+constexpr std::chrono::milliseconds kHoldAnswerTime{400};
 // Least time between two holds: several ends then share one answer.
 constexpr std::chrono::milliseconds kHoldGap{20};
 // Least time between two holds while ends that were read are not yet durable:
@@ -79,10 +81,12 @@
         worker.addressable && worker.fenced && worker.misses == 0;
     const bool busy = !worker.tasks.empty() || !worker.stops.empty();
     if (!reached && busy) {
-      if (now >= worker.DeadAt()) {
-        EndWorker(worker, "lease-ran-out", now);
-      } else {
+      // Until it is certain that the worker is silent, its ends may still tell
+      // what became of the runs.
+      if (now < worker.DeadAt()) {
         Wake(worker.DeadAt());
+      } else if (!worker.addressable || worker.silence.Certain(now)) {
+        EndWorker(worker, "lease-ran-out", now);
       }
     }
     if (!worker.listed && worker.tasks.empty() && worker.stops.empty() &&
@@ -110,9 +114,10 @@
 }
 
 bool PoolScheduler::WantsHold(const WorkerState& worker) const {
-  // A listed worker that did not answer is asked until it does: it gets no
-  // tasks before.
-  const bool silent = worker.listed && worker.misses > 0;
+  // A worker that did not answer is asked until it does, or until its tasks are
+  // given up: it gets no tasks before.
+  const bool wanted = worker.listed || !worker.tasks.empty();
+  const bool silent = wanted && worker.misses > 0;
   if (!worker.fenced || silent || !worker.stops.empty() ||
       !worker.notes.empty() ||
       worker.acknowledged > worker.acknowledged_there) {
@@ -145,6 +150,7 @@
   // The next renewal must reach the worker well within its lease.
   const auto longest = std::min(kHoldWait, LeaseOf(options_.bounds) / 3);
   order.wait = wait ? longest : std::chrono::milliseconds(0);
+  order.answer_time = order.wait + kHoldAnswerTime;
   worker.hold_in_flight = true;
   worker.hold_sent_at = now;
   stats_->holds.Add();
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -106,6 +106,7 @@
   worker.last_answer = now;
   dispatch_wanted_ = dispatch_wanted_ || worker.misses > 0;
   worker.misses = 0;
+  worker.silence.OnAnswer();
   worker.next_hold = MonoTime::min();
   if (clock.count() > 0) {
     worker.clock.Observe(clock, now);
--- /dev/null
+++ b/Source/Core/Scheduling/worker_silence.cc
@@ -0,0 +1,39 @@
+#include "Scheduling/worker_silence.h"
+
+#include <chrono>
+
+namespace figflow {
+namespace {
+
+// An owner on time notices a failure within a step and a turn of its threads.
+constexpr std::chrono::milliseconds kLate{200};
+// Holds to a silent worker follow each other by 600 ms, and one that may wait
+// for an end takes 1,100 ms.
+constexpr std::chrono::milliseconds kRecent{1'500};
+// An owner that is always late gives a worker up after this many holds.
+constexpr int kEnoughLateHolds = 3;
+
+}  // namespace
+
+void WorkerSilence::OnAnswer() {
+  failed_in_time_ = MonoTime::min();
+  failed_late_ = 0;
+}
+
+void WorkerSilence::OnHoldFailed(MonoTime sent_at,
+                                 MonoTime::duration lateness,
+                                 MonoTime lease_end) {
+  if (lateness <= kLate) {
+    failed_in_time_ = sent_at;
+  } else if (sent_at >= lease_end) {
+    ++failed_late_;
+  }
+}
+
+bool WorkerSilence::Certain(MonoTime now) const {
+  const bool recent =
+      failed_in_time_ != MonoTime::min() && now <= failed_in_time_ + kRecent;
+  return recent || failed_late_ >= kEnoughLateHolds;
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -16,6 +16,7 @@
 #include "Scheduling/worker.h"
 #include "Scheduling/worker_clock.h"
 #include "Scheduling/worker_health.h"
+#include "Scheduling/worker_silence.h"
 
 namespace figflow {
 
@@ -72,6 +73,7 @@
   MonoTime last_answer;
   // Calls without an answer since the last answer.
   int misses = 0;
+  WorkerSilence silence;
 
   // Ends up to this number may be forgotten.
   uint64_t acknowledged = 0;
--- /dev/null
+++ b/Source/UnitTests/Scheduling/lateness_test.cc
@@ -0,0 +1,172 @@
+// What an owner concludes about silent workers when it was late itself.
+#include <optional>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Scheduling/scheduler_driver.h"
+
+namespace figflow::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const MonoTime kStart = MonoTime(std::chrono::hours(1));
+// Longer than any lease, with the allowance for a slow clock.
+constexpr seconds kLongestLease{8};
+constexpr milliseconds kTick{10};
+
+class LatenessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LatenessTest);
+  CPPUNIT_TEST(LateOwnerWaitsForAHold);
+  CPPUNIT_TEST(HoldThatFailedLateProvesNothing);
+  CPPUNIT_TEST(OwnerThatStaysLateGivesUpAtLast);
+  CPPUNIT_TEST(SilentWorkerIsGivenUpWithItsLease);
+  CPPUNIT_TEST(UnlistedWorkerIsGivenUpWithItsLease);
+  CPPUNIT_TEST(UnreachedWorkerIsGivenUpByASuccessor);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The job's task runs on worker "a"; worker "b" has room for another run.
+  static StartOrder RunOnFirstWorker(SchedulerDriver& driver) {
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    const StartOrder start = driver.AnswerStart();
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), start.target.worker.id);
+    driver.Advance(milliseconds(100));
+    driver.ListWorker("b");
+    driver.AnswerHold("b", WorkerStatus());
+    return start;
+  }
+
+  // The worker answers no more; the owner is on time. Returns when the task was
+  // planned again, or nothing if it was not within `limit`.
+  static std::optional<MonoTime> PlannedAgain(SchedulerDriver& driver,
+                                              milliseconds limit) {
+    const MonoTime until = driver.now() + limit;
+    while (driver.now() < until) {
+      if (driver.HoldIsDue("a")) {
+        driver.LoseHold("a");
+      }
+      if (driver.Hold("b")) {
+        driver.AnswerHold("b", WorkerStatus());
+      }
+      if (!driver.Write().empty()) {
+        return driver.now();
+      }
+      driver.Advance(kTick);
+    }
+    return std::nullopt;
+  }
+
+  // Guards against a run that is given up, and runs again, when the owner had
+  // no processor time while its worker worked on.
+  void LateOwnerWaitsForAHold() {
+    SchedulerDriver driver(kStart);
+    const StartOrder start = RunOnFirstWorker(driver);
+    driver.LoseHold("a");
+    driver.Advance(3 * kTick);
+    CPPUNIT_ASSERT(driver.Hold("a").has_value());
+    driver.Advance(kLongestLease);
+    CPPUNIT_ASSERT(driver.Write().empty());
+
+    WorkerStatus done;
+    EndedRun end;
+    end.number = 1;
+    end.name = start.task;
+    end.run = start.run;
+    end.end = RunResult::kDone;
+    done.ended = {end};
+    driver.AnswerHold("a", done);
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    CPPUNIT_ASSERT(driver.scheduler().Query("job")->status ==
+                   JobStatus::kCompleted);
+  }
+
+  // Guards against a conclusion from a hold whose time ran out unnoticed.
+  void HoldThatFailedLateProvesNothing() {
+    SchedulerDriver driver(kStart);
+    RunOnFirstWorker(driver);
+    driver.LoseHold("a");
+    driver.Advance(3 * kTick);
+    driver.Advance(kLongestLease);
+    driver.LoseHold("a");
+    CPPUNIT_ASSERT(driver.Write().empty());
+    // One hold that fails in time is enough.
+    CPPUNIT_ASSERT(PlannedAgain(driver, seconds(1)).has_value());
+  }
+
+  // Guards against work that waits for ever on a lost worker because its owner
+  // is always late.
+  void OwnerThatStaysLateGivesUpAtLast() {
+    SchedulerDriver driver(kStart);
+    RunOnFirstWorker(driver);
+    driver.LoseHold("a");
+    bool planned = false;
+    for (int i = 0; i < 20 && !planned; ++i) {
+      driver.Advance(seconds(2));
+      if (driver.Hold("a")) {
+        driver.LoseHold("a");
+      }
+      if (driver.Hold("b")) {
+        driver.AnswerHold("b", WorkerStatus());
+      }
+      planned = !driver.Write().empty();
+    }
+    CPPUNIT_ASSERT(planned);
+  }
+
+  // Guards against work that waits longer than its lease for a lost worker of
+  // an owner that is on time.
+  void SilentWorkerIsGivenUpWithItsLease() {
+    SchedulerDriver driver(kStart);
+    RunOnFirstWorker(driver);
+    const MonoTime renewed = driver.HoldSentAt("a");
+    const auto lease =
+        *driver.Hold("a")->deadline -
+        std::chrono::duration_cast<milliseconds>(renewed.time_since_epoch());
+    const std::optional<MonoTime> planned = PlannedAgain(driver, seconds(20));
+    CPPUNIT_ASSERT(planned.has_value());
+    // A clock that is 2% slow, and two steps.
+    CPPUNIT_ASSERT(*planned - renewed <= lease * 51 / 50 + 2 * kTick);
+    CPPUNIT_ASSERT(*planned - renewed >= lease);
+  }
+
+  // As above for a worker that has left the registry before its order was
+  // answered.
+  void UnlistedWorkerIsGivenUpWithItsLease() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    driver.scheduler().OnWorkerUnlisted("a", driver.now());
+    driver.ListWorker("b");
+    driver.AnswerHold("b", WorkerStatus());
+    driver.Advance(milliseconds(350));
+    driver.LoseStart();
+    CPPUNIT_ASSERT(PlannedAgain(driver, kLongestLease).has_value());
+  }
+
+  // Guards against runs of an earlier owner that are waited for without end
+  // because their worker never answered this one.
+  void UnreachedWorkerIsGivenUpByASuccessor() {
+    SchedulerDriver earlier(kStart);
+    RunOnFirstWorker(earlier);
+    SchedulerDriver driver(earlier.now(), 2);
+    driver.Load(earlier.records());
+    driver.ListWorker("a");
+    driver.ListWorker("b");
+    driver.AnswerHold("b", WorkerStatus());
+    CPPUNIT_ASSERT(PlannedAgain(driver, kLongestLease).has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LatenessTest);
+
+}  // namespace
+}  // namespace figflow::test
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -78,7 +78,8 @@
       starts.push_back(std::move(start));
     }
     for (HoldOrder& hold : output.holds) {
-      holds_[hold.target.worker.id] = std::move(hold);
+      const std::string worker = hold.target.worker.id;
+      holds_[worker] = {std::move(hold), now_};
     }
     for (StopOrder& stop : output.stops) {
       stops.push_back(std::move(stop));
@@ -106,7 +107,16 @@
   std::optional<HoldOrder> Hold(const std::string& worker) const {
     const auto hold = holds_.find(worker);
     return hold == holds_.end() ? std::nullopt
-                                : std::make_optional(hold->second);
+                                : std::make_optional(hold->second.order);
+  }
+  MonoTime HoldSentAt(const std::string& worker) const {
+    return holds_.at(worker).sent_at;
+  }
+  // Whether a hold is under way that has had all the time for its answer.
+  bool HoldIsDue(const std::string& worker) const {
+    const auto hold = holds_.find(worker);
+    return hold != holds_.end() &&
+           now_ >= hold->second.sent_at + hold->second.order.answer_time;
   }
 
   // Answers the hold under way to the worker.
@@ -115,18 +125,29 @@
     answer.status = status;
     answer.status.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
-    const HoldOrder order = holds_.at(worker);
+    const SentHold hold = holds_.at(worker);
     holds_.erase(worker);
-    scheduler_->OnHoldAnswer(order, answer, now_, now_);
+    scheduler_->OnHoldAnswer(hold.order, answer, hold.sent_at, now_);
     Step();
   }
 
   void LoseHold(const std::string& worker) {
-    const HoldOrder order = holds_.at(worker);
+    const SentHold hold = holds_.at(worker);
     holds_.erase(worker);
     scheduler_->OnHoldAnswer(
-        order, Fail(ErrorCode::kUnknownOutcome, "worker.hold", worker, "lost"),
-        now_, now_);
+        hold.order,
+        Fail(ErrorCode::kUnknownOutcome, "worker.hold", worker, "lost"),
+        hold.sent_at, now_);
+    Step();
+  }
+
+  // No answer to the latest start order comes.
+  void LoseStart() {
+    const StartOrder order = starts.back();
+    scheduler_->OnStartAnswer(order,
+                              Fail(ErrorCode::kDeadlineExceeded, "worker.start",
+                                   order.target.worker.id, "lost"),
+                              now_);
     Step();
   }
 
@@ -145,11 +166,16 @@
   std::vector<StopOrder> stops;
 
  private:
+  struct SentHold {
+    HoldOrder order;
+    MonoTime sent_at;
+  };
+
   MetricsRegistry metrics_;
   MonoTime now_;
   WallTime wall_ = FromEpoch(std::chrono::milliseconds(1'700'000'000'000));
   std::unique_ptr<PoolScheduler> scheduler_;
-  std::map<std::string, HoldOrder> holds_;
+  std::map<std::string, SentHold> holds_;
   std::map<std::string, JobRecords> records_;
 };
 
