Split the planning of moves into steps

MovePlanner::Plan was one function of 170 lines. It now calls one function for each step: assess the pools, find idle instances, advance earlier choices, fill short pools, return idle instances. The state that the steps share is in MovePlanner::Round.

--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -24,11 +24,36 @@
 // A pool gives instances to another one only while its own load is below this
 // part of what would remain.
 constexpr double kDonorLoad = 0.6;
-// A choice that has not become empty by then is dropped: a task came first.
+// Moves planned for short pools in one call.
 constexpr int kMostAtOnce = 12;
 
+// Millicores of the largest instance.
+double InstanceSize(const std::map<std::string, PoolReport>& pools) {
+  double size = 0;
+  for (const auto& [name, report] : pools) {
+    for (const WorkerLoad& load : report.workers) {
+      size = std::max(size, static_cast<double>(load.capacity_millicores));
+    }
+  }
+  return size;
+}
+
+bool MayMove(const MoveInput& input, const std::string& instance) {
+  return input.blocked.count(instance) == 0 &&
+         input.pending.count(instance) == 0;
+}
+
+template <typename Value>
+void KeepOnly(const std::set<std::string>& kept,
+              std::map<std::string, Value>* by_instance) {
+  for (auto it = by_instance->begin(); it != by_instance->end();) {
+    it = kept.count(it->first) > 0 ? std::next(it) : by_instance->erase(it);
+  }
+}
+
 }  // namespace
 
+// What a pool has and should have.
 struct MovePlanner::PoolNeed {
   const PoolReport* report = nullptr;
   // Millicores of usable workers, and on the way.
@@ -40,8 +65,8 @@
   double offered = 0;
   double wanted = 0;
 
-  // Work waits that the pool cannot do soon by itself.
-  // Or more work arrives than it can do.
+  // Work waits that the pool cannot do soon by itself, or more work arrives
+  // than it can do.
   bool Short() const {
     return BacklogSeconds() >= kToleratedBacklogSeconds ||
            report->unplaced_tasks > 0 || offered > capacity;
@@ -56,104 +81,144 @@
     const double usable = std::max(1.0, capacity * kUsableShare);
     return static_cast<double>(report->backlog_millicore_ms) / 1000.0 / usable;
   }
+
+  void CountCapacity() {
+    for (const WorkerLoad& load : report->workers) {
+      if (load.usable && !load.evacuating) {
+        capacity += static_cast<double>(load.capacity_millicores);
+        ++size;
+      }
+    }
+  }
+
+  void EstimateDemand(double instance_size) {
+    offered = static_cast<double>(report->offered_millicores +
+                                  report->perpetual_millicores) /
+              kUsableShare;
+    wanted = offered + static_cast<double>(report->backlog_millicore_ms) /
+                           1000.0 / kDrainSeconds / kUsableShare;
+    // Whatever keeps a perpetual task from the present workers, one more may
+    // take it.
+    if (report->unplaced_tasks > 0) {
+      wanted = std::max(wanted, capacity + instance_size);
+    }
+  }
 };
 
-MovePlan MovePlanner::Plan(const MoveInput& input, MonoTime now) {
-  MovePlan plan;
+struct MovePlanner::Round {
+  const MoveInput& input;
+  const MonoTime now;
   std::map<std::string, PoolNeed> needs;
+  // Millicores.
   double instance_size = 0;
+  // Instances below which a pool gives none away.
+  double floor = 0;
+  // Idle instances by pool.
+  std::map<std::string, std::vector<std::string>> idle;
+  // Spare instances that are not used yet.
+  std::vector<std::string> spare;
+  MovePlan plan;
+
+  // The pool manages with one instance less.
+  bool CanGive(const PoolNeed& need) const {
+    return need.wanted < kDonorLoad * (need.capacity - instance_size) &&
+           need.size > floor;
+  }
+
+  // The instance is kept empty and counts no longer as its pool's.
+  void Evacuate(const std::string& instance, PoolNeed* need) {
+    plan.evacuate.insert(instance);
+    Discount(need);
+  }
+
+  void Discount(PoolNeed* need) const {
+    need->capacity -= instance_size;
+    --need->size;
+  }
+};
+
+MovePlan MovePlanner::Plan(const MoveInput& input, MonoTime now) {
+  Round round{input, now, {}, InstanceSize(input.pools), 0, {}, {}, {}};
+  // Without the list of all instances nothing is known of the pools' shares.
+  if (round.instance_size <= 0 || input.all_instances == 0) {
+    return {};
+  }
+  AssessPools(&round);
+  FindIdle(&round);
+  AdvanceChosen(&round);
+  FillShortPools(&round);
+  if (!input.spare_pool.empty()) {
+    ReturnIdle(&round);
+  }
+  return std::move(round.plan);
+}
+
+void MovePlanner::AssessPools(Round* round) {
+  const MoveInput& input = round->input;
   for (const auto& [name, report] : input.pools) {
-    PoolNeed& need = needs[name];
+    PoolNeed& need = round->needs[name];
     need.report = &report;
-    for (const WorkerLoad& load : report.workers) {
-      instance_size = std::max(instance_size,
-                               static_cast<double>(load.capacity_millicores));
-      if (load.usable && !load.evacuating) {
-        need.capacity += static_cast<double>(load.capacity_millicores);
-        ++need.size;
-      }
-    }
+    need.CountCapacity();
+    need.EstimateDemand(round->instance_size);
   }
   for (const auto& [instance, move] : input.pending) {
-    const auto need = needs.find(move.pool);
-    if (need != needs.end()) {
-      need->second.incoming += instance_size;
+    const auto need = round->needs.find(move.pool);
+    if (need != round->needs.end()) {
+      need->second.incoming += round->instance_size;
     }
   }
-  // Without the list of all instances nothing is known of the pools' shares.
-  if (instance_size <= 0 || input.all_instances == 0) {
-    return plan;
-  }
-  const double floor =
-      kKeptShare * input.all_instances / static_cast<double>(needs.size());
-  for (auto& [name, need] : needs) {
-    const PoolReport& report = *need.report;
-    need.offered = static_cast<double>(report.offered_millicores +
-                                       report.perpetual_millicores) /
-                   kUsableShare;
-    need.wanted =
-        need.offered + static_cast<double>(report.backlog_millicore_ms) /
-                           1000.0 / kDrainSeconds / kUsableShare;
-    // Whatever keeps a perpetual task from the present workers, one more may
-    // take it.
-    if (report.unplaced_tasks > 0) {
-      need.wanted = std::max(need.wanted, need.capacity + instance_size);
+  round->floor = kKeptShare * input.all_instances /
+                 static_cast<double>(round->needs.size());
+  for (const auto& [instance, capacity] : input.spare) {
+    if (MayMove(input, instance)) {
+      round->spare.push_back(instance);
     }
   }
+}
 
-  // Idle instances by pool, and since when.
+void MovePlanner::FindIdle(Round* round) {
   std::set<std::string> idle_now;
-  std::map<std::string, std::vector<std::string>> idle;
-  for (const auto& [name, report] : input.pools) {
+  for (const auto& [name, report] : round->input.pools) {
     for (const WorkerLoad& load : report.workers) {
       if (load.usable && load.tasks == 0 && !load.instance.empty() &&
-          input.blocked.count(load.instance) == 0 &&
-          input.pending.count(load.instance) == 0) {
+          MayMove(round->input, load.instance)) {
         idle_now.insert(load.instance);
-        idle[name].push_back(load.instance);
-        idle_since_.emplace(load.instance, now);
+        round->idle[name].push_back(load.instance);
+        idle_since_.emplace(load.instance, round->now);
       }
     }
   }
-  for (auto it = idle_since_.begin(); it != idle_since_.end();) {
-    it = idle_now.count(it->first) > 0 ? std::next(it) : idle_since_.erase(it);
-  }
-  for (auto it = chosen_.begin(); it != chosen_.end();) {
-    it = idle_now.count(it->first) > 0 ? std::next(it) : chosen_.erase(it);
-  }
+  KeepOnly(idle_now, &idle_since_);
+  KeepOnly(idle_now, &chosen_);
+}
 
-  // Chosen instances that are empty and get no tasks any more can move.
-  for (const auto& [name, report] : input.pools) {
+void MovePlanner::AdvanceChosen(Round* round) {
+  for (const auto& [name, report] : round->input.pools) {
     for (const WorkerLoad& load : report.workers) {
-      const auto target = chosen_.find(load.instance);
-      if (target == chosen_.end()) {
+      const auto choice = chosen_.find(load.instance);
+      if (choice == chosen_.end()) {
         continue;
       }
-      plan.evacuate.insert(load.instance);
+      const auto target = round->needs.find(choice->second);
+      round->plan.evacuate.insert(load.instance);
       if (load.evacuating && load.tasks == 0) {
-        plan.moves.push_back({load.instance, target->second});
-      } else if (needs.count(target->second) > 0) {
-        needs[target->second].incoming += instance_size;
+        round->plan.moves.push_back({load.instance, choice->second});
+      } else if (target != round->needs.end()) {
+        target->second.incoming += round->instance_size;
       }
       // The report may be older than the choice.
       if (!load.evacuating) {
-        needs[name].capacity -= instance_size;
-        --needs[name].size;
+        round->Discount(&round->needs[name]);
       }
     }
   }
+}
 
-  std::vector<std::string> spare;
-  for (const auto& [instance, capacity] : input.spare) {
-    if (input.blocked.count(instance) == 0 &&
-        input.pending.count(instance) == 0) {
-      spare.push_back(instance);
-    }
-  }
+void MovePlanner::FillShortPools(Round* round) {
   // The pool with the longest backlog first.
   std::vector<PoolNeed*> by_need;
-  by_need.reserve(needs.size());
-  for (auto& [name, need] : needs) {
+  by_need.reserve(round->needs.size());
+  for (auto& [name, need] : round->needs) {
     by_need.push_back(&need);
   }
   std::sort(by_need.begin(), by_need.end(),
@@ -165,68 +230,71 @@
     if (!need->Short()) {
       continue;
     }
-    const std::string& name = need->report->pool;
     while (need->capacity + need->incoming < need->wanted &&
            planned < kMostAtOnce) {
-      if (!spare.empty()) {
-        plan.moves.push_back({spare.back(), name});
-        spare.pop_back();
-      } else {
-        // From the pool that has most to spare.
-        PoolNeed* donor = nullptr;
-        for (auto& [other, candidate] : needs) {
-          const bool gives =
-              &candidate != need && !idle[other].empty() && !candidate.Busy() &&
-              candidate.wanted <
-                  kDonorLoad * (candidate.capacity - instance_size) &&
-              candidate.size > floor;
-          if (gives &&
-              (donor == nullptr || candidate.capacity - candidate.wanted >
-                                       donor->capacity - donor->wanted)) {
-            donor = &candidate;
-          }
-        }
-        if (donor == nullptr) {
-          break;
-        }
-        std::vector<std::string>& from = idle[donor->report->pool];
-        const std::string instance = from.back();
-        from.pop_back();
-        if (chosen_.emplace(instance, name).second) {
-          plan.evacuate.insert(instance);
-          donor->capacity -= instance_size;
-          --donor->size;
-        } else {
-          continue;
-        }
+      const Source source = TakeInstance(*need, round);
+      if (source == Source::kNone) {
+        break;
+      }
+      if (source == Source::kChosenBefore) {
+        continue;
       }
-      need->incoming += instance_size;
+      need->incoming += round->instance_size;
       ++planned;
     }
   }
+}
 
-  if (input.spare_pool.empty()) {
-    return plan;
+MovePlanner::Source MovePlanner::TakeInstance(const PoolNeed& taker,
+                                              Round* round) {
+  const std::string& pool = taker.report->pool;
+  if (!round->spare.empty()) {
+    round->plan.moves.push_back({round->spare.back(), pool});
+    round->spare.pop_back();
+    return Source::kTaken;
+  }
+  PoolNeed* donor = FindDonor(taker, round);
+  if (donor == nullptr) {
+    return Source::kNone;
+  }
+  std::vector<std::string>& from = round->idle[donor->report->pool];
+  const std::string instance = from.back();
+  from.pop_back();
+  if (!chosen_.emplace(instance, pool).second) {
+    return Source::kChosenBefore;
   }
-  for (auto& [name, need] : needs) {
+  round->Evacuate(instance, donor);
+  return Source::kTaken;
+}
+
+MovePlanner::PoolNeed* MovePlanner::FindDonor(const PoolNeed& taker,
+                                              Round* round) {
+  PoolNeed* donor = nullptr;
+  for (auto& [name, candidate] : round->needs) {
+    const bool gives = &candidate != &taker && !round->idle[name].empty() &&
+                       !candidate.Busy() && round->CanGive(candidate);
+    if (gives && (donor == nullptr || candidate.capacity - candidate.wanted >
+                                          donor->capacity - donor->wanted)) {
+      donor = &candidate;
+    }
+  }
+  return donor;
+}
+
+void MovePlanner::ReturnIdle(Round* round) {
+  for (auto& [name, need] : round->needs) {
     if (need.Busy()) {
       continue;
     }
-    for (const std::string& instance : idle[name]) {
-      const bool returns =
-          chosen_.count(instance) == 0 &&
-          now - idle_since_[instance] >= kIdleBeforeReturn &&
-          need.size > floor &&
-          need.wanted < kDonorLoad * (need.capacity - instance_size);
-      if (returns) {
-        chosen_[instance] = input.spare_pool;
-        plan.evacuate.insert(instance);
-        need.capacity -= instance_size;
-        --need.size;
+    for (const std::string& instance : round->idle[name]) {
+      if (chosen_.count(instance) == 0 &&
+          round->now - idle_since_[instance] >= kIdleBeforeReturn &&
+          round->CanGive(need)) {
+        chosen_[instance] = round->input.spare_pool;
+        round->Evacuate(instance, &need);
       }
     }
   }
-  return plan;
 }
 
 }  // namespace figflow
--- a/Source/Core/Instances/move_planner.h
+++ b/Source/Core/Instances/move_planner.h
@@ -60,6 +60,21 @@
 
  private:
   struct PoolNeed;
+  // One call of Plan.
+  struct Round;
+  enum class Source { kNone, kTaken, kChosenBefore };
+
+  static void AssessPools(Round* round);
+  void FindIdle(Round* round);
+  // Chosen instances that are empty and get no tasks any more can move.
+  void AdvanceChosen(Round* round);
+  void FillShortPools(Round* round);
+  // Takes an instance for the pool: a spare one, or an idle one of another
+  // pool.
+  Source TakeInstance(const PoolNeed& taker, Round* round);
+  // The pool that has most to spare; null if none gives any.
+  static PoolNeed* FindDonor(const PoolNeed& taker, Round* round);
+  void ReturnIdle(Round* round);
 
   std::map<std::string, MonoTime> idle_since_;
   // Instances chosen to move, with their target, until they are empty.
