Reset the gauges of waiting tasks when a pool is given up

figflow_queue_waiting_tasks kept its last value on a daemon that no longer owned the pool, so that the sum over the daemons counted a queue twice.

Cause: only PoolScheduler::Report sets the gauges, and it is not called any more once the runner has ended. PoolScheduler::Abandon, which PoolRunner::End calls, now sets them to 0. Queues that leave the plan are not concerned: Report sets all queues that it has ever counted.

--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -494,24 +494,4 @@
   changed_ = std::move(kept);
 }
 
-void PoolScheduler::Abandon() {
-  for (const auto& [id, job] : jobs_) {
-    for (const uint64_t token : job->submit_tokens) {
-      output_.submit_replies.push_back(
-          {token,
-           job->write_sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused,
-           std::chrono::milliseconds(0), "owner-changed"});
-    }
-    job->submit_tokens.clear();
-    for (const uint64_t token : job->cancel_tokens) {
-      output_.cancel_replies.push_back({token, CancelOutcome::kUnknown});
-    }
-    job->cancel_tokens.clear();
-  }
-}
-
-SchedulerOutput PoolScheduler::TakeOutput() {
-  return std::exchange(output_, SchedulerOutput());
-}
-
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -209,4 +209,29 @@
   }
 }
 
+void PoolScheduler::Abandon() {
+  // The next owner reports what waits.
+  for (auto& [queue, tasks] : waiting_by_queue_) {
+    tasks = 0;
+  }
+  stats_->SetWaiting(options_.pool, waiting_by_queue_);
+  for (const auto& [id, job] : jobs_) {
+    for (const uint64_t token : job->submit_tokens) {
+      output_.submit_replies.push_back(
+          {token,
+           job->write_sent ? SubmitOutcome::kUnknown : SubmitOutcome::kRefused,
+           std::chrono::milliseconds(0), "owner-changed"});
+    }
+    job->submit_tokens.clear();
+    for (const uint64_t token : job->cancel_tokens) {
+      output_.cancel_replies.push_back({token, CancelOutcome::kUnknown});
+    }
+    job->cancel_tokens.clear();
+  }
+}
+
+SchedulerOutput PoolScheduler::TakeOutput() {
+  return std::exchange(output_, SchedulerOutput());
+}
+
 }  // namespace figflow
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -35,6 +35,7 @@
 
   PoolScheduler& scheduler() { return *scheduler_; }
   MonoTime now() const { return now_; }
+  MetricsRegistry& metrics() { return metrics_; }
 
   void Load(const std::map<std::string, JobRecords>& records) {
     scheduler_->Load(records, now_, wall_);
@@ -132,7 +133,7 @@
 
   // The latest start order, answered.
   StartOrder AnswerStart() {
-    const StartOrder order = starts.back();
+    StartOrder order = starts.back();
     OrderAnswer answer;
     answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
