Derive the age of stale owners from the follower's times

A daemon in good order took its list of owners for stale half of the time: CallRouter allowed an age of 3 s, and the age of a PrefixFollower reaches twice the wait of a watch. It counts from the start of the last answered watch, which waited for 2 s, and the next one waits as long.

While an owner was missing, calls were therefore relayed to peers that knew no more, instead of waiting for the take-over.

The bound is now kCalmAge, two watches with their answers (4.6 s), beside kWatchWait in prefix_follower.h. A gap between watches does not add to it unless it is longer than a watch.

Test: OwnershipTest::KeysOfCalmStoreAreFresh, with and without a gap; it fails with 3 s. It also requires that a swallowed watch exceeds the bound.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -10,6 +10,7 @@
 #include "Fleet/route_choice.h"
 #include "Http/http_status.h"
 #include "Ownership/owner_record.h"
+#include "Ownership/prefix_follower.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
@@ -26,8 +27,6 @@
 constexpr std::chrono::milliseconds kTryAgain{40};
 // Time for the answer to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kAnswerMargin{150};
-// A daemon that hears from the store knows the owners at most this late.
-constexpr std::chrono::milliseconds kStaleAfter{3'000};
 constexpr std::chrono::milliseconds kStoreReadTimeout{500};
 constexpr std::chrono::milliseconds kDefaultPatience{3'000};
 
@@ -173,7 +172,7 @@
     view.owner = PeerAddress{owner->record.entry, owner->record.address};
     view.owner_claim = owner->revision;
   }
-  view.stale = away || engine_.OwnersAge(now) > kStaleAfter;
+  view.stale = away || engine_.OwnersAge(now) > kCalmAge;
   for (PeerAddress& peer : engine_.Peers()) {
     // Without the store this daemon knows no more than the others: one that
     // the store answers can help.
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -15,13 +15,22 @@
 
 namespace figflow {
 
+// Longest wait of one watch. An outage of the store may swallow a waiting watch
+// while its connection stays open, so this bounds how long changes can go
+// unnoticed after it.
+inline constexpr std::chrono::milliseconds kWatchWait{2'000};
+// Time in which a store in order answers a call, without a watch's wait.
+inline constexpr std::chrono::milliseconds kStoreAnswer{300};
+// Longest PrefixFollower::Age while the store is in order and the gap between
+// watches is no longer than a watch: the age counts from the start of the last
+// answered watch, which waited in full, until the next one has waited as well.
+inline constexpr std::chrono::milliseconds kCalmAge =
+    2 * (kWatchWait + kStoreAnswer);
+
 struct PrefixFollowerOptions {
   std::string prefix;
   std::chrono::milliseconds call_timeout{1'500};
-  // Longest wait of one watch. An outage of the store may swallow a waiting
-  // watch while its connection stays open, so this bounds how long changes can
-  // go unnoticed after it.
-  std::chrono::milliseconds wait{2'000};
+  std::chrono::milliseconds wait = kWatchWait;
   // Least time between the starts of two watches. A watch ends at the first
   // change; many keys that change by turns would have the daemon ask again all
   // the time, and each call is paid for.
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(FailedClaimantWaits);
   CPPUNIT_TEST(FollowerReportsWhatVanishedUnseen);
   CPPUNIT_TEST(FollowerOfBusyKeysPausesBetweenWatches);
+  CPPUNIT_TEST(KeysOfCalmStoreAreFresh);
   CPPUNIT_TEST(RecordsSurviveAndGarbageIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -225,6 +226,28 @@
     follower->Stop();
   }
 
+  // Guards against owners that count as stale although the store answers, and
+  // against a bound that lost watches do not exceed.
+  void KeysOfCalmStoreAreFresh() {
+    store_.Put("x/1", "a");
+    PrefixFollowerOptions options;
+    options.prefix = "x/";
+    auto follower = std::make_shared<PrefixFollower>(
+        *view_, time_, options, [](const StoreItem&) {}, [] {});
+    follower->Start();
+    time_.RunFor(milliseconds(100));
+    CPPUNIT_ASSERT(OldestAge(*follower, seconds(20)) <= kCalmAge);
+    follower->SetGap(milliseconds(1'000));
+    for (int i = 0; i < 20; ++i) {
+      store_.Put("x/1", absl::StrCat(i));
+      CPPUNIT_ASSERT(OldestAge(*follower, milliseconds(700)) <= kCalmAge);
+    }
+    CPPUNIT_ASSERT(OldestAge(*follower, seconds(20)) <= kCalmAge);
+    store_.SwallowWatches();
+    CPPUNIT_ASSERT(OldestAge(*follower, seconds(10)) > kCalmAge);
+    follower->Stop();
+  }
+
   void RecordsSurviveAndGarbageIsRefused() {
     const Result<OwnerRecord> owner =
         ParseOwnerRecord(FormatOwnerRecord({"e", "1.2.3.4:5", "n"}));
@@ -259,6 +282,19 @@
         });
   }
 
+  // The greatest age of the follower's keys in the time that follows.
+  MonoTime::duration OldestAge(PrefixFollower& follower,
+                               MonoTime::duration duration) {
+    const MonoTime end = time_.Now() + duration;
+    MonoTime::duration oldest{0};
+    while (time_.Now() < end) {
+      follower.Step(time_.Now());
+      time_.RunFor(milliseconds(5));
+      oldest = std::max(oldest, follower.Age(time_.Now()));
+    }
+    return oldest;
+  }
+
   void StepFor(RecordWriter& writer, MonoTime::duration duration) {
     const MonoTime end = time_.Now() + duration;
     while (time_.Now() < end) {
