--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -364,8 +364,4 @@
   }
 }
 
-SchedulerOutput PoolScheduler::TakeOutput() {
-  return std::exchange(output_, SchedulerOutput());
-}
-
 }  // namespace figflow
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -35,6 +35,7 @@
 
   PoolScheduler& scheduler() { return *scheduler_; }
   MonoTime now() const { return now_; }
+  MetricsRegistry& metrics() { return metrics_; }
 
   void Load(const std::map<std::string, JobRecords>& records) {
     scheduler_->Load(records, now_, wall_);
