Read the processor share from the settings

On large deployments daemons with 0.12 cores own pools that they cannot carry.

Cause: a daemon does not know how much of a processor it may use.

Ownership is to follow it.

Test: SettingsTest covers the default, the range and the type.

--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -60,6 +60,7 @@
   // From the signal to stop until the process is killed.
   double stop_grace_s = 0;
   int64_t worker_connections = 0;
+  double processor_cores = 0;
 
   int64_t max_body_bytes = 0;
   int64_t max_answer_bytes = 0;
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -77,6 +77,10 @@
        "How many times as long a task takes away from its data."},
       {"workers.connections", &Settings::worker_connections, 5, 2, 64, false,
        "Connections to one worker or peer (kind fleet)."},
+      {"limits.processor_cores", &Settings::processor_cores, 1, 0.01, 1024,
+       false,
+       "Processor cores that this daemon may use; daemons with more of them "
+       "own more pools (kind fleet)."},
       {"stop.grace_s", &Settings::stop_grace_s, 60, 1, 3600, false,
        "Time from SIGTERM until the platform kills the process (kind fleet)."},
       {"jobs.status_retention_s", &Settings::status_retention_s, 120, 1, 1e7,
--- a/Source/UnitTests/Settings/settings_test.cc
+++ b/Source/UnitTests/Settings/settings_test.cc
@@ -50,6 +50,10 @@
      "expected a text that is not empty"},
     {"below the range", "/threads/callers", "0", "threads.callers",
      "must be from 1 to 64"},
+    {"no processor", "/limits", R"({"processor_cores": 0})",
+     "limits.processor_cores", "must be from 0.01 to 1024"},
+    {"processor as a text", "/limits", R"({"processor_cores": "0.5"})",
+     "limits.processor_cores", "expected a number"},
     {"bad seed", "/peers/seeds", "[7]", "peers.seeds", "expected \"ip:port\""},
     {"short credential", "/peers/credential", "\"short\"", "peers.credential",
      "must have at least 16 characters"},
@@ -80,6 +84,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("[::1]:8082"),
                          settings->peer_listen.ToString());
     CPPUNIT_ASSERT(settings->platform_timeout == std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1.0, settings->processor_cores);
     CPPUNIT_ASSERT(RequestBound(*settings) > settings->max_deadline);
   }
 
