Add records of the fleet's members

An entry knew only daemons that own or owned something. When the store is away it could pass calls to nobody else, and nothing could rank the daemons for a claim.

Change: a daemon keeps one record with its store lease: entry, peer address, processor share. It is written once for each lease, again with a pause of 300 ms if a write is rejected or gets no answer, and again if the record goes.

--- /dev/null
+++ b/Source/Core/Ownership/member_registration.cc
@@ -0,0 +1,60 @@
+#include "Ownership/member_registration.h"
+
+#include <chrono>
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kWriteTimeout{600};
+// Time between two tries.
+constexpr std::chrono::milliseconds kWriteAgain{300};
+
+}  // namespace
+
+MemberRegistration::MemberRegistration(TransactionalStore& store,
+                                       const Clock& clock,
+                                       const MemberRecord& record)
+    : store_(store), clock_(clock), record_(record) {}
+
+MonoTime MemberRegistration::Step(LeaseId lease, MonoTime now) {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (stopped_ || writing_ || lease == 0 || lease == standing_) {
+      return MonoTime::max();
+    }
+    if (now < next_write_) {
+      return next_write_;
+    }
+    writing_ = true;
+  }
+  const std::string key = MemberKey(record_.entry);
+  Transaction transaction;
+  transaction.writes = {{key, FormatMemberRecord(record_), lease}};
+  store_.Commit(transaction, kWriteTimeout,
+                [self = shared_from_this(),
+                 lease](const Result<TransactionResult>& result) {
+                  self->OnWritten(lease, result && result->committed);
+                });
+  return MonoTime::max();
+}
+
+void MemberRegistration::OnWritten(LeaseId lease, bool written) {
+  absl::MutexLock lock(&mutex_);
+  writing_ = false;
+  next_write_ = clock_.Now() + kWriteAgain;
+  if (written) {
+    standing_ = lease;
+  }
+}
+
+void MemberRegistration::OnSeen(LeaseId lease) {
+  absl::MutexLock lock(&mutex_);
+  standing_ = lease;
+}
+
+void MemberRegistration::Stop() {
+  absl::MutexLock lock(&mutex_);
+  stopped_ = true;
+}
+
+}  // namespace figflow
--- a/Source/Core/Ownership/owner_record.cc
+++ b/Source/Core/Ownership/owner_record.cc
@@ -16,6 +16,10 @@
   return absl::StrCat(kOwnerPrefix, scope);
 }
 
+std::string MemberKey(absl::string_view entry) {
+  return absl::StrCat(kMemberPrefix, entry);
+}
+
 std::string SequenceKey(absl::string_view pool) {
   return absl::StrCat("figflow/sequence/", pool);
 }
@@ -54,6 +58,18 @@
   });
 }
 
+std::string FormatMemberRecord(const MemberRecord& record) {
+  return FormatCbor(
+      json::array({record.entry, record.address, record.millicores}));
+}
+
+Result<MemberRecord> ParseMemberRecord(absl::string_view bytes) {
+  return ParseCbor<MemberRecord>(bytes, "member.record", [](const json& row) {
+    return MemberRecord{row.at(0).get<std::string>(),
+                        row.at(1).get<std::string>(), row.at(2).get<int64_t>()};
+  });
+}
+
 std::string FormatSequenceRecord(const SequenceRecord& record) {
   return FormatCbor(json::array({record.nonce, record.number}));
 }
--- a/Source/Core/Ownership/owner_record.h
+++ b/Source/Core/Ownership/owner_record.h
@@ -25,6 +25,10 @@
 inline constexpr char kInstancesScope[] = "@instances";
 
 inline constexpr char kOwnerPrefix[] = "figflow/owner/";
+// Records of the daemons, under the owners' prefix so that one watch follows
+// both. No scope begins like this.
+inline constexpr char kMemberPrefix[] = "figflow/owner/@members/";
+std::string MemberKey(absl::string_view entry);
 
 // The key's last part, after the prefix and, for records of jobs, the pool.
 std::string LastKeyPart(absl::string_view key);
@@ -44,6 +48,19 @@
 // Error kInvalid.
 Result<OwnerRecord> ParseOwnerRecord(absl::string_view bytes);
 
+// A daemon of the fleet. The key carries the daemon's lease.
+struct MemberRecord {
+  std::string entry;
+  // "ip:port" at which the daemon takes calls of its peers.
+  std::string address;
+  // Processor share in thousandths of a core.
+  int64_t millicores = 0;
+};
+
+std::string FormatMemberRecord(const MemberRecord& record);
+// Error kInvalid.
+Result<MemberRecord> ParseMemberRecord(absl::string_view bytes);
+
 // Value of the sequence key: names the write that set it last.
 struct SequenceRecord {
   std::string nonce;
--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -190,6 +190,8 @@
        [](const std::string& in) { return ParsePoolReport(in).has_value(); }},
       {"owner", FormatOwnerRecord({"e", "10.0.0.1:80", "n"}),
        [](const std::string& in) { return ParseOwnerRecord(in).has_value(); }},
+      {"member", FormatMemberRecord({"e", "10.0.0.1:80", 500}),
+       [](const std::string& in) { return ParseMemberRecord(in).has_value(); }},
       {"sequence", FormatSequenceRecord({"n", 7}),
        [](const std::string& in) {
          return ParseSequenceRecord(in).has_value();
