Ping at most eight peers in a survey

With a record for each member, a daemon that loses the store knows 37 peers on a large deployment. In an outage of the store, each daemon would ping all others every 400 ms, also those with 0.12 cores.

Change: a survey pings at most eight, others each time, spread over the list so that several data centres are asked.

Test: the tests of calls without a store pass unchanged (fleet_tests).

--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -1,7 +1,9 @@
 #ifndef FLEET_CALL_ROUTER_H_
 #define FLEET_CALL_ROUTER_H_
 
+#include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -95,7 +97,7 @@
             std::function<void(bool answered)> done);
   // What a call to a daemon has shown.
   void OnPeer(const std::string& address, bool answered);
-  // Pings all daemons if that is due.
+  // Pings some daemons, others each time, if that is due.
   void SurveyPeers(MonoTime now);
   void TryStore(const std::shared_ptr<Routed>& routed);
   // Tries again after a pause, or gives the call up: at the end of its time, or
@@ -114,6 +116,7 @@
   MetricsRegistry& metrics_;
   LatencyHistogram& latency_;
   PeerHealth peer_health_;
+  std::atomic<size_t> next_surveyed_{0};
 };
 
 }  // namespace figflow
--- a/Source/Core/Fleet/call_router_peers.cc
+++ b/Source/Core/Fleet/call_router_peers.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kPeerTimeout{500};
 // A daemon under load answers a ping within 50 ms.
 constexpr std::chrono::milliseconds kPingTimeout{250};
+// Peers pinged in one survey: a fleet of dozens of daemons that all lose the
+// store would otherwise spend its time on pings.
+constexpr size_t kMostSurveyed = 8;
 // For a call that has little time left.
 constexpr std::chrono::milliseconds kShortestPing{60};
 
@@ -126,11 +129,15 @@
 
 void CallRouter::SurveyPeers(MonoTime now) {
   const std::vector<PeerAddress> peers = engine_.Peers();
-  if (!peer_health_.BeginSurvey(static_cast<int>(peers.size()), now)) {
+  const size_t asked = std::min(peers.size(), kMostSurveyed);
+  if (!peer_health_.BeginSurvey(static_cast<int>(asked), now)) {
     return;
   }
-  for (const PeerAddress& peer : peers) {
-    Ping(peer.address, kPingTimeout,
+  // Spread over the list, which names the daemons of a data centre in a row.
+  const size_t first = next_surveyed_++;
+  for (size_t i = 0; i < asked; ++i) {
+    const size_t place = (first + i * peers.size() / asked) % peers.size();
+    Ping(peers[place].address, kPingTimeout,
          [this](bool /*answered*/) { peer_health_.OnSurveyPingEnded(); });
   }
 }
