Claim pools by processor share

On large deployments any daemon could claim a pool, and daemons with 0.12 cores owned pools that they could not carry.

Cause: a daemon waited for its claim by the number of scopes that it owned itself. It knew neither the size nor the load of the others.

Change: each daemon knows the members of the fleet and ranks them for all vacant scopes in one go, by scopes owned plus one over the processor share. A part of the same pool that a member owns counts as two further scopes. The first claims at once, the others follow in steps of 80 ms, all within 800 ms. The scope's last owner, a daemon that rests and one without a record come last. A process that has just started waits 300 ms for the records of the others. A rejected claim pauses for 150 ms; it was repeated at once before.

OwnershipTest::DaemonWithLeastClaimsFirst and FailedClaimantWaits tested the old interface; ClaimPolicyTest::LowestLoadClaimsFirst and FailuresPause assert the same and more.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -1,6 +1,7 @@
 #include "Daemon/fleet_daemon.h"
 
 #include <atomic>
+#include <cmath>
 #include <random>
 #include <string>
 #include <thread>
@@ -77,6 +78,8 @@
   options.entry = settings.entry;
   options.peer_address = settings.peer_listen.ToString();
   options.process_id = NewProcessId(settings.entry);
+  options.millicores =
+      static_cast<int64_t>(std::lround(settings.processor_cores * 1'000));
   options.bounds = BoundsOf(settings);
   options.instances.holder_interval = settings.holder_interval;
   options.instances.move = ToMilliseconds(settings.instance_move_s);
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -31,6 +31,9 @@
       claims_(options_.entry) {
   session_ =
       std::make_shared<StoreSession>(platform_.store(), options_.session);
+  registration_ = std::make_shared<MemberRegistration>(
+      platform_.store(), clock_,
+      MemberRecord{options_.entry, options_.peer_address, options_.millicores});
   const auto follow = [this](const std::string& prefix,
                              void (FleetEngine::*on_item)(const StoreItem&)) {
     PrefixFollowerOptions follower;
@@ -80,6 +83,7 @@
   for (const auto& follower : {operator_keys_, workers_, owners_}) {
     follower->Stop();
   }
+  registration_->Stop();
   session_->Close();
   std::map<std::string, std::shared_ptr<PoolRunner>> runners;
   std::shared_ptr<InstanceKeeper> keeper;
@@ -132,6 +136,7 @@
 MonoTime FleetEngine::Step(MonoTime now) {
   RunTasks(now);
   MonoTime next = std::min(now + kLongestPause, session_->Step(now));
+  next = std::min(next, registration_->Step(session_->lease(), now));
   bool owns = false;
   {
     absl::MutexLock lock(&mutex_);
@@ -145,6 +150,7 @@
     }
     next = std::min(next, follower->Step(now));
   }
+  ForgetMembers(now);
   WatchOverload(now);
   next = std::min(next, StepOwnership(now));
   // After StepOwnership every claim in force belongs to this lease.
@@ -206,15 +212,6 @@
   return it->second;
 }
 
-std::vector<PeerAddress> FleetEngine::Peers() const {
-  absl::MutexLock lock(&mutex_);
-  std::vector<PeerAddress> peers;
-  for (const auto& [entry, address] : peers_) {
-    peers.push_back({entry, address});
-  }
-  return peers;
-}
-
 bool FleetEngine::releasing() const {
   absl::MutexLock lock(&mutex_);
   return releasing_;
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -19,6 +19,8 @@
 #include "Fleet/route_choice.h"
 #include "Instances/instance_keeper.h"
 #include "Ownership/claim_policy.h"
+#include "Ownership/member_list.h"
+#include "Ownership/member_registration.h"
 #include "Ownership/owner_record.h"
 #include "Ownership/prefix_follower.h"
 #include "Ownership/store_session.h"
@@ -33,6 +35,8 @@
   std::string peer_address;
   // Unique among the processes of the fleet.
   std::string process_id;
+  // Processor share of this daemon in thousandths of a core.
+  int64_t millicores = 1'000;
   ExecutionBounds bounds;
   StoreSessionOptions session;
   // Without holder, nonce and fence.
@@ -40,8 +44,8 @@
 };
 
 // What a daemon knows of the platform, and the pools that it owns. Follows the
-// operators' plan, the registry of workers and the owners' keys; claims pools
-// without an owner.
+// operators' plan, the registry of workers, the owners' keys and the members'
+// records; claims pools without an owner.
 class FleetEngine {
  public:
   struct Owner {
@@ -86,7 +90,7 @@
   std::shared_ptr<PoolRunner> OwnRunner(const std::string& pool) const;
   // None while no owner is known.
   std::optional<Owner> OwnerOf(const std::string& pool) const;
-  // Daemons that own or owned something, without this one.
+  // The members of the fleet, without this daemon.
   std::vector<PeerAddress> Peers() const;
   // How old the knowledge of the owners' keys is at most.
   MonoTime::duration OwnersAge(MonoTime now) const { return owners_->Age(now); }
@@ -111,7 +115,13 @@
   // Hands all scopes over if this daemon cannot keep up.
   void WatchOverload(MonoTime now);
   void HandOverAll();
+  // Vacant scopes whose time to be claimed has come, marked as being claimed.
+  // Moves `next` to the next such time.
+  std::vector<std::string> TakeDueClaims(MonoTime now, MonoTime* next)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Claim(const std::string& scope, LeaseId lease);
+  // What decided the last claim of the scope.
+  ClaimDecision DecisionOn(const std::string& scope) const;
   void OnOwned(const std::string& scope,
                const std::string& nonce,
                uint64_t revision,
@@ -137,6 +147,12 @@
   void OnWaveItem(const StoreItem& item);
   void OnWorkerItem(const StoreItem& item);
   void OnOwnerItem(const StoreItem& item);
+  void OnMemberItem(const StoreItem& item);
+  void ForgetMembers(MonoTime now);
+  int PeerCount() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // For ranking, from the members and owners known now.
+  ClaimView ViewForClaims(std::set<std::string> vacant, MonoTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   PlatformAdapter& platform_;
   const Clock& clock_;
@@ -148,6 +164,7 @@
   std::shared_ptr<PrefixFollower> operator_keys_;
   std::shared_ptr<PrefixFollower> workers_;
   std::shared_ptr<PrefixFollower> owners_;
+  std::shared_ptr<MemberRegistration> registration_;
 
   mutable absl::Mutex mutex_;
   ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
@@ -156,8 +173,12 @@
   // Latest worker of each instance.
   std::map<std::string, WorkerKey> worker_on_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Owner> known_owners_ ABSL_GUARDED_BY(mutex_);
-  // Addresses of other daemons by entry, as learnt from owners' keys.
-  std::map<std::string, std::string> peers_ ABSL_GUARDED_BY(mutex_);
+  MemberList members_ ABSL_GUARDED_BY(mutex_);
+  // The lease of this daemon's own record, and until when other members may be
+  // about to write theirs.
+  LeaseId member_lease_ ABSL_GUARDED_BY(mutex_) = 0;
+  MonoTime members_settle_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  bool first_lease_ ABSL_GUARDED_BY(mutex_) = true;
   std::map<std::string, std::shared_ptr<PoolRunner>> runners_
       ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<InstanceKeeper> keeper_ ABSL_GUARDED_BY(mutex_);
@@ -172,6 +193,7 @@
   // When the removal of an own key may be tried again.
   std::map<std::string, MonoTime> removed_at_ ABSL_GUARDED_BY(mutex_);
   ClaimPolicy claims_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, ClaimDecision> decisions_ ABSL_GUARDED_BY(mutex_);
   OverloadWatch overload_ ABSL_GUARDED_BY(mutex_);
   uint64_t claim_number_ ABSL_GUARDED_BY(mutex_) = 0;
   bool releasing_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -134,6 +134,10 @@
 }
 
 void FleetEngine::OnOwnerItem(const StoreItem& item) {
+  if (absl::StartsWith(item.key, kMemberPrefix)) {
+    OnMemberItem(item);
+    return;
+  }
   const std::string scope = LastKeyPart(item.key);
   Owner owner;
   owner.revision = item.revision;
@@ -162,10 +166,7 @@
       lost = working != 0 && working < item.revision;
     } else {
       known_owners_[scope] = owner;
-      if (owner.record.entry != options_.entry) {
-        peers_[owner.record.entry] = owner.record.address;
-      }
-      claims_.OnOwned(scope);
+      claims_.OnOwned(scope, owner.record.entry);
       own = absl::StartsWith(owner.record.nonce, options_.process_id);
     }
   }
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -1,6 +1,7 @@
 // Which pools this daemon owns: claims, their ends and hand-overs.
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -21,8 +22,6 @@
 // first call to each worker.
 constexpr std::chrono::milliseconds kReachTime{1'000};
 constexpr std::chrono::milliseconds kReachTimeOfWorker{20};
-// A daemon that gave way claims as late as one with so many scopes.
-constexpr int kRestingCounts = 10;
 
 }  // namespace
 
@@ -97,30 +96,8 @@
     }
     const bool may_claim = !releasing_ && owners_->synced() && lease != 0 &&
                            now < session_->certain_until() && plan_ != nullptr;
-    std::vector<std::string> scopes;
     if (may_claim) {
-      scopes.emplace_back(kInstancesScope);
-      for (const PoolConfig& pool : plan_->pools) {
-        if (!pool.spare) {
-          scopes.push_back(pool.name);
-        }
-      }
-    }
-    const int owned = static_cast<int>(working.size() + claiming_.size());
-    for (const std::string& scope : scopes) {
-      if (known_owners_.count(scope) > 0 || claiming_.count(scope) > 0) {
-        continue;
-      }
-      claims_.OnVacant(
-          scope, owned + (overload_.Resting(now) ? kRestingCounts : 0), now);
-      const std::optional<MonoTime> at = claims_.ClaimAt(scope);
-      if (at && *at <= now) {
-        to_claim.push_back(scope);
-        claiming_.insert(scope);
-        claims_.OnOwned(scope);
-      } else if (at) {
-        next = std::min(next, *at);
-      }
+      to_claim = TakeDueClaims(now, &next);
     }
   }
   for (const auto& [scope, cause] : to_end) {
@@ -135,6 +112,44 @@
   return next;
 }
 
+std::vector<std::string> FleetEngine::TakeDueClaims(MonoTime now,
+                                                    MonoTime* next) {
+  std::set<std::string> vacant;
+  const auto add = [this, &vacant](const std::string& scope) {
+    mutex_.AssertHeld();
+    if (known_owners_.count(scope) == 0 && claiming_.count(scope) == 0) {
+      vacant.insert(scope);
+    }
+  };
+  add(kInstancesScope);
+  for (const PoolConfig& pool : plan_->pools) {
+    if (!pool.spare) {
+      add(pool.name);
+    }
+  }
+  std::vector<std::string> due;
+  if (vacant.empty()) {
+    return due;
+  }
+  const ClaimView view = ViewForClaims(std::move(vacant), now);
+  for (ClaimDecision& decision : claims_.Decide(view, now)) {
+    if (decision.at > now) {
+      *next = std::min(*next, decision.at);
+      continue;
+    }
+    claiming_.insert(decision.scope);
+    due.push_back(decision.scope);
+    decisions_[decision.scope] = std::move(decision);
+  }
+  return due;
+}
+
+ClaimDecision FleetEngine::DecisionOn(const std::string& scope) const {
+  absl::MutexLock lock(&mutex_);
+  const auto decision = decisions_.find(scope);
+  return decision == decisions_.end() ? ClaimDecision() : decision->second;
+}
+
 void FleetEngine::Claim(const std::string& scope, LeaseId lease) {
   OwnerRecord record;
   record.entry = options_.entry;
@@ -154,12 +169,13 @@
           claiming_.erase(scope);
           // A claim whose answer is lost shows itself in the owners' keys.
           if (!result || !result->committed) {
-            claims_.OnOwned(scope);
+            claims_.OnRejected(scope, clock_.Now());
             return;
           }
           Owner& owner = known_owners_[scope];
           if (result->revision > owner.revision) {
             owner = {record, result->revision, clock_.Now()};
+            claims_.OnOwned(scope, record.entry);
           }
         }
         OnOwned(scope, record.nonce, result->revision, lease);
@@ -188,8 +204,13 @@
 void FleetEngine::StartRunner(const std::string& pool,
                               const std::string& nonce,
                               uint64_t revision) {
+  const ClaimDecision decision = DecisionOn(pool);
   LogEvent(LogLevel::kInfo, LogCategory::kPools, "pool_claimed",
-           {{"pool", pool}, {"fence", absl::StrCat(revision)}});
+           {{"pool", pool},
+            {"fence", absl::StrCat(revision)},
+            {"rank", absl::StrCat(decision.rank)},
+            {"load", absl::StrCat(decision.load)},
+            {"millicores", absl::StrCat(decision.millicores)}});
   std::shared_ptr<PoolRunner> runner;
   std::vector<WorkerReport> reports;
   {
@@ -229,8 +250,12 @@
       keeper->OnWave(seen.wave, seen.seen_at);
     }
   }
+  const ClaimDecision decision = DecisionOn(kInstancesScope);
   LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instances_owned",
-           {{"fence", absl::StrCat(revision)}});
+           {{"fence", absl::StrCat(revision)},
+            {"rank", absl::StrCat(decision.rank)},
+            {"load", absl::StrCat(decision.load)},
+            {"millicores", absl::StrCat(decision.millicores)}});
   keeper->Start();
 }
 
@@ -250,7 +275,7 @@
       runner = runners_.at(scope);
       runners_.erase(scope);
     }
-    claims_.OnFailed(scope, clock_.Now());
+    claims_.OnGivenUp(scope, clock_.Now());
     removed_at_[scope] = clock_.Now() + kRemoveAgain;
   }
   metrics_
@@ -285,7 +310,7 @@
     overload_.OnSample(lag_probe_(), now);
     // Without other daemons there is nobody to give way to.
     const bool owns = !runners_.empty() || keeper_ != nullptr;
-    if (!owns || releasing_ || peers_.empty() ||
+    if (!owns || releasing_ || PeerCount() == 0 ||
         !overload_.ShouldGiveWay(now)) {
       return;
     }
@@ -297,7 +322,7 @@
                            overload_.smoothed_lag())
                            .count())},
          {"pools", absl::StrCat(runners_.size())},
-         {"peers", absl::StrCat(peers_.size())}});
+         {"peers", absl::StrCat(PeerCount())}});
   }
   HandOverAll();
 }
--- a/Source/Core/Fleet/fleet_engine_state.cc
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -21,6 +21,13 @@
                       {"fence", owner.revision},
                       {"age_ms", age_ms(owner.seen_at)}});
   }
+  nlohmann::json members = nlohmann::json::array();
+  for (const auto& [entry, member] : members_.members()) {
+    members.push_back({{"entry", entry},
+                       {"peer", member.record.address},
+                       {"millicores", member.record.millicores},
+                       {"record", member.gone_at == MonoTime::max()}});
+  }
   nlohmann::json pools = nlohmann::json::array();
   nlohmann::json queues = nlohmann::json::array();
   for (const auto& [pool, runner] : runners_) {
@@ -42,9 +49,10 @@
            std::chrono::duration_cast<std::chrono::milliseconds>(OwnersAge(now))
                .count()},
           {"workers", reports_.size()},
-          {"peers", peers_.size()},
+          {"peers", PeerCount()},
           {"releasing", releasing_},
           {"owners", std::move(owners)},
+          {"members", std::move(members)},
           {"pools", std::move(pools)},
           {"queues", std::move(queues)},
           {"waves", keeper_ == nullptr ? nlohmann::json::array()
--- a/Source/Core/Ownership/claim_policy.h
+++ b/Source/Core/Ownership/claim_policy.h
@@ -2,38 +2,77 @@
 #define OWNERSHIP_CLAIM_POLICY_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Common/clock.h"
 
 namespace figflow {
 
-// Decides when this daemon claims a scope that has no owner.
+// What a daemon knows when it decides on claims.
+struct ClaimView {
+  // Processor share of each daemon by entry, in thousandths of a core.
+  std::map<std::string, int64_t> members;
+  // The owner of each scope that has one, claims under way here included.
+  std::map<std::string, std::string> owners;
+  std::set<std::string> vacant;
+  // This daemon has given way and lets others go first.
+  bool resting = false;
+  // The members may be incomplete until then.
+  MonoTime members_settle = MonoTime::min();
+};
+
+struct ClaimDecision {
+  std::string scope;
+  MonoTime at;
+  // Place of this daemon among the members; 0 claims at once.
+  int rank = 0;
+  // Scopes that count for the rank, the claimed one included.
+  int load = 0;
+  // 0 if this daemon is not among the members.
+  int64_t millicores = 0;
+};
+
+// Decides when this daemon claims scopes that have no owner.
 //
-// All daemons see at the same moment that an owner's key is gone. Each waits a
-// little, longer the more it owns already, so that scopes spread over the
-// daemons and claims seldom collide; a daemon that has just failed as owner of
-// the scope waits so long that others go first.
+// Load pattern: some daemons have a multiple of the processor share of others,
+// and several scopes lose their owner at once. All daemons see that at nearly
+// the same moment and compute the same ranking: the one with the lowest load
+// after the claim comes first. Each waits for those before it, so that claims
+// seldom collide and the next one follows soon if the first is lost.
 class ClaimPolicy {
  public:
-  // `entry` makes the waits of daemons differ.
-  explicit ClaimPolicy(std::string entry);
+  static constexpr std::chrono::milliseconds kStep{80};
+  static constexpr std::chrono::milliseconds kLongestWait{800};
 
-  // The scope has no owner since `now`, as far as is known here.
-  void OnVacant(const std::string& scope, int owned, MonoTime now);
-  void OnOwned(const std::string& scope);
-  // A claim did not succeed, or this daemon gave the scope up.
-  void OnFailed(const std::string& scope, MonoTime now);
+  // `entry` is this daemon.
+  explicit ClaimPolicy(std::string entry);
 
-  // When to claim; none while the scope has an owner.
-  std::optional<MonoTime> ClaimAt(const std::string& scope) const;
+  // `owner` holds the scope now.
+  void OnOwned(const std::string& scope, const std::string& owner);
+  // One decision for each vacant scope.
+  std::vector<ClaimDecision> Decide(const ClaimView& view, MonoTime now);
+  // A claim was rejected or got no answer.
+  void OnRejected(const std::string& scope, MonoTime now);
+  // This daemon has lost the scope or given it up.
+  void OnGivenUp(const std::string& scope, MonoTime now);
 
  private:
+  // Members in the order in which they claim `scope`, best first. `owned`
+  // holds the scopes of each member, by the pool of each.
+  std::vector<std::string> Ranking(
+      const ClaimView& view,
+      const std::map<std::string, std::multiset<std::string>>& owned,
+      const std::string& scope,
+      MonoTime now) const;
+
   const std::string entry_;
-  std::map<std::string, MonoTime> claim_at_;
+  std::map<std::string, MonoTime> vacant_since_;
+  // The owner of each scope, the last one of vacant scopes.
+  std::map<std::string, std::string> last_owner_;
   std::map<std::string, MonoTime> not_before_;
 };
 
--- a/Source/StandIns/Fleet/model_fleet.cc
+++ b/Source/StandIns/Fleet/model_fleet.cc
@@ -64,6 +64,7 @@
     std::unique_ptr<CallRouter> router;
   };
   std::string name;
+  int64_t millicores = 0;
   std::shared_ptr<Process> process;
   // Processes that have ended: callbacks may still refer to them.
   std::vector<std::shared_ptr<Process>> ended;
@@ -150,10 +151,11 @@
   store.Put(kModelPlanKey, FormatModelPlan(plan));
 }
 
-void ModelFleet::AddDaemons(int count) {
+void ModelFleet::AddDaemons(int count, int64_t millicores) {
   for (int i = 0; i < count; ++i) {
     auto daemon = std::make_unique<Daemon>();
     daemon->name = absl::StrCat("d", daemons_.size());
+    daemon->millicores = millicores;
     daemons_.push_back(std::move(daemon));
     Start(static_cast<int>(daemons_.size()) - 1);
   }
@@ -171,6 +173,7 @@
   options.entry = daemon.name;
   options.peer_address = absl::StrCat(daemon.name, ":1");
   options.process_id = absl::StrCat(daemon.name, "~", next_process_++, "~");
+  options.millicores = daemon.millicores;
   process->engine = std::make_unique<FleetEngine>(*process->platform, time,
                                                   metrics_, options);
   process->router = std::make_unique<CallRouter>(
--- a/Source/StandIns/Fleet/model_fleet.h
+++ b/Source/StandIns/Fleet/model_fleet.h
@@ -29,8 +29,8 @@
 
   // The operators' plan.
   void SetPlan(const FleetPlan& plan);
-  // Adds `count` daemons.
-  void AddDaemons(int count);
+  // Adds `count` daemons with a processor share in thousandths of a core.
+  void AddDaemons(int count, int64_t millicores = 1'000);
   void Run(VirtualTime::Duration duration) { time.RunFor(duration); }
 
   // The process ends without a word and starts again after `down`.
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_ownership_test.cc
@@ -0,0 +1,169 @@
+// Which daemons own the pools: the whole engine against the model of the
+// platform, with daemons of different sizes.
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Fleet/fleet_test_support.h"
+#include "Ownership/owner_record.h"
+
+namespace figflow::test {
+namespace {
+
+constexpr int kLarge = 2;
+constexpr int kSmall = 6;
+const std::vector<std::string> kScopes = {"p0", "p1", "p2", kInstancesScope};
+
+// Small daemons start first, so that nothing favours the large ones but their
+// size: daemons 6 and 7 are large.
+void BeginUneven(ModelFleet& fleet) {
+  fleet.SetPlan(SimplePlan(3));
+  AddInstances(fleet, 3, 4, 0);
+  fleet.AddDaemons(kSmall, 120);
+  fleet.AddDaemons(kLarge, 500);
+  fleet.Run(seconds(2));
+}
+
+bool IsLarge(int daemon) {
+  return daemon >= kSmall;
+}
+
+int OwnedBy(const ModelFleet& fleet, int daemon) {
+  return static_cast<int>(std::count_if(
+      kScopes.begin(), kScopes.end(),
+      [&](const auto& scope) { return fleet.OwnerOf(scope) == daemon; }));
+}
+
+// How long `scope` is without an owner, from when its key goes.
+milliseconds Vacancy(ModelFleet& fleet, const std::string& scope) {
+  for (int i = 0; i < 5'000 && fleet.OwnerOf(scope) >= 0; ++i) {
+    fleet.Run(milliseconds(1));
+  }
+  milliseconds vacant{0};
+  while (vacant < seconds(5) && fleet.OwnerOf(scope) < 0) {
+    fleet.Run(milliseconds(1));
+    ++vacant;
+  }
+  return vacant;
+}
+
+class FleetOwnershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetOwnershipTest);
+  CPPUNIT_TEST(PoolsGoToLargeDaemons);
+  CPPUNIT_TEST(PoolsOfAKilledDaemonGoToTheNextBest);
+  CPPUNIT_TEST(OutageOfTheStoreBringsNoPoolToSmallDaemons);
+  CPPUNIT_TEST(HandOverWaitsForNobody);
+  CPPUNIT_TEST(AllDaemonsKnowEachOther);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against pools on daemons that cannot carry them, and against a
+  // daemon that claims all of them.
+  void PoolsGoToLargeDaemons() {
+    for (uint64_t seed = 100; seed < 110; ++seed) {
+      ModelFleet fleet(seed);
+      BeginUneven(fleet);
+      CPPUNIT_ASSERT_EQUAL(2, OwnedBy(fleet, 6));
+      CPPUNIT_ASSERT_EQUAL(2, OwnedBy(fleet, 7));
+    }
+  }
+
+  void PoolsOfAKilledDaemonGoToTheNextBest() {
+    ModelFleet fleet(111);
+    BeginUneven(fleet);
+    SubmitMany(fleet, "a", "q0", 40, milliseconds(100));
+    SubmitMany(fleet, "b", "q1", 40, milliseconds(100));
+    fleet.Run(seconds(1));
+    fleet.Kill(fleet.OwnerOf("p0"), seconds(60));
+    fleet.Run(seconds(3));
+    for (const std::string& scope : kScopes) {
+      CPPUNIT_ASSERT_MESSAGE(scope, IsLarge(fleet.OwnerOf(scope)));
+    }
+    // Both large ones gone: the small ones share the pools.
+    fleet.Kill(fleet.OwnerOf("p0"), seconds(60));
+    fleet.Run(seconds(3));
+    std::set<int> owners;
+    for (const std::string& scope : kScopes) {
+      owners.insert(fleet.OwnerOf(scope));
+    }
+    CPPUNIT_ASSERT(owners.count(-1) == 0);
+    CPPUNIT_ASSERT_EQUAL(kScopes.size(), owners.size());
+    fleet.Run(seconds(20));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
+  }
+
+  // Guards against the daemon that the store answers first, which sees no
+  // member but itself.
+  void OutageOfTheStoreBringsNoPoolToSmallDaemons() {
+    for (uint64_t seed = 120; seed < 125; ++seed) {
+      ModelFleet fleet(seed);
+      BeginUneven(fleet);
+      fleet.store.faults.silent = true;
+      fleet.store.faults.lapse = true;
+      fleet.Run(seconds(5));
+      fleet.store.faults.silent = false;
+      fleet.Run(seconds(3));
+      for (const std::string& scope : kScopes) {
+        CPPUNIT_ASSERT_MESSAGE(scope, IsLarge(fleet.OwnerOf(scope)));
+      }
+    }
+  }
+
+  // Guards against take-overs that wait for the daemon which hands over.
+  void HandOverWaitsForNobody() {
+    for (uint64_t seed = 130; seed < 135; ++seed) {
+      ModelFleet fleet(seed);
+      BeginUneven(fleet);
+      const int owner = fleet.OwnerOf("p0");
+      fleet.Restart(owner);
+      const milliseconds vacant = Vacancy(fleet, "p0");
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(vacant.count(), " ms"),
+                             vacant <= milliseconds(60));
+      fleet.Run(seconds(1));
+      CPPUNIT_ASSERT(IsLarge(fleet.OwnerOf("p0")));
+    }
+  }
+
+  // Guards against entries that know the owners only: they could not pass
+  // calls on when the store is away.
+  void AllDaemonsKnowEachOther() {
+    ModelFleet fleet(140);
+    BeginUneven(fleet);
+    for (int i = 0; i < fleet.daemons(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(size_t{kLarge + kSmall - 1},
+                           fleet.Engine(i).Peers().size());
+    }
+    fleet.Kill(0, seconds(60));
+    fleet.Run(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{kLarge + kSmall - 1},
+                         fleet.Engine(1).Peers().size());
+    fleet.Run(seconds(6));
+    CPPUNIT_ASSERT_EQUAL(size_t{kLarge + kSmall - 2},
+                         fleet.Engine(1).Peers().size());
+    // An outage of the store takes all records away.
+    fleet.store.faults.silent = true;
+    fleet.store.faults.lapse = true;
+    fleet.Run(seconds(8));
+    fleet.store.faults.silent = false;
+    fleet.Run(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{kLarge + kSmall - 2},
+                         fleet.Engine(1).Peers().size());
+    fleet.Run(seconds(10));
+    CPPUNIT_ASSERT_EQUAL(size_t{kLarge + kSmall - 2},
+                         fleet.Engine(1).Peers().size());
+    // The records of live daemons are removed.
+    for (int i = 1; i < fleet.daemons(); ++i) {
+      fleet.store.Revoke(MemberKey(absl::StrCat("d", i)));
+    }
+    fleet.Run(seconds(10));
+    CPPUNIT_ASSERT_EQUAL(size_t{kLarge + kSmall - 2},
+                         fleet.Engine(1).Peers().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetOwnershipTest);
+
+}  // namespace
+}  // namespace figflow::test
--- /dev/null
+++ b/Source/UnitTests/Ownership/claim_policy_test.cc
@@ -0,0 +1,255 @@
+// Which daemon claims which vacant scope, and when.
+#include "Ownership/claim_policy.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const MonoTime kNow = MonoTime(std::chrono::hours(1));
+
+using Owners = std::map<std::string, std::string>;
+
+// Two daemons with half a core and six with an eighth.
+ClaimView SmallFleet(std::set<std::string> vacant, Owners owners = {}) {
+  ClaimView view;
+  view.members = {{"l1", 500}, {"l2", 500}, {"s1", 120}, {"s2", 120},
+                  {"s3", 120}, {"s4", 120}, {"s5", 120}, {"s6", 120}};
+  view.vacant = std::move(vacant);
+  view.owners = std::move(owners);
+  return view;
+}
+
+// The scopes that each daemon claims at once.
+std::map<std::string, std::vector<std::string>> ClaimedAtOnce(
+    const ClaimView& view) {
+  std::map<std::string, std::vector<std::string>> claimed;
+  for (const auto& [entry, millicores] : view.members) {
+    ClaimPolicy policy(entry);
+    for (const ClaimDecision& decision : policy.Decide(view, kNow)) {
+      if (decision.at <= kNow) {
+        claimed[entry].push_back(decision.scope);
+      }
+    }
+  }
+  return claimed;
+}
+
+milliseconds WaitOf(ClaimPolicy& policy, const ClaimView& view) {
+  return std::chrono::duration_cast<milliseconds>(
+      policy.Decide(view, kNow).front().at - kNow);
+}
+
+struct RankCase {
+  const char* name;
+  Owners owners;
+  const char* scope;
+  // Entries of which the first to claim has to be one.
+  std::set<std::string> first;
+};
+
+class ClaimPolicyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ClaimPolicyTest);
+  CPPUNIT_TEST(LowestLoadClaimsFirst);
+  CPPUNIT_TEST(ScopesWithoutOwnersAreSpread);
+  CPPUNIT_TEST(NextInRankFollowsInSteps);
+  CPPUNIT_TEST(LongestWaitIsBounded);
+  CPPUNIT_TEST(UnlistedDaemonClaimsInTheEnd);
+  CPPUNIT_TEST(RestingDaemonComesLast);
+  CPPUNIT_TEST(LastOwnerComesLast);
+  CPPUNIT_TEST(FailuresPause);
+  CPPUNIT_TEST(UnsettledMembersDelayClaims);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against pools on daemons that cannot carry them.
+  void LowestLoadClaimsFirst() {
+    const RankCase cases[] = {
+        {"nothing owned", {}, "p", {"l1", "l2"}},
+        {"one large owns", {{"a", "l1"}}, "p", {"l2"}},
+        {"both own", {{"a", "l1"}, {"b", "l2"}}, "p", {"l1", "l2"}},
+        {"two and one", {{"a", "l1"}, {"b", "l2"}, {"c", "l2"}}, "p", {"l1"}},
+        // 4 / 500 is less than 1 / 120, 5 / 500 is more.
+        {"three each",
+         {{"a", "l1"},
+          {"b", "l1"},
+          {"c", "l1"},
+          {"d", "l2"},
+          {"e", "l2"},
+          {"f", "l2"}},
+         "p",
+         {"l1", "l2"}},
+        {"four each",
+         {{"a", "l1"},
+          {"b", "l1"},
+          {"c", "l1"},
+          {"d", "l1"},
+          {"e", "l2"},
+          {"f", "l2"},
+          {"g", "l2"},
+          {"h", "l2"}},
+         "p",
+         {"s1", "s2", "s3", "s4", "s5", "s6"}},
+        {"another part of the pool", {{"p/0", "l1"}}, "p/1", {"l2"}},
+        {"part of the pool against one more scope",
+         {{"p/0", "l1"}, {"a", "l2"}, {"b", "l2"}},
+         "p/1",
+         {"l2"}},
+        {"part of the pool against one scope",
+         {{"p/0", "l1"}, {"a", "l2"}},
+         "p/1",
+         {"l2"}},
+        {"a large daemon with a part before a small one",
+         {{"p/0", "l1"}, {"p/1", "l2"}},
+         "p/2",
+         {"l1", "l2"}},
+        {"the name of another pool begins alike",
+         {{"p/0", "l2"}, {"a", "l1"}, {"b", "l1"}},
+         "p1",
+         {"l2"}},
+    };
+    for (const RankCase& c : cases) {
+      const auto claimed = ClaimedAtOnce(SmallFleet({c.scope}, c.owners));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, size_t{1}, claimed.size());
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(c.name, ": ", claimed.begin()->first),
+                             c.first.count(claimed.begin()->first) > 0);
+    }
+  }
+
+  // Guards against one daemon that claims all scopes of a start or of a lost
+  // owner.
+  void ScopesWithoutOwnersAreSpread() {
+    auto claimed = ClaimedAtOnce(SmallFleet({"a", "b", "c", "d"}));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, claimed.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, claimed["l1"].size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, claimed["l2"].size());
+    claimed = ClaimedAtOnce(SmallFleet({"a/0", "a/1", "b/0", "b/1"}));
+    for (const char* entry : {"l1", "l2"}) {
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, claimed[entry].size());
+      CPPUNIT_ASSERT_EQUAL('a', claimed[entry][0][0]);
+      CPPUNIT_ASSERT_EQUAL('b', claimed[entry][1][0]);
+    }
+    // Equal daemons get one each.
+    ClaimView equal;
+    for (int i = 0; i < 6; ++i) {
+      equal.members[absl::StrCat("d", i)] = 1'000;
+      equal.vacant.insert(absl::StrCat("p", i));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, ClaimedAtOnce(equal).size());
+  }
+
+  void NextInRankFollowsInSteps() {
+    const ClaimView view = SmallFleet({"p"}, {{"a", "l1"}, {"b", "s1"}});
+    std::map<int, int> entries_by_rank;
+    for (const auto& [entry, millicores] : view.members) {
+      ClaimPolicy policy(entry);
+      const ClaimDecision decision = policy.Decide(view, kNow).front();
+      ++entries_by_rank[decision.rank];
+      CPPUNIT_ASSERT(decision.at == kNow + ClaimPolicy::kStep * decision.rank);
+      CPPUNIT_ASSERT_EQUAL(millicores, decision.millicores);
+      CPPUNIT_ASSERT_EQUAL(entry == "l1" || entry == "s1" ? 2 : 1,
+                           decision.load);
+      CPPUNIT_ASSERT(entry != "l2" || decision.rank == 0);
+      CPPUNIT_ASSERT(entry != "l1" || decision.rank == 1);
+      CPPUNIT_ASSERT(entry != "s1" || decision.rank == 7);
+      // The time counts from when the scope was first seen without an owner.
+      CPPUNIT_ASSERT(policy.Decide(view, kNow + seconds(1)).front().at ==
+                     decision.at);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{8}, entries_by_rank.size());
+  }
+
+  // Guards against scopes that nobody claims when most members are lost.
+  void LongestWaitIsBounded() {
+    ClaimView view;
+    view.vacant = {"p"};
+    for (int i = 0; i < 100; ++i) {
+      view.members[absl::StrCat("d", i)] = 1'000 + i;
+    }
+    ClaimPolicy last("d0");
+    CPPUNIT_ASSERT_EQUAL(99, last.Decide(view, kNow).front().rank);
+    CPPUNIT_ASSERT(WaitOf(last, view) == ClaimPolicy::kLongestWait);
+  }
+
+  // Guards against a fleet without owners while no member record can be
+  // written.
+  void UnlistedDaemonClaimsInTheEnd() {
+    ClaimPolicy policy("new");
+    CPPUNIT_ASSERT(WaitOf(policy, SmallFleet({"p"})) ==
+                   ClaimPolicy::kLongestWait);
+    ClaimView empty;
+    empty.vacant = {"q"};
+    CPPUNIT_ASSERT(WaitOf(policy, empty) == ClaimPolicy::kLongestWait);
+  }
+
+  void RestingDaemonComesLast() {
+    ClaimView view = SmallFleet({"p"}, {{"a", "l1"}});
+    view.resting = true;
+    ClaimPolicy policy("l2");
+    CPPUNIT_ASSERT(WaitOf(policy, view) == ClaimPolicy::kLongestWait);
+  }
+
+  // Guards against a hand-over that waits for the daemon which gave way.
+  void LastOwnerComesLast() {
+    const ClaimView view = SmallFleet({"p"}, {{"a", "l2"}});
+    ClaimPolicy other("l2");
+    other.OnOwned("p", "l1");
+    CPPUNIT_ASSERT_EQUAL(0, other.Decide(view, kNow).front().rank);
+    ClaimPolicy small("s1");
+    small.OnOwned("p", "l1");
+    const int rank = small.Decide(view, kNow).front().rank;
+    // By then the others have had their turns.
+    CPPUNIT_ASSERT_EQUAL(rank + 1,
+                         small.Decide(view, kNow + seconds(2)).front().rank);
+    // The only member claims again.
+    ClaimView alone;
+    alone.members = {{"l1", 500}};
+    alone.vacant = {"p"};
+    ClaimPolicy last("l1");
+    last.OnOwned("p", "l1");
+    CPPUNIT_ASSERT_EQUAL(0, last.Decide(alone, kNow).front().rank);
+  }
+
+  void FailuresPause() {
+    const ClaimView view = SmallFleet({"p"}, {{"a", "l1"}});
+    ClaimPolicy policy("l2");
+    policy.OnRejected("p", kNow);
+    CPPUNIT_ASSERT(WaitOf(policy, view) >= milliseconds(100));
+    CPPUNIT_ASSERT(WaitOf(policy, view) <= milliseconds(300));
+    policy.OnGivenUp("p", kNow);
+    CPPUNIT_ASSERT(WaitOf(policy, view) >= seconds(1));
+    // A later rejection does not shorten the pause.
+    policy.OnRejected("p", kNow);
+    CPPUNIT_ASSERT(WaitOf(policy, view) >= seconds(1));
+  }
+
+  // Guards against the first daemon of a starting fleet, which knows no other
+  // and claims everything.
+  void UnsettledMembersDelayClaims() {
+    ClaimView view;
+    view.members = {{"s1", 120}};
+    view.vacant = {"p"};
+    view.members_settle = kNow + milliseconds(300);
+    ClaimPolicy policy("s1");
+    CPPUNIT_ASSERT(WaitOf(policy, view) == milliseconds(300));
+    view.members["l1"] = 500;
+    CPPUNIT_ASSERT(WaitOf(policy, view) ==
+                   milliseconds(300) + ClaimPolicy::kStep);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimPolicyTest);
+
+}  // namespace
+}  // namespace figflow
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -7,7 +7,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Common/metrics.h"
-#include "Ownership/claim_policy.h"
 #include "Ownership/owner_record.h"
 #include "Ownership/prefix_follower.h"
 #include "Ownership/record_writer.h"
@@ -30,8 +29,6 @@
   CPPUNIT_TEST(LeaseIsCertainOnlyFromItsSending);
   CPPUNIT_TEST(EndedLeaseIsReplaced);
   CPPUNIT_TEST(ReturnOfASilentStoreIsNoticedSoon);
-  CPPUNIT_TEST(DaemonWithLeastClaimsFirst);
-  CPPUNIT_TEST(FailedClaimantWaits);
   CPPUNIT_TEST(FollowerReportsWhatVanishedUnseen);
   CPPUNIT_TEST(FollowerOfBusyKeysPausesBetweenWatches);
   CPPUNIT_TEST(RecordsSurviveAndGarbageIsRefused);
@@ -138,27 +135,6 @@
     CPPUNIT_ASSERT(!session->TakeRegained());
   }
 
-  void DaemonWithLeastClaimsFirst() {
-    const MonoTime now = time_.Now();
-    for (const char* scope : {"a", "b", "c"}) {
-      ClaimPolicy idle("d1");
-      ClaimPolicy busy("d2");
-      idle.OnVacant(scope, 0, now);
-      busy.OnVacant(scope, 1, now);
-      CPPUNIT_ASSERT(*idle.ClaimAt(scope) < *busy.ClaimAt(scope));
-    }
-  }
-
-  void FailedClaimantWaits() {
-    const MonoTime now = time_.Now();
-    ClaimPolicy policy("d1");
-    policy.OnFailed("a", now);
-    policy.OnVacant("a", 0, now);
-    CPPUNIT_ASSERT(*policy.ClaimAt("a") >= now + seconds(1));
-    policy.OnOwned("a");
-    CPPUNIT_ASSERT(!policy.ClaimAt("a"));
-  }
-
   void FollowerReportsWhatVanishedUnseen() {
     store_.Put("x/1", "a");
     store_.Put("x/2", "b");
@@ -232,6 +208,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1.2.3.4:5"), owner->address);
     CPPUNIT_ASSERT(!ParseOwnerRecord("").has_value());
     CPPUNIT_ASSERT(!ParseOwnerRecord("\x81\x01").has_value());
+    const Result<MemberRecord> member =
+        ParseMemberRecord(FormatMemberRecord({"e", "1.2.3.4:5", 120}));
+    CPPUNIT_ASSERT(member.has_value());
+    CPPUNIT_ASSERT_EQUAL(int64_t{120}, member->millicores);
+    CPPUNIT_ASSERT(!ParseMemberRecord("\x81\x01").has_value());
     CPPUNIT_ASSERT(!ParseSequenceRecord("\xff").has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("j"), LastKeyPart(AcceptedKey("p", "j")));
   }
