--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -135,6 +135,10 @@
 }
 
 void FleetEngine::OnOwnerItem(const StoreItem& item) {
+  if (absl::StartsWith(item.key, kMemberPrefix)) {
+    OnMemberItem(item);
+    return;
+  }
   const std::string scope(absl::StripPrefix(item.key, kOwnerPrefix));
   if (scope == kLayoutScope) {
     OnLayoutItem(item);
@@ -168,10 +172,7 @@
       lost = working != 0 && working < item.revision;
     } else {
       known_owners_[scope] = owner;
-      if (owner.record.entry != options_.entry) {
-        peers_[owner.record.entry] = owner.record.address;
-      }
-      claims_.OnOwned(scope);
+      claims_.OnOwned(scope, owner.record.entry);
       own = absl::StartsWith(owner.record.nonce, options_.process_id);
     }
     // An own key without a runner is removed; here it gets one.
