Let the fleet model write the platform's registry and fail instances

The workers' registry entries have a format that the user of the model sets, so that a server can show them as the platform does. A job that is shown as failed without a task that has used up its attempts is a broken promise now.

--- a/Source/StandIns/Fleet/model_instances.cc
+++ b/Source/StandIns/Fleet/model_instances.cc
@@ -91,6 +91,13 @@
   waves_[wave.number] = wave;
 }
 
+void ModelInstances::Crash(const std::string& id, milliseconds down) {
+  Record& record = instances_.at(id);
+  if (record.instance.state == InstanceStatus::kUp) {
+    TakeDown(record, InstanceStatus::kDown, down);
+  }
+}
+
 const Instance* ModelInstances::Find(const std::string& id) const {
   const auto known = instances_.find(id);
   return known == instances_.end() ? nullptr : &known->second.instance;
--- a/Source/StandIns/Fleet/model_instances.h
+++ b/Source/StandIns/Fleet/model_instances.h
@@ -18,6 +18,9 @@
 
   std::unique_ptr<InstanceGateway> ViewOf(NodePtr node);
 
+  // The instance fails and is back after `down`; no effect unless it is up.
+  void Crash(const std::string& id, std::chrono::milliseconds down);
+
   // A new instance; in a spare pool it runs no worker.
   std::string Add(const std::string& pool, const Resources& capacity);
   void SetSparePool(const std::string& pool) { spare_pool_ = pool; }
--- a/Source/StandIns/Fleet/model_workers.h
+++ b/Source/StandIns/Fleet/model_workers.h
@@ -94,6 +94,15 @@
   void Drain(const std::string& id);
   std::vector<std::string> Ids(const std::string& pool) const;
 
+  // How the workers enter themselves in the registry; set before the first Add.
+  struct Registry {
+    std::string prefix;
+    std::function<std::string(const WorkerReport&)> format;
+  };
+  void SetRegistry(Registry registry) { registry_ = std::move(registry); }
+  // Workers added from now on have clocks that run at this rate.
+  void SetClockRate(double rate) { clock_rate_ = rate; }
+
   WorkerFaults faults;
   Behaviour behaviour;
   // Placement policy; empty for none.
@@ -138,6 +147,8 @@
   std::map<std::string, Ticket> tickets_;
   int next_id_ = 1;
   uint64_t next_serial_ = 1;
+  Registry registry_;
+  double clock_rate_ = 1.0;
 };
 
 // The registry's entry of a worker in this model.
--- a/Source/StandIns/Fleet/promises.cc
+++ b/Source/StandIns/Fleet/promises.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 namespace figflow::model {
 namespace {
@@ -11,6 +12,9 @@
 // Time after the acknowledgement of a cancellation in which a task may still
 // start (platform contract).
 constexpr std::chrono::seconds kCancelTime{3};
+// Time without disruption after which a daemon counts as in touch (platform
+// contract).
+constexpr std::chrono::seconds kStableWindow{3};
 
 }  // namespace
 
@@ -61,6 +65,9 @@
                          record.done.size(), " of ", tasks, " tasks done"));
     }
   }
+  if (state == "failed" && !IsHopeless(record)) {
+    Break(absl::StrCat("job ", job, " is shown as failed without cause"));
+  }
   const bool final_state = record.shown == "completed" ||
                            record.shown == "failed" ||
                            record.shown == "cancelled";
@@ -90,6 +97,25 @@
   return beside;
 }
 
+bool Promises::IsHopeless(const JobRecord& job) const {
+  const QueueConfig* queue = plan_.QueueNamed(job.spec.queue);
+  if (queue == nullptr) {
+    return true;
+  }
+  // A gang's members share their run numbers.
+  std::map<std::string, std::set<uint32_t>> failed;
+  for (const auto& [task, runs] : job.failed) {
+    const std::vector<std::string> parts = absl::StrSplit(task, '.');
+    const bool gang = job.spec.stages.at(std::stoul(parts[2])).gang;
+    const std::string unit =
+        gang ? absl::StrCat(parts[1], ".", parts[2]) : task;
+    failed[unit].insert(runs.begin(), runs.end());
+  }
+  return std::any_of(failed.begin(), failed.end(), [&](const auto& unit) {
+    return static_cast<int>(unit.second.size()) >= queue->max_attempts;
+  });
+}
+
 void Promises::CheckAttempts(const JobRecord& job, const std::string& task) {
   const QueueConfig* queue = plan_.QueueNamed(job.spec.queue);
   const auto starts = job.failed_before.find(task);
@@ -131,7 +157,9 @@
     Break(absl::StrCat("task ", text, " run ", run,
                        " after its end was noted as done"));
   }
-  if (job.cancelled && now > job.cancelled_at + kCancelTime) {
+  if (job.cancelled && now > job.cancelled_at + kCancelTime &&
+      (disturbed_until_ == MonoTime::min() ||
+       now > disturbed_until_ + kStableWindow)) {
     Break(absl::StrCat("task ", text, " of a cancelled job"));
   }
   for (const int earlier : stage.after) {
@@ -234,6 +262,16 @@
   return left;
 }
 
+std::vector<std::string> Promises::Running() const {
+  std::vector<std::string> running;
+  for (const auto& [task, runs] : running_) {
+    for (const auto& [worker, run] : runs) {
+      running.push_back(absl::StrCat(task, " run ", run, " on ", worker));
+    }
+  }
+  return running;
+}
+
 int Promises::completed() const {
   int count = 0;
   for (const auto& [id, job] : jobs_) {
--- a/Source/StandIns/Fleet/promises.h
+++ b/Source/StandIns/Fleet/promises.h
@@ -22,6 +22,10 @@
   // Gangs may lose a member by a fault: one that waits in vain breaks nothing.
   void AllowLoneMembers() { lone_members_allowed_ = true; }
 
+  // Not all daemons are in touch before `until`: tasks of cancelled jobs may
+  // still start.
+  void SetDisturbed(MonoTime until) { disturbed_until_ = until; }
+
   // A caller handed the job in, for the first time or again.
   void OnSubmitted(const JobSpec& spec);
   // An attempt was answered: taken, or refused for good.
@@ -56,6 +60,8 @@
   // Jobs that were accepted and neither completed, failed nor were cancelled.
   std::vector<std::string> Unfinished() const;
   int completed() const;
+  // Tasks that run, with their workers.
+  std::vector<std::string> Running() const;
 
  private:
   struct JobRecord {
@@ -77,6 +83,8 @@
 
   // Other tasks of the task's stage that run on the worker.
   int Beside(const std::string& worker, const TaskName& task) const;
+  // Whether a task, or a gang, has failed as often as the queue allows.
+  bool IsHopeless(const JobRecord& job) const;
   void CheckAttempts(const JobRecord& job, const std::string& task);
   void Break(const std::string& what);
   static std::string Text(const TaskName& task);
@@ -87,6 +95,7 @@
   std::map<std::string, uint64_t> instance_fences_;
   FleetPlan plan_;
   bool lone_members_allowed_ = false;
+  MonoTime disturbed_until_ = MonoTime::min();
   std::vector<std::string> broken_;
 };
 
--- a/Source/StandIns/Fleet/virtual_time.cc
+++ b/Source/StandIns/Fleet/virtual_time.cc
@@ -30,4 +30,8 @@
   now_ = end;
 }
 
+MonoTime VirtualTime::NextEvent() const {
+  return events_.empty() ? MonoTime::max() : events_.begin()->first.first;
+}
+
 }  // namespace figflow::model
--- a/Source/StandIns/Fleet/virtual_time.h
+++ b/Source/StandIns/Fleet/virtual_time.h
@@ -25,6 +25,8 @@
     At(now_ + delay, std::move(event));
   }
   void RunFor(Duration duration);
+  // Time of the next event; a far future if there is none.
+  MonoTime NextEvent() const;
 
  private:
   MonoTime now_ = MonoTime(std::chrono::hours(1));
