--- a/Source/UnitTests/Process/child_process.cc
+++ b/Source/UnitTests/Process/child_process.cc
@@ -67,20 +67,23 @@
 }
 
 int ChildProcess::Wait(std::chrono::milliseconds timeout) {
-  for (std::chrono::milliseconds waited{0}; !reaped_ && waited <= timeout;
+  for (std::chrono::milliseconds waited{0}; Running() && waited <= timeout;
        waited += kWaitStep) {
-    int status = 0;
-    if (waitpid(pid_, &status, WNOHANG) == pid_) {
-      reaped_ = true;
-      exit_code_ =
-          WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-      break;
-    }
     std::this_thread::sleep_for(kWaitStep);
   }
   return exit_code_;
 }
 
+bool ChildProcess::Running() {
+  int status = 0;
+  if (!reaped_ && waitpid(pid_, &status, WNOHANG) == pid_) {
+    reaped_ = true;
+    exit_code_ =
+        WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+  return !reaped_;
+}
+
 std::chrono::milliseconds ChildProcess::CpuTime() const {
   // Fields 14 and 15 of stat are user and system time; field 2 may hold blanks
   // and ends with the last ')'.
--- a/Source/UnitTests/Process/child_process.h
+++ b/Source/UnitTests/Process/child_process.h
@@ -26,6 +26,8 @@
   // Waits for the end; returns the exit code, 128 + signal, or -1 when it still
   // runs after `timeout`.
   int Wait(std::chrono::milliseconds timeout);
+  // Reaps the process if it has ended. Does not wait.
+  bool Running();
   // CPU time used so far, user and system.
   std::chrono::milliseconds CpuTime() const;
   // Resident memory in bytes.
