Add a fault soak with real daemons

figflow_soak runs figflowd processes on loopback against the fleet models behind an HTTP server, injects faults by signals, relays and the models from one seed, and checks the promises from what callers and workers see.

--- /dev/null
+++ b/Source/Soak/soak_run.h
@@ -0,0 +1,39 @@
+#ifndef SOAK_SOAK_RUN_H_
+#define SOAK_SOAK_RUN_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Soak/callers.h"
+
+namespace figflow::soak {
+
+struct SoakOptions {
+  uint64_t seed = 1;
+  // Time with faults; the first quarter has planned work only.
+  std::chrono::seconds duration{20};
+  int daemons = 3;
+  int first_port = 0;
+  std::string program;
+  // Settings, logs and the trace of the run; must exist.
+  std::string directory;
+};
+
+struct SoakReport {
+  // Promises that were broken, each with the time since the start.
+  std::vector<std::string> broken;
+  CallerCounts calls;
+  int completed = 0;
+  // From the end of the faults until all had ended.
+  std::chrono::milliseconds settle{0};
+  std::map<std::string, int> faults;
+};
+
+// One run: daemons, platform, callers and faults, all from one seed.
+SoakReport RunSoak(const SoakOptions& options);
+
+}  // namespace figflow::soak
+
+#endif  // SOAK_SOAK_RUN_H_
