--- a/Source/Soak/callers.cc
+++ b/Source/Soak/callers.cc
@@ -66,7 +66,7 @@
   for (int i = 0; i < stages; ++i) {
     StageSpec stage;
     stage.count = gang ? Random(2, 3) : Random(1, 4);
-    stage.per_task = {Random(1, 3) * 500, 100, 0};
+    stage.per_task = {Random(1, 3) * int64_t{500}, 100, 0};
     stage.estimate = milliseconds(500);
     stage.gang = gang;
     stage.perpetual = perpetual;
--- a/Source/Soak/faults.cc
+++ b/Source/Soak/faults.cc
@@ -57,7 +57,10 @@
 FaultInjector::FaultInjector(FaultTargets targets,
                              Duration mean_gap,
                              uint64_t seed)
-    : targets_(std::move(targets)), mean_gap_(mean_gap), random_(seed) {}
+    : targets_(std::move(targets)),
+      mean_gap_(mean_gap),
+      usual_latency_(targets_.models.store.faults.latency),
+      random_(seed) {}
 
 int FaultInjector::Random(int low, int high) {
   return std::uniform_int_distribution<int>(low, high)(random_);
@@ -283,7 +286,7 @@
   const Duration duration = RandomTime(500, 4'000);
   model::StoreFaults& faults = targets_.models.store.faults;
   faults.latency = RandomTime(50, 900);
-  Undo(duration, [&faults] { faults.latency = milliseconds(4); });
+  Undo(duration, [this, &faults] { faults.latency = usual_latency_; });
   return duration;
 }
 
--- a/Source/Soak/faults.h
+++ b/Source/Soak/faults.h
@@ -106,6 +106,8 @@
 
   FaultTargets targets_;
   const Duration mean_gap_;
+  // Of the store.
+  const Duration usual_latency_;
   std::mt19937_64 random_;
   bool running_ = false;
   bool planned_only_ = true;
--- a/Source/Soak/soak_main.cc
+++ b/Source/Soak/soak_main.cc
@@ -108,7 +108,7 @@
   options.program = absl::StrCat(FIGFLOW_BIN_DIR, "/figflowd");
   int broken = 0;
   for (int i = 0; i < seeds; ++i) {
-    options.seed = static_cast<uint64_t>(seed + i);
+    options.seed = static_cast<uint64_t>(seed) + static_cast<uint64_t>(i);
     broken += RunSeed(options) ? 0 : 1;
   }
   std::cout << broken << " of " << seeds << " seeds broke a promise"
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -1,6 +1,7 @@
 #include "Soak/soak_run.h"
 
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <thread>
@@ -28,6 +29,8 @@
 constexpr int kWorkerRelays = 24;
 // Worker clocks run up to 2% slow (platform contract).
 constexpr double kSlowestClock = 0.98;
+constexpr milliseconds kStoreLatencies[] = {milliseconds(4), milliseconds(50),
+                                            milliseconds(150)};
 constexpr double kFailingShare = 0.04;
 // Each of these seeds has planned work only.
 constexpr uint64_t kPlannedOnlySeeds = 5;
@@ -141,6 +144,9 @@
         std::uniform_real_distribution<double>(0, 1)(random_) < kFailingShare;
     return behaviour;
   };
+  // Slow enough in some runs that calls are in flight when a daemon stops.
+  store_.faults.latency =
+      kStoreLatencies[random_() % std::size(kStoreLatencies)];
   promises_.SetPlan(plan_);
   store_.Put(kPlanKey, FormatPlan(plan_));
   for (int pool = 0; pool < kPools; ++pool) {
