Wait for known members after an outage of the store

A small daemon that the store answered first after an outage could claim pools before the large ones had a lease again.

Cause: the members whose records were gone were ranked for 300 ms, but the wait of 80 ms for each of them is shorter than the differences between the times at which daemons get back to the store.

Change: until 300 ms after its own record, only the first in rank claims; the others count their wait from then.

Evidence: in the model the large daemons get back to the store 250 ms after the small ones. FleetOwnershipTest::OutageOfTheStoreBringsNoPoolToSmallDaemons fails if members without a record are not ranked, and ClaimPolicyTest::UnsettledMembersDelayClaims without the wait.

--- a/Source/Core/Fleet/fleet_engine_members.cc
+++ b/Source/Core/Fleet/fleet_engine_members.cc
@@ -93,9 +93,8 @@
   // After an outage of the store, members without a record are about to come
   // back. At the start of a process nothing is known of them.
   const bool settled = now >= members_settle_;
-  if (first_lease_) {
-    view.members_settle = members_settle_;
-  }
+  view.members_settle = members_settle_;
+  view.starting = first_lease_;
   for (const auto& [entry, member] : members_.members()) {
     if (member.gone_at == MonoTime::max() || !settled) {
       view.members[entry] = member.record.millicores;
--- a/Source/Core/Ownership/claim_policy.cc
+++ b/Source/Core/Ownership/claim_policy.cc
@@ -91,7 +91,8 @@
     decision.load = LoadAfterClaim(owned[entry_], PoolOf(scope));
     decision.millicores = listed ? self->second : 0;
     if (listed && !view.resting) {
-      decision.at = std::max(since, view.members_settle) +
+      const bool waits = view.starting || decision.rank > 0;
+      decision.at = (waits ? std::max(since, view.members_settle) : since) +
                     std::min(kStep * decision.rank, kLongestWait);
     } else {
       decision.at = since + kLongestWait;
--- a/Source/Core/Ownership/claim_policy.h
+++ b/Source/Core/Ownership/claim_policy.h
@@ -21,8 +21,10 @@
   std::set<std::string> vacant;
   // This daemon has given way and lets others go first.
   bool resting = false;
-  // The members may be incomplete until then.
+  // Members may be missing until then: only the first in rank claims before.
   MonoTime members_settle = MonoTime::min();
+  // Nothing was known of the members before: the first waits as well.
+  bool starting = false;
 };
 
 struct ClaimDecision {
--- a/Source/UnitTests/Fleet/fleet_ownership_test.cc
+++ b/Source/UnitTests/Fleet/fleet_ownership_test.cc
@@ -94,8 +94,8 @@
     CPPUNIT_ASSERT_EQUAL(80, fleet.promises.completed());
   }
 
-  // Guards against the daemon that the store answers first, which sees no
-  // member but itself.
+  // Guards against the daemons that the store answers first: the others'
+  // records are gone.
   void OutageOfTheStoreBringsNoPoolToSmallDaemons() {
     for (uint64_t seed = 120; seed < 125; ++seed) {
       ModelFleet fleet(seed);
@@ -104,6 +104,13 @@
       fleet.store.faults.lapse = true;
       fleet.Run(seconds(5));
       fleet.store.faults.silent = false;
+      for (int i = kSmall; i < fleet.daemons(); ++i) {
+        fleet.Node(i)->store_cut = true;
+      }
+      fleet.Run(milliseconds(250));
+      for (int i = kSmall; i < fleet.daemons(); ++i) {
+        fleet.Node(i)->store_cut = false;
+      }
       fleet.Run(seconds(3));
       for (const std::string& scope : kScopes) {
         CPPUNIT_ASSERT_MESSAGE(scope, IsLarge(fleet.OwnerOf(scope)));
--- a/Source/UnitTests/Ownership/claim_policy_test.cc
+++ b/Source/UnitTests/Ownership/claim_policy_test.cc
@@ -241,11 +241,18 @@
     view.members = {{"s1", 120}};
     view.vacant = {"p"};
     view.members_settle = kNow + milliseconds(300);
+    view.starting = true;
     ClaimPolicy policy("s1");
     CPPUNIT_ASSERT(WaitOf(policy, view) == milliseconds(300));
     view.members["l1"] = 500;
     CPPUNIT_ASSERT(WaitOf(policy, view) ==
                    milliseconds(300) + ClaimPolicy::kStep);
+    // After an outage the first of the known members need not wait.
+    view.starting = false;
+    CPPUNIT_ASSERT(WaitOf(policy, view) ==
+                   milliseconds(300) + ClaimPolicy::kStep);
+    ClaimPolicy large("l1");
+    CPPUNIT_ASSERT(WaitOf(large, view) == milliseconds(0));
   }
 };
 
