--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,7 @@
 #include "Ownership/member_list.h"
 #include "Ownership/member_registration.h"
 #include "Ownership/owner_record.h"
+#include "Ownership/pool_layout.h"
 #include "Ownership/prefix_follower.h"
 #include "Ownership/store_session.h"
 #include "absl/base/thread_annotations.h"
@@ -86,10 +88,12 @@
 
   // Null until the operators' plan is known.
   std::shared_ptr<const FleetPlan> plan() const;
-  // Null unless this daemon owns the pool and has read its records.
-  std::shared_ptr<PoolRunner> OwnRunner(const std::string& pool) const;
+  // None until it is known how pools are split.
+  std::optional<PoolLayout> layout() const;
+  // Null unless this daemon owns the scope and has read its records.
+  std::shared_ptr<PoolRunner> OwnRunner(const std::string& scope) const;
   // None while no owner is known.
-  std::optional<Owner> OwnerOf(const std::string& pool) const;
+  std::optional<Owner> OwnerOf(const std::string& scope) const;
   // The members of the fleet, without this daemon.
   std::vector<PeerAddress> Peers() const;
   // How old the knowledge of the owners' keys is at most.
@@ -126,9 +130,16 @@
                const std::string& nonce,
                uint64_t revision,
                LeaseId lease);
-  void StartRunner(const std::string& pool,
+  void StartRunner(const std::string& scope,
                    const std::string& nonce,
                    uint64_t revision);
+  // Begins to write the layout of the pools if there is none yet.
+  void ProposeLayout(MonoTime now);
+  void WriteLayout(int instances);
+  void SetLayout(const PoolLayout& layout);
+  // The scope that the worker serves; empty while the layout is not known.
+  std::string ScopeOf(const WorkerReport& report) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void StartKeeper(const std::string& nonce, uint64_t revision);
   // Ends what this daemon does under its claim of `scope`, and the claim.
   void EndScope(const std::string& scope, const char* cause);
@@ -153,6 +164,7 @@
   // For ranking, from the members and owners known now.
   ClaimView ViewForClaims(std::set<std::string> vacant, MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void OnLayoutItem(const StoreItem& item);
 
   PlatformAdapter& platform_;
   const Clock& clock_;
@@ -169,6 +181,10 @@
   mutable absl::Mutex mutex_;
   ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
+  std::optional<PoolLayout> layout_ ABSL_GUARDED_BY(mutex_);
+  MonoTime layout_wanted_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
+  // When the layout may be proposed next.
+  MonoTime propose_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
   // Latest worker of each instance.
   std::map<std::string, WorkerKey> worker_on_ ABSL_GUARDED_BY(mutex_);
@@ -179,6 +195,7 @@
   LeaseId member_lease_ ABSL_GUARDED_BY(mutex_) = 0;
   MonoTime members_settle_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   bool first_lease_ ABSL_GUARDED_BY(mutex_) = true;
+  // By scope, as are the owners.
   std::map<std::string, std::shared_ptr<PoolRunner>> runners_
       ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<InstanceKeeper> keeper_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -95,7 +95,8 @@
       }
     }
     const bool may_claim = !releasing_ && owners_->synced() && lease != 0 &&
-                           now < session_->certain_until() && plan_ != nullptr;
+                           now < session_->certain_until() &&
+                           plan_ != nullptr && layout_;
     if (may_claim) {
       to_claim = TakeDueClaims(now, &next);
     }
@@ -123,8 +124,11 @@
   };
   add(kInstancesScope);
   for (const PoolConfig& pool : plan_->pools) {
-    if (!pool.spare) {
-      add(pool.name);
+    if (pool.spare) {
+      continue;
+    }
+    for (const std::string& scope : layout_->ScopesOf(pool.name)) {
+      add(scope);
     }
   }
   std::vector<std::string> due;
@@ -201,12 +205,12 @@
   }
 }
 
-void FleetEngine::StartRunner(const std::string& pool,
+void FleetEngine::StartRunner(const std::string& scope,
                               const std::string& nonce,
                               uint64_t revision) {
-  const ClaimDecision decision = DecisionOn(pool);
+  const ClaimDecision decision = DecisionOn(scope);
   LogEvent(LogLevel::kInfo, LogCategory::kPools, "pool_claimed",
-           {{"pool", pool},
+           {{"pool", scope},
             {"fence", absl::StrCat(revision)},
             {"rank", absl::StrCat(decision.rank)},
             {"load", absl::StrCat(decision.load)},
@@ -218,10 +222,10 @@
     PoolRunner::Parts parts{platform_, clock_, metrics_,
                             [this](MonoTime at) { WakeAt(at); }};
     runner = std::make_shared<PoolRunner>(
-        parts, PoolRunner::Claim{pool, nonce, revision}, bounds_);
-    runners_[pool] = runner;
+        parts, PoolRunner::Claim{scope, nonce, revision}, bounds_);
+    runners_[scope] = runner;
     for (const auto& [id, report] : reports_) {
-      if (report.pool == pool) {
+      if (ScopeOf(report) == scope) {
         reports.push_back(report);
       }
     }
@@ -246,6 +250,7 @@
     absl::MutexLock lock(&mutex_);
     keeper_ = keeper;
     keeper->SetPlan(plan_);
+    keeper->SetLayout(*layout_);
     for (const auto& [number, seen] : waves_) {
       keeper->OnWave(seen.wave, seen.seen_at);
     }
