Ask for three owners of three parts

Claims by processor share and the parts of a pool spread the scopes of a fleet of three equal daemons evenly; the test asked for two owners as long as claims were not ranked.

--- a/Source/UnitTests/Fleet/fleet_parts_test.cc
+++ b/Source/UnitTests/Fleet/fleet_parts_test.cc
@@ -28,7 +28,7 @@
     for (const char* scope : {"p0/0", "p0/1", "p0/2"}) {
       owners.insert(fleet.OwnerOf(scope));
     }
-    CPPUNIT_ASSERT(owners.size() >= 2);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, owners.size());
     CPPUNIT_ASSERT(owners.count(-1) == 0);
     CPPUNIT_ASSERT_EQUAL(-1, fleet.OwnerOf("p0"));
     SubmitMany(fleet, "a", "q0", 100, milliseconds(10));
