--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -27,6 +27,7 @@
  public:
   uint64_t Start(TransferRequest request, TransferCallback done) override {
     requests.push_back(*request.message);
+    answer_time = request.answer_time;
     TransferResult result;
     result.sent = sent;
     if (status == 0) {
@@ -50,6 +51,8 @@
   int status = 200;
   std::string body;
   std::vector<HttpRequest> requests;
+  // Of the latest request.
+  milliseconds answer_time{0};
 };
 
 class CallsTest : public CppUnit::TestFixture {
@@ -60,6 +63,9 @@
   CPPUNIT_TEST(WatchAndRange);
   CPPUNIT_TEST(StartAnswersByTable);
   CPPUNIT_TEST(StartCarriesWhatItNeeds);
+  CPPUNIT_TEST(StartQuotesItsTexts);
+  CPPUNIT_TEST(StopAndPaceNameTheRun);
+  CPPUNIT_TEST(CallsToWorkersAreTimedFromTheirSending);
   CPPUNIT_TEST(HoldIsRead);
   CPPUNIT_TEST(BadHoldIsAnError);
   CPPUNIT_TEST(PolicyIsAsked);
@@ -206,6 +212,51 @@
                          transport_.requests.back().headers[0].second);
   }
 
+  // Guards against a payload or checkpoint that breaks the body of an order.
+  void StartQuotesItsTexts() {
+    const std::string text = "a\"b\\c\n\x01\xc3\xa9{\"Run\":9}";
+    auto job = std::make_shared<Job>();
+    job->spec.payload = text;
+    StartOrder order;
+    order.target = Target();
+    order.task = {"job\"", 1, 2, 3};
+    order.run = 4;
+    order.job = job;
+    order.checkpoint = text;
+    order.ticket = text;
+    workers_.Start(order, [](const Result<OrderAnswer>&) {});
+    const json body = transport_.LastBody();
+    CPPUNIT_ASSERT_EQUAL(text, body["Spec"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(text, body["Checkpoint"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(text, body["Ticket"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("job\".1.2.3"),
+                         body["Task"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(4, body["Run"].get<int>());
+  }
+
+  void StopAndPaceNameTheRun() {
+    workers_.Stop({Target(), {"job", 0, 1, 17}, 2},
+                  [](const Result<OrderAnswer>&) {});
+    json expected = {{"Task", "job.0.1.17"}, {"Run", 2}, {"Fence", 7}};
+    CPPUNIT_ASSERT(expected == transport_.LastBody());
+    workers_.Pace({Target(), {"job", 0, 1, 17}, 2, 40},
+                  [](const Result<OrderAnswer>&) {});
+    expected["Percent"] = 40;
+    CPPUNIT_ASSERT(expected == transport_.LastBody());
+  }
+
+  // Guards against a worker that is taken for silent because its call left
+  // late.
+  void CallsToWorkersAreTimedFromTheirSending() {
+    Start();
+    CPPUNIT_ASSERT(transport_.answer_time.count() > 0);
+    HoldOrder order;
+    order.target = Target();
+    order.answer_time = milliseconds(1'100);
+    workers_.Hold(order, [](const Result<HoldAnswer>&) {});
+    CPPUNIT_ASSERT(order.answer_time == transport_.answer_time);
+  }
+
   void HoldIsRead() {
     transport_.body =
         R"({"ClockMs":482113,"born":17,"Running":[)"
