--- a/Source/Core/Common/clock.cc
+++ b/Source/Core/Common/clock.cc
@@ -17,6 +17,10 @@
   return std::chrono::system_clock::now();
 }
 
+std::chrono::milliseconds WholeMilliseconds(std::chrono::nanoseconds duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
 std::chrono::milliseconds SinceEpoch(WallTime time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       time.time_since_epoch());
--- a/Source/Core/Common/clock.h
+++ b/Source/Core/Common/clock.h
@@ -29,6 +29,9 @@
   WallTime WallNow() const override;
 };
 
+// Rounded towards zero, for log fields and dumps that end in "_ms".
+std::chrono::milliseconds WholeMilliseconds(std::chrono::nanoseconds duration);
+
 // Whole milliseconds since the Unix epoch, the form in durable documents.
 std::chrono::milliseconds SinceEpoch(WallTime time);
 WallTime FromEpoch(std::chrono::milliseconds since_epoch);
--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -255,8 +255,7 @@
     const auto until =
         begun + ToMilliseconds(settings_.stop_grace_s) - kStopReserve;
     return std::max(std::chrono::milliseconds(0),
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                        until - clock_.Now()));
+                    WholeMilliseconds(until - clock_.Now()));
   };
   parts.stopping = true;
   // Calls are taken and passed on while the pools change hands, and until the
@@ -280,8 +279,7 @@
   parts.peer_server->Stop();
   parts.client.reset();
   parts.admin_server->Stop();
-  const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
-      clock_.Now() - begun);
+  const auto taken = WholeMilliseconds(clock_.Now() - begun);
   LogEvent(LogLevel::kInfo, LogCategory::kDaemon, "stopped",
            {{"ms", absl::StrCat(taken.count())}});
 }
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -318,9 +318,7 @@
                            const CallerReply& reply,
                            MonoTime::duration taken) const {
   const auto milliseconds = [](MonoTime::duration duration) {
-    return absl::StrCat(
-        std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-            .count());
+    return absl::StrCat(WholeMilliseconds(duration).count());
   };
   const MonoTime now = clock_.Now();
   const std::optional<FleetEngine::Owner> owner =
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -100,8 +100,7 @@
   MonoTime::duration OwnersAge(MonoTime now) const { return owners_->Age(now); }
   // How long the store has not answered this daemon.
   std::chrono::milliseconds StoreSilence(MonoTime now) const {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        session_->Silence(now));
+    return WholeMilliseconds(session_->Silence(now));
   }
   const std::string& entry() const { return options_.entry; }
   bool releasing() const;
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -325,9 +325,7 @@
     LogEvent(
         LogLevel::kWarning, LogCategory::kPools, "overloaded",
         {{"calls_late_ms",
-          absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                           overload_.smoothed_lag())
-                           .count())},
+          absl::StrCat(WholeMilliseconds(overload_.smoothed_lag()).count())},
          {"pools", absl::StrCat(runners_.size())},
          {"peers", absl::StrCat(PeerCount())}});
   }
--- a/Source/Core/Fleet/fleet_engine_state.cc
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -1,5 +1,4 @@
 // What a daemon believes, for operators.
-#include <chrono>
 #include <utility>
 
 #include "Common/json.h"
@@ -10,8 +9,7 @@
 nlohmann::json FleetEngine::DumpState() const {
   const MonoTime now = clock_.Now();
   const auto age_ms = [now](MonoTime since) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since)
-        .count();
+    return WholeMilliseconds(now - since).count();
   };
   absl::MutexLock lock(&mutex_);
   nlohmann::json owners = nlohmann::json::array();
@@ -45,9 +43,7 @@
   return {{"entry", options_.entry},
           {"plan_version", plan_ == nullptr ? 0 : plan_->version},
           {"store_silent_ms", StoreSilence(now).count()},
-          {"owners_age_ms",
-           std::chrono::duration_cast<std::chrono::milliseconds>(OwnersAge(now))
-               .count()},
+          {"owners_age_ms", WholeMilliseconds(OwnersAge(now)).count()},
           {"workers", reports_.size()},
           {"peers", PeerCount()},
           {"releasing", releasing_},
--- a/Source/Core/Instances/instance_keeper_moves.cc
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -189,9 +189,8 @@
          {"spare", absl::StrCat(input.spare.size())},
          {"pending", absl::StrCat(input.pending.size())},
          {"age_ms",
-          absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                           now - report_times_.at(name))
-                           .count())}});
+          absl::StrCat(
+              WholeMilliseconds(now - report_times_.at(name)).count())}});
   }
 }
 
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -283,9 +283,7 @@
             {"left", absl::StrCat(item.GetStage().waiting)},
             {"urgency", std::string(UrgencyName(item.rank.urgency))},
             {"since_due_ms",
-             absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                              now - occurrence.due)
-                              .count())},
+             absl::StrCat(WholeMilliseconds(now - occurrence.due).count())},
             {"usable_workers", absl::StrCat(board.options.size())},
             {"workers", workers}});
 }
--- a/Source/Core/Scheduling/pool_scheduler_records.cc
+++ b/Source/Core/Scheduling/pool_scheduler_records.cc
@@ -76,17 +76,14 @@
                        : job->status == JobStatus::kFailed  ? stats_->failed
                                                             : stats_->cancelled;
       ended.Add();
-      LogEvent(
-          LogLevel::kInfo, LogCategory::kJobs, "job_ended",
-          {{"job", job->spec.id},
-           {"queue", job->spec.queue},
-           {"pool", options_.pool},
-           {"fence", absl::StrCat(options_.fence)},
-           {"status", std::string(JobStatusName(job->status))},
-           {"since_arrival_ms",
-            absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now - job->arrived)
-                             .count())}});
+      LogEvent(LogLevel::kInfo, LogCategory::kJobs, "job_ended",
+               {{"job", job->spec.id},
+                {"queue", job->spec.queue},
+                {"pool", options_.pool},
+                {"fence", absl::StrCat(options_.fence)},
+                {"status", std::string(JobStatusName(job->status))},
+                {"since_arrival_ms",
+                 absl::StrCat(WholeMilliseconds(now - job->arrived).count())}});
       if (job->status == JobStatus::kCompleted) {
         stats_->time_to_complete.Record(now - job->arrived);
       }
