--- a/Source/UnitTests/Scheduling/lateness_test.cc
+++ b/Source/UnitTests/Scheduling/lateness_test.cc
@@ -33,7 +33,7 @@
     driver.AnswerHold("a", WorkerStatus());
     driver.Submit("job");
     driver.Write();
-    const StartOrder start = driver.AnswerStart();
+    StartOrder start = driver.AnswerStart();
     CPPUNIT_ASSERT_EQUAL(std::string("a"), start.target.worker.id);
     driver.Advance(milliseconds(100));
     driver.ListWorker("b");
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -153,7 +153,7 @@
 
   // The latest start order, answered.
   StartOrder AnswerStart() {
-    const StartOrder order = starts.back();
+    StartOrder order = starts.back();
     OrderAnswer answer;
     answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
