Show why an apply failed in the test of platform faults

ConfigPlatformTest::AppliesThroughFaultsOfThePlatform failed in 2 of about 30 runs beside builds (load average 30 to 45), for {"lose_requests":1}: once with unknown-outcome, once with unavailable, both expected to be ok:1. The message named neither the error nor the time taken; it now does.

The apply has 400 ms, of which the retry takes 50 ms. The test's cases, bounds and expectations are unchanged.

--- a/Source/UnitTests/FleetConfig/config_platform_test.cc
+++ b/Source/UnitTests/FleetConfig/config_platform_test.cc
@@ -37,9 +37,12 @@
       Daemon daemon(platform.store);
       platform.Control("/standin/fault", c.fault);
       const SheetDocument sheet = Sheet(0, {{"a", 1}});
+      const MonoTime begun = clock_.Now();
+      const std::string outcome = daemon.Apply(sheet, "id", milliseconds(400));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
-          c.fault, std::string(c.outcome),
-          daemon.Apply(sheet, "id", milliseconds(400)));
+          absl::StrCat(c.fault, ": ", daemon.message, " after ",
+                       WholeMilliseconds(clock_.Now() - begun).count(), " ms"),
+          std::string(c.outcome), outcome);
       platform.Control("/standin/fault", R"({"reset":true})");
       CPPUNIT_ASSERT_EQUAL_MESSAGE(c.fault, std::string("ok:1"),
                                    daemon.Apply(sheet, "id"));
