--- a/Source/Soak/soak_main.cc
+++ b/Source/Soak/soak_main.cc
@@ -3,6 +3,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <string>
@@ -24,6 +26,12 @@
 constexpr int kMostDaemons = 200;
 constexpr uint64_t kBytesPerDaemon = uint64_t{60} << 20;
 
+std::atomic<bool> interrupted{false};
+
+void Interrupt(int /*signal*/) {
+  interrupted = true;
+}
+
 int MostDaemons() {
   const uint64_t memory = static_cast<uint64_t>(sysconf(_SC_PHYS_PAGES)) *
                           static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
@@ -106,12 +114,16 @@
   options.duration = std::chrono::seconds(seconds);
   options.first_port = first_port;
   options.program = absl::StrCat(FIGFLOW_BIN_DIR, "/figflowd");
+  options.interrupted = &interrupted;
+  // The daemons end with the run.
+  std::signal(SIGINT, &Interrupt);
+  std::signal(SIGTERM, &Interrupt);
   int broken = 0;
-  for (int i = 0; i < seeds; ++i) {
+  for (int i = 0; i < seeds && !interrupted; ++i) {
     options.seed = static_cast<uint64_t>(seed) + static_cast<uint64_t>(i);
     broken += RunSeed(options) ? 0 : 1;
   }
   std::cout << broken << " of " << seeds << " seeds broke a promise"
             << std::endl;
-  return broken == 0 ? 0 : 1;
+  return broken == 0 && !interrupted ? 0 : 1;
 }
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -58,6 +58,9 @@
   // What still runs or waits; empty if all has ended.
   std::string Left() const;
   void WaitUntilSettled();
+  bool Interrupted() const {
+    return options_.interrupted != nullptr && *options_.interrupted;
+  }
 
   const SoakOptions options_;
   std::ofstream trace_;
@@ -215,14 +218,17 @@
     callers_->StopSubmitting();
     daemons_.Settle();
   });
-  for (; report_.settle < kSettleBound; report_.settle += kCheckInterval) {
+  for (; report_.settle < kSettleBound && !Interrupted();
+       report_.settle += kCheckInterval) {
     std::this_thread::sleep_for(kCheckInterval);
     loop_.RunAndWait([&] { left = Left(); });
     if (left.empty()) {
       return;
     }
   }
-  loop_.RunAndWait([&] { Report("not ended:" + left); });
+  if (!Interrupted()) {
+    loop_.RunAndWait([&] { Report("not ended:" + left); });
+  }
 }
 
 SoakReport SoakRun::Run() {
@@ -232,8 +238,13 @@
   }
   loop_.Start();
   loop_.RunAndWait([this] { SetUp(); });
-  std::this_thread::sleep_for(options_.duration);
-  WaitUntilSettled();
+  for (milliseconds passed{0}; passed < options_.duration && !Interrupted();
+       passed += kCheckInterval) {
+    std::this_thread::sleep_for(kCheckInterval);
+  }
+  if (!Interrupted()) {
+    WaitUntilSettled();
+  }
   loop_.RunAndWait([this] {
     report_.calls = callers_->counts();
     report_.completed = promises_.completed();
--- a/Source/Soak/soak_run.h
+++ b/Source/Soak/soak_run.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_SOAK_RUN_H_
 #define SOAK_SOAK_RUN_H_
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <string>
@@ -18,6 +19,8 @@
   int daemons = 3;
   int first_port = 0;
   std::string program;
+  // Ends the run early once true; null for never.
+  const std::atomic<bool>* interrupted = nullptr;
   // Settings, logs and the trace of the run; must exist.
   std::string directory;
 };
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -363,12 +363,17 @@
     return;
   }
   for (auto it = waiters_.begin(); it != waiters_.end();) {
-    StoreChanges changes = ChangesAfter(it->second.prefix, it->second.after);
+    Waiter& waiter = it->second;
+    const uint64_t after = waiter.after < forgotten_
+                               ? waiter.after
+                               : std::max(waiter.after, waiter.checked);
+    StoreChanges changes = ChangesAfter(waiter.prefix, after);
     if (changes.changes.empty() && !changes.history_lost) {
+      waiter.checked = revision_;
       ++it;
       continue;
     }
-    const auto done = std::move(it->second.done);
+    const auto done = std::move(waiter.done);
     it = waiters_.erase(it);
     done(std::move(changes));
   }
--- a/Source/StandIns/Fleet/model_store.h
+++ b/Source/StandIns/Fleet/model_store.h
@@ -62,6 +62,8 @@
     std::string prefix;
     uint64_t after = 0;
     std::function<void(StoreChanges)> done;
+    // No change up to this revision concerns the watch.
+    uint64_t checked = 0;
   };
 
   void Write(const std::string& key, const std::string& value, LeaseId lease);
