Answer requests that arrive while a server stops

An open connection could bring a request after Stop had answered those in flight. The new test fails with that abort without the change.

--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "Common/clock.h"
 #include "Http/close_watcher.h"
 #include "Http/listen_address.h"
 #include "Http/server_exchange.h"
@@ -24,6 +25,8 @@
 constexpr std::chrono::milliseconds kIdlePoll{2};
 // Time for the event threads to pick up the last responses in Stop.
 constexpr std::chrono::milliseconds kStopBound{2000};
+// Between looks for requests that arrive while the server stops.
+constexpr std::chrono::milliseconds kAnswerInterval{20};
 
 // Per connection, in libmicrohttpd's socket context. The shared pointer comes
 // first: ServerExchange reads the context as a pointer to it.
@@ -85,6 +88,14 @@
     }
     server->requests_.Add();
     server->in_flight_.fetch_add(1);
+    // After the count: Stop sets the flag and then waits for the count.
+    if (server->closing_) {
+      server->in_flight_.fetch_sub(1);
+      return exchange->Send(
+          MakeFigflowResponse({503, Disposition::kNotRun, "stopping",
+                               "http.stop", "", "the server stops"}),
+          true);
+    }
     {
       absl::MutexLock lock(&server->open_->mutex);
       server->open_->dispatched.insert(exchange);
@@ -229,11 +240,7 @@
   return in_flight_ == 0;
 }
 
-void HttpServer::Stop() {
-  if (daemon_ == nullptr) {
-    return;
-  }
-  StopAccepting();
+void HttpServer::AnswerOpenExchanges() {
   std::vector<std::shared_ptr<ServerExchange>> left;
   {
     absl::MutexLock lock(&open_->mutex);
@@ -246,8 +253,21 @@
         {503, Disposition::kUnknown, "stopping", "http.stop", "",
          "the server stopped before the request ended"}));
   }
-  // libmicrohttpd must not be stopped with suspended connections.
-  WaitIdle(kStopBound);
+}
+
+void HttpServer::Stop() {
+  if (daemon_ == nullptr) {
+    return;
+  }
+  StopAccepting();
+  // libmicrohttpd must not be stopped with suspended connections. Requests that
+  // open connections bring from now on do not reach the handler.
+  closing_ = true;
+  const SystemClock clock;
+  const MonoTime until = clock.Now() + kStopBound;
+  do {
+    AnswerOpenExchanges();
+  } while (!WaitIdle(kAnswerInterval) && clock.Now() < until);
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
   close(listen_fd_);
--- a/Source/Core/Http/http_server.h
+++ b/Source/Core/Http/http_server.h
@@ -69,6 +69,8 @@
              HttpHandler handler,
              MetricsRegistry& metrics);
   Result<void> Listen();
+  // Ends all requests in flight with 503 and `unknown`.
+  void AnswerOpenExchanges();
 
   const HttpServerOptions options_;
   const HttpHandler handler_;
@@ -80,6 +82,7 @@
   uint16_t port_ = 0;
   int listen_fd_ = -1;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> closing_{false};
   std::atomic<int> in_flight_{0};
 
   // Requests in flight, so that Stop can answer them.
--- a/Source/UnitTests/Http/http_server_test.cc
+++ b/Source/UnitTests/Http/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <mutex>
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(ReportsThatTheCallerLeft);
   CPPUNIT_TEST(StopAcceptingLetsRequestsFinish);
   CPPUNIT_TEST(StopAnswersWhatIsLeft);
+  CPPUNIT_TEST(StopAnswersWhatArrivesMeanwhile);
   CPPUNIT_TEST(ConnectionLimitHoldsBackNewOnes);
   CPPUNIT_TEST(StripsConnectionFields);
   CPPUNIT_TEST_SUITE_END();
@@ -227,6 +229,38 @@
     exchange->Respond({200, {}, ""});
   }
 
+  // Guards against a stop that aborts the process: an open connection brings a
+  // request after Stop has answered those in flight.
+  void StopAnswersWhatArrivesMeanwhile() {
+    std::promise<void> entered;
+    std::promise<void> released;
+    std::atomic<int> requests{0};
+    std::vector<std::shared_ptr<HttpExchange>> unanswered;
+    HttpServerOptions options;
+    options.threads = 1;
+    Start(
+        [&](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+          unanswered.push_back(exchange);
+          if (++requests == 1) {
+            entered.set_value();
+            released.get_future().wait();
+          }
+        },
+        options);
+    RawClient first(server_->port());
+    RawClient second(server_->port());
+    first.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    entered.get_future().wait();
+    second.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::thread stopper([this] { server_->Stop(); });
+    std::this_thread::sleep_for(milliseconds(200));
+    released.set_value();
+    stopper.join();
+    CPPUNIT_ASSERT(first.ReadUntil("}").find(" 503 ") != std::string::npos);
+    CPPUNIT_ASSERT(second.ReadUntil("}").find(" 503 ") != std::string::npos);
+    unanswered.clear();
+  }
+
   // Guards against unbounded connections; the excess must wait, not fail.
   void ConnectionLimitHoldsBackNewOnes() {
     HttpServerOptions options;
