--- a/Source/Soak/callers.cc
+++ b/Source/Soak/callers.cc
@@ -18,7 +18,8 @@
 constexpr milliseconds kPatienceMargin{500};
 constexpr int kConnectionsPerDaemon = 16;
 constexpr std::chrono::seconds kKeepOpen{600};
-// After this, a daemon in touch knows an accepted job (platform contract).
+// After this, a daemon in touch knows an accepted job and its end (platform
+// contract).
 constexpr milliseconds kVisible{3'000};
 // Calls that break earlier than this after their sending may have met a closing
 // connection, and faults count this long (platform contract).
@@ -147,16 +148,28 @@
 }
 
 void Callers::Poll(const std::string& id) {
-  Call("GET", entries_.at(id), "", [this, id](const Reply& reply) {
+  const MonoTime sent_at = time_.Now();
+  Call("GET", entries_.at(id), "", [this, id, sent_at](const Reply& reply) {
     Entry& entry = entries_.at(id);
     const MonoTime now = time_.Now();
     if (reply.status == http_status::kOk) {
       const auto body = wire::Parse(reply.body);
       const std::string state =
           body.is_object() ? wire::Optional<std::string>(body, "State") : "";
-      promises_.OnShown(id, state);
-      entry.over =
+      const bool over =
           state == "completed" || state == "failed" || state == "cancelled";
+      // An owner that is cut off shows the state that it knows until its lease
+      // ends.
+      const bool may_be_old = !over && entry.over &&
+                              sent_at < entry.over_at + kVisible &&
+                              !disturbance_.CalmSince(sent_at, kStableWindow);
+      if (!may_be_old) {
+        promises_.OnShown(id, state);
+      }
+      if (over && !entry.over) {
+        entry.over = true;
+        entry.over_at = now;
+      }
     } else if (reply.status == http_status::kGone &&
                now > entry.accepted_at + kVisible) {
       promises_.OnUnknownJobAnswer(id);
--- a/Source/Soak/callers.h
+++ b/Source/Soak/callers.h
@@ -86,6 +86,8 @@
     bool refused = false;
     bool over = false;
     MonoTime accepted_at;
+    // When its end was first shown.
+    MonoTime over_at;
   };
   struct Reply {
     int status = 0;
