Let the files of a library be compiled together

The linter and the sanitizer builds compile several files of a library at once: names of two files clashed (Now, TaskText, kNow, kStart, kNoWait). The HTTP client's loop and the soak each had a second copy of a function, which goes.

--- a/Source/Core/Http/client_loop.cc
+++ b/Source/Core/Http/client_loop.cc
@@ -14,12 +14,12 @@
 constexpr size_t kFreeTransfers = 64;
 constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
 
-MonoTime Now() {
+}  // namespace
+
+MonoTime ClientLoop::Now() {
   return SystemClock().Now();
 }
 
-}  // namespace
-
 ClientLoop::ClientLoop(const HttpClientOptions& options,
                        MetricsRegistry& metrics)
     : options_(options),
--- a/Source/Core/Http/client_loop.h
+++ b/Source/Core/Http/client_loop.h
@@ -57,6 +57,7 @@
     int limit = 0;
   };
 
+  static MonoTime Now();
   static int OnSocket(CURL* easy,
                       curl_socket_t fd,
                       int what,
--- a/Source/Core/Http/client_loop_timers.cc
+++ b/Source/Core/Http/client_loop_timers.cc
@@ -4,14 +4,6 @@
 #include "Http/client_loop.h"
 
 namespace figflow {
-namespace {
-
-MonoTime Now() {
-  return SystemClock().Now();
-}
-
-}  // namespace
-
 void ClientLoop::OnSent(ClientTransfer& transfer, MonoTime now) {
   if (transfer.answer_time().count() > 0) {
     transfer.set_deadline(now + transfer.answer_time());
--- a/Source/Soak/wire_format.cc
+++ b/Source/Soak/wire_format.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Http/http_status.h"
+#include "Scheduling/worker_state.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -54,11 +55,6 @@
   return "";
 }
 
-std::string TaskText(const TaskName& task) {
-  return absl::StrCat(task.job, ".", task.occurrence, ".", task.stage, ".",
-                      task.index);
-}
-
 }  // namespace
 
 std::string WaveKey(uint64_t wave) {
--- a/Source/UnitTests/Fleet/keeper_test.cc
+++ b/Source/UnitTests/Fleet/keeper_test.cc
@@ -268,6 +268,7 @@
   void EvacuationNamesTheWorkerOfAFreshReport() {
     KeeperDriver driver(milliseconds(300));
     std::vector<WorkerLoad> idle;
+    idle.reserve(4);
     for (int i = 0; i < 4; ++i) {
       idle.push_back(
           driver.LoadOn(driver.instances.Add("idle", {1'000, 1'000, 0})));
--- a/Source/UnitTests/FleetConfig/config_outage_test.cc
+++ b/Source/UnitTests/FleetConfig/config_outage_test.cc
@@ -18,7 +18,7 @@
 using test::FaultyStore;
 using test::Sheet;
 
-constexpr milliseconds kNoWait{0};
+constexpr milliseconds kAtOnce{0};
 constexpr size_t kDaemons = 3;
 constexpr int kSeeds = 200;
 constexpr int kSteps = 60;
@@ -55,7 +55,7 @@
         Restart(random_() % kDaemons);
         return;
       case 4:
-        (void)daemons_[random_() % kDaemons]->config.SyncOnce(kNoWait);
+        (void)daemons_[random_() % kDaemons]->config.SyncOnce(kAtOnce);
         return;
       case 5:
         Gossip();
@@ -71,7 +71,7 @@
     for (int round = 0; round < kSettleRounds; ++round) {
       Gossip();
       for (const auto& daemon : daemons_) {
-        (void)daemon->config.SyncOnce(kNoWait);
+        (void)daemon->config.SyncOnce(kAtOnce);
       }
     }
   }
@@ -109,8 +109,8 @@
  private:
   static ConfigStoreOptions Options() {
     ConfigStoreOptions options;
-    options.check_interval = kNoWait;
-    options.bootstrap.wait = kNoWait;
+    options.check_interval = kAtOnce;
+    options.bootstrap.wait = kAtOnce;
     return options;
   }
 
--- a/Source/UnitTests/Ownership/member_test.cc
+++ b/Source/UnitTests/Ownership/member_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const MonoTime kNow = MonoTime(std::chrono::hours(1));
+const MonoTime kJoined = MonoTime(std::chrono::hours(1));
 const MemberRecord kRecord{"d1", "10.0.0.1:80", 500};
 
 class MemberTest : public CppUnit::TestFixture {
@@ -41,12 +41,12 @@
     MemberList list;
     CPPUNIT_ASSERT(list.OnRecord(kRecord));
     CPPUNIT_ASSERT(!list.OnRecord(kRecord));
-    list.OnRemoved("d1", kNow);
-    list.OnRemoved("d1", kNow + seconds(2));
-    list.OnRemoved("unknown", kNow);
-    CPPUNIT_ASSERT(list.Forget(kNow + seconds(3)).empty());
+    list.OnRemoved("d1", kJoined);
+    list.OnRemoved("d1", kJoined + seconds(2));
+    list.OnRemoved("unknown", kJoined);
+    CPPUNIT_ASSERT(list.Forget(kJoined + seconds(3)).empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, list.members().size());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, list.Forget(kNow + seconds(6)).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, list.Forget(kJoined + seconds(6)).size());
     CPPUNIT_ASSERT(list.members().empty());
   }
 
@@ -54,9 +54,9 @@
   void RecordThatComesBackIsKept() {
     MemberList list;
     list.OnRecord(kRecord);
-    list.OnRemoved("d1", kNow);
+    list.OnRemoved("d1", kJoined);
     CPPUNIT_ASSERT(!list.OnRecord(kRecord));
-    CPPUNIT_ASSERT(list.Forget(kNow + seconds(60)).empty());
+    CPPUNIT_ASSERT(list.Forget(kJoined + seconds(60)).empty());
     CPPUNIT_ASSERT(list.members().at("d1").gone_at == MonoTime::max());
   }
 
--- a/Source/UnitTests/Scheduling/lateness_test.cc
+++ b/Source/UnitTests/Scheduling/lateness_test.cc
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const MonoTime kStart = MonoTime(std::chrono::hours(1));
+const MonoTime kBegin = MonoTime(std::chrono::hours(1));
 // Longer than any lease, with the allowance for a slow clock.
 constexpr seconds kLongestLease{8};
 constexpr milliseconds kTick{10};
@@ -64,7 +64,7 @@
   // Guards against a run that is given up, and runs again, when the owner had
   // no processor time while its worker worked on.
   void LateOwnerWaitsForAHold() {
-    SchedulerDriver driver(kStart);
+    SchedulerDriver driver(kBegin);
     const StartOrder start = RunOnFirstWorker(driver);
     driver.LoseHold("a");
     driver.Advance(3 * kTick);
@@ -88,7 +88,7 @@
 
   // Guards against a conclusion from a hold whose time ran out unnoticed.
   void HoldThatFailedLateProvesNothing() {
-    SchedulerDriver driver(kStart);
+    SchedulerDriver driver(kBegin);
     RunOnFirstWorker(driver);
     driver.LoseHold("a");
     driver.Advance(3 * kTick);
@@ -102,7 +102,7 @@
   // Guards against work that waits for ever on a lost worker because its owner
   // is always late.
   void OwnerThatStaysLateGivesUpAtLast() {
-    SchedulerDriver driver(kStart);
+    SchedulerDriver driver(kBegin);
     RunOnFirstWorker(driver);
     driver.LoseHold("a");
     bool planned = false;
@@ -122,7 +122,7 @@
   // Guards against work that waits longer than its lease for a lost worker of
   // an owner that is on time.
   void SilentWorkerIsGivenUpWithItsLease() {
-    SchedulerDriver driver(kStart);
+    SchedulerDriver driver(kBegin);
     RunOnFirstWorker(driver);
     const MonoTime renewed = driver.HoldSentAt("a");
     const auto lease =
@@ -138,7 +138,7 @@
   // As above for a worker that has left the registry before its order was
   // answered.
   void UnlistedWorkerIsGivenUpWithItsLease() {
-    SchedulerDriver driver(kStart);
+    SchedulerDriver driver(kBegin);
     driver.ListWorker("a");
     driver.AnswerHold("a", WorkerStatus());
     driver.Submit("job");
@@ -155,7 +155,7 @@
   // Guards against runs of an earlier owner that are waited for without end
   // because their worker never answered this one.
   void UnreachedWorkerIsGivenUpByASuccessor() {
-    SchedulerDriver earlier(kStart);
+    SchedulerDriver earlier(kBegin);
     RunOnFirstWorker(earlier);
     SchedulerDriver driver(earlier.now(), 2);
     driver.Load(earlier.records());
