Report requests that a stopping daemon leaves open as unknown

The users' platform reads 503 as a refusal for good.

Change: a fleet daemon answers them with 504, after which callers try again.

Test: HttpServerTest::StopDoesNotRefuseWhatMayHaveRun.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -15,6 +15,7 @@
 #include "Fleet/step_thread.h"
 #include "Http/http_client.h"
 #include "Http/http_server.h"
+#include "Http/http_status.h"
 #include "absl/strings/str_cat.h"
 #include "wire_adapter.h"
 
@@ -168,6 +169,8 @@
     options.threads = 1;
     options.max_connections = connections;
     options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+    // The users' platform takes 503 as a refusal for good.
+    options.stopped_status = http_status::kGatewayTimeout;
     Result<std::unique_ptr<HttpServer>> started =
         HttpServer::Start(options, std::move(handler), parts.metrics);
     if (!started) {
--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -250,8 +250,8 @@
   }
   for (const auto& exchange : left) {
     exchange->Respond(MakeFigflowResponse(
-        {503, Disposition::kUnknown, "stopping", "http.stop", "",
-         "the server stopped before the request ended"}));
+        {options_.stopped_status, Disposition::kUnknown, "stopping",
+         "http.stop", "", "the server stopped before the request ended"}));
   }
 }
 
--- a/Source/Core/Http/http_server.h
+++ b/Source/Core/Http/http_server.h
@@ -31,6 +31,9 @@
   // A connection without progress for this long is closed, unless a request
   // waits for its response.
   std::chrono::seconds idle_timeout{60};
+  // Answer to requests that are still with the handler when the server stops.
+  // Their outcome is unknown.
+  int stopped_status = 503;
 };
 
 // HTTP/1.1 server on libmicrohttpd with a pool of event threads. Responses to
@@ -69,7 +72,7 @@
              HttpHandler handler,
              MetricsRegistry& metrics);
   Result<void> Listen();
-  // Ends all requests in flight with 503 and `unknown`.
+  // Ends all requests in flight with `stopped_status` and `unknown`.
   void AnswerOpenExchanges();
 
   const HttpServerOptions options_;
--- a/Source/UnitTests/Http/http_server_test.cc
+++ b/Source/UnitTests/Http/http_server_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(ReportsThatTheCallerLeft);
   CPPUNIT_TEST(StopAcceptingLetsRequestsFinish);
   CPPUNIT_TEST(StopAnswersWhatIsLeft);
+  CPPUNIT_TEST(StopDoesNotRefuseWhatMayHaveRun);
   CPPUNIT_TEST(StopAnswersWhatArrivesMeanwhile);
   CPPUNIT_TEST(ConnectionLimitHoldsBackNewOnes);
   CPPUNIT_TEST(StripsConnectionFields);
@@ -229,6 +230,22 @@
     exchange->Respond({200, {}, ""});
   }
 
+  // Guards against a false refusal: callers of the users' platform take 503 as
+  // certain that the request never runs.
+  void StopDoesNotRefuseWhatMayHaveRun() {
+    HttpServerOptions options;
+    options.stopped_status = 504;
+    StartHolding(options);
+    RawClient client(server_->port());
+    client.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    auto exchange = WaitHeld(1);
+    server_->Stop();
+    const std::string text = client.ReadUntil("}");
+    CPPUNIT_ASSERT_MESSAGE(text, text.find("HTTP/1.1 504") == 0);
+    server_.reset();
+    exchange->Respond({200, {}, ""});
+  }
+
   // Guards against a stop that aborts the process: an open connection brings a
   // request after Stop has answered those in flight.
   void StopAnswersWhatArrivesMeanwhile() {
