Forget told ends of workers; read reports in place

Entries older than the keeper repeats them go now. - The keeper copied all fresh reports a second time in each step of an open wave to learn which instances are in use. It reads them in place, beside the planner's FreshReports, with one test of freshness. - Two tests built the report of a worker's next life that the driver builds; ListWorker takes the life instead. Their assertions are unchanged.

--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -124,6 +124,9 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::string WorkerOn(const std::string& instance) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // The latest report of the scope tells what runs now.
+  bool IsFresh(const std::string& scope, MonoTime now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   std::map<std::string, PoolReport> FreshReports(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // By fresh reports.
--- a/Source/Core/Instances/instance_keeper_moves.cc
+++ b/Source/Core/Instances/instance_keeper_moves.cc
@@ -81,17 +81,36 @@
   }
 }
 
+bool InstanceKeeper::IsFresh(const std::string& scope, MonoTime now) const {
+  return now - report_times_.at(scope) < kReportAge;
+}
+
 std::map<std::string, PoolReport> InstanceKeeper::FreshReports(
     MonoTime now) const {
   std::map<std::string, PoolReport> pools;
   for (const auto& [pool, report] : reports_) {
-    if (now - report_times_.at(pool) < kReportAge) {
+    if (IsFresh(pool, now)) {
       pools[pool] = report;
     }
   }
   return pools;
 }
 
+std::set<std::string> InstanceKeeper::InstancesInUse(MonoTime now) const {
+  std::set<std::string> in_use;
+  for (const auto& [scope, report] : reports_) {
+    if (!IsFresh(scope, now)) {
+      continue;
+    }
+    for (const WorkerLoad& load : report.workers) {
+      if (load.tasks > 0) {
+        in_use.insert(load.instance);
+      }
+    }
+  }
+  return in_use;
+}
+
 bool InstanceKeeper::MayOrder(MonoTime now) const {
   return !stopped_ && !deposed_ && !handing_over_ && active_written_ &&
          now < certain_until_;
--- a/Source/Core/Instances/instance_keeper_waves.cc
+++ b/Source/Core/Instances/instance_keeper_waves.cc
@@ -181,18 +181,6 @@
   wake_();
 }
 
-std::set<std::string> InstanceKeeper::InstancesInUse(MonoTime now) const {
-  std::set<std::string> in_use;
-  for (const auto& [scope, report] : FreshReports(now)) {
-    for (const WorkerLoad& load : report.workers) {
-      if (load.tasks > 0) {
-        in_use.insert(load.instance);
-      }
-    }
-  }
-  return in_use;
-}
-
 void InstanceKeeper::SendOrders(MonoTime now) {
   std::vector<std::pair<uint64_t, std::string>> to_send;
   {
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -1,5 +1,6 @@
 // Workers, what they answer and what that says about runs.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Common/log.h"
@@ -152,10 +153,13 @@
 }
 
 void PoolScheduler::OnWorkerEnded(const std::string& id, MonoTime now) {
+  for (auto it = ended_workers_.begin(); it != ended_workers_.end();) {
+    it = now - it->second.told_at > kEndedRemembered ? ended_workers_.erase(it)
+                                                     : std::next(it);
+  }
   // The keeper repeats itself, and a next life may have the same id.
   const auto [told, first] = ended_workers_.emplace(id, EndedLife{0, now});
-  if (first || now - told->second.told_at > kEndedRemembered) {
-    told->second = {0, now};
+  if (first) {
     for (const auto& [key, worker] : workers_) {
       if (key.id == id) {
         told->second.incarnation =
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -284,12 +284,7 @@
     driver.ListWorker("a");
     driver.AnswerHold("a", WorkerStatus());
     driver.scheduler().OnWorkerEnded("a", driver.now());
-    WorkerReport report;
-    report.key = {"a", 2};
-    report.pool = "p";
-    report.instance = "instance-of-a";
-    report.capacity = {1'000, 1'000, 0};
-    driver.scheduler().OnWorkerListed(report, driver.now());
+    driver.ListWorker("a", 2);
     driver.Advance(milliseconds(300));
     driver.AnswerHold("a", WorkerStatus());
     driver.Submit("job");
@@ -318,12 +313,7 @@
         driver.starts.front(),
         Fail(ErrorCode::kUnknownOutcome, "worker.start", "a", "lost"),
         driver.now());
-    WorkerReport report;
-    report.key = {"a", 2};
-    report.pool = "p";
-    report.instance = "instance-of-a";
-    report.capacity = {1'000, 1'000, 0};
-    driver.scheduler().OnWorkerListed(report, driver.now());
+    driver.ListWorker("a", 2);
     driver.Advance(milliseconds(50));
     driver.Write();
     // The next life has told nothing of its runs.
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -41,9 +41,9 @@
     scheduler_->Load(records, now_, wall_);
   }
 
-  void ListWorker(const std::string& id) {
+  void ListWorker(const std::string& id, int64_t incarnation = 1) {
     WorkerReport report;
-    report.key = {id, 1};
+    report.key = {id, incarnation};
     report.pool = "p";
     report.instance = absl::StrCat("instance-of-", id);
     report.capacity = {1'000, 1'000, 0};
