Log what followers of the store read and what a refused path rests on

The lines could not tell whether a daemon that was away gets many versions of the plan in one answer, whether a large answer meets its time limit, whether the link or the processor takes the time, and how old the plan is by which a path is refused.

range_read and changes_read name bytes, superseded versions, the time to the head and to the end of the answer, and the time to take it over; a transfer that runs out of time says how many bytes came; plan_in_force says what parsing took; no_such_queue replaces the line without a queue that such calls had. Counters: figflow_follower_answer_bytes_total, figflow_follower_superseded_total.

No decision changes.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -8,6 +8,7 @@
 #include "Fleet/peer_calls.h"
 #include "Fleet/retry_advice.h"
 #include "Fleet/route_choice.h"
+#include "Http/http_headers.h"
 #include "Http/http_status.h"
 #include "Ownership/owner_record.h"
 #include "Ownership/prefix_follower.h"
@@ -29,6 +30,8 @@
 constexpr std::chrono::milliseconds kAnswerMargin{150};
 constexpr std::chrono::milliseconds kStoreReadTimeout{500};
 constexpr std::chrono::milliseconds kDefaultPatience{3'000};
+// Of a caller's host and path in the log.
+constexpr size_t kMostLoggedBytes = 100;
 
 CallerReply Unavailable(std::string reason) {
   CallerReply reply;
@@ -81,6 +84,9 @@
                         ? CallOutcome::kNoSuchQueue
                         : CallOutcome::kMalformed;
     reply.reason = call.error().message;
+    if (reply.outcome == CallOutcome::kNoSuchQueue) {
+      LogNoSuchQueue(request, plan->version);
+    }
     Finish(routed, reply);
     return;
   }
@@ -314,6 +320,17 @@
   }
 }
 
+void CallRouter::LogNoSuchQueue(const HttpRequest& request,
+                                uint64_t plan_version) const {
+  const std::string* host = FindHeader(request.headers, "host");
+  const auto age = WholeMilliseconds(engine_.PlanAge(clock_.Now()));
+  LogEvent(LogLevel::kInfo, LogCategory::kRequests, "no_such_queue",
+           {{"host", host == nullptr ? "" : host->substr(0, kMostLoggedBytes)},
+            {"path", request.target.substr(0, kMostLoggedBytes)},
+            {"plan_version", absl::StrCat(plan_version)},
+            {"plan_age_ms", absl::StrCat(age.count())}});
+}
+
 void CallRouter::LogAnswer(const Routed& routed,
                            const CallerReply& reply,
                            MonoTime::duration taken) const {
@@ -363,7 +380,8 @@
   const bool unknown_job = reply.outcome == CallOutcome::kNoSuchJob;
   const bool reads = routed->call.kind == CallKind::kQuery ||
                      routed->call.kind == CallKind::kCountPending;
-  if (!routed->relayed && (!reads || unknown_job)) {
+  const bool logged_already = reply.outcome == CallOutcome::kNoSuchQueue;
+  if (!routed->relayed && !logged_already && (!reads || unknown_job)) {
     LogAnswer(*routed, reply, taken);
   }
   routed->respond(reply);
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -111,6 +111,8 @@
   // when nobody can accept a job because the store is away.
   void TryLater(const std::shared_ptr<Routed>& routed);
   void OnReply(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
+  // The plan's age decides how sure a refusal of an unknown path is.
+  void LogNoSuchQueue(const HttpRequest& request, uint64_t plan_version) const;
   void LogAnswer(const Routed& routed,
                  const CallerReply& reply,
                  MonoTime::duration taken) const;
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -39,7 +39,7 @@
     PrefixFollowerOptions follower;
     follower.prefix = prefix;
     return std::make_shared<PrefixFollower>(
-        platform_.store(), clock_, follower,
+        platform_.store(), clock_, metrics_, follower,
         [this, on_item](const StoreItem& item) { (this->*on_item)(item); },
         [this] { WakeAt(clock_.Now()); });
   };
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -98,6 +98,10 @@
   std::vector<PeerAddress> Peers() const;
   // How old the knowledge of the owners' keys is at most.
   MonoTime::duration OwnersAge(MonoTime now) const { return owners_->Age(now); }
+  // How old the knowledge of the plan is at most.
+  MonoTime::duration PlanAge(MonoTime now) const {
+    return operator_keys_->Age(now);
+  }
   // How long the store has not answered this daemon.
   std::chrono::milliseconds StoreSilence(MonoTime now) const {
     return WholeMilliseconds(session_->Silence(now));
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -41,7 +41,9 @@
 }
 
 void FleetEngine::OnPlanItem(const StoreItem& item) {
+  const MonoTime begun = clock_.Now();
   Result<FleetPlan> parsed = platform_.ParsePlan(item.value);
+  const auto parsing = WholeMilliseconds(clock_.Now() - begun);
   if (!parsed) {
     LogEvent(LogLevel::kError, LogCategory::kConfig, "plan_unreadable",
              {{"revision", absl::StrCat(item.revision)},
@@ -65,7 +67,8 @@
   LogEvent(LogLevel::kInfo, LogCategory::kConfig, "plan_in_force",
            {{"version", absl::StrCat(plan->version)},
             {"revision", absl::StrCat(item.revision)},
-            {"queues", absl::StrCat(plan->queues.size())}});
+            {"queues", absl::StrCat(plan->queues.size())},
+            {"parse_ms", absl::StrCat(parsing.count())}});
   for (const auto& runner : runners) {
     runner->SetPlan(plan);
   }
--- a/Source/Core/Http/client_transfer.cc
+++ b/Source/Core/Http/client_transfer.cc
@@ -225,6 +225,7 @@
       return true;
     }
     head_ended_ = true;
+    head_at_ = SystemClock().Now();
     return CheckFraming();
   }
   const size_t colon = line.find(':');
@@ -300,24 +301,33 @@
 }
 
 TransferResult ClientTransfer::MakeFailure(ErrorCode code,
-                                           const char* message) {
+                                           absl::string_view message) {
   TransferResult result;
   result.sent = sent_;
   result.response = Fail(code, sent_ ? "http.transfer" : "http.connect",
-                         request_.address, message);
+                         request_.address, std::string(message));
   return result;
 }
 
+void ClientTransfer::AddTimes(TransferResult* result, MonoTime now) const {
+  if (sent_) {
+    result->service_time = now - sent_at_;
+  }
+  if (head_ended_) {
+    result->head_time = head_at_ - sent_at_;
+  }
+}
+
 TransferResult ClientTransfer::MakeTimeout(MonoTime now) {
   TransferResult result =
       sent_ || now >= request_.deadline
           ? MakeFailure(ErrorCode::kDeadlineExceeded,
-                        "no whole response before the deadline")
+                        absl::StrCat("no whole response before the deadline, ",
+                                     head_bytes_ + response_.body.size(),
+                                     " bytes of it came"))
           : MakeFailure(ErrorCode::kUnavailable,
                         "no connection within the connect timeout");
-  if (sent_) {
-    result.service_time = now - sent_at_;
-  }
+  AddTimes(&result, now);
   return result;
 }
 
@@ -344,9 +354,7 @@
     result.sent = sent_;
     result.response = std::move(response_);
   }
-  if (sent_) {
-    result.service_time = now - sent_at_;
-  }
+  AddTimes(&result, now);
   return result;
 }
 
--- a/Source/Core/Http/client_transfer.h
+++ b/Source/Core/Http/client_transfer.h
@@ -36,7 +36,7 @@
   TransferResult MakeResult(CURLcode code, MonoTime now);
   // The result of an attempt whose time is up.
   TransferResult MakeTimeout(MonoTime now);
-  TransferResult MakeFailure(ErrorCode code, const char* message);
+  TransferResult MakeFailure(ErrorCode code, absl::string_view message);
 
   // Moves the callback out and releases the request.
   TransferCallback TakeCallback();
@@ -70,6 +70,7 @@
                        int remote_port,
                        int local_port);
 
+  void AddTimes(TransferResult* result, MonoTime now) const;
   bool ReadHeaderLine(absl::string_view line);
   bool CheckFraming();
   bool BodyAllowed() const;
@@ -90,6 +91,7 @@
   bool resend_refused_ = false;
   bool use_fresh_ = false;
   bool head_ended_ = false;
+  MonoTime head_at_;
   bool too_large_ = false;
   size_t head_bytes_ = 0;
   // Body length by Content-Length; -1 for none.
--- a/Source/Core/Http/http_transport.h
+++ b/Source/Core/Http/http_transport.h
@@ -41,6 +41,8 @@
   // From that moment to the whole response.
   std::chrono::nanoseconds service_time{0};
   Result<HttpResponse> response;
+  // From that moment to the head of the response.
+  std::chrono::nanoseconds head_time{0};
 };
 
 using TransferCallback = std::function<void(TransferResult)>;
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -1,18 +1,32 @@
 #include "Ownership/prefix_follower.h"
 
+#include <set>
 #include <utility>
 
 #include "Common/log.h"
+#include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
 
 constexpr std::chrono::milliseconds kWatchRetry{150};
+// Answers above this size get a line of their own in the log.
+constexpr size_t kLargeAnswer = size_t{64} << 10;
+
+std::string CounterName(const char* what, const std::string& prefix) {
+  return absl::StrCat("figflow_follower_", what, "_total{prefix=\"", prefix,
+                      "\"}");
+}
+
+std::string Milliseconds(MonoTime::duration duration) {
+  return absl::StrCat(WholeMilliseconds(duration).count());
+}
 
 }  // namespace
 
 PrefixFollower::PrefixFollower(TransactionalStore& store,
                                const Clock& clock,
+                               MetricsRegistry& metrics,
                                Options options,
                                ChangeListener on_change,
                                SyncListener on_sync)
@@ -21,6 +35,10 @@
       options_(std::move(options)),
       on_change_(std::move(on_change)),
       on_sync_(std::move(on_sync)),
+      answer_bytes_(
+          metrics.GetCounter(CounterName("answer_bytes", options_.prefix))),
+      superseded_(
+          metrics.GetCounter(CounterName("superseded", options_.prefix))),
       gap_(options_.gap) {}
 
 void PrefixFollower::Start() {
@@ -69,6 +87,7 @@
   if (after.empty()) {
     page_items_.clear();
     range_revision_ = 0;
+    range_bytes_ = 0;
   }
   const MonoTime sent_at = clock_.Now();
   store_.Range(options_.prefix, after, options_.call_timeout,
@@ -86,6 +105,8 @@
   if (range_revision_ == 0) {
     range_revision_ = page->store_revision;
   }
+  range_bytes_ += page->cost.bytes;
+  answer_bytes_.Add(page->cost.bytes);
   std::string last;
   for (StoreItem& item : page->items) {
     last = item.key;
@@ -109,9 +130,18 @@
   }
   const std::map<std::string, StoreItem> items = std::move(page_items_);
   page_items_.clear();
+  const MonoTime arrived = clock_.Now();
   for (const auto& [key, item] : items) {
     Apply(item);
   }
+  LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "range_read",
+           {{"prefix", options_.prefix},
+            {"revision", absl::StrCat(range_revision_)},
+            {"items", absl::StrCat(items.size())},
+            {"bytes", absl::StrCat(range_bytes_)},
+            {"head_ms", absl::StrCat(page->cost.head.count())},
+            {"call_ms", absl::StrCat(page->cost.whole.count())},
+            {"apply_ms", Milliseconds(clock_.Now() - arrived)}});
   next_revision_ = range_revision_;
   bool regained = false;
   {
@@ -198,9 +228,11 @@
     ReadPage("");
     return;
   }
+  const MonoTime arrived = clock_.Now();
   for (const StoreItem& item : changes->changes) {
     Apply(item);
   }
+  NoteChanges(*changes, clock_.Now() - arrived);
   next_revision_ = std::max(next_revision_, changes->store_revision);
   bool regained = false;
   {
@@ -218,6 +250,29 @@
   Watch();
 }
 
+void PrefixFollower::NoteChanges(const StoreChanges& changes,
+                                 MonoTime::duration applying) {
+  std::set<absl::string_view> keys;
+  for (const StoreItem& item : changes.changes) {
+    keys.insert(item.key);
+  }
+  const size_t superseded = changes.changes.size() - keys.size();
+  answer_bytes_.Add(changes.cost.bytes);
+  superseded_.Add(superseded);
+  if (changes.cost.bytes < kLargeAnswer) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "changes_read",
+           {{"prefix", options_.prefix},
+            {"revision", absl::StrCat(changes.store_revision)},
+            {"changes", absl::StrCat(changes.changes.size())},
+            {"superseded", absl::StrCat(superseded)},
+            {"bytes", absl::StrCat(changes.cost.bytes)},
+            {"head_ms", absl::StrCat(changes.cost.head.count())},
+            {"call_ms", absl::StrCat(changes.cost.whole.count())},
+            {"apply_ms", Milliseconds(applying)}});
+}
+
 bool PrefixFollower::PauseBeforeWatch() {
   absl::MutexLock lock(&mutex_);
   if (clock_.Now() >= watched_at_ + gap_) {
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Common/clock.h"
+#include "Common/metrics.h"
 #include "Platform/transactional_store.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -51,6 +52,7 @@
 
   PrefixFollower(TransactionalStore& store,
                  const Clock& clock,
+                 MetricsRegistry& metrics,
                  Options options,
                  ChangeListener on_change,
                  SyncListener on_sync);
@@ -83,12 +85,16 @@
   bool PauseBeforeWatch();
   void OnFailure(const Error& error, MonoTime now);
   void Apply(const StoreItem& item);
+  // Counts an answer, and logs a large one.
+  void NoteChanges(const StoreChanges& changes, MonoTime::duration applying);
 
   TransactionalStore& store_;
   const Clock& clock_;
   const Options options_;
   const ChangeListener on_change_;
   const SyncListener on_sync_;
+  Counter& answer_bytes_;
+  Counter& superseded_;
 
   mutable absl::Mutex mutex_;
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
@@ -113,6 +119,7 @@
   std::map<std::string, StoreItem> page_items_;
   uint64_t next_revision_ = 0;
   uint64_t range_revision_ = 0;
+  size_t range_bytes_ = 0;
 };
 
 }  // namespace figflow
--- a/Source/Core/Platform/transactional_store.h
+++ b/Source/Core/Platform/transactional_store.h
@@ -28,12 +28,22 @@
   bool removed = false;
 };
 
+// How a read was answered.
+struct AnswerCost {
+  // Size of the answer as it came.
+  size_t bytes = 0;
+  // From the call to the head of the answer, and to its end.
+  std::chrono::milliseconds head{0};
+  std::chrono::milliseconds whole{0};
+};
+
 struct RangePage {
   std::vector<StoreItem> items;
   // More keys follow after the last item.
   bool truncated = false;
   // Revision of the store at the read.
   uint64_t store_revision = 0;
+  AnswerCost cost;
 };
 
 struct StoreChanges {
@@ -44,6 +54,7 @@
   // The store has forgotten the changes after the given revision: read the
   // range again.
   bool history_lost = false;
+  AnswerCost cost;
 };
 
 struct StoreWrite {
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -143,7 +143,7 @@
     PrefixFollowerOptions options;
     options.prefix = "x/";
     auto follower = std::make_shared<PrefixFollower>(
-        *view_, time_, options,
+        *view_, time_, metrics_, options,
         [&](const StoreItem& item) {
           seen.push_back((item.removed ? "-" : "+") + item.key);
         },
@@ -173,7 +173,7 @@
     options.prefix = "x/";
     options.gap = milliseconds(100);
     auto follower = std::make_shared<PrefixFollower>(
-        *view_, time_, options,
+        *view_, time_, metrics_, options,
         [&](const StoreItem& item) {
           last = item.value;
           answers.insert(time_.Now());
@@ -209,7 +209,7 @@
     PrefixFollowerOptions options;
     options.prefix = "x/";
     auto follower = std::make_shared<PrefixFollower>(
-        *view_, time_, options, [](const StoreItem&) {}, [] {});
+        *view_, time_, metrics_, options, [](const StoreItem&) {}, [] {});
     follower->Start();
     time_.RunFor(milliseconds(100));
     CPPUNIT_ASSERT(OldestAge(*follower, seconds(20)) <= kCalmAge);
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -149,6 +149,7 @@
     CPPUNIT_ASSERT(changes.has_value());
     CPPUNIT_ASSERT(!changes->changes[0].removed);
     CPPUNIT_ASSERT(changes->changes[1].removed);
+    CPPUNIT_ASSERT_EQUAL(transport_.body.size(), changes->cost.bytes);
     transport_.status = 410;
     store_.Watch("k/", 8, milliseconds(100),
                  [&](const Result<StoreChanges>& result) { changes = result; });
@@ -160,6 +161,7 @@
     store_.Range("k/", "k/0 &", milliseconds(100),
                  [&](const Result<RangePage>& result) { page = result; });
     CPPUNIT_ASSERT(page->truncated);
+    CPPUNIT_ASSERT_EQUAL(transport_.body.size(), page->cost.bytes);
     // Bytes that are no base64 are an empty value, which no decoder takes.
     CPPUNIT_ASSERT(page->items[0].value.empty());
     CPPUNIT_ASSERT(transport_.requests.back().target.find("After=k/0%20%26") !=
