Add failing tests of followers that were away

Versions that a later one in the same answer supersedes are reported one by one.

The model of the store learns of links, and loses answers to a daemon that is cut off.

--- a/Source/StandIns/Fleet/model_node.h
+++ b/Source/StandIns/Fleet/model_node.h
@@ -1,6 +1,8 @@
 #ifndef STANDINS_FLEET_MODEL_NODE_H_
 #define STANDINS_FLEET_MODEL_NODE_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,10 +28,32 @@
   bool store_answers_lost = false;
   // The store turns this daemon away.
   bool store_busy = false;
+  // What its link carries in a second; 0 for no limit.
+  size_t link_bytes_per_second = 0;
+  // When the link has carried all answers of the store that are under way.
+  MonoTime link_free_at = MonoTime::min();
+  // Of all answers of the store.
+  size_t received_bytes = 0;
 };
 
 using NodePtr = std::shared_ptr<ModelNode>;
 
+// Sends an answer over the node's link: the time until it has arrived whole.
+inline VirtualTime::Duration SendOverLink(ModelNode& node,
+                                          size_t bytes,
+                                          VirtualTime::Duration latency,
+                                          MonoTime now) {
+  node.received_bytes += bytes;
+  if (node.link_bytes_per_second == 0) {
+    return latency;
+  }
+  const auto transfer = std::chrono::duration_cast<VirtualTime::Duration>(
+      std::chrono::duration<double>(static_cast<double>(bytes) /
+                                    node.link_bytes_per_second));
+  node.link_free_at = std::max(node.link_free_at, now + latency) + transfer;
+  return node.link_free_at - now;
+}
+
 // Runs `event` in the process if it still lives then, after a suspension if it
 // is suspended.
 inline void RunIn(VirtualTime& time,
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -11,6 +11,32 @@
 constexpr size_t kPageItems = 500;
 constexpr std::chrono::milliseconds kStoreLeaseCheck{50};
 
+// On the wire values are text, and each item has some fields beside them.
+constexpr size_t kItemOverhead = 100;
+
+size_t AnswerBytes(const std::vector<StoreItem>& items) {
+  size_t bytes = 0;
+  for (const StoreItem& item : items) {
+    bytes += item.key.size() + item.value.size() * 4 / 3 + kItemOverhead;
+  }
+  return bytes;
+}
+
+template <typename T>
+size_t AnswerBytes(const T& /*answer*/) {
+  return kItemOverhead;
+}
+
+template <>
+size_t AnswerBytes(const RangePage& page) {
+  return AnswerBytes(page.items);
+}
+
+template <>
+size_t AnswerBytes(const std::optional<StoreItem>& item) {
+  return item ? AnswerBytes(std::vector<StoreItem>{*item}) : kItemOverhead;
+}
+
 Error Lost(const char* step) {
   return {ErrorCode::kUnknownOutcome, step, "store", "no answer"};
 }
@@ -95,11 +121,13 @@
     store_.waiters_[id] = {
         prefix, after_revision,
         [this, id, &time, node, latency, done](const StoreChanges& changes) {
-          if (node->store_answers_lost) {
+          if (node->store_answers_lost || node->store_cut) {
             store_.lost_.insert(id);
             return;
           }
-          RunIn(time, node, latency, [done, changes] { done(changes); });
+          const size_t bytes = AnswerBytes(changes.changes);
+          const auto delay = SendOverLink(*node, bytes, latency, time.Now());
+          RunIn(time, node, delay, [done, changes] { done(changes); });
         }};
     time.After(latency, [this] { store_.Notify(); });
     time.After(wait, [this, id, latency, done, node] {
@@ -224,7 +252,10 @@
                   [done, step] { done(tl::unexpected<Error>(Lost(step))); });
             return;
           }
-          RunIn(store_.time_, node_, latency / 2,
+          const size_t bytes = result ? AnswerBytes(*result) : kItemOverhead;
+          const auto delay =
+              SendOverLink(*node_, bytes, latency / 2, store_.time_.Now());
+          RunIn(store_.time_, node_, delay,
                 [done, result = std::move(result)] { done(result); });
         });
   }
--- /dev/null
+++ b/Source/UnitTests/Ownership/follower_catch_up_test.cc
@@ -0,0 +1,214 @@
+// Followers that were away, on links that carry some versions of a large value
+// in a second. The figures are those of a small entry instance: 10 Mbit/s, and
+// a plan of about 1,650 queues.
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/metrics.h"
+#include "Ownership/prefix_follower.h"
+#include "StandIns/Fleet/model_store.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kSlowLink = 1'250'000;
+constexpr size_t kPlanBytes = 308'000;
+// As an answer: the value as text.
+constexpr size_t kAnswerBytes = kPlanBytes * 4 / 3;
+// Time in which an acknowledged change has to be in force.
+constexpr milliseconds kApplyBound{3'000};
+// After a disruption, the time until the bound holds again.
+constexpr milliseconds kStableAfter{4'000};
+constexpr milliseconds kStep{10};
+
+class FollowerCatchUpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FollowerCatchUpTest);
+  CPPUNIT_TEST(ReturningFollowerHasEachChangeInTime);
+  CPPUNIT_TEST(CostOfCatchingUpDoesNotGrowWithTheAbsence);
+  CPPUNIT_TEST(SeriesOfChangesDoesNotOutrunASlowLink);
+  CPPUNIT_TEST(SupersededVersionsAreNotReported);
+  CPPUNIT_TEST(RemovedAndWrittenAgainIsReportedAsWritten);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  FollowerCatchUpTest()
+      : store_(time_, 1), node_(std::make_shared<model::ModelNode>()) {
+    node_->link_bytes_per_second = kSlowLink;
+    view_ = store_.ViewOf(node_);
+  }
+
+  void tearDown() override {
+    if (follower_) {
+      follower_->Stop();
+    }
+  }
+
+  // Guards against a daemon that replays all versions that it missed, and so
+  // refuses queues that an acknowledged plan has.
+  void ReturningFollowerHasEachChangeInTime() {
+    Begin();
+    node_->store_cut = true;
+    ChangeFor(seconds(5), milliseconds(300));
+    node_->store_cut = false;
+    ChangeFor(kStableAfter, milliseconds(300));
+    worst_lag_ = milliseconds(0);
+    ChangeFor(seconds(6), milliseconds(300));
+    CPPUNIT_ASSERT_MESSAGE(LagText(), worst_lag_ <= kApplyBound);
+  }
+
+  // Guards against answers that hold all that happened during an absence.
+  void CostOfCatchingUpDoesNotGrowWithTheAbsence() {
+    Begin();
+    const size_t after_short = BytesToCatchUp(seconds(2));
+    const size_t after_long = BytesToCatchUp(seconds(16));
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(after_short, " and ", after_long),
+                           after_long <= after_short + kAnswerBytes);
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(after_long),
+                           after_long <= 3 * kAnswerBytes);
+  }
+
+  // Changes come faster than the link carries versions of the plan. Guards
+  // against a lag that grows with each answer.
+  void SeriesOfChangesDoesNotOutrunASlowLink() {
+    Begin();
+    ChangeFor(seconds(10), milliseconds(160));
+    CPPUNIT_ASSERT_MESSAGE(LagText(), worst_lag_ <= kApplyBound);
+  }
+
+  // Guards against work for versions that the same answer supersedes.
+  void SupersededVersionsAreNotReported() {
+    node_->link_bytes_per_second = 0;
+    Begin();
+    node_->store_cut = true;
+    RunFor(seconds(4));
+    reported_.clear();
+    for (int i = 0; i < 5; ++i) {
+      Change(1);
+    }
+    node_->store_cut = false;
+    RunFor(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, reported_.size());
+    CPPUNIT_ASSERT_EQUAL(version_, *reported_.begin());
+  }
+
+  // Guards against a last state that is taken from the removal in between.
+  void RemovedAndWrittenAgainIsReportedAsWritten() {
+    node_->link_bytes_per_second = 0;
+    Begin();
+    node_->store_cut = true;
+    RunFor(seconds(4));
+    store_.Remove("op/config");
+    Change(1);
+    node_->store_cut = false;
+    RunFor(seconds(4));
+    CPPUNIT_ASSERT_EQUAL(version_, known_);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, removed_.count("op/config"));
+  }
+
+ private:
+  void Begin() {
+    Change(kPlanBytes);
+    PrefixFollowerOptions options;
+    options.prefix = "op/";
+    follower_ = std::make_shared<PrefixFollower>(
+        *view_, time_, metrics_, options,
+        [this](const StoreItem& item) { OnItem(item); }, [] {});
+    follower_->Start();
+    RunFor(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(version_, known_);
+    worst_lag_ = milliseconds(0);
+  }
+
+  void OnItem(const StoreItem& item) {
+    if (item.removed) {
+      removed_.insert(item.key);
+      return;
+    }
+    int version = 0;
+    if (absl::SimpleAtoi(item.value.substr(0, 8), &version)) {
+      known_ = version;
+      reported_.insert(version);
+    }
+  }
+
+  void Change(size_t bytes) {
+    ++version_;
+    store_.Put("op/config", absl::StrCat(absl::Dec(version_, absl::kZeroPad8),
+                                         std::string(bytes, 'x')));
+    changed_at_[version_] = time_.Now();
+  }
+
+  // How long the oldest change that is not known here has been in the store.
+  MonoTime::duration Lag() const {
+    const auto oldest = changed_at_.upper_bound(known_);
+    return oldest == changed_at_.end() ? MonoTime::duration(0)
+                                       : time_.Now() - oldest->second;
+  }
+
+  void RunFor(MonoTime::duration duration) {
+    const MonoTime end = time_.Now() + duration;
+    while (time_.Now() < end) {
+      follower_->Step(time_.Now());
+      time_.RunFor(kStep);
+      worst_lag_ = std::max(worst_lag_, Lag());
+    }
+  }
+
+  // Changes the plan each `gap`.
+  void ChangeFor(MonoTime::duration duration, milliseconds gap) {
+    const MonoTime end = time_.Now() + duration;
+    while (time_.Now() < end) {
+      Change(kPlanBytes);
+      RunFor(gap);
+    }
+  }
+
+  // Bytes received from the end of an absence until all is known again.
+  size_t BytesToCatchUp(MonoTime::duration absence) {
+    node_->store_cut = true;
+    ChangeFor(absence, milliseconds(300));
+    const size_t before = node_->received_bytes;
+    node_->store_cut = false;
+    for (int i = 0; i < 6'000 && known_ != version_; ++i) {
+      RunFor(kStep);
+    }
+    CPPUNIT_ASSERT_EQUAL(version_, known_);
+    RunFor(seconds(1));
+    return node_->received_bytes - before;
+  }
+
+  std::string LagText() const {
+    return absl::StrCat("a change was ", WholeMilliseconds(worst_lag_).count(),
+                        " ms late");
+  }
+
+  model::VirtualTime time_;
+  model::ModelStore store_;
+  model::NodePtr node_;
+  std::unique_ptr<TransactionalStore> view_;
+  MetricsRegistry metrics_;
+  std::shared_ptr<PrefixFollower> follower_;
+  int version_ = 0;
+  int known_ = 0;
+  std::set<std::string> removed_;
+  std::map<int, MonoTime> changed_at_;
+  std::set<int> reported_;
+  MonoTime::duration worst_lag_{0};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FollowerCatchUpTest);
+
+}  // namespace
+}  // namespace figflow
