Read the state in place of the changes where these are larger

Callers got 404 for paths that a confirmed plan had: a daemon that was away went on to watch from the revision that it had, and the answer held each version of the plan that it had missed, whole. On a link of 10 Mbit/s and 0.12 cores each costs 0.33 s of transfer and as much processor time; meanwhile further versions came. Four versions took 2.5 s, three more another 2.8 s, and the version that callers used was in force 5 s late.

A watch now carries the size of the largest answer worth reading: one and a half times the state, which is what reading the range costs. A larger answer is given up at its head, and the range is read, which holds the latest state of each key only. Of several changes of a key in one answer only the last one is reported. So catching up costs the state, however much was missed, and the lag on a slow link stays within two reads.

--- a/Source/Core/Http/http_transport.h
+++ b/Source/Core/Http/http_transport.h
@@ -13,6 +13,9 @@
 
 namespace figflow {
 
+// Of a response's body, unless the request says otherwise.
+inline constexpr size_t kMostAnswerBytes = size_t{16} << 20;
+
 struct TransferRequest {
   // "ip:port"
   std::string address;
@@ -24,7 +27,7 @@
   // from the sending of the request for the whole response. Time before the
   // transport took up the request is not part of it.
   std::chrono::milliseconds answer_time{0};
-  size_t max_answer_bytes = size_t{16} << 20;
+  size_t max_answer_bytes = kMostAnswerBytes;
   // Uses a new connection and closes it afterwards, for requests that must not
   // meet a connection that the target is closing.
   bool fresh_connection = false;
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -1,16 +1,17 @@
 #include "Ownership/prefix_follower.h"
 
-#include <set>
 #include <utility>
 
 #include "Common/log.h"
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
 
 constexpr std::chrono::milliseconds kWatchRetry{150};
-// Answers above this size get a line of their own in the log.
+// Answers above this size get a line of their own in the log. Below it, reading
+// the range in place of the changes saves nothing.
 constexpr size_t kLargeAnswer = size_t{64} << 10;
 
 std::string CounterName(const char* what, const std::string& prefix) {
@@ -18,6 +19,22 @@
                       "\"}");
 }
 
+// Of several changes of a key only the last one counts.
+std::vector<const StoreItem*> LatestOfEachKey(
+    const std::vector<StoreItem>& changes) {
+  absl::flat_hash_map<absl::string_view, const StoreItem*> latest;
+  for (const StoreItem& item : changes) {
+    latest[item.key] = &item;
+  }
+  std::vector<const StoreItem*> items;
+  for (const StoreItem& item : changes) {
+    if (latest[item.key] == &item) {
+      items.push_back(&item);
+    }
+  }
+  return items;
+}
+
 std::string Milliseconds(MonoTime::duration duration) {
   return absl::StrCat(WholeMilliseconds(duration).count());
 }
@@ -156,7 +173,7 @@
              {{"prefix", options_.prefix}});
   }
   on_sync_();
-  Watch();
+  WatchAfterGap();
 }
 
 void PrefixFollower::Apply(const StoreItem& item) {
@@ -193,11 +210,16 @@
     watch = ++watch_;
     watched_at_ = sent_at;
   }
-  store_.Watch(options_.prefix, next_revision_, options_.wait,
-               [self = shared_from_this(), watch,
-                sent_at](Result<StoreChanges> changes) {
-                 self->OnChanges(watch, sent_at, std::move(changes));
-               });
+  WatchCall call;
+  call.prefix = options_.prefix;
+  call.after_revision = next_revision_;
+  call.wait = options_.wait;
+  call.max_answer_bytes =
+      std::max(kLargeAnswer, range_bytes_ + range_bytes_ / 2);
+  store_.Watch(call, [self = shared_from_this(), watch,
+                      sent_at](Result<StoreChanges> changes) {
+    self->OnChanges(watch, sent_at, std::move(changes));
+  });
 }
 
 void PrefixFollower::OnChanges(uint64_t watch,
@@ -214,25 +236,19 @@
     OnFailure(changes.error(), clock_.Now());
     return;
   }
-  if (changes->history_lost) {
-    {
-      absl::MutexLock lock(&mutex_);
-      watching_ = false;
-      applying_ = false;
-      if (stopped_) {
-        return;
-      }
-    }
-    LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "store_history_lost",
-             {{"prefix", options_.prefix}});
-    ReadPage("");
+  if (changes->history_lost || changes->too_large) {
+    ReadRangeAgain(changes->history_lost ? "store_history_lost"
+                                         : "changes_too_large");
     return;
   }
   const MonoTime arrived = clock_.Now();
-  for (const StoreItem& item : changes->changes) {
-    Apply(item);
+  const std::vector<const StoreItem*> latest =
+      LatestOfEachKey(changes->changes);
+  for (const StoreItem* item : latest) {
+    Apply(*item);
   }
-  NoteChanges(*changes, clock_.Now() - arrived);
+  NoteChanges(*changes, changes->changes.size() - latest.size(),
+              clock_.Now() - arrived);
   next_revision_ = std::max(next_revision_, changes->store_revision);
   bool regained = false;
   {
@@ -244,19 +260,27 @@
     LogEvent(LogLevel::kInfo, LogCategory::kPlatform, "store_regained",
              {{"prefix", options_.prefix}});
   }
-  if (PauseBeforeWatch()) {
-    return;
+  WatchAfterGap();
+}
+
+void PrefixFollower::ReadRangeAgain(const char* event) {
+  {
+    absl::MutexLock lock(&mutex_);
+    watching_ = false;
+    applying_ = false;
+    if (stopped_) {
+      return;
+    }
   }
-  Watch();
+  LogEvent(LogLevel::kInfo, LogCategory::kPlatform, event,
+           {{"prefix", options_.prefix},
+            {"bytes_of_range", absl::StrCat(range_bytes_)}});
+  ReadPage("");
 }
 
 void PrefixFollower::NoteChanges(const StoreChanges& changes,
+                                 size_t superseded,
                                  MonoTime::duration applying) {
-  std::set<absl::string_view> keys;
-  for (const StoreItem& item : changes.changes) {
-    keys.insert(item.key);
-  }
-  const size_t superseded = changes.changes.size() - keys.size();
   answer_bytes_.Add(changes.cost.bytes);
   superseded_.Add(superseded);
   if (changes.cost.bytes < kLargeAnswer) {
@@ -273,16 +297,18 @@
             {"apply_ms", Milliseconds(applying)}});
 }
 
-bool PrefixFollower::PauseBeforeWatch() {
-  absl::MutexLock lock(&mutex_);
-  if (clock_.Now() >= watched_at_ + gap_) {
-    return false;
+void PrefixFollower::WatchAfterGap() {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (clock_.Now() < watched_at_ + gap_) {
+      // The next Step that is due begins the watch.
+      pausing_ = true;
+      busy_ = false;
+      applying_ = false;
+      return;
+    }
   }
-  // The next Step that is due begins the watch.
-  pausing_ = true;
-  busy_ = false;
-  applying_ = false;
-  return true;
+  Watch();
 }
 
 void PrefixFollower::OnFailure(const Error& error, MonoTime now) {
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -38,10 +38,12 @@
   std::chrono::milliseconds gap{0};
 };
 
-// Follows the keys under a prefix: reads the range, then watches, and reads the
-// range again when the store has lost the history in between. Changes are
-// reported in order, one at a time; a key that vanished unseen is reported as
-// removed. Thread-safe.
+// Follows the keys under a prefix: reads the range, then watches. Where the
+// store has lost the history in between, or the changes are larger than the
+// state, it reads the range again: what catching up costs does not grow with
+// what was missed. Of each key only the latest state in an answer is reported;
+// the keys are reported in the order of their changes, and a key that vanished
+// unseen as removed. Thread-safe.
 class PrefixFollower : public std::enable_shared_from_this<PrefixFollower> {
  public:
   using Options = PrefixFollowerOptions;
@@ -81,12 +83,16 @@
   void OnChanges(uint64_t watch,
                  MonoTime sent_at,
                  Result<StoreChanges> changes);
-  // True if the next watch has to wait for the gap.
-  bool PauseBeforeWatch();
+  // Watches again, after the rest of the gap.
+  void WatchAfterGap();
+  // Reads the range because the changes cannot be had; `event` tells why.
+  void ReadRangeAgain(const char* event);
   void OnFailure(const Error& error, MonoTime now);
   void Apply(const StoreItem& item);
   // Counts an answer, and logs a large one.
-  void NoteChanges(const StoreChanges& changes, MonoTime::duration applying);
+  void NoteChanges(const StoreChanges& changes,
+                   size_t superseded,
+                   MonoTime::duration applying);
 
   TransactionalStore& store_;
   const Clock& clock_;
@@ -119,6 +125,7 @@
   std::map<std::string, StoreItem> page_items_;
   uint64_t next_revision_ = 0;
   uint64_t range_revision_ = 0;
+  // Size of the answers that hold all keys; of the pages so far during a read.
   size_t range_bytes_ = 0;
 };
 
--- a/Source/Core/Platform/transactional_store.h
+++ b/Source/Core/Platform/transactional_store.h
@@ -46,6 +46,17 @@
   AnswerCost cost;
 };
 
+// A wait for changes.
+struct WatchCall {
+  std::string prefix;
+  // Changes after it are asked for.
+  uint64_t after_revision = 0;
+  // The call is answered at the latest after this time.
+  std::chrono::milliseconds wait{0};
+  // An answer above this size is not read.
+  size_t max_answer_bytes = size_t{16} << 20;
+};
+
 struct StoreChanges {
   // In the order of their revisions. Empty when the wait ran out.
   std::vector<StoreItem> changes;
@@ -54,6 +65,9 @@
   // The store has forgotten the changes after the given revision: read the
   // range again.
   bool history_lost = false;
+  // The changes take more than WatchCall::max_answer_bytes. The range holds
+  // only the latest state of each key.
+  bool too_large = false;
   AnswerCost cost;
 };
 
@@ -89,7 +103,7 @@
 // Errors: kUnavailable, the call certainly had no effect; kUnknownOutcome and
 // kDeadlineExceeded, a write may have taken effect or may do so seconds later
 // if its conditions still hold; kNotFound, no such key or lease; kInvalid, the
-// answer cannot be read.
+// answer cannot be read; kResourceExhausted, it is too large.
 class TransactionalStore {
  public:
   virtual ~TransactionalStore() = default;
@@ -106,11 +120,8 @@
                      const std::string& after,
                      std::chrono::milliseconds timeout,
                      StoreCallback<RangePage> done) = 0;
-  // Answers when a key under `prefix` changes after `after_revision`, at the
-  // latest after `wait`.
-  virtual void Watch(const std::string& prefix,
-                     uint64_t after_revision,
-                     std::chrono::milliseconds wait,
+  // Answers when a key under the prefix changes.
+  virtual void Watch(const WatchCall& call,
                      StoreCallback<StoreChanges> done) = 0;
   virtual void GrantLease(std::chrono::milliseconds ttl,
                           std::chrono::milliseconds timeout,
--- a/Source/Ctl/explain.cc
+++ b/Source/Ctl/explain.cc
@@ -21,11 +21,12 @@
 constexpr std::chrono::seconds kAfter{1};
 
 // Events of a daemon as a whole that bear on each of its requests.
-constexpr std::array<const char*, 12> kDaemonEvents = {
-    "started",     "stopping",       "stopped",
-    "store_lost",  "store_regained", "store_history_lost",
-    "lease_ended", "plan_in_force",  "settings_reloaded",
-    "peer_lost",   "peer_regained",  "share_released"};
+constexpr std::array<const char*, 13> kDaemonEvents = {
+    "started",           "stopping",       "stopped",
+    "store_lost",        "store_regained", "store_history_lost",
+    "changes_too_large", "lease_ended",    "plan_in_force",
+    "settings_reloaded", "peer_lost",      "peer_regained",
+    "share_released"};
 
 // Fields that name the pool of a line. Owners' keys call it their scope.
 constexpr std::array<const char*, 2> kPoolFields = {"pool", "scope"};
--- a/Source/Soak/wire_front.cc
+++ b/Source/Soak/wire_front.cc
@@ -202,7 +202,7 @@
 void WireFront::Watch(const Call& call, Daemon& daemon) {
   const auto after = static_cast<uint64_t>(Number(call.Query("After")));
   daemon.store->Watch(
-      call.Query("Prefix"), after, milliseconds(Number(call.Query("WaitMs"))),
+      {call.Query("Prefix"), after, milliseconds(Number(call.Query("WaitMs")))},
       [call, after](const Result<StoreChanges>& changes) {
         if (!changes) {
           AnswerFailure(call.exchange, changes.error());
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -102,15 +102,14 @@
             }
             page.items.push_back(item);
           }
+          page.cost.bytes = AnswerBytes(page.items);
           return page;
         },
         std::move(done));
   }
 
-  void Watch(const std::string& prefix,
-             uint64_t after_revision,
-             std::chrono::milliseconds wait,
-             StoreCallback<StoreChanges> done) override {
+  void Watch(const WatchCall& call, StoreCallback<StoreChanges> done) override {
+    const std::chrono::milliseconds wait = call.wait;
     if (Blocked<StoreChanges>("model.watch", wait, done)) {
       return;
     }
@@ -119,13 +118,21 @@
     const NodePtr node = node_;
     const auto latency = store_.faults.latency;
     store_.waiters_[id] = {
-        prefix, after_revision,
-        [this, id, &time, node, latency, done](const StoreChanges& changes) {
+        call.prefix, call.after_revision,
+        [this, id, &time, node, latency, done,
+         most = call.max_answer_bytes](StoreChanges changes) {
           if (node->store_answers_lost || node->store_cut) {
             store_.lost_.insert(id);
             return;
           }
-          const size_t bytes = AnswerBytes(changes.changes);
+          size_t bytes = AnswerBytes(changes.changes);
+          if (bytes > most) {
+            // The head of the answer tells.
+            changes = StoreChanges();
+            changes.too_large = true;
+            bytes = kItemOverhead;
+          }
+          changes.cost.bytes = bytes;
           const auto delay = SendOverLink(*node, bytes, latency, time.Now());
           RunIn(time, node, delay, [done, changes] { done(changes); });
         }};
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -28,11 +28,11 @@
   uint64_t Start(TransferRequest request, TransferCallback done) override {
     requests.push_back(*request.message);
     answer_time = request.answer_time;
+    max_answer_bytes = request.max_answer_bytes;
     TransferResult result;
     result.sent = sent;
     if (status == 0) {
-      result.response =
-          Fail(ErrorCode::kUnknownOutcome, "test", "", "connection lost");
+      result.response = Fail(error, "test", "", "connection lost");
     } else {
       HttpResponse response;
       response.status = status;
@@ -46,6 +46,8 @@
 
   json LastBody() const { return json::parse(requests.back().body); }
 
+  // Of a call without an answer.
+  ErrorCode error = ErrorCode::kUnknownOutcome;
   bool sent = true;
   // 0: no answer.
   int status = 200;
@@ -53,6 +55,7 @@
   std::vector<HttpRequest> requests;
   // Of the latest request.
   milliseconds answer_time{0};
+  size_t max_answer_bytes = 0;
 };
 
 class CallsTest : public CppUnit::TestFixture {
@@ -61,6 +64,7 @@
   CPPUNIT_TEST(CommitOutcomesByTable);
   CPPUNIT_TEST(RefusedCommitShowsTheKeys);
   CPPUNIT_TEST(WatchAndRange);
+  CPPUNIT_TEST(ChangesAboveTheirLimitAreToldAsTooLarge);
   CPPUNIT_TEST(StartAnswersByTable);
   CPPUNIT_TEST(StartCarriesWhatItNeeds);
   CPPUNIT_TEST(StartQuotesItsTexts);
@@ -144,14 +148,14 @@
         R"({"events":[{"Key":"k/1","Value":"eA==","Revision":9},)"
         R"({"Key":"k/2","Revision":10,"Tombstone":true}],"StoreRevision":10})";
     Result<StoreChanges> changes = Fail(ErrorCode::kInternal, "", "", "");
-    store_.Watch("k/", 8, milliseconds(100),
+    store_.Watch({"k/", 8, milliseconds(100)},
                  [&](const Result<StoreChanges>& result) { changes = result; });
     CPPUNIT_ASSERT(changes.has_value());
     CPPUNIT_ASSERT(!changes->changes[0].removed);
     CPPUNIT_ASSERT(changes->changes[1].removed);
     CPPUNIT_ASSERT_EQUAL(transport_.body.size(), changes->cost.bytes);
     transport_.status = 410;
-    store_.Watch("k/", 8, milliseconds(100),
+    store_.Watch({"k/", 8, milliseconds(100)},
                  [&](const Result<StoreChanges>& result) { changes = result; });
     CPPUNIT_ASSERT(changes->history_lost);
     transport_.status = 200;
@@ -168,6 +172,21 @@
                    std::string::npos);
   }
 
+  // Guards against a follower that asks for the same changes again and again.
+  void ChangesAboveTheirLimitAreToldAsTooLarge() {
+    transport_.status = 0;
+    transport_.error = ErrorCode::kResourceExhausted;
+    Result<StoreChanges> changes = Fail(ErrorCode::kInternal, "", "", "");
+    WatchCall call;
+    call.prefix = "k/";
+    call.max_answer_bytes = 1'000;
+    store_.Watch(call,
+                 [&](const Result<StoreChanges>& result) { changes = result; });
+    CPPUNIT_ASSERT_EQUAL(size_t{1'000}, transport_.max_answer_bytes);
+    CPPUNIT_ASSERT(changes.has_value());
+    CPPUNIT_ASSERT(changes->too_large);
+  }
+
   void StartAnswersByTable() {
     struct Case {
       int status;
