Let an answer that keeps coming outlast the time limit of its call

A watch ended 2.8 s after its sending, a range after 1.5 s, whatever had come by then. On a small entry instance a plan of 3,000 queues takes 0.6 s of the link alone; beside the registry and other reads an answer could miss its limit, was thrown away, and was asked for again from the same revision, larger by then.

A call's limit now ends with the head of the answer. The body may take as long as some of it comes in each second. An answer that stops coming is given up after that second, sooner than before.

HttpClientTest::AnswerThatKeepsComingOutlastsItsDeadline and AnswerThatStopsComingEndsEarly failed before.

--- a/Source/Core/Http/client_loop.h
+++ b/Source/Core/Http/client_loop.h
@@ -44,6 +44,7 @@
 
   // For ClientTransfer, on the thread of the loop.
   void OnSent(ClientTransfer& transfer, MonoTime now);
+  void OnHead(ClientTransfer& transfer, MonoTime now);
   // For AddressPool, on the thread of the loop.
   void PublishOpenConnections(const AddressPool& pool);
 
--- a/Source/Core/Http/client_loop_timers.cc
+++ b/Source/Core/Http/client_loop_timers.cc
@@ -11,6 +11,12 @@
   SetDeadline(transfer, transfer.AttemptDeadline());
 }
 
+void ClientLoop::OnHead(ClientTransfer& transfer, MonoTime now) {
+  if (transfer.streams()) {
+    SetDeadline(transfer, now + transfer.stall_time());
+  }
+}
+
 void ClientLoop::SetDeadline(ClientTransfer& transfer, MonoTime at) {
   if (transfer.expires != MonoTime::max()) {
     deadlines_.erase({transfer.expires, &transfer});
@@ -46,6 +52,9 @@
     }
     // The rest of a response may be there as well.
     if (transfer->TakeProgress()) {
+      if (transfer->streams()) {
+        SetDeadline(*transfer, Now() + transfer->stall_time());
+      }
       continue;
     }
     Detach(transfer);
--- a/Source/Core/Http/client_transfer.cc
+++ b/Source/Core/Http/client_transfer.cc
@@ -172,7 +172,8 @@
 
 bool ClientTransfer::TakeProgress() {
   const size_t bytes = head_bytes_ + response_.body.size();
-  const bool progress = bytes > bytes_seen_ && late_reads_ < kLateReads;
+  const bool progress =
+      bytes > bytes_seen_ && (streams() || late_reads_ < kLateReads);
   bytes_seen_ = bytes;
   ++late_reads_;
   return progress;
@@ -226,6 +227,7 @@
     }
     head_ended_ = true;
     head_at_ = SystemClock().Now();
+    pool->loop->OnHead(*this, head_at_);
     return CheckFraming();
   }
   const size_t colon = line.find(':');
--- a/Source/Core/Http/client_transfer.h
+++ b/Source/Core/Http/client_transfer.h
@@ -51,8 +51,14 @@
   // When the attempt under way has to have a connection, and after that
   // deadline().
   MonoTime AttemptDeadline() const;
-  // Whether bytes of the response have arrived since the last call. False
-  // after a few calls, so that a slow response does not hold off its deadline.
+  // The body of the response comes, and may take as long as it keeps coming.
+  bool streams() const {
+    return head_ended_ && request_.stall_time.count() > 0;
+  }
+  std::chrono::milliseconds stall_time() const { return request_.stall_time; }
+  // Whether bytes of the response have arrived since the last call. Unless it
+  // streams, false after a few calls, so that a slow response does not hold off
+  // its deadline.
   bool TakeProgress();
 
   AddressPool* pool = nullptr;
--- a/Source/Core/Http/http_transport.h
+++ b/Source/Core/Http/http_transport.h
@@ -27,6 +27,9 @@
   // from the sending of the request for the whole response. Time before the
   // transport took up the request is not part of it.
   std::chrono::milliseconds answer_time{0};
+  // If not zero, the times above end with the head of the response. The body
+  // may take as long as some of it comes in each span of this length.
+  std::chrono::milliseconds stall_time{0};
   size_t max_answer_bytes = kMostAnswerBytes;
   // Uses a new connection and closes it afterwards, for requests that must not
   // meet a connection that the target is closing.
--- a/Source/Core/Platform/transactional_store.h
+++ b/Source/Core/Platform/transactional_store.h
@@ -98,7 +98,8 @@
 using StoreCallback = std::function<void(Result<T>)>;
 
 // The platform's metadata store. Calls return at once; `done` is called exactly
-// once, from another thread, at most a little after `timeout`.
+// once, from another thread, at most a little after `timeout`, or, if the
+// answer has begun to arrive by then, once it has arrived or has ceased to.
 //
 // Errors: kUnavailable, the call certainly had no effect; kUnknownOutcome and
 // kDeadlineExceeded, a write may have taken effect or may do so seconds later
--- a/Source/UnitTests/Http/http_client_test.cc
+++ b/Source/UnitTests/Http/http_client_test.cc
@@ -27,6 +27,7 @@
   bool fresh = false;
   size_t max_answer = 1 << 20;
   milliseconds answer_time{0};
+  milliseconds stall_time{0};
 };
 
 class HttpClientTest : public CppUnit::TestFixture {
@@ -39,6 +40,8 @@
   CPPUNIT_TEST(AnswerThatIsThereIsDeliveredByALateThread);
   CPPUNIT_TEST(LateThreadStillTimesOutSilentTargets);
   CPPUNIT_TEST(AnswerTimeBeginsWithTheSending);
+  CPPUNIT_TEST(AnswerThatKeepsComingOutlastsItsDeadline);
+  CPPUNIT_TEST(AnswerThatStopsComingEndsEarly);
   CPPUNIT_TEST(MethodsShareOneConnection);
   CPPUNIT_TEST(FreshConnectionIsNeverReused);
   CPPUNIT_TEST(ConnectionLimitHolds);
@@ -244,6 +247,38 @@
     CPPUNIT_ASSERT(result.service_time < milliseconds(2'500));
   }
 
+  // Guards against a large answer on a slow link that is thrown away at its
+  // deadline, and asked for again without end.
+  void AnswerThatKeepsComingOutlastsItsDeadline() {
+    std::vector<std::string> pieces = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 16000\r\n\r\n"};
+    pieces.resize(9, std::string(2'000, 'x'));
+    RawServer server(pieces, milliseconds(100));
+    Call call;
+    call.deadline = milliseconds(300);
+    call.stall_time = milliseconds(250);
+    const TransferResult result = Fetch(call, server.address());
+    CPPUNIT_ASSERT(result.response.has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{16'000}, result.response->body.size());
+    CPPUNIT_ASSERT(result.head_time < milliseconds(200));
+    CPPUNIT_ASSERT(result.service_time > milliseconds(600));
+  }
+
+  // Guards against an answer that is cut off in the middle and waited for to
+  // the end of a long deadline.
+  void AnswerThatStopsComingEndsEarly() {
+    RawServer server({"HTTP/1.1 200 OK\r\nContent-Length: 16000\r\n\r\n",
+                      std::string(2'000, 'x')},
+                     milliseconds(1'500));
+    Call call;
+    call.deadline = milliseconds(6'000);
+    call.stall_time = milliseconds(200);
+    const TransferResult result = Fetch(call, server.address());
+    CPPUNIT_ASSERT(result.response.error().code ==
+                   ErrorCode::kDeadlineExceeded);
+    CPPUNIT_ASSERT(result.service_time < milliseconds(1'400));
+  }
+
   // Guards against options of one request that stay set for the next.
   void MethodsShareOneConnection() {
     const struct {
@@ -344,6 +379,7 @@
     request.fresh_connection = call.fresh;
     request.max_answer_bytes = call.max_answer;
     request.answer_time = call.answer_time;
+    request.stall_time = call.stall_time;
     auto promise = std::make_shared<std::promise<TransferResult>>();
     const uint64_t started =
         client_->Start(std::move(request), [promise](TransferResult result) {
--- a/Source/UnitTests/Http/raw_socket.cc
+++ b/Source/UnitTests/Http/raw_socket.cc
@@ -66,7 +66,13 @@
 }
 
 RawServer::RawServer(std::string response)
-    : response_(std::move(response)),
+    : RawServer(std::vector<std::string>{std::move(response)},
+                std::chrono::milliseconds(0)) {}
+
+RawServer::RawServer(std::vector<std::string> pieces,
+                     std::chrono::milliseconds pause)
+    : pieces_(std::move(pieces)),
+      pause_(pause),
       fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in address = Loopback(0);
   socklen_t size = sizeof(address);
@@ -91,7 +97,10 @@
     }
     char data[4096];
     recv(client, data, sizeof(data), 0);
-    send(client, response_.data(), response_.size(), MSG_NOSIGNAL);
+    for (const std::string& piece : pieces_) {
+      send(client, piece.data(), piece.size(), MSG_NOSIGNAL);
+      std::this_thread::sleep_for(pause_);
+    }
     close(client);
   }
 }
--- a/Source/UnitTests/Http/raw_socket.h
+++ b/Source/UnitTests/Http/raw_socket.h
@@ -1,9 +1,11 @@
 #ifndef UNITTESTS_HTTP_RAW_SOCKET_H_
 #define UNITTESTS_HTTP_RAW_SOCKET_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace figflow {
 
@@ -27,13 +29,16 @@
 class RawServer {
  public:
   explicit RawServer(std::string response);
+  // Pauses after each of the pieces.
+  RawServer(std::vector<std::string> pieces, std::chrono::milliseconds pause);
   ~RawServer();
   // "127.0.0.1:port"
   const std::string& address() const { return address_; }
 
  private:
   void Run();
-  const std::string response_;
+  const std::vector<std::string> pieces_;
+  const std::chrono::milliseconds pause_;
   int fd_ = -1;
   std::string address_;
   std::thread thread_;
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -29,6 +29,7 @@
     requests.push_back(*request.message);
     answer_time = request.answer_time;
     max_answer_bytes = request.max_answer_bytes;
+    stall_time = request.stall_time;
     TransferResult result;
     result.sent = sent;
     if (status == 0) {
@@ -56,6 +57,7 @@
   // Of the latest request.
   milliseconds answer_time{0};
   size_t max_answer_bytes = 0;
+  milliseconds stall_time{0};
 };
 
 class CallsTest : public CppUnit::TestFixture {
@@ -183,6 +185,7 @@
     store_.Watch(call,
                  [&](const Result<StoreChanges>& result) { changes = result; });
     CPPUNIT_ASSERT_EQUAL(size_t{1'000}, transport_.max_answer_bytes);
+    CPPUNIT_ASSERT(transport_.stall_time > milliseconds(0));
     CPPUNIT_ASSERT(changes.has_value());
     CPPUNIT_ASSERT(changes->too_large);
   }
