Ask again only for answers that have not begun to arrive

When the lease is renewed after a silence of 0.9 s, each follower sent its watch a second time and left the first one to itself. On a full link the renewal is late because an answer of the plan arrives; the second answer then filled the link for another third of a second, and the next renewal was late again. Reads of a range that an outage had swallowed were waited for to their time limit.

A follower has one call under way. After a silence it ends that call if no byte of the answer has come, and repeats it; an answer that arrives is waited for.

--- a/Source/Core/Http/client_loop.cc
+++ b/Source/Core/Http/client_loop.cc
@@ -64,6 +64,13 @@
   Post(std::move(command));
 }
 
+void ClientLoop::CancelIfSilent(uint64_t id) {
+  Command command;
+  command.kind = Command::Kind::kCancelIfSilent;
+  command.id = id;
+  Post(std::move(command));
+}
+
 void ClientLoop::SetConnectionLimit(const std::string& address, int limit) {
   Command command;
   command.kind = Command::Kind::kLimit;
@@ -188,6 +195,11 @@
       case Command::Kind::kCancel:
         CancelTransfer(command.id);
         break;
+      case Command::Kind::kCancelIfSilent:
+        if (Silent(command.id)) {
+          CancelTransfer(command.id);
+        }
+        break;
       case Command::Kind::kLimit: {
         limits_[command.address] = command.limit;
         auto it = pools_.find(command.address);
@@ -316,6 +328,11 @@
   --transfer->pool->active;
 }
 
+bool ClientLoop::Silent(uint64_t id) const {
+  const auto it = transfers_by_id_.find(id);
+  return it == transfers_by_id_.end() || it->second->silent();
+}
+
 void ClientLoop::CancelTransfer(uint64_t id) {
   auto it = transfers_by_id_.find(id);
   if (it == transfers_by_id_.end()) {
--- a/Source/Core/Http/client_loop.h
+++ b/Source/Core/Http/client_loop.h
@@ -32,6 +32,7 @@
 
   void Start(uint64_t id, TransferRequest request, TransferCallback done);
   void Cancel(uint64_t id);
+  void CancelIfSilent(uint64_t id);
   void SetConnectionLimit(const std::string& address, int limit);
   // Open connections to `address`, idle ones included. Never lower than the
   // true number: a connection is counted before it is made and until it is
@@ -50,7 +51,12 @@
 
  private:
   struct Command {
-    enum class Kind { kStart, kCancel, kLimit } kind = Kind::kStart;
+    enum class Kind {
+      kStart,
+      kCancel,
+      kCancelIfSilent,
+      kLimit
+    } kind = Kind::kStart;
     uint64_t id = 0;
     TransferRequest request;
     TransferCallback done;
@@ -92,6 +98,8 @@
   void LaunchWaiting(AddressPool& pool, MonoTime now);
   void Complete(ClientTransfer* transfer, TransferResult result);
   void CancelTransfer(uint64_t id);
+  // Whether no byte of the response has come, or the transfer has ended.
+  bool Silent(uint64_t id) const;
 
   const HttpClientOptions options_;
   Counter& transfers_;
--- a/Source/Core/Http/client_transfer.h
+++ b/Source/Core/Http/client_transfer.h
@@ -55,6 +55,8 @@
   bool streams() const {
     return head_ended_ && request_.stall_time.count() > 0;
   }
+  // No byte of the response has come.
+  bool silent() const { return head_bytes_ == 0; }
   std::chrono::milliseconds stall_time() const { return request_.stall_time; }
   // Whether bytes of the response have arrived since the last call. Unless it
   // streams, false after a few calls, so that a slow response does not hold off
--- a/Source/Core/Http/http_client.cc
+++ b/Source/Core/Http/http_client.cc
@@ -42,6 +42,10 @@
   loops_[id % loops_.size()]->Cancel(id);
 }
 
+void HttpClient::CancelIfSilent(uint64_t id) {
+  loops_[id % loops_.size()]->CancelIfSilent(id);
+}
+
 void HttpClient::SetConnectionLimit(const std::string& address, int limit) {
   LoopOf(address).SetConnectionLimit(address, limit);
 }
--- a/Source/Core/Http/http_client.h
+++ b/Source/Core/Http/http_client.h
@@ -41,6 +41,7 @@
 
   uint64_t Start(TransferRequest request, TransferCallback done) override;
   void Cancel(uint64_t id) override;
+  void CancelIfSilent(uint64_t id) override;
 
   // Open connections to `address`, idle ones included, stay within `limit`.
   // Transfers beyond it wait in order of arrival.
--- a/Source/Core/Http/http_transport.h
+++ b/Source/Core/Http/http_transport.h
@@ -65,6 +65,8 @@
   // Ends the transfer with kCancelled unless it has ended; closes its
   // connection.
   virtual void Cancel(uint64_t id) = 0;
+  // The same, but for a transfer whose response has begun to arrive.
+  virtual void CancelIfSilent(uint64_t id) = 0;
 };
 
 }  // namespace figflow
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -100,21 +100,43 @@
   gap_ = gap;
 }
 
+void PrefixFollower::Begin(const std::function<uint64_t()>& read) {
+  uint64_t number = 0;
+  {
+    absl::MutexLock lock(&mutex_);
+    number = ++call_number_;
+    call_ = 0;
+  }
+  const uint64_t call = read();
+  absl::MutexLock lock(&mutex_);
+  // The answer may have come, and led to another call.
+  if (number == call_number_) {
+    call_ = call;
+  }
+}
+
 void PrefixFollower::ReadPage(const std::string& after) {
   if (after.empty()) {
     page_items_.clear();
     range_revision_ = 0;
     range_bytes_ = 0;
   }
-  const MonoTime sent_at = clock_.Now();
-  store_.Range(options_.prefix, after, options_.call_timeout,
-               [self = shared_from_this(), sent_at](Result<RangePage> page) {
-                 self->OnPage(sent_at, std::move(page));
-               });
+  page_after_ = after;
+  Begin([this, &after, sent_at = clock_.Now()] {
+    return store_.Range(
+        options_.prefix, after, options_.call_timeout,
+        [self = shared_from_this(), sent_at](Result<RangePage> page) {
+          self->OnPage(sent_at, std::move(page));
+        });
+  });
 }
 
 void PrefixFollower::OnPage(MonoTime sent_at, Result<RangePage> page) {
   if (!page) {
+    if (page.error().code == ErrorCode::kCancelled && !stopped()) {
+      ReadPage(std::string(page_after_));
+      return;
+    }
     OnFailure(page.error(), clock_.Now());
     return;
   }
@@ -189,25 +211,26 @@
 }
 
 void PrefixFollower::Resync() {
+  uint64_t call = 0;
   {
     absl::MutexLock lock(&mutex_);
-    if (stopped_ || !busy_ || !watching_ || applying_) {
+    if (stopped_ || !busy_) {
       return;
     }
+    call = call_;
+  }
+  if (call != 0) {
+    store_.EndIfSilent(call);
   }
-  Watch();
 }
 
 void PrefixFollower::Watch() {
-  uint64_t watch = 0;
   const MonoTime sent_at = clock_.Now();
   {
     absl::MutexLock lock(&mutex_);
-    applying_ = false;
     if (stopped_) {
       return;
     }
-    watch = ++watch_;
     watched_at_ = sent_at;
   }
   WatchCall call;
@@ -216,23 +239,20 @@
   call.wait = options_.wait;
   call.max_answer_bytes =
       std::max(kLargeAnswer, range_bytes_ + range_bytes_ / 2);
-  store_.Watch(call, [self = shared_from_this(), watch,
-                      sent_at](Result<StoreChanges> changes) {
-    self->OnChanges(watch, sent_at, std::move(changes));
+  Begin([this, &call, sent_at] {
+    return store_.Watch(call, [self = shared_from_this(),
+                               sent_at](Result<StoreChanges> changes) {
+      self->OnChanges(sent_at, std::move(changes));
+    });
   });
 }
 
-void PrefixFollower::OnChanges(uint64_t watch,
-                               MonoTime sent_at,
-                               Result<StoreChanges> changes) {
-  {
-    absl::MutexLock lock(&mutex_);
-    if (watch != watch_) {
+void PrefixFollower::OnChanges(MonoTime sent_at, Result<StoreChanges> changes) {
+  if (!changes) {
+    if (changes.error().code == ErrorCode::kCancelled) {
+      Watch();
       return;
     }
-    applying_ = true;
-  }
-  if (!changes) {
     OnFailure(changes.error(), clock_.Now());
     return;
   }
@@ -267,7 +287,6 @@
   {
     absl::MutexLock lock(&mutex_);
     watching_ = false;
-    applying_ = false;
     if (stopped_) {
       return;
     }
@@ -304,7 +323,6 @@
       // The next Step that is due begins the watch.
       pausing_ = true;
       busy_ = false;
-      applying_ = false;
       return;
     }
   }
@@ -316,7 +334,6 @@
   {
     absl::MutexLock lock(&mutex_);
     busy_ = false;
-    applying_ = false;
     retry_at_ = now + kWatchRetry;
     lost = !std::exchange(failing_, true) && !stopped_;
   }
@@ -332,6 +349,11 @@
                                       : now - fresh_at_;
 }
 
+bool PrefixFollower::stopped() const {
+  absl::MutexLock lock(&mutex_);
+  return stopped_;
+}
+
 bool PrefixFollower::synced() const {
   absl::MutexLock lock(&mutex_);
   return synced_;
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -67,8 +67,8 @@
   // Changes the least time between two watches, from the next Step on.
   void SetGap(std::chrono::milliseconds gap);
 
-  // The store has answered again after a silence: a watch that waits may be
-  // lost, so another one begins.
+  // The store has answered again after a silence: what waits for an answer may
+  // be lost and is asked for again. An answer that arrives is waited for.
   void Resync();
 
   // How long ago the last call that was answered began: the keys are at least
@@ -77,17 +77,18 @@
   bool synced() const;
 
  private:
+  // The next call to the store: `read` makes it and returns its id.
+  void Begin(const std::function<uint64_t()>& read);
   void ReadPage(const std::string& after);
   void OnPage(MonoTime sent_at, Result<RangePage> page);
   void Watch();
-  void OnChanges(uint64_t watch,
-                 MonoTime sent_at,
-                 Result<StoreChanges> changes);
+  void OnChanges(MonoTime sent_at, Result<StoreChanges> changes);
   // Watches again, after the rest of the gap.
   void WatchAfterGap();
   // Reads the range because the changes cannot be had; `event` tells why.
   void ReadRangeAgain(const char* event);
   void OnFailure(const Error& error, MonoTime now);
+  bool stopped() const;
   void Apply(const StoreItem& item);
   // Counts an answer, and logs a large one.
   void NoteChanges(const StoreChanges& changes,
@@ -114,15 +115,16 @@
   // A call is under way or about to be made.
   bool busy_ ABSL_GUARDED_BY(mutex_) = false;
   bool watching_ ABSL_GUARDED_BY(mutex_) = false;
-  // The watch whose answer counts, and whether it is being applied.
-  uint64_t watch_ ABSL_GUARDED_BY(mutex_) = 0;
-  bool applying_ ABSL_GUARDED_BY(mutex_) = false;
+  // Number of the call under way, and its id at the store; 0 if there is none.
+  uint64_t call_number_ ABSL_GUARDED_BY(mutex_) = 0;
+  uint64_t call_ ABSL_GUARDED_BY(mutex_) = 0;
   MonoTime retry_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   MonoTime fresh_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
 
   // Used by the call under way only.
   std::map<std::string, uint64_t> revisions_;
   std::map<std::string, StoreItem> page_items_;
+  std::string page_after_;
   uint64_t next_revision_ = 0;
   uint64_t range_revision_ = 0;
   // Size of the answers that hold all keys; of the pages so far during a read.
--- a/Source/Core/Platform/transactional_store.h
+++ b/Source/Core/Platform/transactional_store.h
@@ -104,7 +104,8 @@
 // Errors: kUnavailable, the call certainly had no effect; kUnknownOutcome and
 // kDeadlineExceeded, a write may have taken effect or may do so seconds later
 // if its conditions still hold; kNotFound, no such key or lease; kInvalid, the
-// answer cannot be read; kResourceExhausted, it is too large.
+// answer cannot be read; kResourceExhausted, it is too large; kCancelled, of
+// reads only: by EndIfSilent or the end of the client.
 class TransactionalStore {
  public:
   virtual ~TransactionalStore() = default;
@@ -116,14 +117,17 @@
   virtual void Get(const std::string& key,
                    std::chrono::milliseconds timeout,
                    StoreCallback<std::optional<StoreItem>> done) = 0;
-  // Keys under `prefix` after the key `after`, which may be empty.
-  virtual void Range(const std::string& prefix,
-                     const std::string& after,
-                     std::chrono::milliseconds timeout,
-                     StoreCallback<RangePage> done) = 0;
+  // Keys under `prefix` after the key `after`, which may be empty. Returns the
+  // call's id for EndIfSilent, as Watch does.
+  virtual uint64_t Range(const std::string& prefix,
+                         const std::string& after,
+                         std::chrono::milliseconds timeout,
+                         StoreCallback<RangePage> done) = 0;
   // Answers when a key under the prefix changes.
-  virtual void Watch(const WatchCall& call,
-                     StoreCallback<StoreChanges> done) = 0;
+  virtual uint64_t Watch(const WatchCall& call,
+                         StoreCallback<StoreChanges> done) = 0;
+  // Ends the call with kCancelled unless its answer has begun to arrive.
+  virtual void EndIfSilent(uint64_t call) = 0;
   virtual void GrantLease(std::chrono::milliseconds ttl,
                           std::chrono::milliseconds timeout,
                           StoreCallback<LeaseId> done) = 0;
--- a/Source/StandIns/Fleet/model_fleet.cc
+++ b/Source/StandIns/Fleet/model_fleet.cc
@@ -49,6 +49,7 @@
 
   uint64_t Start(TransferRequest request, TransferCallback done) override;
   void Cancel(uint64_t /*id*/) override {}
+  void CancelIfSilent(uint64_t /*id*/) override {}
 
  private:
   ModelFleet& fleet_;
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -83,10 +83,11 @@
         std::move(done));
   }
 
-  void Range(const std::string& prefix,
-             const std::string& after,
-             std::chrono::milliseconds timeout,
-             StoreCallback<RangePage> done) override {
+  uint64_t Range(const std::string& prefix,
+                 const std::string& after,
+                 std::chrono::milliseconds timeout,
+                 StoreCallback<RangePage> done) override {
+    const uint64_t id = store_.next_waiter_++;
     Call<RangePage>(
         "model.range", false, timeout,
         [this, prefix, after]() -> Result<RangePage> {
@@ -105,16 +106,19 @@
           page.cost.bytes = AnswerBytes(page.items);
           return page;
         },
-        std::move(done));
+        Track(id, std::move(done)), id);
+    return id;
   }
 
-  void Watch(const WatchCall& call, StoreCallback<StoreChanges> done) override {
+  uint64_t Watch(const WatchCall& call,
+                 StoreCallback<StoreChanges> caller) override {
     const std::chrono::milliseconds wait = call.wait;
+    const uint64_t id = store_.next_waiter_++;
+    const StoreCallback<StoreChanges> done = Track(id, std::move(caller));
     if (Blocked<StoreChanges>("model.watch", wait, done)) {
-      return;
+      return id;
     }
     VirtualTime& time = store_.time_;
-    const uint64_t id = store_.next_waiter_++;
     const NodePtr node = node_;
     const auto latency = store_.faults.latency;
     store_.waiters_[id] = {
@@ -133,6 +137,7 @@
             bytes = kItemOverhead;
           }
           changes.cost.bytes = bytes;
+          silent_.erase(id);
           const auto delay = SendOverLink(*node, bytes, latency, time.Now());
           RunIn(time, node, delay, [done, changes] { done(changes); });
         }};
@@ -156,6 +161,20 @@
         done(tl::unexpected<Error>(Lost("model.watch")));
       }
     });
+    return id;
+  }
+
+  void EndIfSilent(uint64_t call) override {
+    const auto silent = silent_.find(call);
+    if (silent == silent_.end()) {
+      return;
+    }
+    store_.waiters_.erase(call);
+    store_.lost_.erase(call);
+    const std::function<void()> end = std::move(silent->second);
+    silent_.erase(silent);
+    open_.erase(call);
+    RunIn(store_.time_, node_, std::chrono::milliseconds(0), end);
   }
 
   void GrantLease(std::chrono::milliseconds ttl,
@@ -206,6 +225,21 @@
   }
 
  private:
+  // Remembers a read until it ends; what comes for it later is left out.
+  template <typename T>
+  StoreCallback<T> Track(uint64_t id, StoreCallback<T> done) {
+    open_.insert(id);
+    silent_[id] = [done] {
+      done(Fail(ErrorCode::kCancelled, "model.read", "store", "ended"));
+    };
+    return [this, id, done](Result<T> result) {
+      silent_.erase(id);
+      if (open_.erase(id) > 0) {
+        done(std::move(result));
+      }
+    };
+  }
+
   // Fails the call if the daemon cannot reach the store.
   template <typename T>
   bool Blocked(const char* step,
@@ -229,7 +263,8 @@
             bool write,
             std::chrono::milliseconds timeout,
             std::function<Result<T>()> carry_out,
-            StoreCallback<T> done) {
+            StoreCallback<T> done,
+            uint64_t id = 0) {
     if (Blocked<T>(step, timeout, done)) {
       return;
     }
@@ -252,7 +287,7 @@
     // Half of the latency passes on the way there. A call that takes longer
     // than its time limit is carried out all the same.
     store_.time_.After(
-        latency / 2, [this, step, carry_out, done, latency, timeout] {
+        latency / 2, [this, step, carry_out, done, latency, timeout, id] {
           Result<T> result = carry_out();
           if (latency > timeout) {
             RunIn(store_.time_, node_, timeout - latency / 2,
@@ -260,6 +295,7 @@
             return;
           }
           const size_t bytes = result ? AnswerBytes(*result) : kItemOverhead;
+          silent_.erase(id);
           const auto delay =
               SendOverLink(*node_, bytes, latency / 2, store_.time_.Now());
           RunIn(store_.time_, node_, delay,
@@ -269,6 +305,9 @@
 
   ModelStore& store_;
   const NodePtr node_;
+  // Reads that have not ended, and how to end those without an answer so far.
+  std::set<uint64_t> open_;
+  std::map<uint64_t, std::function<void()>> silent_;
 };
 
 ModelStore::ModelStore(VirtualTime& time, uint64_t seed)
--- a/Source/UnitTests/Http/http_client_test.cc
+++ b/Source/UnitTests/Http/http_client_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(FreshConnectionIsNeverReused);
   CPPUNIT_TEST(ConnectionLimitHolds);
   CPPUNIT_TEST(CancelEndsTheTransfer);
+  CPPUNIT_TEST(OnlySilentTransfersAreCancelled);
   CPPUNIT_TEST(UnsendableRequestsAreRefused);
   CPPUNIT_TEST(DestructionEndsOpenTransfers);
   CPPUNIT_TEST_SUITE_END();
@@ -345,6 +346,24 @@
     client_->Cancel(id);  // An ended transfer is left alone.
   }
 
+  // Guards against a large answer that is thrown away in the middle to be asked
+  // for again.
+  void OnlySilentTransfersAreCancelled() {
+    uint64_t silent_id = 0;
+    std::future<TransferResult> silent =
+        FetchLater({"GET", "/sleep/1000"}, server_->address(), &silent_id);
+    RawServer server({"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "body"},
+                     milliseconds(300));
+    uint64_t arriving_id = 0;
+    std::future<TransferResult> arriving =
+        FetchLater({}, server.address(), &arriving_id);
+    std::this_thread::sleep_for(milliseconds(100));
+    client_->CancelIfSilent(silent_id);
+    client_->CancelIfSilent(arriving_id);
+    CPPUNIT_ASSERT(silent.get().response.error().code == ErrorCode::kCancelled);
+    CPPUNIT_ASSERT(arriving.get().response.has_value());
+  }
+
   // Guards against a caller's text that adds fields or a second request.
   void UnsendableRequestsAreRefused() {
     const Call cases[] = {{"GET", "/", {{"A", "b\r\nC: d"}}},
--- a/Source/UnitTests/Ownership/follower_catch_up_test.cc
+++ b/Source/UnitTests/Ownership/follower_catch_up_test.cc
@@ -40,6 +40,9 @@
   CPPUNIT_TEST(SeriesOfChangesDoesNotOutrunASlowLink);
   CPPUNIT_TEST(SupersededVersionsAreNotReported);
   CPPUNIT_TEST(RemovedAndWrittenAgainIsReportedAsWritten);
+  CPPUNIT_TEST(AnswerThatArrivesIsNotAskedForAgain);
+  CPPUNIT_TEST(LostWatchEndsWhenTheStoreAnswersAgain);
+  CPPUNIT_TEST(LostReadEndsWhenTheStoreAnswersAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,6 +120,49 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, removed_.count("op/config"));
   }
 
+  // Guards against a second transfer of the plan on a link that the first one
+  // fills: a full link delays the renewal of the lease, and a delayed renewal
+  // looks like a store that has been away.
+  void AnswerThatArrivesIsNotAskedForAgain() {
+    Begin();
+    const size_t before = node_->received_bytes;
+    Change(kPlanBytes);
+    RunFor(milliseconds(100));
+    for (int i = 0; i < 3; ++i) {
+      follower_->Resync();
+      RunFor(milliseconds(50));
+    }
+    RunFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(version_, known_);
+    CPPUNIT_ASSERT(node_->received_bytes - before < 2 * kAnswerBytes);
+  }
+
+  // Guards against changes that wait for the end of a watch that the store has
+  // lost.
+  void LostWatchEndsWhenTheStoreAnswersAgain() {
+    Begin();
+    store_.SwallowWatches();
+    Change(kPlanBytes);
+    RunFor(milliseconds(100));
+    follower_->Resync();
+    RunFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(version_, known_);
+  }
+
+  // Guards against the same for a read of the range.
+  void LostReadEndsWhenTheStoreAnswersAgain() {
+    Begin();
+    store_.ForgetHistory();
+    node_->store_cut = true;
+    RunFor(milliseconds(100));
+    Change(kPlanBytes);
+    RunFor(milliseconds(100));
+    node_->store_cut = false;
+    follower_->Resync();
+    RunFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(version_, known_);
+  }
+
  private:
   void Begin() {
     Change(kPlanBytes);
--- a/Source/UnitTests/Requests/fakes.h
+++ b/Source/UnitTests/Requests/fakes.h
@@ -114,6 +114,7 @@
             Fail(ErrorCode::kCancelled, "http.transfer", "", "")});
     }
   }
+  void CancelIfSilent(uint64_t id) override { Cancel(id); }
 };
 
 class FakePeers : public PeerService {
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -41,9 +41,10 @@
       result.response = response;
     }
     done(std::move(result));
-    return 0;
+    return requests.size();
   }
   void Cancel(uint64_t /*id*/) override {}
+  void CancelIfSilent(uint64_t id) override { cancelled = id; }
 
   json LastBody() const { return json::parse(requests.back().body); }
 
@@ -54,6 +55,7 @@
   int status = 200;
   std::string body;
   std::vector<HttpRequest> requests;
+  uint64_t cancelled = 0;
   // Of the latest request.
   milliseconds answer_time{0};
   size_t max_answer_bytes = 0;
@@ -182,9 +184,11 @@
     WatchCall call;
     call.prefix = "k/";
     call.max_answer_bytes = 1'000;
-    store_.Watch(call,
-                 [&](const Result<StoreChanges>& result) { changes = result; });
+    const uint64_t id = store_.Watch(
+        call, [&](const Result<StoreChanges>& result) { changes = result; });
     CPPUNIT_ASSERT_EQUAL(size_t{1'000}, transport_.max_answer_bytes);
+    store_.EndIfSilent(id);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, transport_.cancelled);
     CPPUNIT_ASSERT(transport_.stall_time > milliseconds(0));
     CPPUNIT_ASSERT(changes.has_value());
     CPPUNIT_ASSERT(changes->too_large);
