Read documents of other parties to a bounded depth

One entry of the registry with 100,000 nested objects, 600 KB, ended every daemon that followed the registry, again after each restart. So did a caller's job, an answer of a worker, and CBOR of a peer or in a record.

wire::Parse copied the document (a conditional operator with a prvalue on one side), and the library copies by recursion, as it reads CBOR. ReadJson and ReadCbor build the document from the parser's events, without a copy and at most 32 levels deep; the documents of all interfaces have at most half of that. They replace wire::Parse, the direct use of from_cbor, and the separate check of the gossip messages. The error tells what cannot be read: a number of 1e400 gave 'cannot use at() with null'.

OddEntriesTest ended with SIGSEGV before (exit status 139 of wire_tests). UnreadableDocumentsTellWhy guards the errors.

Ruled out: the parser of the library itself does not recurse for JSON; 400,000 levels pass without the copy. A limit on the copy alone would have left CBOR.

--- a/Source/Core/Common/cbor.h
+++ b/Source/Core/Common/cbor.h
@@ -5,6 +5,7 @@
 
 #include "Common/json.h"
 
+#include "Common/bounded_json.h"
 #include "Common/error.h"
 #include "absl/strings/string_view.h"
 
@@ -20,8 +21,12 @@
 // library, for syntax, a missing element or a wrong type, becomes kInvalid.
 template <typename T, typename Read>
 Result<T> ParseCbor(absl::string_view bytes, const char* step, Read read) {
+  const Result<nlohmann::json> document = ReadCbor(bytes);
+  if (!document) {
+    return Fail(ErrorCode::kInvalid, step, "", document.error().message);
+  }
   try {
-    return read(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
+    return read(*document);
   } catch (const nlohmann::json::exception& error) {
     return Fail(ErrorCode::kInvalid, step, "", error.what());
   }
--- a/Source/Core/Peer/peer_message.cc
+++ b/Source/Core/Peer/peer_message.cc
@@ -6,6 +6,7 @@
 
 #include "Common/json.h"
 
+#include "Common/bounded_json.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
@@ -20,42 +21,7 @@
 constexpr uint64_t kMaxHops = 16;
 constexpr uint64_t kMaxStatus = 599;
 // The deepest valid message has lists of pairs in the map.
-constexpr int kMaxDepth = 4;
-
-// Accepts any document up to kMaxDepth. The CBOR parser of the library
-// recurses for each level, so a hostile message could exhaust the stack.
-class DepthCheck : public nlohmann::json_sax<Json> {
- public:
-  bool null() override { return true; }
-  bool boolean(bool /*value*/) override { return true; }
-  bool number_integer(number_integer_t /*value*/) override { return true; }
-  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
-  bool number_float(number_float_t /*value*/,
-                    const string_t& /*text*/) override {
-    return true;
-  }
-  bool string(string_t& /*value*/) override { return true; }
-  bool binary(binary_t& /*value*/) override { return true; }
-  bool start_object(std::size_t /*size*/) override { return Enter(); }
-  bool key(string_t& /*value*/) override { return true; }
-  bool end_object() override { return Leave(); }
-  bool start_array(std::size_t /*size*/) override { return Enter(); }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t /*position*/,
-                   const std::string& /*token*/,
-                   const nlohmann::detail::exception& /*error*/) override {
-    return false;
-  }
-
- private:
-  bool Enter() { return ++depth_ <= kMaxDepth; }
-  bool Leave() {
-    --depth_;
-    return true;
-  }
-
-  int depth_ = 0;
-};
+constexpr size_t kMaxDepth = 4;
 
 // Reads the fields of one message and remembers the first fault.
 class FieldReader {
@@ -419,16 +385,14 @@
   if (bytes.size() > kMaxPeerMessageBytes) {
     return Bad(ErrorCode::kInvalid, "the message is too large");
   }
-  DepthCheck depth;
-  if (!Json::sax_parse(bytes.begin(), bytes.end(), &depth,
-                       Json::input_format_t::cbor)) {
-    return Bad(ErrorCode::kInvalid, "not valid CBOR or nested too deeply");
+  const Result<Json> map = ReadCbor(bytes, kMaxDepth);
+  if (!map) {
+    return Bad(ErrorCode::kInvalid, map.error().message);
   }
-  const Json map = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (!map.is_object()) {
+  if (!map->is_object()) {
     return Bad(ErrorCode::kInvalid, "not a CBOR map");
   }
-  FieldReader reader(map);
+  FieldReader reader(*map);
   const uint64_t version = reader.Number("v");
   const std::string type = reader.Text("t");
   reader.Number("id");
--- a/Source/Soak/callers.cc
+++ b/Source/Soak/callers.cc
@@ -153,7 +153,7 @@
     Entry& entry = entries_.at(id);
     const MonoTime now = time_.Now();
     if (reply.status == http_status::kOk) {
-      const auto body = wire::Parse(reply.body);
+      const auto body = wire::ReadOrNull(reply.body);
       const std::string state =
           body.is_object() ? wire::Optional<std::string>(body, "State") : "";
       const bool over =
--- a/Source/Soak/wire_front.cc
+++ b/Source/Soak/wire_front.cc
@@ -160,8 +160,8 @@
     call.Answer(http_status::kNotFound, json::object());
     return;
   }
-  call.body = wire::Parse(call.request.body);
-  const Result<bool> read = wire::Decode<bool>("soak.call", "", [&] {
+  call.body = wire::ReadOrNull(call.request.body);
+  const Result<bool> read = wire::ReadFields<bool>("soak.call", "", [&] {
     (this->*route->handle)(call, route->to_worker ? nobody : daemon->second);
     return true;
   });
--- a/Source/UnitTests/Soak/wire_format_test.cc
+++ b/Source/UnitTests/Soak/wire_format_test.cc
@@ -68,9 +68,9 @@
 
   void TransactionIsRead() {
     const Transaction transaction = ParseTransaction(
-        wire::Parse(R"({"ExpectedRev":[{"Key":"a","Revision":0}],)"
-                    R"("Puts":[{"Key":"a","Value":"dGV4dA==","Lease":7}],)"
-                    R"("Remove":["b"]})"));
+        wire::ReadOrNull(R"({"ExpectedRev":[{"Key":"a","Revision":0}],)"
+                         R"("Puts":[{"Key":"a","Value":"dGV4dA==","Lease":7}],)"
+                         R"("Remove":["b"]})"));
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, transaction.expected.at(0).second);
     CPPUNIT_ASSERT_EQUAL(std::string("text"), transaction.writes.at(0).value);
     CPPUNIT_ASSERT_EQUAL(LeaseId{7}, transaction.writes.at(0).lease);
