Refuse numbers and addresses of other parties that cannot be meant

An entry of the registry whose capacity, start or clock was 1e300, 2^64 or -5 counted as a worker of that size: conversions outside the type's range, which differ between processors, and sums and times that overflow. An entry without a usable address counted as capacity that could be ordered, and the tasks placed there waited for their time limits. A caller's job could bring such times into the plans.

Numbers that int64_t cannot hold make a document unreadable. Workers need an address with an IP number and a port; SocketAddress no longer takes blanks around the port. An answer of a worker with an odd row stays an error as a whole: a row left out would count as a run that is gone.

OddEntriesTest::NumbersOutsideTheirRangeAreRefused, AddressesThatCannotBeCalledAreRefused, OddNumbersOfCallersAreRefused and CallsTest::OddNumbersInAHoldAreAnError failed before.

--- a/Source/Core/Common/bounded_json.cc
+++ b/Source/Core/Common/bounded_json.cc
@@ -1,5 +1,8 @@
 #include "Common/bounded_json.h"
 
+#include <cmath>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -11,6 +14,11 @@
 
 using nlohmann::json;
 
+constexpr auto kMostUnsigned =
+    static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+// The largest float whose conversion to int64_t is defined.
+constexpr double kMostFloat = 9'223'372'036'854'774'784.0;
+
 // Builds a document from the events of the library's parser.
 class DocumentBuilder : public nlohmann::json_sax<json> {
  public:
@@ -19,9 +27,11 @@
   bool null() override { return Add(nullptr); }
   bool boolean(bool value) override { return Add(value); }
   bool number_integer(number_integer_t value) override { return Add(value); }
-  bool number_unsigned(number_unsigned_t value) override { return Add(value); }
+  bool number_unsigned(number_unsigned_t value) override {
+    return value <= kMostUnsigned ? Add(value) : RefuseNumber();
+  }
   bool number_float(number_float_t value, const string_t& /*text*/) override {
-    return Add(value);
+    return std::abs(value) <= kMostFloat ? Add(value) : RefuseNumber();
   }
   bool string(string_t& value) override { return Add(std::move(value)); }
   bool binary(binary_t& value) override {
@@ -50,6 +60,10 @@
   const std::string& fault() const { return fault_; }
 
  private:
+  bool RefuseNumber() {
+    fault_ = "a number is out of range";
+    return false;
+  }
   // Where the next value goes.
   json* Place(json value) {
     if (open_.empty()) {
--- a/Source/Core/Common/bounded_json.h
+++ b/Source/Core/Common/bounded_json.h
@@ -14,7 +14,9 @@
 // documents of all interfaces have at most half as many levels.
 inline constexpr size_t kMostNesting = 32;
 
-// Read one whole document. The error kInvalid tells what is wrong with it.
+// Read one whole document. Numbers that int64_t cannot hold are faults: the
+// library converts them without a check. The error kInvalid tells what is wrong
+// with the document.
 Result<nlohmann::json> ReadJson(absl::string_view bytes);
 Result<nlohmann::json> ReadCbor(absl::string_view bytes,
                                 size_t most_nesting = kMostNesting);
--- a/Source/Core/Common/socket_address.cc
+++ b/Source/Core/Common/socket_address.cc
@@ -32,8 +32,10 @@
     return Fail(ErrorCode::kInvalid, kStep, "", "expected \"ip:port\"");
   }
   uint32_t port = 0;
-  if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 ||
-      port > 65535) {
+  const absl::string_view digits = text.substr(colon + 1);
+  // SimpleAtoi skips blanks and takes signs.
+  if (digits.find_first_not_of("0123456789") != absl::string_view::npos ||
+      !absl::SimpleAtoi(digits, &port) || port == 0 || port > 65535) {
     return Fail(ErrorCode::kInvalid, kStep, "",
                 "the port must be a number from 1 to 65535");
   }
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(CallsToWorkersAreTimedFromTheirSending);
   CPPUNIT_TEST(HoldIsRead);
   CPPUNIT_TEST(BadHoldIsAnError);
+  CPPUNIT_TEST(OddNumbersInAHoldAreAnError);
   CPPUNIT_TEST(PolicyIsAsked);
   CPPUNIT_TEST(InstancesAreListedPageByPage);
   CPPUNIT_TEST(InstanceOrdersByTable);
@@ -309,6 +310,30 @@
     CPPUNIT_ASSERT(!body.contains("DeadlineMs"));
   }
 
+  // Guards against an odd row that is taken for another run, or left out: the
+  // run would count as gone.
+  void OddNumbersInAHoldAreAnError() {
+    for (const char* odd :
+         {"1e300", "-1", "1.5", "9223372036854775807", "\"7\""}) {
+      for (const char* body : {R"({"ClockMs":$,"Running":[],"Ended":[]})",
+                               R"({"ClockMs":5,"born":$,"Running":[],)"
+                               R"("Ended":[]})",
+                               R"({"ClockMs":5,"Running":[["j.0.0.0",$,"",4]],)"
+                               R"("Ended":[]})",
+                               R"({"ClockMs":5,"Running":[],)"
+                               R"("Ended":[[$,"j.0.0.1",1,"done",""]]})",
+                               R"({"ClockMs":5,"Running":[],)"
+                               R"("Ended":[[1,"j.0.0.1",$,"done",""]]})"}) {
+        transport_.body = body;
+        transport_.body.replace(transport_.body.find('$'), 1, "3");
+        CPPUNIT_ASSERT_MESSAGE(transport_.body, Hold().has_value());
+        transport_.body = body;
+        transport_.body.replace(transport_.body.find('$'), 1, odd);
+        CPPUNIT_ASSERT_MESSAGE(transport_.body, !Hold().has_value());
+      }
+    }
+  }
+
   void BadHoldIsAnError() {
     for (const char* body :
          {"", "[]", R"({"ClockMs":1})", R"({"ClockMs":"x","Running":[]})",
--- a/Source/UnitTests/Wire/odd_entries_test.cc
+++ b/Source/UnitTests/Wire/odd_entries_test.cc
@@ -49,6 +49,9 @@
   CPPUNIT_TEST(NestingDoesNotEndTheProcess);
   CPPUNIT_TEST(NestedCborDoesNotEndTheProcess);
   CPPUNIT_TEST(UnreadableDocumentsTellWhy);
+  CPPUNIT_TEST(NumbersOutsideTheirRangeAreRefused);
+  CPPUNIT_TEST(AddressesThatCannotBeCalledAreRefused);
+  CPPUNIT_TEST(OddNumbersOfCallersAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -110,6 +113,78 @@
           report.error().message.find(test.reason) != std::string::npos);
     }
   }
+
+  // Guards against capacities and times that overflow where they are added up.
+  void NumbersOutsideTheirRangeAreRefused() {
+    CPPUNIT_ASSERT(wire::ParseWorker("i-1", kWorker));
+    const std::pair<const char*, const char*> fields[] = {
+        {"\"Cpu\":", "64000"},
+        {"\"MemMb\":", "262144"},
+        {"\"Gpu\":", "0"},
+        {"\"born\":", "1792894133219"},
+        {"\"ClockMs\":", "482113"}};
+    for (const auto& [field, valid] : fields) {
+      for (const char* odd :
+           {"1e300", "99999999999999999999999", "18446744073709551615",
+            "9223372036854775807", "-5", "-9223372036854775808", "1.5", "\"7\"",
+            "true", "[1]"}) {
+        std::string worker = kWorker;
+        const size_t at = worker.find(field);
+        const size_t length = std::string(field).size();
+        worker.replace(at + length, std::string(valid).size(), odd);
+        CPPUNIT_ASSERT_MESSAGE(worker, !wire::ParseWorker("i-1", worker));
+      }
+    }
+    std::string draining = kWorker;
+    draining.replace(draining.find("\"ready\""), 7,
+                     R"("draining","RemainingMs":1e300)");
+    CPPUNIT_ASSERT(!wire::ParseWorker("i-1", draining));
+    CPPUNIT_ASSERT(
+        !wire::ParseWave(R"({"Wave":1,"Machines":[],"CompleteByS":1e300,)"
+                         R"("Cap":1})"));
+    CPPUNIT_ASSERT(
+        !wire::ParseWave(R"({"Wave":1,"Machines":[],"CompleteByS":9,)"
+                         R"("Cap":99999999999})"));
+  }
+
+  // Guards against workers that count as capacity and can never be ordered.
+  void AddressesThatCannotBeCalledAreRefused() {
+    for (const char* address : {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1", "",
+                                "x:y:z", "host:80", "10.0.0.1:80 "}) {
+      std::string worker = kWorker;
+      worker.replace(worker.find("10.0.0.9:80"), 11, address);
+      CPPUNIT_ASSERT_MESSAGE(worker, !wire::ParseWorker("i-1", worker));
+    }
+  }
+
+  // Guards against jobs whose times overflow in the plans made with them.
+  void OddNumbersOfCallersAreRefused() {
+    FleetPlan plan;
+    plan.queues.resize(1);
+    plan.queues[0].host = "h";
+    plan.queues[0].path_prefix = "/a/";
+    const auto parse = [&](const std::string& step, const std::string& rest) {
+      return wire::ParseCall(
+          {"POST",
+           "/a/5c0e7a21d94b36f8",
+           {{"Host", "h"}},
+           absl::StrCat(R"({"Steps":[{"Count":4,)", step, "}]", rest, "}")},
+          plan);
+    };
+    CPPUNIT_ASSERT(parse(R"("Cpu":500,"EstimateMs":900.5)", ""));
+    for (const char* odd : {"1e300", "-1", "9223372036854775807", "\"7\""}) {
+      for (const char* field :
+           {"Cpu", "MemMb", "Gpu", "EstimateMs", "TargetMs", "MaxPerServer"}) {
+        CPPUNIT_ASSERT_MESSAGE(
+            field, !parse(absl::StrCat("\"", field, "\":", odd), ""));
+      }
+      for (const char* field : {"StartTimeMs", "IntervalMs", "Repeats"}) {
+        CPPUNIT_ASSERT_MESSAGE(
+            field,
+            !parse(R"("Cpu":500)", absl::StrCat(",\"", field, "\":", odd)));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
