Refuse entries of workers that start in the future

An entry of another writer that names the instance of a worker and a start far in the future counted as the next life there: the true worker's runs were taken for ended and started a second time elsewhere.

FleetRegistryTest::EntryFromTheFutureEndsNoWorker failed before (a task ran on two workers). UnreadableEntriesHideNoOthers guards what worked.

--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -160,6 +160,7 @@
   void OnPlanItem(const StoreItem& item);
   void OnWaveItem(const StoreItem& item);
   void OnWorkerItem(const StoreItem& item);
+  Result<WorkerReport> ReadWorker(const StoreItem& item, WallTime now) const;
   void OnOwnerItem(const StoreItem& item);
   void OnLayoutItem(const StoreItem& item);
   void OnMemberItem(const StoreItem& item);
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -1,4 +1,5 @@
 // What the engine learns from the store's entries.
+#include <chrono>
 #include <utility>
 
 #include "Common/log.h"
@@ -8,6 +9,12 @@
 #include "absl/strings/strip.h"
 
 namespace figflow {
+namespace {
+
+// Between the times of day of a worker and of this daemon.
+constexpr std::chrono::hours kMostClockDifference{1};
+
+}  // namespace
 
 void FleetEngine::OnOperatorItem(const StoreItem& item) {
   if (item.removed) {
@@ -78,11 +85,23 @@
   WakeAt(clock_.Now());
 }
 
+Result<WorkerReport> FleetEngine::ReadWorker(const StoreItem& item,
+                                             WallTime now) const {
+  Result<WorkerReport> report = platform_.ParseWorker(item.key, item.value);
+  // A life that begins later ends the earlier ones of its instance.
+  if (report && report->key.incarnation >
+                    SinceEpoch(now + kMostClockDifference).count()) {
+    return Fail(ErrorCode::kInvalid, "fleet.worker", report->key.id,
+                "it starts in the future");
+  }
+  return report;
+}
+
 void FleetEngine::OnWorkerItem(const StoreItem& item) {
   const std::string id = platform_.WorkerIdOf(item.key);
   std::optional<WorkerReport> report;
   if (!item.removed) {
-    Result<WorkerReport> parsed = platform_.ParseWorker(item.key, item.value);
+    Result<WorkerReport> parsed = ReadWorker(item, clock_.WallNow());
     if (parsed) {
       report = std::move(*parsed);
     } else {
--- /dev/null
+++ b/Source/UnitTests/Fleet/fleet_registry_test.cc
@@ -0,0 +1,67 @@
+// Entries of the registry that do not come from a worker: the engine against
+// the model of the platform.
+#include <chrono>
+#include <string>
+
+#include "Fleet/fleet_test_support.h"
+
+namespace figflow::test {
+namespace {
+
+class FleetRegistryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetRegistryTest);
+  CPPUNIT_TEST(EntryFromTheFutureEndsNoWorker);
+  CPPUNIT_TEST(UnreadableEntriesHideNoOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against tasks that start a second time because an odd entry counts
+  // as the next life of their worker's instance.
+  void EntryFromTheFutureEndsNoWorker() {
+    ModelFleet fleet(1);
+    Begin(fleet, 1, 4, 0);
+    JobSpec job = SimpleJob("a", "q0", 1, 4, 16'000);
+    job.stages[0].perpetual = true;
+    fleet.Submit(job, 0);
+    fleet.Run(seconds(3));
+    for (int i = 1; i <= 4; ++i) {
+      WorkerReport odd;
+      odd.key.incarnation =
+          SinceEpoch(fleet.time.WallNow() + std::chrono::hours(24)).count();
+      odd.pool = "p0";
+      odd.address = "10.0.0.1:1";
+      odd.instance = absl::StrCat("m", i);
+      odd.capacity = kWorkerSize;
+      fleet.store.Put(absl::StrCat(model::kModelWorkerPrefix, "odd", i),
+                      model::FormatModelWorker(odd));
+    }
+    fleet.Run(seconds(10));
+    AssertKept(fleet);
+  }
+
+  // Guards against a registry that stays as it was because of one entry.
+  void UnreadableEntriesHideNoOthers() {
+    ModelFleet fleet(2);
+    fleet.SetPlan(SimplePlan(1));
+    for (const char* odd : {"a", "w0", "zz"}) {
+      fleet.store.Put(absl::StrCat(model::kModelWorkerPrefix, odd), "\x81\x81");
+    }
+    AddInstances(fleet, 1, 4, 0);
+    fleet.AddDaemons(3);
+    fleet.Run(seconds(2));
+    SubmitMany(fleet, "a", "q0", 20, milliseconds(50));
+    for (int i = 0; i < 10; ++i) {
+      fleet.time.After(milliseconds(100 * i), [&fleet, i] {
+        fleet.store.Put(absl::StrCat(model::kModelWorkerPrefix, "odd", i), "");
+      });
+    }
+    fleet.Run(seconds(10));
+    AssertKept(fleet);
+    CPPUNIT_ASSERT_EQUAL(20, fleet.promises.completed());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetRegistryTest);
+
+}  // namespace
+}  // namespace figflow::test
