Leave out what cannot be read, and read the rest

One row of the store's answer that could not be read, a revision of another type say, failed the whole answer: the follower asked again each 150 ms and learnt of no other key. The same held for the list of instances and for the queues of a plan.

--- a/Source/UnitTests/Wire/codec_test.cc
+++ b/Source/UnitTests/Wire/codec_test.cc
@@ -44,6 +44,7 @@
 class CodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CodecTest);
   CPPUNIT_TEST(PlanIsRead);
+  CPPUNIT_TEST(UnreadableQueueHidesNoOther);
   CPPUNIT_TEST(WorkerIsRead);
   CPPUNIT_TEST(BadWorkersAreRefused);
   CPPUNIT_TEST(WaveIsRead);
@@ -71,6 +72,19 @@
         !wire::ParsePlan(R"({"Version":"x","Routes":[]})").has_value());
   }
 
+  // Guards against a plan that is refused as a whole for one queue.
+  void UnreadableQueueHidesNoOther() {
+    const Result<FleetPlan> plan = wire::ParsePlan(
+        R"({"Version":7,"Routes":[7,{"Name":"a","Host":"h"},)"
+        R"({"Name":"a","Host":"h","Prefix":"/a/","Service":"s",)"
+        R"("MaxAttempts":-1},)"
+        R"({"Name":"b","Host":"h","Prefix":"/b/","Service":"s"}],)"
+        R"("Services":[]})");
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, plan->queues.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), plan->queues[0].name);
+  }
+
   void WorkerIsRead() {
     const Result<WorkerReport> worker = wire::ParseWorker("i-1", kWorker);
     CPPUNIT_ASSERT(worker.has_value());
