--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -45,10 +45,27 @@
   }
 
   void Change(std::string* input) {
+    static const std::string deep(20'000, '[');
     static const std::vector<std::string> tokens = {
-        "null",       "{}",         "[]",         "\"\"",   "-1",
-        "1e308",      "4294967296", "true",       "\"\xff", "[[[",
-        "9999999999", "1e-320",     "-2147483649"};
+        "null",
+        "{}",
+        "[]",
+        "\"\"",
+        "-1",
+        "1e308",
+        "4294967296",
+        "true",
+        "\"\xff",
+        "[[[",
+        "9999999999",
+        "1e-320",
+        "-2147483649",
+        "1e400",
+        "18446744073709551615",
+        "-9223372036854775808",
+        "1.5",
+        deep,
+        std::string(20'000, '\x81')};
     const size_t at = Below(input->size());
     const size_t length = std::min(input->size() - at, Below(24) + 1);
     switch (Below(6)) {
