Notice a lost watch of the plan within the time a plan has

A watch that the store had lost, on a connection that stayed open, was given up 2.8 s after its sending and repeated 0.15 s later: with the read of the plan that is all of the 3 s, and more than the 2 s of smaller fleets, within which an acknowledged plan has to be in force.

A watch of the operators' keys waits for a third of that time, which the new setting jobs.plan_apply_ms takes from the platform's bound: a lost one is noticed within 1.6 s (2 s) or 1.95 s (3 s).

FleetPlanTest::ChangeIsInForceInTimeAfterALostWatch failed before (404 after 2 s in some of ten offsets).

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -70,6 +70,7 @@
   bounds.early_start = settings.early_start;
   bounds.unavailable_notice = settings.unavailable_notice;
   bounds.harm_time = settings.harm_time;
+  bounds.plan_apply = settings.plan_apply;
   bounds.far_factor = settings.far_factor;
   return bounds;
 }
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -17,6 +17,13 @@
 // takes a pool over.
 constexpr std::chrono::milliseconds kIdleRegistryGap{1'000};
 
+// A watch that got lost, the next one and the read of the plan fit into the
+// time within which a plan has to be in force.
+std::chrono::milliseconds PlanWatchWait(const ExecutionBounds& bounds) {
+  return std::clamp(bounds.plan_apply / 3, std::chrono::milliseconds(100),
+                    kWatchWait);
+}
+
 }  // namespace
 
 FleetEngine::FleetEngine(PlatformAdapter& platform,
@@ -35,16 +42,19 @@
       platform_.store(), clock_,
       MemberRecord{options_.entry, options_.peer_address, options_.millicores});
   const auto follow = [this](const std::string& prefix,
-                             void (FleetEngine::*on_item)(const StoreItem&)) {
+                             void (FleetEngine::*on_item)(const StoreItem&),
+                             std::chrono::milliseconds wait = kWatchWait) {
     PrefixFollowerOptions follower;
     follower.prefix = prefix;
+    follower.wait = wait;
     return std::make_shared<PrefixFollower>(
         platform_.store(), clock_, metrics_, follower,
         [this, on_item](const StoreItem& item) { (this->*on_item)(item); },
         [this] { WakeAt(clock_.Now()); });
   };
   operator_keys_ =
-      follow(platform_.operator_prefix(), &FleetEngine::OnOperatorItem);
+      follow(platform_.operator_prefix(), &FleetEngine::OnOperatorItem,
+             PlanWatchWait(options_.bounds));
   workers_ = follow(platform_.worker_prefix(), &FleetEngine::OnWorkerItem);
   owners_ = follow(kOwnerPrefix, &FleetEngine::OnOwnerItem);
 }
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -78,6 +78,8 @@
   std::chrono::milliseconds unavailable_notice{5'000};
   // How long a serving task may be over its target because of fillers.
   std::chrono::milliseconds harm_time{4'000};
+  // Within this time of its acknowledgement a plan has to be in force.
+  std::chrono::milliseconds plan_apply{2'000};
   // A gang on several racks, or a task away from its data, takes this many
   // times as long.
   double far_factor = 2.0;
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -92,6 +92,9 @@
        "A perpetual task not at work for this long counts as unavailable."},
       {"jobs.harm_ms", &Settings::harm_time, 4000, 100, 600000, false,
        "How long fillers may keep a serving task over its target."},
+      {"jobs.plan_apply_ms", &Settings::plan_apply, 2000, 300, 600000, false,
+       "Time within which an acknowledged plan has to be in force (kind "
+       "fleet)."},
       {"instances.move_s", &Settings::instance_move_s, 1.5, 0, 3600, false,
        "Time that an instance takes to move to another pool."},
       {"instances.maintenance_s", &Settings::instance_maintenance_s, 2, 0,
