Deny a path only by a plan that is known to be the latest

A daemon that had not heard from the store for seconds refused paths with 404 by the plan that it had, as if it were sure. Callers take that for the end: a 404 for a queue that a confirmed plan has is a false refusal.

An unknown path is denied if the plan was the latest within the time in which plans have to be in force. Otherwise the store is asked at once, by a watch that does not wait; the path is denied or served when it has answered. A daemon that the store does not answer says that the call has not run and when to come back.

FleetPlanTest::PathIsNotDeniedByAPlanThatMayBeOld and UnknownPathIsDeniedOnceThePlanIsConfirmed failed before; UnknownPathIsDeniedAtOnce guards the common case.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -26,6 +26,8 @@
 // try another way within its own time.
 constexpr std::chrono::milliseconds kRelayPatience{150};
 constexpr std::chrono::milliseconds kTryAgain{40};
+// The store tells within a few milliseconds whether the plan is the latest.
+constexpr std::chrono::milliseconds kPlanPoll{10};
 // Time for the answer to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kAnswerMargin{150};
 constexpr std::chrono::milliseconds kStoreReadTimeout{500};
@@ -71,6 +73,11 @@
   routed->respond = [this, exchange](const CallerReply& reply) {
     exchange->Respond(platform_.FormatReply(reply));
   };
+  Resolve(request, routed);
+}
+
+void CallRouter::Resolve(const HttpRequest& request,
+                         const std::shared_ptr<Routed>& routed) {
   const std::shared_ptr<const FleetPlan> plan = engine_.plan();
   const std::optional<PoolLayout> layout = engine_.layout();
   if (plan == nullptr || !layout) {
@@ -79,14 +86,13 @@
   }
   Result<CallerCall> call = platform_.ParseCall(request, *plan);
   if (!call) {
+    if (call.error().code == ErrorCode::kNotFound) {
+      OnUnknownPath(request, plan->version, routed);
+      return;
+    }
     CallerReply reply;
-    reply.outcome = call.error().code == ErrorCode::kNotFound
-                        ? CallOutcome::kNoSuchQueue
-                        : CallOutcome::kMalformed;
+    reply.outcome = CallOutcome::kMalformed;
     reply.reason = call.error().message;
-    if (reply.outcome == CallOutcome::kNoSuchQueue) {
-      LogNoSuchQueue(request, plan->version);
-    }
     Finish(routed, reply);
     return;
   }
@@ -109,44 +115,28 @@
   Begin(routed);
 }
 
-void CallRouter::CountInAllParts(const std::shared_ptr<Routed>& routed,
-                                 const std::vector<std::string>& scopes) {
-  struct Sum {
-    absl::Mutex mutex;
-    size_t left ABSL_GUARDED_BY(mutex) = 0;
-    // The sum so far, or the first answer that is no count.
-    CallerReply reply ABSL_GUARDED_BY(mutex);
-  };
-  auto sum = std::make_shared<Sum>();
-  {
-    absl::MutexLock lock(&sum->mutex);
-    sum->left = scopes.size();
-    sum->reply.outcome = CallOutcome::kPendingCount;
+void CallRouter::OnUnknownPath(const HttpRequest& request,
+                               uint64_t plan_version,
+                               const std::shared_ptr<Routed>& routed) {
+  const MonoTime now = clock_.Now();
+  if (engine_.PlanIsCurrent(now)) {
+    LogNoSuchQueue(request, plan_version);
+    CallerReply reply;
+    reply.outcome = CallOutcome::kNoSuchQueue;
+    reply.reason = "no such queue";
+    Finish(routed, reply);
+    return;
   }
-  for (const std::string& scope : scopes) {
-    auto part = std::make_shared<Routed>();
-    part->arrived = routed->arrived;
-    part->call = routed->call;
-    part->call.pool = scope;
-    part->of_many = true;
-    part->respond = [this, routed, sum](const CallerReply& reply) {
-      CallerReply total;
-      {
-        absl::MutexLock lock(&sum->mutex);
-        if (reply.outcome != CallOutcome::kPendingCount) {
-          sum->reply = reply;
-        } else if (sum->reply.outcome == CallOutcome::kPendingCount) {
-          sum->reply.pending += reply.pending;
-        }
-        if (--sum->left > 0) {
-          return;
-        }
-        total = sum->reply;
-      }
-      Finish(routed, total);
-    };
-    Begin(part);
+  const std::chrono::milliseconds silence = engine_.StoreSilence(now);
+  if (silence <= kStoreAway && now < routed->arrived + kRefuseAfter) {
+    engine_.ConfirmPlan();
+    engine_.After(kPlanPoll,
+                  [this, request, routed] { Resolve(request, routed); });
+    return;
   }
+  CallerReply reply = Unavailable("plan-may-be-old");
+  reply.retry_after = ComeBackAfter(silence, kDefaultPatience, request.target);
+  Finish(routed, reply);
 }
 
 void CallRouter::Begin(const std::shared_ptr<Routed>& routed) {
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -71,6 +71,14 @@
   void AnswerHere(const CallerCall& call,
                   const std::string& spec_bytes,
                   const Reply& done);
+  // Finds the queue of a caller's call.
+  void Resolve(const HttpRequest& request,
+               const std::shared_ptr<Routed>& routed);
+  // Denies a path that the plan does not know. A plan that may be old is
+  // confirmed first; if that fails, the path may exist.
+  void OnUnknownPath(const HttpRequest& request,
+                     uint64_t plan_version,
+                     const std::shared_ptr<Routed>& routed);
   void Begin(const std::shared_ptr<Routed>& routed);
   // Asks the owners of all parts of a pool; answers with the sum, or with what
   // one of them answered instead.
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -206,6 +206,11 @@
   return plan_;
 }
 
+bool FleetEngine::PlanIsCurrent(MonoTime now) const {
+  absl::MutexLock lock(&mutex_);
+  return PlanAge(now) <= bounds_.plan_apply;
+}
+
 std::optional<PoolLayout> FleetEngine::layout() const {
   absl::MutexLock lock(&mutex_);
   return layout_;
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -102,6 +102,10 @@
   MonoTime::duration PlanAge(MonoTime now) const {
     return operator_keys_->Age(now);
   }
+  // All plans that have to be in force are known.
+  bool PlanIsCurrent(MonoTime now) const;
+  // Asks the store whether there is a later plan.
+  void ConfirmPlan() { operator_keys_->Confirm(); }
   // How long the store has not answered this daemon.
   std::chrono::milliseconds StoreSilence(MonoTime now) const {
     return WholeMilliseconds(session_->Silence(now));
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -211,6 +211,21 @@
 }
 
 void PrefixFollower::Resync() {
+  EndSilentCall();
+}
+
+void PrefixFollower::Confirm() {
+  {
+    absl::MutexLock lock(&mutex_);
+    if (confirming_) {
+      return;
+    }
+    confirming_ = true;
+  }
+  EndSilentCall();
+}
+
+void PrefixFollower::EndSilentCall() {
   uint64_t call = 0;
   {
     absl::MutexLock lock(&mutex_);
@@ -226,17 +241,18 @@
 
 void PrefixFollower::Watch() {
   const MonoTime sent_at = clock_.Now();
+  WatchCall call;
   {
     absl::MutexLock lock(&mutex_);
     if (stopped_) {
       return;
     }
     watched_at_ = sent_at;
+    call.wait = std::exchange(confirming_, false) ? std::chrono::milliseconds(0)
+                                                  : options_.wait;
   }
-  WatchCall call;
   call.prefix = options_.prefix;
   call.after_revision = next_revision_;
-  call.wait = options_.wait;
   call.max_answer_bytes =
       std::max(kLargeAnswer, range_bytes_ + range_bytes_ / 2);
   Begin([this, &call, sent_at] {
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -71,6 +71,10 @@
   // be lost and is asked for again. An answer that arrives is waited for.
   void Resync();
 
+  // Asks the store at once whether the keys have changed; Age tells when it has
+  // answered.
+  void Confirm();
+
   // How long ago the last call that was answered began: the keys are at least
   // that new. The longest duration before the first answer.
   MonoTime::duration Age(MonoTime now) const;
@@ -87,6 +91,8 @@
   void WatchAfterGap();
   // Reads the range because the changes cannot be had; `event` tells why.
   void ReadRangeAgain(const char* event);
+  // Ends the call under way if it waits for an answer.
+  void EndSilentCall();
   void OnFailure(const Error& error, MonoTime now);
   bool stopped() const;
   void Apply(const StoreItem& item);
@@ -112,6 +118,8 @@
   MonoTime watched_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   // The next watch waits for the gap to pass, not for a failure.
   bool pausing_ ABSL_GUARDED_BY(mutex_) = false;
+  // The next watch is answered at once.
+  bool confirming_ ABSL_GUARDED_BY(mutex_) = false;
   // A call is under way or about to be made.
   bool busy_ ABSL_GUARDED_BY(mutex_) = false;
   bool watching_ ABSL_GUARDED_BY(mutex_) = false;
