Stop a perpetual task only if another worker can take it

A wave emptied its worker at 23.96 s. Its step may have one task for each worker, and its part of the pool had 17 workers for 15 to 24 such tasks, four of them being emptied; so no other worker could take it until 33.2 s. Up to nine such tasks waited for 20 s while 28 to 38 instances were spare: a pool short of workers got one instance at a time, after all pools with a backlog.

An evacuation stops a perpetual task only if another worker has a place for it and for those that are being stopped already. A pool's report names the workers that its perpetual tasks need because of limits for each worker; the planner brings what is missing before it serves backlogs, and pools do not give away what their limits need.

PerpetualTest (3) and PlannersTest::LimitsForEachWorkerAskForInstances, PerpetualTasksComeBeforeBacklogs and DonorKeepsWhatItsLimitsAskFor failed before.

--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -72,6 +72,11 @@
            report->unplaced_tasks > 0 || offered > capacity;
   }
 
+  // Workers that perpetual tasks need beyond the present ones.
+  int MissingWorkers() const {
+    return std::max(0, report->spread_workers - size);
+  }
+
   // Work waits.
   bool Busy() const {
     return BacklogSeconds() > 0 || report->unplaced_tasks > 0;
@@ -122,7 +127,7 @@
   // The pool manages with one instance less.
   bool CanGive(const PoolNeed& need) const {
     return need.wanted < kDonorLoad * (need.capacity - instance_size) &&
-           need.size > floor;
+           need.size > std::max<double>(floor, need.report->spread_workers);
   }
 
   // The instance is kept empty and counts no longer as its pool's.
@@ -226,21 +231,30 @@
               return a->BacklogSeconds() > b->BacklogSeconds();
             });
   int planned = 0;
+  // Perpetual tasks need few instances, and stand still without them.
   for (PoolNeed* need : by_need) {
-    if (!need->Short()) {
-      continue;
+    const double missing = need->MissingWorkers() * round->instance_size;
+    Fill(need, need->capacity + missing, round, &planned);
+  }
+  for (PoolNeed* need : by_need) {
+    if (need->Short()) {
+      Fill(need, need->wanted, round, &planned);
     }
-    while (need->capacity + need->incoming < need->wanted &&
-           planned < kMostAtOnce) {
-      const Source source = TakeInstance(*need, round);
-      if (source == Source::kNone) {
-        break;
-      }
-      if (source == Source::kChosenBefore) {
-        continue;
-      }
+  }
+}
+
+void MovePlanner::Fill(PoolNeed* need,
+                       double wanted,
+                       Round* round,
+                       int* planned) {
+  while (need->capacity + need->incoming < wanted && *planned < kMostAtOnce) {
+    const Source source = TakeInstance(*need, round);
+    if (source == Source::kNone) {
+      return;
+    }
+    if (source == Source::kTaken) {
       need->incoming += round->instance_size;
-      ++planned;
+      ++*planned;
     }
   }
 }
--- a/Source/Core/Instances/move_planner.h
+++ b/Source/Core/Instances/move_planner.h
@@ -69,6 +69,8 @@
   // Chosen instances that are empty and get no tasks any more can move.
   void AdvanceChosen(Round* round);
   void FillShortPools(Round* round);
+  // Takes instances for the pool until it has `wanted` millicores.
+  void Fill(PoolNeed* need, double wanted, Round* round, int* planned);
   // Takes an instance for the pool: a spare one, or an idle one of another
   // pool.
   Source TakeInstance(const PoolNeed& taker, Round* round);
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -24,7 +24,7 @@
   return FormatCbor(json::array(
       {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
        report.offered_millicores, report.perpetual_millicores,
-       report.unplaced_tasks, std::move(workers)}));
+       report.unplaced_tasks, std::move(workers), report.spread_workers}));
 }
 
 Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
@@ -36,6 +36,8 @@
     report.offered_millicores = row.at(3).get<int64_t>();
     report.perpetual_millicores = row.at(4).get<int64_t>();
     report.unplaced_tasks = row.at(5).get<int>();
+    // Daemons of earlier versions do not tell.
+    report.spread_workers = row.size() > 7 ? row.at(7).get<int>() : 0;
     for (const json& entry : row.at(6)) {
       WorkerLoad load;
       load.worker = entry.at(0).get<std::string>();
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -52,6 +52,9 @@
   // Perpetual tasks and members of gangs that found no room. They wait for one
   // more worker rather than for the end of other work.
   int unplaced_tasks = 0;
+  // Workers that the perpetual tasks need at least, because of limits for each
+  // worker.
+  int spread_workers = 0;
   std::vector<WorkerLoad> workers;
 };
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -251,7 +251,10 @@
   // pool_scheduler_evacuate.cc
   void Evacuate(WorkerState& worker, MonoTime now);
   // Whether figflow may make a perpetual task unavailable now.
-  bool MayStopPerpetual(const TaskRef& ref) const;
+  // Few enough tasks of the stage are away, and another worker may take this
+  // one.
+  bool MayStopPerpetual(const TaskRef& ref, MonoTime now);
+  bool HasAnotherPlace(const TaskRef& ref, MonoTime now);
 
   // pool_scheduler_dispatch.cc
   struct Board;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -153,6 +153,38 @@
   return counts;
 }
 
+bool PoolScheduler::HasAnotherPlace(const TaskRef& ref, MonoTime now) {
+  const StageSpec& spec = ref.Spec();
+  const Stage& stage = ref.GetStage();
+  // A task that waits already gets the first place that there is.
+  if (stage.waiting > 0) {
+    return false;
+  }
+  // So do those that are being stopped.
+  auto needed =
+      1 +
+      std::count_if(
+          stage.tasks.begin(), stage.tasks.end(), [&](const Task& task) {
+            const TaskRef other{ref.job, ref.occurrence, ref.stage,
+                                static_cast<int>(&task - stage.tasks.data())};
+            return task.worker != nullptr &&
+                   task.worker->HasStop(other.Name(), task.run);
+          });
+  Board board = UsableWorkers(now);
+  const ReadyStage item{{}, ref.job, ref.occurrence, ref.stage, nullptr};
+  std::vector<int> stage_tasks = StageTasks(item, board);
+  for (; needed > 0; --needed) {
+    const int worker = ChooseWorker({&spec, &ref.Get().failed_on, nullptr},
+                                    board.options, stage_tasks);
+    if (worker < 0) {
+      return false;
+    }
+    board.options[worker].room -= CountedSize(spec);
+    ++stage_tasks[worker];
+  }
+  return true;
+}
+
 std::vector<std::pair<int, int>> PoolScheduler::ChooseWorkers(
     const ReadyStage& item,
     const std::vector<bool>& allowed,
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -29,6 +29,14 @@
   return worker->HasStop(ref.Name(), task.run);
 }
 
+// Workers that the tasks of a perpetual stage need at least.
+int SpreadOf(const StageSpec& spec) {
+  if (!spec.perpetual || spec.max_per_worker == 0) {
+    return 0;
+  }
+  return (spec.count + spec.max_per_worker - 1) / spec.max_per_worker;
+}
+
 }  // namespace
 
 void PoolScheduler::SetEvacuating(const std::set<std::string>& workers,
@@ -53,7 +61,7 @@
   }
 }
 
-bool PoolScheduler::MayStopPerpetual(const TaskRef& ref) const {
+bool PoolScheduler::MayStopPerpetual(const TaskRef& ref, MonoTime now) {
   const StageSpec& spec = ref.Spec();
   // A stage without a bound is moved one task at a time as well.
   const int allowed = spec.max_unavailable < 0 ? 1 : spec.max_unavailable;
@@ -66,7 +74,7 @@
       ++away;
     }
   }
-  return away < allowed;
+  return away < allowed && HasAnotherPlace(ref, now);
 }
 
 void PoolScheduler::Evacuate(WorkerState& worker, MonoTime now) {
@@ -97,7 +105,7 @@
       continue;
     }
     if (ref.Spec().perpetual) {
-      if (MayStopPerpetual(ref)) {
+      if (MayStopPerpetual(ref, now)) {
         RequestStop(worker, ref.Name(), task.run, Resources(), now);
       } else {
         Wake(now + kEndByItself / 4);
@@ -161,6 +169,8 @@
           if (spec.perpetual || spec.gang) {
             report.unplaced_tasks += waiting;
           }
+          report.spread_workers =
+              std::max(report.spread_workers, SpreadOf(spec));
           if (!spec.perpetual) {
             report.backlog_millicore_ms +=
                 asked * PredictedDuration(*job, spec).count();
--- a/Source/UnitTests/Instances/planners_test.cc
+++ b/Source/UnitTests/Instances/planners_test.cc
@@ -41,6 +41,14 @@
   return input;
 }
 
+std::map<std::string, int64_t> SpareInstances(int count) {
+  std::map<std::string, int64_t> spare;
+  for (int i = 0; i < count; ++i) {
+    spare[absl::StrCat("s", i)] = 0;
+  }
+  return spare;
+}
+
 class PlannersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlannersTest);
   CPPUNIT_TEST(NothingMovesBeforeTheListIsKnown);
@@ -51,6 +59,9 @@
   CPPUNIT_TEST(InstancesOnTheWayCount);
   CPPUNIT_TEST(IdleInstancesGoBackAfterAWhile);
   CPPUNIT_TEST(UnplacedTaskAsksForOneInstance);
+  CPPUNIT_TEST(LimitsForEachWorkerAskForInstances);
+  CPPUNIT_TEST(PerpetualTasksComeBeforeBacklogs);
+  CPPUNIT_TEST(DonorKeepsWhatItsLimitsAskFor);
   CPPUNIT_TEST(BlockedInstancesStay);
   CPPUNIT_TEST(WaveTakesIdleInstancesFirst);
   CPPUNIT_TEST(WaveNeverExceedsItsLimit);
@@ -174,6 +185,47 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, plan.moves.size());
   }
 
+  // One instance at a time took eight moves for eight tasks.
+  void LimitsForEachWorkerAskForInstances() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 2);
+    input.pools["a"].unplaced_tasks = 8;
+    input.pools["a"].spread_workers = 7;
+    input.spare = SpareInstances(9);
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, planner.Plan(input, kNow).moves.size());
+  }
+
+  // Load pattern: other queues peak and take all that is spare, while a
+  // perpetual task waits for a worker.
+  void PerpetualTasksComeBeforeBacklogs() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["a"].backlog_millicore_ms = 50 * kSize * 1'000;
+    input.pools["b"] = Pool("b", 0, 2);
+    input.pools["b"].unplaced_tasks = 2;
+    input.pools["b"].spread_workers = 4;
+    input.spare = SpareInstances(3);
+    size_t to_b = 0;
+    for (const InstanceMove& move : planner.Plan(input, kNow).moves) {
+      to_b += move.pool == "b" ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, to_b);
+  }
+
+  // Guards against instances that go and come back for the same tasks.
+  void DonorKeepsWhatItsLimitsAskFor() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.all_instances = 16;
+    input.pools["a"] = Pool("a", 0, 6);
+    input.pools["a"].backlog_millicore_ms = 20 * kSize * 1'000;
+    input.pools["b"] = Pool("b", 10, 0);
+    input.pools["b"].spread_workers = 9;
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, planner.Plan(input, kNow).evacuate.size());
+  }
+
   void BlockedInstancesStay() {
     MovePlanner planner;
     MoveInput input = Input();
--- /dev/null
+++ b/Source/UnitTests/Scheduling/perpetual_test.cc
@@ -0,0 +1,127 @@
+// Perpetual tasks whose workers are emptied, with few other places for them.
+#include <chrono>
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Scheduling/scheduler_driver.h"
+
+namespace figflow::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+const MonoTime kStart = MonoTime(std::chrono::hours(1));
+
+class PerpetualTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PerpetualTest);
+  CPPUNIT_TEST(TaskWithoutAnotherPlaceIsNotStopped);
+  CPPUNIT_TEST(OnlyAsManyAreStoppedAsThereArePlaces);
+  CPPUNIT_TEST(ReportTellsHowManyWorkersLimitsAskFor);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a task that an evacuation stops although no other worker may
+  // take it: it stood still for 9 s.
+  void TaskWithoutAnotherPlaceIsNotStopped() {
+    SchedulerDriver driver(kStart);
+    Run(driver, {"a", "b"}, 1);
+    Evacuate(driver, {"a"});
+    CPPUNIT_ASSERT(driver.stops.empty());
+    AddWorker(driver, "c");
+    Evacuate(driver, {"a"});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.stops.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         driver.stops.front().target.worker.id);
+  }
+
+  // Guards against the same for two tasks that count on one place.
+  void OnlyAsManyAreStoppedAsThereArePlaces() {
+    SchedulerDriver driver(kStart);
+    Run(driver, {"a", "b", "c"}, 2);
+    AddWorker(driver, "d");
+    Evacuate(driver, {"a", "b"});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.stops.size());
+  }
+
+  // Guards against a keeper that brings one worker at a time for tasks that
+  // need several.
+  void ReportTellsHowManyWorkersLimitsAskFor() {
+    SchedulerDriver driver(kStart);
+    Run(driver, {"a", "b", "c"}, 1, 8);
+    CPPUNIT_ASSERT_EQUAL(
+        8, driver.scheduler().Report(driver.now()).spread_workers);
+    driver.scheduler().Cancel("job", 2, driver.now());
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(
+        0, driver.scheduler().Report(driver.now()).spread_workers);
+  }
+
+ private:
+  static void AddWorker(SchedulerDriver& driver, const std::string& id) {
+    driver.ListWorker(id);
+    driver.AnswerHold(id, WorkerStatus());
+  }
+
+  // A job whose tasks last, one on each worker at most, at work on each.
+  static void Run(SchedulerDriver& driver,
+                  const std::vector<std::string>& workers,
+                  int max_unavailable,
+                  int tasks = 0) {
+    for (const std::string& worker : workers) {
+      AddWorker(driver, worker);
+    }
+    JobSpec spec;
+    spec.id = "job";
+    spec.queue = "q";
+    StageSpec stage;
+    stage.count = tasks == 0 ? static_cast<int>(workers.size()) : tasks;
+    stage.per_task = {100, 100, 0};
+    stage.perpetual = true;
+    stage.max_per_worker = 1;
+    stage.max_unavailable = max_unavailable;
+    spec.stages = {stage};
+    driver.Submit(spec);
+    driver.Write();
+    for (const StartOrder& start : driver.starts) {
+      OrderAnswer answer;
+      answer.clock = std::chrono::duration_cast<milliseconds>(
+          driver.now().time_since_epoch());
+      driver.scheduler().OnStartAnswer(start, answer, driver.now());
+    }
+    driver.Advance(milliseconds(50));
+    Answer(driver);
+  }
+
+  // All workers answer that what was started there is at work.
+  static void Answer(SchedulerDriver& driver) {
+    for (const StartOrder& start : driver.starts) {
+      if (!driver.Hold(start.target.worker.id)) {
+        continue;
+      }
+      WorkerStatus status;
+      RunningTask running;
+      running.name = start.task;
+      running.run = start.run;
+      running.percent = 100;
+      status.running = {running};
+      driver.AnswerHold(start.target.worker.id, status);
+    }
+  }
+
+  static void Evacuate(SchedulerDriver& driver,
+                       const std::set<std::string>& workers) {
+    for (int i = 0; i < 30; ++i) {
+      driver.scheduler().SetEvacuating(workers, driver.now());
+      driver.Advance(milliseconds(100));
+      if (driver.stops.empty()) {
+        Answer(driver);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PerpetualTest);
+
+}  // namespace
+}  // namespace figflow::test
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -51,8 +51,8 @@
     Step();
   }
 
-  // One task that fills a worker.
-  void Submit(const std::string& job) {
+  // A job of one task that fills a worker.
+  static JobSpec OneTask(const std::string& job) {
     JobSpec spec;
     spec.id = job;
     spec.queue = "q";
@@ -61,6 +61,10 @@
     stage.per_task = {1'000, 1'000, 0};
     stage.estimate = std::chrono::milliseconds(500);
     spec.stages = {stage};
+    return spec;
+  }
+  void Submit(const std::string& job) { Submit(OneTask(job)); }
+  void Submit(const JobSpec& spec) {
     scheduler_->Submit(spec, FormatJobSpec(spec), 1, now_, wall_);
     Step();
   }
