Keep the attempts of a job whose queue the plan lacks

The owner of a pool took the number of attempts from its plan only. Where the plan lacks the queue, because operators have removed it or because the owner's plan is older than that of the daemon that took the call, a job failed with the first failed run of a task.

The number goes with the job's record, as the queue had it when the job was handed in; the plan wins where it has the queue. Records of earlier versions are read as before.

EndsTest::JobOfAQueueThatThePlanLacksKeepsItsAttempts failed before.

--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -141,7 +141,8 @@
   }
   return FormatCbor(json::array(
       {spec.id, spec.queue, spec.payload, std::move(stages), spec.occurrences,
-       SinceEpoch(spec.first_due).count(), spec.interval.count()}));
+       SinceEpoch(spec.first_due).count(), spec.interval.count(),
+       spec.max_attempts}));
 }
 
 Result<JobSpec> ParseJobSpec(absl::string_view bytes) {
@@ -157,6 +158,8 @@
     spec.first_due =
         FromEpoch(std::chrono::milliseconds(row.at(5).get<int64_t>()));
     spec.interval = std::chrono::milliseconds(row.at(6).get<int64_t>());
+    // Records of earlier versions do not tell.
+    spec.max_attempts = row.size() > 7 ? row.at(7).get<int>() : 0;
     return spec;
   });
 }
--- a/Source/Core/Scheduling/job_spec.h
+++ b/Source/Core/Scheduling/job_spec.h
@@ -77,6 +77,9 @@
   int occurrences = 0;
   WallTime first_due;
   std::chrono::milliseconds interval{0};
+  // Of its queue when it was submitted. It holds where the plan lacks the
+  // queue. 0 if it is not known.
+  int max_attempts = 0;
 
   bool scheduled() const { return occurrences > 0; }
   bool perpetual() const;
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -257,7 +257,8 @@
 
 int PoolScheduler::MaxAttempts(const Job& job) const {
   const QueueConfig* queue = plan_->QueueNamed(job.spec.queue);
-  return queue == nullptr ? 1 : std::max(1, queue->max_attempts);
+  return std::max(
+      1, queue == nullptr ? job.spec.max_attempts : queue->max_attempts);
 }
 
 std::optional<TaskRef> PoolScheduler::FindTask(const TaskName& name) const {
--- a/Source/StandIns/Fleet/model_platform.cc
+++ b/Source/StandIns/Fleet/model_platform.cc
@@ -123,6 +123,7 @@
       return tl::unexpected<Error>(spec.error());
     }
     call.spec = std::move(*spec);
+    call.spec.max_attempts = queue->max_attempts;
     return call;
   }
 
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(DoneOfAnEarlierRunStopsTheLaterOne);
   CPPUNIT_TEST(FailureOfAnEarlierRunCounts);
   CPPUNIT_TEST(FailureIsCountedOnceByASuccessor);
+  CPPUNIT_TEST(JobOfAQueueThatThePlanLacksKeepsItsAttempts);
   CPPUNIT_TEST(WorkerIsInUseUntilItsEndsAreDurable);
   CPPUNIT_TEST(RunThatIsBeingStoppedTakesRoomAfterItsJobIsCancelled);
   CPPUNIT_TEST(RunThatIsBeingStoppedTakesRoomAfterItsTaskIsDone);
@@ -167,6 +168,24 @@
     CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kLive);
   }
 
+  // Guards against a job that fails with its first run because its queue was
+  // removed meanwhile, or is not yet in the plan of the pool's owner.
+  void JobOfAQueueThatThePlanLacksKeepsItsAttempts() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.AnswerHold("a", WorkerStatus());
+    JobSpec spec = driver.OneTask("job");
+    spec.max_attempts = 2;
+    driver.Submit(spec);
+    driver.scheduler().SetPlan(std::make_shared<FleetPlan>());
+    driver.Write();
+    const StartOrder first = driver.AnswerStart();
+    driver.Advance(milliseconds(50));
+    driver.AnswerHold("a", Ended(first, RunResult::kFailed));
+    driver.Write();
+    CPPUNIT_ASSERT(StatusOf(driver) == JobStatus::kLive);
+  }
+
   // Guards against an instance that is moved with the only copy of an end: the
   // next owner would start the task again.
   void WorkerIsInUseUntilItsEndsAreDurable() {
--- a/Source/UnitTests/Scheduling/records_test.cc
+++ b/Source/UnitTests/Scheduling/records_test.cc
@@ -36,6 +36,7 @@
   spec.occurrences = 4;
   spec.first_due = FromEpoch(milliseconds(1'700'000'000'000));
   spec.interval = milliseconds(3'000);
+  spec.max_attempts = 4;
   return spec;
 }
 
@@ -55,6 +56,7 @@
     const Result<JobSpec> read = ParseJobSpec(FormatJobSpec(spec));
     CPPUNIT_ASSERT(read.has_value());
     CPPUNIT_ASSERT_EQUAL(spec.payload, read->payload);
+    CPPUNIT_ASSERT_EQUAL(4, read->max_attempts);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, read->stages.size());
     CPPUNIT_ASSERT(read->stages[0].gang);
     CPPUNIT_ASSERT(!read->stages[1].gang);
