--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -139,10 +139,10 @@
   for (const StageSpec& stage : spec.stages) {
     stages.push_back(FormatStage(stage));
   }
-  return FormatCbor(json::array(
-      {spec.id, spec.queue, spec.payload, std::move(stages), spec.occurrences,
-       SinceEpoch(spec.first_due).count(), spec.interval.count(),
-       spec.max_attempts}));
+  return FormatCbor(
+      json::array({spec.id, spec.queue, spec.payload, std::move(stages),
+                   spec.occurrences, SinceEpoch(spec.first_due).count(),
+                   spec.interval.count(), spec.max_attempts}));
 }
 
 Result<JobSpec> ParseJobSpec(absl::string_view bytes) {
--- a/Source/UnitTests/Fleet/fleet_plan_test.cc
+++ b/Source/UnitTests/Fleet/fleet_plan_test.cc
@@ -90,14 +90,14 @@
   int StatusOf(ModelFleet& fleet, int daemon, const std::string& queue) {
     int answer = 0;
     const std::string id = absl::StrCat("job", ++jobs_);
-    fleet.Call(daemon,
-               model::ModelRequest(
-                   "POST", queue, id,
-                   FormatJobSpec(SimpleJob(id, queue, 1, 1, 1'000))),
-               [&](int status, const std::string& /*body*/) {
-                 answer = status;
-                 answered_at_ = fleet.time.Now();
-               });
+    fleet.Call(
+        daemon,
+        model::ModelRequest("POST", queue, id,
+                            FormatJobSpec(SimpleJob(id, queue, 1, 1, 1'000))),
+        [&](int status, const std::string& /*body*/) {
+          answer = status;
+          answered_at_ = fleet.time.Now();
+        });
     fleet.Run(seconds(1));
     return answer;
   }
