Count the workers that running perpetual tasks need

Perpetual tasks waited for workers while instances were spare, and waves over their workers ended late. Since an evacuation stops such a task only if another worker has a place for it; but a pool's report named the workers that its limits ask for only while tasks of the stage waited. With all tasks at work on workers that are to be emptied, the report said 0: the keeper brought no worker, gave idle ones away, and no task could be stopped.

The report names them for all perpetual stages of open jobs.

PerpetualTest::ReportTellsHowManyWorkersLimitsAskFor failed before (0 in place of 8 with all tasks at work).

--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -163,14 +163,13 @@
         const StageSpec& spec = job->spec.stages[i];
         const int waiting = occurrence.stages[i].waiting;
         const int64_t asked = waiting * CountedSize(spec).cpu_millicores;
+        report.spread_workers = std::max(report.spread_workers, SpreadOf(spec));
         if (IsReady(*job, occurrence, i)) {
           report.waiting_millicores += asked;
           waiting_by_queue_[job->spec.queue] += waiting;
           if (spec.perpetual || spec.gang) {
             report.unplaced_tasks += waiting;
           }
-          report.spread_workers =
-              std::max(report.spread_workers, SpreadOf(spec));
           if (!spec.perpetual) {
             report.backlog_millicore_ms +=
                 asked * PredictedDuration(*job, spec).count();
--- a/Source/UnitTests/Scheduling/perpetual_test.cc
+++ b/Source/UnitTests/Scheduling/perpetual_test.cc
@@ -49,12 +49,19 @@
   void ReportTellsHowManyWorkersLimitsAskFor() {
     SchedulerDriver driver(kStart);
     Run(driver, {"a", "b", "c"}, 1, 8);
-    CPPUNIT_ASSERT_EQUAL(
-        8, driver.scheduler().Report(driver.now()).spread_workers);
+    const auto spread = [&driver] {
+      return driver.scheduler().Report(driver.now()).spread_workers;
+    };
+    CPPUNIT_ASSERT_EQUAL(8, spread());
+    for (const char* worker : {"d", "e", "f", "g", "h"}) {
+      AddWorker(driver, worker);
+    }
+    driver.Write();
+    // Each task has its worker, and one that is emptied needs another one.
+    CPPUNIT_ASSERT_EQUAL(8, spread());
     driver.scheduler().Cancel("job", 2, driver.now());
     driver.Write();
-    CPPUNIT_ASSERT_EQUAL(
-        0, driver.scheduler().Report(driver.now()).spread_workers);
+    CPPUNIT_ASSERT_EQUAL(0, spread());
   }
 
  private:
