Place perpetual tasks on workers that a wave does not empty next

Tasks that are to last were interrupted several times by one wave: a task that left a worker of the wave was placed on another worker of the same wave, whose turn came seconds later. Each move costs a stop, a start and the time until the task is at work again.

The keeper tells each owner which of its workers an open wave has not begun with; perpetual tasks are placed elsewhere where they can be. The list is a fourth field of the question to a pool's owner, which daemons of earlier versions ignore, and which counts as empty where it is missing.

PerpetualTest::TaskThatMovesAvoidsWorkersThatAreEmptiedNext failed before.

--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -129,8 +129,9 @@
   request.method = "POST";
   request.target = kPoolPath;
   request.headers = {{"Content-Type", "application/cbor"}};
-  request.body = FormatCbor(json::array(
-      {question.pool, question.orders.evacuate, question.orders.ended}));
+  request.body =
+      FormatCbor(json::array({question.pool, question.orders.evacuate,
+                              question.orders.ended, question.orders.later}));
   return request;
 }
 
@@ -141,7 +142,10 @@
   return ParseCbor<PoolQuestion>(request.body, kStep, [](const json& row) {
     return PoolQuestion{row.at(0).get<std::string>(),
                         {row.at(1).get<std::set<std::string>>(),
-                         row.at(2).get<std::set<std::string>>()}};
+                         row.at(2).get<std::set<std::string>>(),
+                         // Daemons of earlier versions do not tell.
+                         row.size() > 3 ? row.at(3).get<std::set<std::string>>()
+                                        : std::set<std::string>()}};
   });
 }
 
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -374,6 +374,7 @@
         scheduler.OnWorkerEnded(worker, now);
       }
       scheduler.SetEvacuating(orders.evacuate, now);
+      scheduler.SetLeavingLater(orders.later, now);
       report = scheduler.Report(now);
     }
   });
--- a/Source/Core/Instances/instance_keeper.cc
+++ b/Source/Core/Instances/instance_keeper.cc
@@ -350,6 +350,15 @@
   return workers;
 }
 
+bool InstanceKeeper::IsToBeMaintained(const std::string& instance) const {
+  return std::any_of(waves_.begin(), waves_.end(), [&](const auto& entry) {
+    const Wave& wave = entry.second;
+    const auto step = wave.state.instances.find(instance);
+    return !wave.completed && step != wave.state.instances.end() &&
+           step->second == MaintenanceStep::kWaiting;
+  });
+}
+
 WorkerOrders InstanceKeeper::OrdersFor(
     const std::string& scope,
     const std::set<std::string>& to_empty) const {
@@ -362,11 +371,12 @@
   }
   orders.evacuate = to_empty;
   for (const auto& [other, report] : reports_) {
-    if (other == scope) {
-      continue;
-    }
     for (const WorkerLoad& load : report.workers) {
-      orders.evacuate.erase(load.worker);
+      if (other != scope) {
+        orders.evacuate.erase(load.worker);
+      } else if (IsToBeMaintained(load.instance)) {
+        orders.later.insert(load.worker);
+      }
     }
   }
   return orders;
--- a/Source/Core/Instances/instance_keeper.h
+++ b/Source/Core/Instances/instance_keeper.h
@@ -112,6 +112,9 @@
   // their end is certain.
   std::set<std::string> WorkersToEmpty() const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // An open wave has not begun with it.
+  bool IsToBeMaintained(const std::string& instance) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // What concerns the scope, and what is not known to concern another one.
   WorkerOrders OrdersFor(const std::string& scope,
                          const std::set<std::string>& to_empty) const
--- a/Source/Core/Scheduling/placement.cc
+++ b/Source/Core/Scheduling/placement.cc
@@ -36,7 +36,7 @@
   const Resources size = CountedSize(stage);
   int best = -1;
   // Lower is better.
-  using Rank = std::tuple<bool, bool, bool, int, double>;
+  using Rank = std::tuple<bool, bool, bool, bool, int, double>;
   Rank best_rank;
   for (size_t i = 0; i < options.size(); ++i) {
     const WorkerOption& option = options[i];
@@ -55,7 +55,9 @@
                      option.report->rack != stage.preferred_rack;
     const double left = ShareLeft(option, size);
     const bool opens_worker = stage.perpetual && option.perpetual_tasks == 0;
-    const Rank rank{failed, option.doubtful, far, opens_worker ? 1 : 0, left};
+    const bool moves_again = stage.perpetual && option.leaving_later;
+    const Rank rank{failed, option.doubtful,      moves_again,
+                    far,    opens_worker ? 1 : 0, left};
     if (best < 0 || rank < best_rank) {
       best = static_cast<int>(i);
       best_rank = rank;
--- a/Source/Core/Scheduling/placement.h
+++ b/Source/Core/Scheduling/placement.h
@@ -17,6 +17,8 @@
   bool doubtful = false;
   // Perpetual tasks here.
   int perpetual_tasks = 0;
+  // It is to be emptied later.
+  bool leaving_later = false;
 };
 
 struct PlacementRequest {
@@ -35,7 +37,8 @@
 // different sizes compete. The fullest worker that fits is taken, so that room
 // for large tasks is left in one piece, and idle workers stay idle and can be
 // lent to other pools. Perpetual tasks go to workers that have some already:
-// those are the ones that cannot be lent.
+// those are the ones that cannot be lent; and they avoid workers that are to be
+// emptied, where they would have to move a second time.
 int ChooseWorker(const PlacementRequest& request,
                  const std::vector<WorkerOption>& options,
                  const std::vector<int>& stage_tasks);
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -18,6 +18,8 @@
   // Have ended together with all that ran on them: their instance was moved or
   // is being maintained. The registry may list them for some seconds more.
   std::set<std::string> ended;
+  // Are to be emptied later: what lasts goes elsewhere if it can.
+  std::set<std::string> later;
 };
 
 // One worker of a pool, as its owner sees it.
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -123,6 +123,9 @@
   // Empties these workers and no others, as long as it is asked for at least
   // every 2 s.
   void SetEvacuating(const std::set<std::string>& workers, MonoTime now);
+  // Perpetual tasks avoid these workers and no others, as long as it is asked
+  // for at least every 2 s.
+  void SetLeavingLater(const std::set<std::string>& workers, MonoTime now);
   PoolReport Report(MonoTime now);
   // Tasks that could start and wait, by queue, as of the last report.
   const std::map<std::string, int>& waiting_by_queue() const {
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -72,6 +72,7 @@
     option.report = &worker->report;
     option.room = worker->Room();
     option.doubtful = worker->health.Doubtful(now);
+    option.leaving_later = now < worker->leaving_later_until;
     option.perpetual_tasks = static_cast<int>(
         std::count_if(worker->tasks.begin(), worker->tasks.end(),
                       [](const TaskRef& ref) { return ref.Spec().perpetual; }));
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -61,6 +61,14 @@
   }
 }
 
+void PoolScheduler::SetLeavingLater(const std::set<std::string>& workers,
+                                    MonoTime now) {
+  for (auto& [key, worker] : workers_) {
+    worker->leaving_later_until =
+        workers.count(key.id) > 0 ? now + kEvacuationExpires : MonoTime::min();
+  }
+}
+
 bool PoolScheduler::MayStopPerpetual(const TaskRef& ref, MonoTime now) {
   const StageSpec& spec = ref.Spec();
   // A stage without a bound is moved one task at a time as well.
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -56,6 +56,8 @@
   MonoTime evacuating_since;
   // When the evacuation was last asked for.
   MonoTime evacuation_asked;
+  // Until then it counts as to be emptied later.
+  MonoTime leaving_later_until;
 
   WorkerClock clock;
   // The worker has answered under this owner's fence, so that orders of
--- a/Source/UnitTests/Scheduling/perpetual_test.cc
+++ b/Source/UnitTests/Scheduling/perpetual_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(TaskWithoutAnotherPlaceIsNotStopped);
   CPPUNIT_TEST(OnlyAsManyAreStoppedAsThereArePlaces);
   CPPUNIT_TEST(ReportTellsHowManyWorkersLimitsAskFor);
+  CPPUNIT_TEST(TaskThatMovesAvoidsWorkersThatAreEmptiedNext);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -64,7 +65,41 @@
     CPPUNIT_ASSERT_EQUAL(0, spread());
   }
 
+  // Guards against a task that a wave moves from worker to worker.
+  void TaskThatMovesAvoidsWorkersThatAreEmptiedNext() {
+    SchedulerDriver driver(kStart);
+    Run(driver, {"a"}, 1);
+    const RunningTask first = TaskOn(driver.starts.front());
+    for (const char* worker : {"b", "c", "d"}) {
+      AddWorker(driver, worker);
+    }
+    driver.scheduler().SetLeavingLater({"b", "d"}, driver.now());
+    Evacuate(driver, {"a"});
+    EndedRun end;
+    end.number = 1;
+    end.name = first.name;
+    end.run = first.run;
+    end.end = RunResult::kStopped;
+    WorkerStatus status;
+    status.ended = {end};
+    driver.scheduler().SetLeavingLater({"b", "d"}, driver.now());
+    driver.AnswerHold("a", status);
+    driver.Write();
+    driver.Advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         driver.starts.back().target.worker.id);
+  }
+
  private:
+  static RunningTask TaskOn(const StartOrder& start) {
+    RunningTask running;
+    running.name = start.task;
+    running.run = start.run;
+    running.percent = 100;
+    return running;
+  }
+
   static void AddWorker(SchedulerDriver& driver, const std::string& id) {
     driver.ListWorker(id);
     driver.AnswerHold(id, WorkerStatus());
@@ -107,11 +142,7 @@
         continue;
       }
       WorkerStatus status;
-      RunningTask running;
-      running.name = start.task;
-      running.run = start.run;
-      running.percent = 100;
-      status.running = {running};
+      status.running = {TaskOn(start)};
       driver.AnswerHold(start.target.worker.id, status);
     }
   }
--- a/Source/UnitTests/Wire/codec_test.cc
+++ b/Source/UnitTests/Wire/codec_test.cc
@@ -253,8 +253,8 @@
     CPPUNIT_ASSERT_EQUAL(std::string("why"), back->reason);
     CPPUNIT_ASSERT(back->retry_after == milliseconds(700));
 
-    const Result<PoolQuestion> question =
-        ParsePoolQuestion(FormatPoolQuestion({"p", {{"a"}, {"b", "c"}}}));
+    const Result<PoolQuestion> question = ParsePoolQuestion(
+        FormatPoolQuestion({"p", {{"a"}, {"b", "c"}, {"d"}}}));
     CPPUNIT_ASSERT(question.has_value());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, question->orders.ended.size());
   }
--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -230,7 +230,7 @@
        [](const std::string& in) {
          return ParsePeerReply({200, {}, in}).has_value();
        }},
-      {"pool question", FormatPoolQuestion({"p", {{"a"}, {"b"}}}).body,
+      {"pool question", FormatPoolQuestion({"p", {{"a"}, {"b"}, {"c"}}}).body,
        [](const std::string& in) {
          HttpRequest request = FormatPoolQuestion({"p", {}});
          request.body = in;
