Empty workers of perpetual tasks all through a wave, few at once

In waves over half of all instances the workers of perpetual tasks were emptied last and many at once: their tasks leave one after the other, as the stage allows one to be away, so up to twenty workers took no other work for as much as 18 s while queues were at their peak, and the rest of the wave was late.

PlannersTest::WaveEmptiesFewWorkersOfPerpetualTasksAtOnce (8 at once before) and WaveOverPerpetualTasksEndsInTime (an instance left at the deadline) failed before.

--- a/Source/Core/Instances/wave_planner.h
+++ b/Source/Core/Instances/wave_planner.h
@@ -48,7 +48,8 @@
 // Load pattern: a wave covers half of all instances and is due within seconds,
 // while a queue's peak needs whole pools. Idle instances go first, as many as
 // may be down; busy ones are emptied only as fast as the time that is left
-// demands, and few of one pool at once.
+// demands, and few of one pool at once. Workers of perpetual tasks are emptied
+// all the time, a few of each pool: that takes longest, and cannot be hurried.
 // `emptying` are the instances that are being emptied for the wave already,
 // `without_worker` those that are up and run no worker.
 WavePlan PlanWave(const WaveState& wave,
--- a/Source/UnitTests/Instances/planners_test.cc
+++ b/Source/UnitTests/Instances/planners_test.cc
@@ -66,6 +66,8 @@
   CPPUNIT_TEST(WaveTakesIdleInstancesFirst);
   CPPUNIT_TEST(WaveNeverExceedsItsLimit);
   CPPUNIT_TEST(WaveHurriesWhenTimeIsShort);
+  CPPUNIT_TEST(WaveEmptiesFewWorkersOfPerpetualTasksAtOnce);
+  CPPUNIT_TEST(WaveOverPerpetualTasksEndsInTime);
   CPPUNIT_TEST(WaveMaintainsInstancesWithoutWorker);
   CPPUNIT_TEST(WaveRecordSurvives);
   CPPUNIT_TEST_SUITE_END();
@@ -269,6 +271,71 @@
     CPPUNIT_ASSERT(urgent.evacuate.size() >= 4);
   }
 
+  // Load pattern: the tasks of a perpetual stage leave their workers one after
+  // the other. Twenty workers that wait for them take no other work, for up to
+  // 18 s.
+  void WaveEmptiesFewWorkersOfPerpetualTasksAtOnce() {
+    PoolReport pool = Pool("a", 0, 8);
+    for (WorkerLoad& load : pool.workers) {
+      load.perpetual_tasks = 1;
+    }
+    const WavePlan plan =
+        PlanWave(Wave(seconds(7), 8), {{"a", pool}}, {}, {}, {}, kNow);
+    CPPUNIT_ASSERT(plan.evacuate.size() >= 1);
+    CPPUNIT_ASSERT(plan.evacuate.size() <= 2);
+  }
+
+  // Replays a wave over half of a pool whose workers each have a perpetual task
+  // of the same stage, beside idle ones, while one task moves in a second.
+  // Guards against perpetual tasks that are left to the end, when there is no
+  // time to move them one by one.
+  void WaveOverPerpetualTasksEndsInTime() {
+    constexpr int kPerpetual = 16;
+    PoolReport pool = Pool("a", 10, 40);
+    WaveState wave;
+    wave.number = 1;
+    wave.deadline = kNow + seconds(28);
+    wave.max_down = 12;
+    for (size_t i = 0; i < pool.workers.size(); ++i) {
+      WorkerLoad& load = pool.workers[i];
+      load.perpetual_tasks = i >= 10 && i < 10 + kPerpetual ? 1 : 0;
+      wave.instances[load.instance] = MaintenanceStep::kWaiting;
+    }
+    std::set<std::string> emptying;
+    std::map<std::string, MonoTime> back_at;
+    MonoTime next_move = kNow;
+    for (MonoTime now = kNow; now < wave.deadline; now += milliseconds(150)) {
+      for (WorkerLoad& load : pool.workers) {
+        load.evacuating = emptying.count(load.instance) > 0;
+        const bool moves = load.perpetual_tasks > 0 && now >= next_move;
+        if (load.evacuating && moves) {
+          load.perpetual_tasks = 0;
+          next_move = now + seconds(1);
+        }
+        // Other tasks end within a second.
+        if (load.evacuating && load.perpetual_tasks == 0) {
+          load.tasks = std::max(0, load.tasks - 2);
+        }
+        const auto back = back_at.find(load.instance);
+        if (back != back_at.end() && now >= back->second) {
+          wave.instances[load.instance] = MaintenanceStep::kOver;
+        }
+      }
+      const WavePlan plan =
+          PlanWave(wave, {{"a", pool}}, {}, emptying, {}, now);
+      emptying = plan.evacuate;
+      for (const std::string& instance : plan.begin) {
+        wave.instances[instance] = MaintenanceStep::kOrdered;
+        back_at[instance] = now + seconds(3);
+      }
+    }
+    int left = 0;
+    for (const auto& [instance, step] : wave.instances) {
+      left += step == MaintenanceStep::kWaiting ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(0, left);
+  }
+
   void WaveMaintainsInstancesWithoutWorker() {
     WaveState wave = Wave(seconds(25), 2);
     wave.instances["s1"] = MaintenanceStep::kWaiting;
