Let a worker's next life refuse open orders before tasks run elsewhere

A start order that is not answered may be carried out seconds later. Orders name a worker by its id, and a worker may start again under the id that it had: a late copy then starts the run on the next life, while the next run of the task is placed elsewhere. The task runs twice.

Such tasks were returned as soon as the next life was known. They are now held back: the next life is told to stop the run, which it refuses for good from then on, and the task is placed once a later hold shows that the run is not there. That holds for a next life that the registry lists, for one that a hold shows first, and for assignments of an earlier owner, whose orders count until the next life knows the later fence. A worker that is emptied keeps such tasks until then.

Not covered: a copy that comes after the lease has run out and the task has been planned elsewhere.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -186,6 +186,11 @@
   // pool_scheduler_workers.cc
   WorkerState* FindWorker(const WorkerKey& key);
   WorkerState& AddWorker(const WorkerKey& key, MonoTime now);
+  // A life that has answered at the worker's address, and that the registry may
+  // not list yet.
+  WorkerState& NextLife(const WorkerState& worker,
+                        int64_t incarnation,
+                        MonoTime now);
   void ApplyStatus(WorkerState& worker,
                    const WorkerStatus& status,
                    MonoTime sent_at,
@@ -223,6 +228,12 @@
   // worker is told to stop its own as soon as it answers.
   void ReleaseSpeculative(WorkerState& worker, MonoTime now);
   void BreakGang(const TaskRef& ref, MonoTime now);
+  // The next life of a worker, or of its instance, is known. A copy of a start
+  // order may still reach a next life that has the same id.
+  void ReplaceWorker(WorkerState& earlier, WorkerState& next, MonoTime now);
+  // Keeps a task that was returned from being placed until the worker refuses
+  // the task's latest run.
+  void HoldBack(const TaskRef& ref, WorkerState& worker, MonoTime now);
   // The worker runs nothing any more.
   void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
   // Ends a run for good; the task stays out of the waiting ones until then.
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -98,7 +98,8 @@
     Task& task = ref.Get();
     const bool ordered = task.phase != TaskPhase::kPlanned &&
                          (task.phase != TaskPhase::kStarting ||
-                          task.order_deadline.count() > 0 || task.inherited);
+                          task.order_deadline.count() > 0 || task.inherited ||
+                          task.order_outdated);
     if (!ordered && !ref.Spec().gang) {
       LogEvent(LogLevel::kInfo, LogCategory::kJobs, "assignment_withdrawn",
                {{"task", TaskText(ref.Name())},
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -274,12 +274,15 @@
     OnUnanswered(*worker, now);
     return;
   }
+  if (answer->answer == StartAnswer::kReplaced) {
+    EndWorker(*worker, "replaced", now);
+    worker->addressable = false;
+    return;
+  }
   const int64_t known = worker->report.key.incarnation;
   const int64_t shown = answer->status.incarnation;
-  const bool replaced = answer->answer == StartAnswer::kReplaced ||
-                        (known != 0 && shown != 0 && known != shown);
-  if (replaced) {
-    EndWorker(*worker, "replaced", now);
+  if (known != 0 && shown != 0 && known != shown) {
+    ReplaceWorker(*worker, NextLife(*worker, shown, now), now);
     worker->addressable = false;
     return;
   }
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -47,7 +47,25 @@
   return *worker;
 }
 
+WorkerState& PoolScheduler::NextLife(const WorkerState& worker,
+                                     int64_t incarnation,
+                                     MonoTime now) {
+  const WorkerKey key{worker.report.key.id, incarnation};
+  WorkerState* next = FindWorker(key);
+  if (next == nullptr) {
+    next = &AddWorker(key, now);
+    next->report.instance = worker.report.instance;
+    next->report.address = worker.report.address;
+    next->addressable = true;
+  }
+  return *next;
+}
+
 void PoolScheduler::OnWorkerListed(const WorkerReport& report, MonoTime now) {
+  WorkerState* worker = FindWorker(report.key);
+  if (worker == nullptr) {
+    worker = &AddWorker(report.key, now);
+  }
   for (auto it = workers_.begin(); it != workers_.end();) {
     WorkerState& other = *(it++)->second;
     const WorkerKey key = other.report.key;
@@ -57,14 +75,10 @@
         !report.instance.empty() && other.report.instance == report.instance;
     if (key != report.key && (key.id == report.key.id || same_instance) &&
         key.incarnation <= report.key.incarnation) {
-      EndWorker(other, "replaced", now);
+      ReplaceWorker(other, *worker, now);
       workers_.erase(key);
     }
   }
-  WorkerState* worker = FindWorker(report.key);
-  if (worker == nullptr) {
-    worker = &AddWorker(report.key, now);
-  }
   if (report.draining && !worker->report.draining) {
     LogEvent(LogLevel::kInfo, LogCategory::kJobs, "worker_draining",
              {{"worker", report.key.id},
@@ -152,6 +166,44 @@
   worker.used = Resources();
 }
 
+void PoolScheduler::ReplaceWorker(WorkerState& earlier,
+                                  WorkerState& next,
+                                  MonoTime now) {
+  std::vector<TaskRef> open;
+  if (earlier.report.key.id == next.report.key.id) {
+    std::copy_if(earlier.tasks.begin(), earlier.tasks.end(),
+                 std::back_inserter(open), [](const TaskRef& ref) {
+                   const Task& task = ref.Get();
+                   return task.order_in_flight || task.order_unanswered ||
+                          task.inherited;
+                 });
+  }
+  EndWorker(earlier, "replaced", now);
+  for (const TaskRef& ref : open) {
+    HoldBack(ref, next, now);
+  }
+}
+
+void PoolScheduler::HoldBack(const TaskRef& ref,
+                             WorkerState& worker,
+                             MonoTime now) {
+  Task& task = ref.Get();
+  if (!ref.job->live() || task.phase != TaskPhase::kWaiting) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "task_held_back",
+           {{"task", TaskText(ref.Name())},
+            {"run", absl::StrCat(task.run)},
+            {"worker", worker.report.key.id},
+            {"cause", "open-order-to-an-earlier-life"}});
+  task.phase = TaskPhase::kStarting;
+  task.since = now;
+  --ref.GetStage().waiting;
+  AttachTask(ref, worker);
+  task.order_outdated = true;
+  RequestStop(worker, ref.Name(), task.run, Resources(), now);
+}
+
 void PoolScheduler::OnWorkerEnded(const std::string& id, MonoTime now) {
   for (auto it = ended_workers_.begin(); it != ended_workers_.end();) {
     it = now - it->second.told_at > kEndedRemembered ? ended_workers_.erase(it)
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -39,6 +39,9 @@
   CPPUNIT_TEST(NoOrderFollowsTheLastFailure);
   CPPUNIT_TEST(EndOfAnEarlierLifeLeavesTheNextOneAlone);
   CPPUNIT_TEST(OrderOfUnknownOutcomeMayReachTheNextLife);
+  CPPUNIT_TEST(LifeThatAHoldShowsMayGetAnEarlierOrder);
+  CPPUNIT_TEST(EvacuationMayMeetAnEarlierOrder);
+  CPPUNIT_TEST(OrderOfAnEarlierOwnerMayReachTheNextLife);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -322,26 +325,93 @@
   // address may carry out an order that the earlier one did not answer.
   void OrderOfUnknownOutcomeMayReachTheNextLife() {
     SchedulerDriver driver(kStart);
+    LoseOrder(driver);
+    driver.ListWorker("a", 2);
+    ExpectStartAfterStop(driver);
+  }
+
+  // As above, before the registry lists the next life: a hold shows it.
+  void LifeThatAHoldShowsMayGetAnEarlierOrder() {
+    SchedulerDriver driver(kStart);
+    LoseOrder(driver);
+    WorkerStatus next_life;
+    next_life.incarnation = 2;
+    driver.Advance(milliseconds(30));
+    driver.AnswerHold("a", next_life);
+    ExpectStartAfterStop(driver);
+  }
+
+  // As above, while the next life is emptied.
+  void EvacuationMayMeetAnEarlierOrder() {
+    SchedulerDriver driver(kStart);
+    LoseOrder(driver);
+    driver.ListWorker("a", 2);
+    driver.scheduler().SetEvacuating({"a"}, driver.now());
+    ExpectStartAfterStop(driver);
+  }
+
+  // As above, across a change of owner: orders of the earlier owner count until
+  // the next life knows the later fence.
+  void OrderOfAnEarlierOwnerMayReachTheNextLife() {
+    SchedulerDriver earlier(kStart);
+    LoseOrder(earlier);
+    SchedulerDriver driver(earlier.now(), 2);
+    driver.Load(earlier.records());
+    driver.ListWorker("a", 2);
+    driver.ListWorker("b");
+    driver.AnswerHold("b", WorkerStatus());
+    driver.Write();
+    CPPUNIT_ASSERT(driver.starts.empty());
+    AcceptStop(driver);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+  }
+
+ private:
+  // Orders a task on worker "a"; the answer is lost. Worker "b" has room.
+  static void LoseOrder(SchedulerDriver& driver) {
     driver.ListWorker("a");
     driver.AnswerHold("a", WorkerStatus());
     driver.Submit("job");
     driver.Write();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
     PlanSecondRun(driver);
-    driver.scheduler().OnStartAnswer(
-        driver.starts.front(),
-        Fail(ErrorCode::kUnknownOutcome, "worker.start", "a", "lost"),
-        driver.now());
-    driver.ListWorker("a", 2);
+    driver.LoseStart();
+  }
+
+  // The next life of "a" accepts the stop of the run and shows that the run is
+  // not there.
+  static void AcceptStop(SchedulerDriver& driver) {
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.stops.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         driver.stops.front().target.worker.id);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2},
+                         driver.stops.front().target.worker.incarnation);
+    driver.AnswerStop();
+    // A hold that was under way tells nothing yet.
+    for (int i = 0; i < 2; ++i) {
+      driver.Advance(milliseconds(300));
+      if (driver.Hold("a")) {
+        driver.AnswerHold("a", WorkerStatus());
+      }
+    }
+    driver.Write();
+    driver.Advance(milliseconds(10));
+  }
+
+  // The task starts on "b" once the next life of "a" refuses its first run, and
+  // not because that life shows no runs yet.
+  static void ExpectStartAfterStop(SchedulerDriver& driver) {
     driver.Advance(milliseconds(50));
     driver.Write();
-    // The next life has told nothing of its runs.
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
     driver.Advance(milliseconds(300));
     driver.AnswerHold("a", WorkerStatus());
     driver.Advance(milliseconds(300));
     driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    AcceptStop(driver);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+    CPPUNIT_ASSERT(driver.starts.back().run > driver.starts.front().run);
   }
 };
 
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -167,6 +167,15 @@
     return order;
   }
 
+  // The latest stop order, accepted.
+  void AnswerStop() {
+    OrderAnswer answer;
+    answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now_.time_since_epoch());
+    scheduler_->OnStopAnswer(stops.back(), answer, now_);
+    Step();
+  }
+
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
 
