Let a confirmation of the plan wait for its answer

A daemon whose plan may be old asks the store before it denies a path, and looks each 10 ms whether the answer has come. Each look ended the question under way and sent a new one. With a store that takes longer than that to answer, a slow one, no question was ever answered: callers got 503 after 450 ms in place of the 404 or the service, and the store got 100 calls a second from each such daemon.

Confirm ends a call only if that call waits for a change. Any other call is answered at once and tells as much as a new one would.

--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -100,12 +100,13 @@
   gap_ = gap;
 }
 
-void PrefixFollower::Begin(const std::function<uint64_t()>& read) {
+void PrefixFollower::Begin(bool waits, const std::function<uint64_t()>& read) {
   uint64_t number = 0;
   {
     absl::MutexLock lock(&mutex_);
     number = ++call_number_;
     call_ = 0;
+    waiting_ = waits;
   }
   const uint64_t call = read();
   absl::MutexLock lock(&mutex_);
@@ -122,7 +123,7 @@
     range_bytes_ = 0;
   }
   page_after_ = after;
-  Begin([this, &after, sent_at = clock_.Now()] {
+  Begin(/*waits=*/false, [this, &after, sent_at = clock_.Now()] {
     return store_.Range(
         options_.prefix, after, options_.call_timeout,
         [self = shared_from_this(), sent_at](Result<RangePage> page) {
@@ -217,7 +218,8 @@
 void PrefixFollower::Confirm() {
   {
     absl::MutexLock lock(&mutex_);
-    if (confirming_) {
+    // Any other call is answered at once.
+    if (busy_ && !waiting_) {
       return;
     }
     confirming_ = true;
@@ -255,7 +257,7 @@
   call.after_revision = next_revision_;
   call.max_answer_bytes =
       std::max(kLargeAnswer, range_bytes_ + range_bytes_ / 2);
-  Begin([this, &call, sent_at] {
+  Begin(call.wait.count() > 0, [this, &call, sent_at] {
     return store_.Watch(call, [self = shared_from_this(),
                                sent_at](Result<StoreChanges> changes) {
       self->OnChanges(sent_at, std::move(changes));
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -81,8 +81,9 @@
   bool synced() const;
 
  private:
-  // The next call to the store: `read` makes it and returns its id.
-  void Begin(const std::function<uint64_t()>& read);
+  // The next call to the store, which waits for a change or is answered at
+  // once: `read` makes it and returns its id.
+  void Begin(bool waits, const std::function<uint64_t()>& read);
   void ReadPage(const std::string& after);
   void OnPage(MonoTime sent_at, Result<RangePage> page);
   void Watch();
@@ -123,6 +124,8 @@
   // A call is under way or about to be made.
   bool busy_ ABSL_GUARDED_BY(mutex_) = false;
   bool watching_ ABSL_GUARDED_BY(mutex_) = false;
+  // The call under way is a watch that waits for a change.
+  bool waiting_ ABSL_GUARDED_BY(mutex_) = false;
   // Number of the call under way, and its id at the store; 0 if there is none.
   uint64_t call_number_ ABSL_GUARDED_BY(mutex_) = 0;
   uint64_t call_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/Source/UnitTests/Ownership/follower_catch_up_test.cc
+++ b/Source/UnitTests/Ownership/follower_catch_up_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(AnswerThatArrivesIsNotAskedForAgain);
   CPPUNIT_TEST(LostWatchEndsWhenTheStoreAnswersAgain);
   CPPUNIT_TEST(LostReadEndsWhenTheStoreAnswersAgain);
+  CPPUNIT_TEST(RepeatedConfirmationsWaitForTheFirstAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -163,6 +164,20 @@
     CPPUNIT_ASSERT_EQUAL(version_, known_);
   }
 
+  // Guards against questions that each end the one before: with a slow store
+  // none of them is answered.
+  void RepeatedConfirmationsWaitForTheFirstAnswer() {
+    Begin();
+    store_.faults.latency = milliseconds(200);
+    RunFor(seconds(5));
+    for (int i = 0; i < 45; ++i) {
+      follower_->Confirm();
+      RunFor(kStep);
+    }
+    const auto age = WholeMilliseconds(follower_->Age(time_.Now()));
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(age.count()), age <= milliseconds(450));
+  }
+
  private:
   void Begin() {
     Change(kPlanBytes);
