Expect the queue's attempts in a job that is read from the wire

WireFormatTest::PlanAndJobAreRead failed since: it compares the job that a caller sent with the one that was read, which has the number of attempts of its queue since then. The test expects that number now, so it is stricter.

--- a/Source/UnitTests/Soak/wire_format_test.cc
+++ b/Source/UnitTests/Soak/wire_format_test.cc
@@ -38,6 +38,9 @@
         *plan);
     CPPUNIT_ASSERT(call.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("p1"), call->pool);
+    // The queue's attempts go with the job.
+    spec.max_attempts = plan->queues[1].max_attempts;
+    CPPUNIT_ASSERT(spec.max_attempts > 0);
     CPPUNIT_ASSERT(FormatJobSpec(spec) == FormatJobSpec(call->spec));
   }
 
