Wait for a confirmed plan for less than the slack between plans

Here the plan of 572 KB took 0.8 s: the call waited, and was served by version 57. A call for a path that this version lacks came 0.35 s later, while the first one waited, and was served at once by version 50.

Such a call waits for four fifths of the slack that the platform allows between plans (250 ms, new setting jobs.plan_rollback_slack_ms); after that it is told that it has not run and when to come back. Waiting longer would need all other calls to wait as well, which would delay them on daemons whose link is slow.

FleetPlanTest::LaterCallIsNotHandledByAnEarlierPlan failed before with a store that takes 180 ms (200 and 200). For it the model of the store tells what is there however short a watch is; before, a watch without a wait told nothing.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -71,6 +71,7 @@
   bounds.unavailable_notice = settings.unavailable_notice;
   bounds.harm_time = settings.harm_time;
   bounds.plan_apply = settings.plan_apply;
+  bounds.plan_rollback_slack = settings.plan_rollback_slack;
   bounds.far_factor = settings.far_factor;
   return bounds;
 }
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -128,7 +128,7 @@
     return;
   }
   const std::chrono::milliseconds silence = engine_.StoreSilence(now);
-  if (silence <= kStoreAway && now < routed->arrived + kRefuseAfter) {
+  if (silence <= kStoreAway && now < routed->arrived + engine_.PlanPatience()) {
     engine_.ConfirmPlan();
     engine_.After(kPlanPoll,
                   [this, request, routed] { Resolve(request, routed); });
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -17,6 +17,10 @@
 // takes a pool over.
 constexpr std::chrono::milliseconds kIdleRegistryGap{1'000};
 
+// Part of the slack between plans that a call may wait. The rest is for the way
+// to the daemon, which differs from call to call.
+constexpr double kPlanPatienceShare = 0.8;
+
 // A watch that got lost, the next one and the read of the plan fit into the
 // time within which a plan has to be in force.
 std::chrono::milliseconds PlanWatchWait(const ExecutionBounds& bounds) {
@@ -211,6 +215,12 @@
   return PlanAge(now) <= bounds_.plan_apply;
 }
 
+std::chrono::milliseconds FleetEngine::PlanPatience() const {
+  absl::MutexLock lock(&mutex_);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      bounds_.plan_rollback_slack * kPlanPatienceShare);
+}
+
 std::optional<PoolLayout> FleetEngine::layout() const {
   absl::MutexLock lock(&mutex_);
   return layout_;
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -104,6 +104,9 @@
   }
   // All plans that have to be in force are known.
   bool PlanIsCurrent(MonoTime now) const;
+  // Longest wait of a call for a confirmed plan. A later call may be decided
+  // meanwhile by the plan that is in force.
+  std::chrono::milliseconds PlanPatience() const;
   // Asks the store whether there is a later plan.
   void ConfirmPlan() { operator_keys_->Confirm(); }
   // How long the store has not answered this daemon.
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -80,6 +80,9 @@
   std::chrono::milliseconds harm_time{4'000};
   // Within this time of its acknowledgement a plan has to be in force.
   std::chrono::milliseconds plan_apply{2'000};
+  // A call that comes this much later than one that a plan has decided is not
+  // decided by an earlier plan.
+  std::chrono::milliseconds plan_rollback_slack{250};
   // A gang on several racks, or a task away from its data, takes this many
   // times as long.
   double far_factor = 2.0;
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -53,6 +53,7 @@
   std::chrono::milliseconds unavailable_notice{0};
   std::chrono::milliseconds harm_time{0};
   std::chrono::milliseconds plan_apply{0};
+  std::chrono::milliseconds plan_rollback_slack{0};
   std::chrono::milliseconds holder_interval{0};
   double status_retention_s = 0;
   double instance_move_s = 0;
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -95,6 +95,10 @@
       {"jobs.plan_apply_ms", &Settings::plan_apply, 2000, 300, 600000, false,
        "Time within which an acknowledged plan has to be in force (kind "
        "fleet)."},
+      {"jobs.plan_rollback_slack_ms", &Settings::plan_rollback_slack, 250, 0,
+       600000, false,
+       "Calls that come this much after one that a plan has decided are not "
+       "decided by an earlier plan (kind fleet)."},
       {"instances.move_s", &Settings::instance_move_s, 1.5, 0, 3600, false,
        "Time that an instance takes to move to another pool."},
       {"instances.maintenance_s", &Settings::instance_maintenance_s, 2, 0,
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -142,7 +142,10 @@
           RunIn(time, node, delay, [done, changes] { done(changes); });
         }};
     time.After(latency, [this] { store_.Notify(); });
-    time.After(wait, [this, id, latency, done, node] {
+    // What is there when the call arrives is told, however short the wait is.
+    time.After(std::max<VirtualTime::Duration>(wait, latency), [this, id,
+                                                                latency, done,
+                                                                node] {
       const bool waiting = store_.waiters_.erase(id) > 0;
       StoreChanges none;
       none.store_revision = 0;
--- a/Source/UnitTests/Fleet/fleet_plan_test.cc
+++ b/Source/UnitTests/Fleet/fleet_plan_test.cc
@@ -2,6 +2,7 @@
 // engine and the router against the model of the platform.
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "Fleet/fleet_test_support.h"
 #include "absl/strings/str_cat.h"
@@ -11,6 +12,9 @@
 
 // Time after which a change that the store has acknowledged is in force.
 constexpr milliseconds kApplyBound{2'000};
+// A call that comes this much later than one that a plan has decided is not
+// decided by an earlier plan.
+constexpr milliseconds kRollbackSlack{250};
 
 class FleetPlanTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetPlanTest);
@@ -18,6 +22,7 @@
   CPPUNIT_TEST(ChangeIsInForceInTimeAfterALostWatch);
   CPPUNIT_TEST(UnknownPathIsDeniedAtOnce);
   CPPUNIT_TEST(UnknownPathIsDeniedOnceThePlanIsConfirmed);
+  CPPUNIT_TEST(LaterCallIsNotHandledByAnEarlierPlan);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -75,30 +80,77 @@
     CPPUNIT_ASSERT(answered_at_ - begun <= milliseconds(300));
   }
 
+  // Guards against a daemon that seems to go back to an earlier plan: a call
+  // for a new queue waits until the plan is confirmed, and a later one for a
+  // dropped queue is served meanwhile.
+  void LaterCallIsNotHandledByAnEarlierPlan() {
+    for (const int latency : {4, 100, 180, 260, 300, 400}) {
+      ModelFleet fleet(5);
+      Begin(fleet, 1, 4, 0);
+      SetQueues(fleet, 2, {"q0", "q1"});
+      fleet.Run(seconds(3));
+      for (int i = 0; i < 30; ++i) {
+        fleet.store.SwallowWatches();
+        fleet.Run(milliseconds(100));
+      }
+      fleet.store.SwallowWatches();
+      fleet.store.faults.latency = milliseconds(latency);
+      SetQueues(fleet, 3, {"q0", "q2"});
+      int earlier = 0;
+      Submit(fleet, 1, "q2", &earlier);
+      fleet.Run(kRollbackSlack + milliseconds(10));
+      int later = 0;
+      Submit(fleet, 1, "q1", &later);
+      fleet.Run(seconds(3));
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(latency, " ms: ", earlier, " and ", later),
+          earlier != 200 || later == 404);
+    }
+  }
+
  private:
-  static void ChangePlan(ModelFleet& fleet, int queues) {
+  static void SetQueues(ModelFleet& fleet,
+                        uint64_t version,
+                        const std::vector<std::string>& names) {
     FleetPlan plan = SimplePlan(1);
-    plan.version = static_cast<uint64_t>(queues);
-    for (int i = 1; i < queues; ++i) {
-      QueueConfig queue = plan.queues[0];
-      queue.name = absl::StrCat("q", i);
-      plan.queues.push_back(queue);
+    plan.version = version;
+    const QueueConfig first = plan.queues[0];
+    plan.queues.clear();
+    for (const std::string& name : names) {
+      plan.queues.push_back(first);
+      plan.queues.back().name = name;
     }
     fleet.SetPlan(plan);
   }
 
-  // Hands a job in once; the status of the answer, 0 if there is none in 1 s.
-  int StatusOf(ModelFleet& fleet, int daemon, const std::string& queue) {
-    int answer = 0;
+  static void ChangePlan(ModelFleet& fleet, int queues) {
+    std::vector<std::string> names;
+    for (int i = 0; i < queues; ++i) {
+      names.push_back(absl::StrCat("q", i));
+    }
+    SetQueues(fleet, static_cast<uint64_t>(queues), names);
+  }
+
+  // Hands a job in once. `answer` gets the status.
+  void Submit(ModelFleet& fleet,
+              int daemon,
+              const std::string& queue,
+              int* answer) {
     const std::string id = absl::StrCat("job", ++jobs_);
     fleet.Call(
         daemon,
         model::ModelRequest("POST", queue, id,
                             FormatJobSpec(SimpleJob(id, queue, 1, 1, 1'000))),
-        [&](int status, const std::string& /*body*/) {
-          answer = status;
+        [this, &fleet, answer](int status, const std::string& /*body*/) {
+          *answer = status;
           answered_at_ = fleet.time.Now();
         });
+  }
+
+  // Hands a job in once; the status of the answer, 0 if there is none in 1 s.
+  int StatusOf(ModelFleet& fleet, int daemon, const std::string& queue) {
+    int answer = 0;
+    Submit(fleet, daemon, queue, &answer);
     fleet.Run(seconds(1));
     return answer;
   }
