Keep the perpetual jobs of a pool in one of its parts

Callers' jobs waited at the peak of their queue in one part of the pool while another part had workers idle. Each perpetual job asks for a worker for each of its tasks, and those workers cannot be lent to other pools.

The layout names a part for the perpetual jobs of each pool, the next one for each pool in turn. They share their workers there. The layout is written when the fleet starts first; one that was written by an earlier version names no such parts and means what it meant. Reads and cancels know the id only: they ask the part of the hash first and then the other one, and deny a job only if both do.

FleetPartsTest:: PerpetualJobsOfAPoolShareOnePart was not run on the code before: it needs the layout's new field only for what it checks, the parts of eight jobs.

Ruled out: forecasting the next peak from earlier ones; each queue peaks once in 34 to 40 s, so there is nothing to learn from.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -111,7 +111,16 @@
     CountInAllParts(routed, layout->ScopesOf(routed->call.pool));
     return;
   }
-  routed->call.pool = layout->ScopeOfJob(routed->call.pool, routed->call.job);
+  const std::string& job = routed->call.job;
+  if (routed->call.kind == CallKind::kSubmit) {
+    routed->call.pool = layout->ScopeOfJob(routed->call.pool, job,
+                                           routed->call.spec.perpetual());
+  } else {
+    std::vector<std::string> scopes =
+        layout->ScopesOfJob(routed->call.pool, job);
+    routed->call.pool = scopes.front();
+    routed->other_scopes.assign(scopes.begin() + 1, scopes.end());
+  }
   Begin(routed);
 }
 
@@ -353,12 +362,39 @@
        {"held_ms", milliseconds(taken)}});
 }
 
+bool CallRouter::TryOtherScope(const std::shared_ptr<Routed>& routed,
+                               const CallerReply& reply) {
+  const bool may_be_elsewhere = reply.outcome == CallOutcome::kNoSuchJob ||
+                                reply.outcome == CallOutcome::kUnavailable ||
+                                reply.outcome == CallOutcome::kUnknown;
+  if (!may_be_elsewhere || routed->other_scopes.empty()) {
+    return false;
+  }
+  if (reply.outcome != CallOutcome::kNoSuchJob) {
+    routed->unsure = reply;
+  }
+  routed->call.pool = std::move(routed->other_scopes.front());
+  routed->other_scopes.erase(routed->other_scopes.begin());
+  routed->attempts = {};
+  routed->unanswered_by = 0;
+  Begin(routed);
+  return true;
+}
+
 void CallRouter::Finish(const std::shared_ptr<Routed>& routed,
-                        const CallerReply& reply) {
+                        const CallerReply& last_reply) {
   if (routed->of_many) {
-    routed->respond(reply);
+    routed->respond(last_reply);
+    return;
+  }
+  if (TryOtherScope(routed, last_reply)) {
     return;
   }
+  // A job that one scope does not know may be in one that could not tell.
+  const CallerReply reply =
+      last_reply.outcome == CallOutcome::kNoSuchJob && routed->unsure
+          ? *routed->unsure
+          : last_reply;
   const auto taken = clock_.Now() - routed->arrived;
   latency_.Record(taken);
   metrics_
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,6 +64,10 @@
     // it may have taken effect, or may still do so. 0 if there is none. An
     // owner with a later claim knows what became of it.
     uint64_t unanswered_by = 0;
+    // Scopes that may hold the job if the present one does not.
+    std::vector<std::string> other_scopes;
+    // What a scope answered that could not tell whether it holds the job.
+    std::optional<CallerReply> unsure;
     Reply respond;
   };
 
@@ -124,7 +129,11 @@
   void LogAnswer(const Routed& routed,
                  const CallerReply& reply,
                  MonoTime::duration taken) const;
-  void Finish(const std::shared_ptr<Routed>& routed, const CallerReply& reply);
+  // Goes on with another scope that may hold the job, if there is one.
+  bool TryOtherScope(const std::shared_ptr<Routed>& routed,
+                     const CallerReply& reply);
+  void Finish(const std::shared_ptr<Routed>& routed,
+              const CallerReply& last_reply);
 
   FleetEngine& engine_;
   PlatformAdapter& platform_;
--- a/Source/Core/Fleet/fleet_engine_layout.cc
+++ b/Source/Core/Fleet/fleet_engine_layout.cc
@@ -1,6 +1,6 @@
 // How the pools are split: agreed once through the store.
-#include <algorithm>
 #include <chrono>
+#include <string>
 #include <vector>
 
 #include <xxhash.h>
@@ -104,10 +104,13 @@
     if (layout_ || plan_ == nullptr) {
       return;
     }
-    const auto pools =
-        std::count_if(plan_->pools.begin(), plan_->pools.end(),
-                      [](const PoolConfig& pool) { return !pool.spare; });
-    layout = LayoutFor(instances, static_cast<int>(pools));
+    std::vector<std::string> pools;
+    for (const PoolConfig& pool : plan_->pools) {
+      if (!pool.spare) {
+        pools.push_back(pool.name);
+      }
+    }
+    layout = LayoutFor(instances, pools);
   }
   Transaction transaction;
   transaction.expected = {{OwnerKey(kLayoutScope), 0}};
--- a/Source/Core/Ownership/pool_layout.cc
+++ b/Source/Core/Ownership/pool_layout.cc
@@ -1,6 +1,7 @@
 #include "Ownership/pool_layout.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/json.h"
 
@@ -38,8 +39,23 @@
 }
 
 std::string PoolLayout::ScopeOfJob(absl::string_view pool,
-                                   absl::string_view job) const {
-  return Scope(pool, PartOf(job, parts));
+                                   absl::string_view job,
+                                   bool perpetual) const {
+  const auto part = perpetual_parts.find(pool);
+  return perpetual && part != perpetual_parts.end()
+             ? Scope(pool, part->second)
+             : Scope(pool, PartOf(job, parts));
+}
+
+std::vector<std::string> PoolLayout::ScopesOfJob(absl::string_view pool,
+                                                 absl::string_view job) const {
+  // Most jobs are not perpetual.
+  std::vector<std::string> scopes = {ScopeOfJob(pool, job, false)};
+  std::string perpetual = ScopeOfJob(pool, job, true);
+  if (perpetual != scopes.front()) {
+    scopes.push_back(std::move(perpetual));
+  }
+  return scopes;
 }
 
 std::string PoolLayout::ScopeOfInstance(absl::string_view pool,
@@ -65,15 +81,22 @@
                                 : scope.substr(0, scope.rfind(kPartSeparator)));
 }
 
-PoolLayout LayoutFor(int instances, int pools) {
+PoolLayout LayoutFor(int instances, const std::vector<std::string>& pools) {
   PoolLayout layout;
-  layout.parts = std::clamp(instances / std::max(1, pools) / kInstancesPerPart,
-                            1, kMostParts);
+  const int count = std::max(1, static_cast<int>(pools.size()));
+  layout.parts =
+      std::clamp(instances / count / kInstancesPerPart, 1, kMostParts);
+  if (layout.parts > 1) {
+    int next = 0;
+    for (const std::string& pool : pools) {
+      layout.perpetual_parts[pool] = next++ % layout.parts;
+    }
+  }
   return layout;
 }
 
 std::string FormatPoolLayout(const PoolLayout& layout) {
-  return FormatCbor(json::array({layout.parts}));
+  return FormatCbor(json::array({layout.parts, layout.perpetual_parts}));
 }
 
 Result<PoolLayout> ParsePoolLayout(absl::string_view bytes) {
@@ -85,6 +108,16 @@
           return Fail(ErrorCode::kInvalid, kLayoutStep, "",
                       "the number of parts is out of range");
         }
+        // Layouts of earlier versions have none.
+        if (row.size() > 1) {
+          for (const auto& [pool, part] : row.at(1).items()) {
+            layout.perpetual_parts[pool] = part.get<int>();
+            if (part.get<int>() < 0 || part.get<int>() >= layout.parts) {
+              return Fail(ErrorCode::kInvalid, kLayoutStep, "",
+                          "a part is out of range");
+            }
+          }
+        }
         return layout;
       });
 }
--- a/Source/Core/Ownership/pool_layout.h
+++ b/Source/Core/Ownership/pool_layout.h
@@ -1,6 +1,8 @@
 #ifndef OWNERSHIP_POOL_LAYOUT_H_
 #define OWNERSHIP_POOL_LAYOUT_H_
 
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -17,14 +19,27 @@
 // belong to a part by their id, workers by their instance, which keeps its part
 // when it moves between pools: part k of all pools is a fleet of its own.
 //
+// Perpetual tasks with a limit per worker keep their workers from being lent.
+// The perpetual jobs of a pool therefore share one part, whose workers serve
+// all of them, and the pools' parts for them differ.
+//
 // The layout is written to the store once, by the first daemon of the fleet,
 // and holds from then on. The scope of a part is "pool/part"; a pool that is
 // not split is its own scope.
 struct PoolLayout {
   int parts = 1;
+  // The part that holds the perpetual jobs of a pool. Jobs of other pools
+  // belong to a part by their id in any case.
+  std::map<std::string, int, std::less<>> perpetual_parts;
 
-  // The scope that holds a job of the pool.
-  std::string ScopeOfJob(absl::string_view pool, absl::string_view job) const;
+  // The scope that takes a job of the pool.
+  std::string ScopeOfJob(absl::string_view pool,
+                         absl::string_view job,
+                         bool perpetual) const;
+  // The scopes that may hold a job of which only the id is known, the likely
+  // one first.
+  std::vector<std::string> ScopesOfJob(absl::string_view pool,
+                                       absl::string_view job) const;
   // The scope that a worker on the instance serves.
   std::string ScopeOfInstance(absl::string_view pool,
                               absl::string_view instance) const;
@@ -37,7 +52,7 @@
 };
 
 // The layout for a fleet of this size; `pools` without the spare one.
-PoolLayout LayoutFor(int instances, int pools);
+PoolLayout LayoutFor(int instances, const std::vector<std::string>& pools);
 
 // The key under the owners' prefix; no pool has this name.
 inline constexpr char kLayoutScope[] = "@layout";
--- a/Source/UnitTests/Fleet/fleet_parts_test.cc
+++ b/Source/UnitTests/Fleet/fleet_parts_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "Fleet/fleet_test_support.h"
+#include "Ownership/owner_record.h"
 
 namespace figflow::test {
 namespace {
@@ -14,6 +15,8 @@
   CPPUNIT_TEST(PartsOfAPoolHaveTheirOwnOwners);
   CPPUNIT_TEST(LostOwnerOfAPartLosesNothing);
   CPPUNIT_TEST(PendingJobsOfAllPartsAreCounted);
+  CPPUNIT_TEST(PerpetualJobsOfAPoolShareOnePart);
+  CPPUNIT_TEST(PerpetualJobIsFoundBesideAPartWithoutOwner);
   CPPUNIT_TEST(EachPartBorrowsInstances);
   CPPUNIT_TEST(WaveReachesAllParts);
   CPPUNIT_TEST(UnknownListOfInstancesDoesNotStopTheStart);
@@ -70,6 +73,58 @@
     }
   }
 
+  // Guards against workers that perpetual jobs keep in all parts of a pool, and
+  // against such jobs that callers are told do not exist.
+  void PerpetualJobsOfAPoolShareOnePart() {
+    ModelFleet fleet(76);
+    Begin(fleet, 1, 78, 0);
+    SubmitPerpetual(fleet, 8);
+    fleet.Run(seconds(4));
+    std::set<std::string> scopes;
+    for (int i = 0; i < 8; ++i) {
+      for (const char* scope : {"p0/0", "p0/1", "p0/2"}) {
+        const bool held =
+            fleet.store.Find(AcceptedKey(scope, PerpetualId(i))) != nullptr;
+        if (held) {
+          scopes.insert(scope);
+        }
+      }
+      for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
+        CPPUNIT_ASSERT_EQUAL(200,
+                             StatusOf(fleet, daemon, "GET", PerpetualId(i)));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, scopes.size());
+    CPPUNIT_ASSERT_EQUAL(410, StatusOf(fleet, 0, "GET", "unknown"));
+    CPPUNIT_ASSERT_EQUAL(410, StatusOf(fleet, 0, "DELETE", "unknown"));
+    for (int i = 0; i < 8; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200,
+                           StatusOf(fleet, i % 3, "DELETE", PerpetualId(i)));
+    }
+    fleet.Run(seconds(3));
+    AssertKept(fleet);
+  }
+
+  // Guards against a job that is denied because only the other part that may
+  // hold it has answered.
+  void PerpetualJobIsFoundBesideAPartWithoutOwner() {
+    ModelFleet fleet(77);
+    Begin(fleet, 1, 78, 0);
+    SubmitPerpetual(fleet, 8);
+    fleet.Run(seconds(4));
+    const int killed = fleet.OwnerOf("p0/1");
+    CPPUNIT_ASSERT(killed >= 0);
+    fleet.Kill(killed, seconds(60));
+    const int asked = (killed + 1) % fleet.daemons();
+    for (int i = 0; i < 8; ++i) {
+      const int status = StatusOf(fleet, asked, "GET", PerpetualId(i));
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(status), status != 410);
+    }
+    const int unknown = StatusOf(fleet, asked, "GET", "unknown");
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat(unknown),
+                           unknown == 410 || unknown == 503);
+  }
+
   void EachPartBorrowsInstances() {
     ModelFleet fleet(73);
     Begin(fleet, 1, 40, 40);
@@ -104,6 +159,38 @@
     AssertKept(fleet);
     CPPUNIT_ASSERT_EQUAL(10, fleet.promises.completed());
   }
+
+ private:
+  static std::string PerpetualId(int number) {
+    return absl::StrCat("lasting", number);
+  }
+
+  // Jobs whose tasks last, one on each worker at most.
+  static void SubmitPerpetual(ModelFleet& fleet, int count) {
+    for (int i = 0; i < count; ++i) {
+      JobSpec spec = SimpleJob(PerpetualId(i), "q0", 1, 4, 500);
+      spec.stages[0].perpetual = true;
+      spec.stages[0].max_per_worker = 1;
+      spec.stages[0].max_unavailable = 1;
+      fleet.Submit(spec, i % fleet.daemons());
+    }
+  }
+
+  // The status of the answer, 0 if there is none in 3 s.
+  static int StatusOf(ModelFleet& fleet,
+                      int daemon,
+                      const std::string& method,
+                      const std::string& job) {
+    int answer = 0;
+    fleet.Call(daemon, model::ModelRequest(method, "q0", job, ""),
+               [&answer](int status, const std::string& /*body*/) {
+                 answer = status;
+               });
+    for (int i = 0; i < 300 && answer == 0; ++i) {
+      fleet.Run(milliseconds(10));
+    }
+    return answer;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetPartsTest);
--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -208,7 +208,7 @@
        [](const std::string& in) { return ParsePoolReport(in).has_value(); }},
       {"owner", FormatOwnerRecord({"e", "10.0.0.1:80", "n"}),
        [](const std::string& in) { return ParseOwnerRecord(in).has_value(); }},
-      {"pool layout", FormatPoolLayout({3}),
+      {"pool layout", FormatPoolLayout({3, {{"p", 2}}}),
        [](const std::string& in) { return ParsePoolLayout(in).has_value(); }},
       {"member", FormatMemberRecord({"e", "10.0.0.1:80", 500}),
        [](const std::string& in) { return ParseMemberRecord(in).has_value(); }},
