Tell a call of unknown outcome as such when another part denies it

A cancel whose answer from one part was lost was reported by the answer of the other part that may hold the job, also if that one only could not take it: the caller was told that the cancel had not run, though it may have. The unsure answer is told unless the other part knows the job.

The planner of waves names its counts after perpetual tasks, as all else does.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -390,11 +390,7 @@
   if (TryOtherScope(routed, last_reply)) {
     return;
   }
-  // A job that one scope does not know may be in one that could not tell.
-  const CallerReply reply =
-      last_reply.outcome == CallOutcome::kNoSuchJob && routed->unsure
-          ? *routed->unsure
-          : last_reply;
+  const CallerReply reply = AnswerOfScopes(routed->unsure, last_reply);
   const auto taken = clock_.Now() - routed->arrived;
   latency_.Record(taken);
   metrics_
--- a/Source/Core/Fleet/route_choice.cc
+++ b/Source/Core/Fleet/route_choice.cc
@@ -43,4 +43,13 @@
   return choice;
 }
 
+CallerReply AnswerOfScopes(const std::optional<CallerReply>& unsure,
+                           const CallerReply& last) {
+  // A job that one scope does not know may be in the other one, where a call
+  // may have taken effect.
+  const bool tells_nothing = last.outcome == CallOutcome::kNoSuchJob ||
+                             last.outcome == CallOutcome::kUnavailable;
+  return unsure && tells_nothing ? *unsure : last;
+}
+
 }  // namespace figflow
--- a/Source/Core/Fleet/route_choice.h
+++ b/Source/Core/Fleet/route_choice.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "Adapter/caller_call.h"
+
 namespace figflow {
 
 // Another daemon.
@@ -52,6 +54,12 @@
 // which knows or reaches more.
 RouteChoice ChooseRoute(const RouteView& view, const RouteAttempts& attempts);
 
+// What a caller is told of a job after several scopes that may hold it have
+// been asked: `last` is the last answer, `unsure` that of a scope before it
+// which could not tell.
+CallerReply AnswerOfScopes(const std::optional<CallerReply>& unsure,
+                           const CallerReply& last);
+
 }  // namespace figflow
 
 #endif  // FLEET_ROUTE_CHOICE_H_
--- a/Source/Core/Instances/wave_planner.cc
+++ b/Source/Core/Instances/wave_planner.cc
@@ -18,7 +18,7 @@
 constexpr double kPoolShare = 0.25;
 // Workers with perpetual tasks that are emptied at once in a pool. Their tasks
 // leave one after the other, so more of them would only wait.
-constexpr int kMostLasting = 2;
+constexpr int kMostPerpetual = 2;
 
 struct Candidate {
   std::string instance;
@@ -68,8 +68,8 @@
   std::vector<Candidate> candidates;
   std::map<std::string, int> emptying_in;
   // Workers that are emptied of perpetual tasks, by pool and in all.
-  std::map<std::string, int> lasting_in;
-  int lasting = 0;
+  std::map<std::string, int> perpetual_in;
+  int perpetual = 0;
   for (const auto& [name, pool] : pools) {
     for (const WorkerLoad& load : pool.workers) {
       const auto member = wave.instances.find(load.instance);
@@ -111,12 +111,12 @@
         down + static_cast<int>(plan.begin.size() + plan.evacuate.size());
     if (load.perpetual_tasks > 0) {
       const int most =
-          pool.waiting_millicores > 0 && !short_of_time ? 1 : kMostLasting;
+          pool.waiting_millicores > 0 && !short_of_time ? 1 : kMostPerpetual;
       if (candidate.emptying ||
-          (lasting_in[candidate.pool] < most && under_way < wave.max_down)) {
+          (perpetual_in[candidate.pool] < most && under_way < wave.max_down)) {
         plan.evacuate.insert(load.instance);
-        ++lasting_in[candidate.pool];
-        ++lasting;
+        ++perpetual_in[candidate.pool];
+        ++perpetual;
       }
       continue;
     }
@@ -133,8 +133,8 @@
     const bool crowded =
         emptying_in[candidate.pool] >= pool_limit && !short_of_time;
     const bool pool_is_full = pool.waiting_millicores > 0 && !short_of_time &&
-                              load.tasks > 0 && under_way - lasting >= needed;
-    if (under_way - lasting >= limit || crowded || pool_is_full) {
+                              load.tasks > 0 && under_way - perpetual >= needed;
+    if (under_way - perpetual >= limit || crowded || pool_is_full) {
       continue;
     }
     plan.evacuate.insert(load.instance);
--- a/Source/UnitTests/Fleet/fleet_parts_test.cc
+++ b/Source/UnitTests/Fleet/fleet_parts_test.cc
@@ -1,10 +1,12 @@
 // Pools that are split between owners: the whole engine against the model of
 // the platform.
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "Fleet/fleet_test_support.h"
+#include "Fleet/route_choice.h"
 #include "Ownership/owner_record.h"
 
 namespace figflow::test {
@@ -17,6 +19,7 @@
   CPPUNIT_TEST(PendingJobsOfAllPartsAreCounted);
   CPPUNIT_TEST(PerpetualJobsOfAPoolShareOnePart);
   CPPUNIT_TEST(PerpetualJobIsFoundBesideAPartWithoutOwner);
+  CPPUNIT_TEST(CallOfUnknownOutcomeIsNotCalledNotRun);
   CPPUNIT_TEST(EachPartBorrowsInstances);
   CPPUNIT_TEST(WaveReachesAllParts);
   CPPUNIT_TEST(UnknownListOfInstancesDoesNotStopTheStart);
@@ -125,6 +128,40 @@
                            unknown == 410 || unknown == 503);
   }
 
+  // Guards against a cancel that may have taken effect in one part and is
+  // reported by the answer of another.
+  void CallOfUnknownOutcomeIsNotCalledNotRun() {
+    struct Case {
+      std::optional<CallOutcome> unsure;
+      CallOutcome last;
+      CallOutcome told;
+    };
+    const Case cases[] = {
+        {std::nullopt, CallOutcome::kNoSuchJob, CallOutcome::kNoSuchJob},
+        {std::nullopt, CallOutcome::kUnavailable, CallOutcome::kUnavailable},
+        {CallOutcome::kUnknown, CallOutcome::kNoSuchJob, CallOutcome::kUnknown},
+        {CallOutcome::kUnknown, CallOutcome::kUnavailable,
+         CallOutcome::kUnknown},
+        {CallOutcome::kUnknown, CallOutcome::kCancelled,
+         CallOutcome::kCancelled},
+        {CallOutcome::kUnavailable, CallOutcome::kNoSuchJob,
+         CallOutcome::kUnavailable},
+        {CallOutcome::kUnavailable, CallOutcome::kUnknown,
+         CallOutcome::kUnknown},
+        {CallOutcome::kUnavailable, CallOutcome::kState, CallOutcome::kState},
+    };
+    for (const Case& test : cases) {
+      std::optional<CallerReply> unsure;
+      if (test.unsure) {
+        unsure.emplace();
+        unsure->outcome = *test.unsure;
+      }
+      CallerReply last;
+      last.outcome = test.last;
+      CPPUNIT_ASSERT(AnswerOfScopes(unsure, last).outcome == test.told);
+    }
+  }
+
   void EachPartBorrowsInstances() {
     ModelFleet fleet(73);
     Begin(fleet, 1, 40, 40);
