--- a/Source/UnitTests/Fleet/fleet_plan_test.cc
+++ b/Source/UnitTests/Fleet/fleet_plan_test.cc
@@ -125,6 +125,7 @@
 
   static void ChangePlan(ModelFleet& fleet, int queues) {
     std::vector<std::string> names;
+    names.reserve(queues);
     for (int i = 0; i < queues; ++i) {
       names.push_back(absl::StrCat("q", i));
     }
