Count late runs against the limit per worker, and copy only after missed holds

A run that is copied elsewhere keeps a stop request until its worker has refused it, but the request did not count against the stage's limit once the same task was assigned to that worker again, so a late start of the earlier run met two other tasks.

Change: a stop request counts unless it is for the run that the task has there now. Tasks are copied after two holds in a row without a response; responses to other orders do not count.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -259,6 +259,11 @@
                           std::chrono::milliseconds clock,
                           MonoTime now);
   void OnResponseMissed(WorkerState& worker, MonoTime now);
+  // Handles a hold without a response, or without a report of the runs.
+  void OnHoldMissed(WorkerState& worker,
+                    const HoldOrder& order,
+                    MonoTime sent_at,
+                    MonoTime now);
   void AdvanceAcknowledged(WorkerState& worker);
   std::optional<TaskRef> FindTask(const TaskName& name) const;
 
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -145,13 +145,17 @@
     if (item.Spec().max_per_worker == 0) {
       continue;
     }
-    // Counts runs that are being stopped on the worker while their tasks are
-    // elsewhere.
+    // A run that is being stopped may still exist beside a later run of its
+    // task.
     for (const auto& [key, stop] : worker->stops) {
       const bool of_stage = stop.task.job == item.job->spec.id &&
                             stop.task.occurrence == item.occurrence &&
                             stop.task.stage == item.stage;
-      if (of_stage && stage.tasks[stop.task.index].worker != worker) {
+      if (!of_stage) {
+        continue;
+      }
+      const Task& task = stage.tasks[stop.task.index];
+      if (task.worker != worker || task.run != stop.run) {
         ++counts[i];
       }
     }
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -271,9 +271,7 @@
   }
   worker->hold_in_flight = false;
   if (!answer) {
-    worker->silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
-                                 worker->AllLeasesExpiredAt());
-    OnResponseMissed(*worker, now);
+    OnHoldMissed(*worker, order, sent_at, now);
     return;
   }
   if (answer->answer == OrderOutcome::kReplaced) {
@@ -299,9 +297,7 @@
       return;
     default:
       // The worker responds but reports nothing about its runs.
-      worker->silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
-                                   worker->AllLeasesExpiredAt());
-      OnResponseMissed(*worker, now);
+      OnHoldMissed(*worker, order, sent_at, now);
       return;
   }
 }
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -21,6 +21,9 @@
 constexpr std::chrono::seconds kEndedWorkerRetention{15};
 // Delay before the next hold to a worker that missed two responses.
 constexpr std::chrono::milliseconds kHoldRetryDelay{200};
+// Number of holds in a row without a response after which speculative tasks are
+// copied.
+constexpr int kMissedHoldsBeforeCopies = 2;
 
 }  // namespace
 
@@ -124,6 +127,7 @@
   worker.last_response_at = now;
   dispatch_needed_ = dispatch_needed_ || worker.missed_responses > 0;
   worker.missed_responses = 0;
+  worker.missed_holds = 0;
   worker.silence.OnAnswer();
   worker.next_hold = MonoTime::min();
   if (clock.count() > 0) {
@@ -144,7 +148,20 @@
     return;
   }
   worker.next_hold = now + kHoldRetryDelay;
-  ReleaseSpeculativeTasks(worker, now);
+}
+
+void PoolScheduler::OnHoldMissed(WorkerState& worker,
+                                 const HoldOrder& order,
+                                 MonoTime sent_at,
+                                 MonoTime now) {
+  worker.silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
+                              worker.AllLeasesExpiredAt());
+  OnResponseMissed(worker, now);
+  // Responses to starts and stops may be lost one by one while the worker still
+  // reports its runs.
+  if (++worker.missed_holds >= kMissedHoldsBeforeCopies) {
+    ReleaseSpeculativeTasks(worker, now);
+  }
 }
 
 void PoolScheduler::EndWorker(WorkerState& worker,
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -76,6 +76,8 @@
   MonoTime last_response_at;
   // Number of missing responses to orders since the last response.
   int missed_responses = 0;
+  // The same for holds alone.
+  int missed_holds = 0;
   UnresponsiveWorkerDetector silence;
 
   // Ended runs up to this number may be discarded by the worker.
