Hand over the leases of workers that an owner does not reach

Cause: each owner of a partition waited anew for the longest lease that an earlier owner could have granted (13.2 s where leases last 10 s), so hand-overs in a row added up.

Change: an owner that releases its pool grants no lease any more and writes, for the workers that it does not reach, the time until all their leases have run out. The next owner uses it in place of the longest lease, and removes the record with its first write; until then it grants no lease, so that the record never outlives a lease granted later. An owner that reaches too few workers now also releases its pool this way.

Measured: HandOversInARowDoNotProlongALease fails before (15.2 s, allowed 9 s). HandedOverLeasesDoNotOutliveTheNextOwner fails if the next owner keeps the record.

--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -136,6 +136,8 @@
   // Hands over all scopes if this daemon is overloaded.
   void CheckOverload(MonoTime now);
   void HandOverAllScopes();
+  // Releases the pool as soon as its durable state is complete.
+  void HandOverPool(const std::string& scope, const char* cause);
   // Returns the vacant scopes that are due to be claimed and adds them to the
   // pending claims. Lowers `next` to the next time at which a claim is due.
   std::vector<std::string> TakeDueClaims(MonoTime now, MonoTime* next)
@@ -167,10 +169,10 @@
   uint64_t ActiveClaimRevision(const std::string& scope) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns why the scope has to be released, or null if it does not.
-  const char* ReleaseCause(const std::string& scope,
-                           LeaseId lease,
-                           MonoTime now) const
+  const char* ReleaseCause(const std::string& scope, LeaseId lease) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns whether another daemon may reach more of the pool's workers.
+  static bool ReachesTooFewWorkers(const PoolRunner& runner, MonoTime now);
 
   void OnOperatorItem(const StoreItem& item);
   void OnPlanItem(const StoreItem& item);
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -34,8 +34,7 @@
 }
 
 const char* FleetEngine::ReleaseCause(const std::string& scope,
-                                      LeaseId lease,
-                                      MonoTime now) const {
+                                      LeaseId lease) const {
   // The key was removed with the lease that it was written with. A new lease
   // does not restore it.
   const auto claim = claim_leases_.find(scope);
@@ -54,20 +53,22 @@
   if (runner.deposed()) {
     return "deposed";
   }
-  const auto [listed, reached] = runner.CountReachedWorkers();
-  if (runner.state() == PoolRunner::State::kActive &&
-      now > runner.active_since() + kReachabilityTimeout +
-                kReachabilityTimeoutPerWorker * listed &&
-      reached * 2 < listed) {
-    return "workers-unreachable";
-  }
   return nullptr;
 }
 
+bool FleetEngine::ReachesTooFewWorkers(const PoolRunner& runner, MonoTime now) {
+  const auto [listed, reached] = runner.CountReachedWorkers();
+  return runner.state() == PoolRunner::State::kActive &&
+         now > runner.active_since() + kReachabilityTimeout +
+                   kReachabilityTimeoutPerWorker * listed &&
+         reached * 2 < listed;
+}
+
 MonoTime FleetEngine::StepOwnership(MonoTime now) {
   MonoTime next = MonoTime::max();
   std::vector<std::string> to_claim;
   std::vector<std::pair<std::string, const char*>> to_release;
+  std::vector<std::string> to_hand_over;
   std::vector<std::pair<std::string, uint64_t>> to_remove;
   const LeaseId lease = session_->lease();
   {
@@ -80,8 +81,11 @@
       owned.emplace_back(kInstancesScope);
     }
     for (const std::string& scope : owned) {
-      if (const char* cause = ReleaseCause(scope, lease, now)) {
+      if (const char* cause = ReleaseCause(scope, lease)) {
         to_release.emplace_back(scope, cause);
+      } else if (scope != kInstancesScope &&
+                 ReachesTooFewWorkers(*runners_.at(scope), now)) {
+        to_hand_over.push_back(scope);
       }
     }
     // A removal may fail, and the key would then remain for as long as the
@@ -106,6 +110,9 @@
   for (const auto& [scope, cause] : to_release) {
     ReleaseScope(scope, cause);
   }
+  for (const std::string& scope : to_hand_over) {
+    HandOverPool(scope, "workers-unreachable");
+  }
   for (const auto& [scope, revision] : to_remove) {
     RemoveOwnerKey(scope, revision);
   }
@@ -356,8 +363,21 @@
         [this] { ReleaseScope(kInstancesScope, "handed-over"); });
   }
   for (const auto& [pool, runner] : runners) {
-    runner->Release([this, pool = pool] { ReleaseScope(pool, "handed-over"); });
+    HandOverPool(pool, "handed-over");
+  }
+}
+
+void FleetEngine::HandOverPool(const std::string& scope, const char* cause) {
+  std::shared_ptr<PoolRunner> runner;
+  {
+    absl::MutexLock lock(&mutex_);
+    const auto owned = runners_.find(scope);
+    if (owned == runners_.end()) {
+      return;
+    }
+    runner = owned->second;
   }
+  runner->Release([this, scope, cause] { ReleaseScope(scope, cause); });
 }
 
 bool FleetEngine::AllScopesReleased() const {
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -3,22 +3,13 @@
 #include <utility>
 
 #include "Common/log.h"
+#include "Fleet/pool_runner_actions.h"
 #include "Ownership/owner_record.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
 
-// The store counts as unresponsive when a write has had no response for this
-// long. A slow store responds within 300 ms, and the repeated request makes up
-// for a single lost response.
-constexpr std::chrono::milliseconds kStoreResponseTimeout{650};
-// Retry delay for callers whose job was refused for that reason. Outages of the
-// store last some seconds; callers that retry one by one discover its end.
-constexpr std::chrono::milliseconds kStoreOutageRetryDelay{1'000};
-// Minimum time between the starts of two writes of a pool. Each request to the
-// store has a cost; waiting this long delays a job by about one hundredth.
-constexpr std::chrono::milliseconds kMinWriteInterval{25};
 // Minimum time between two steps of the scheduler. At a peak, thousands of
 // responses arrive in a second, and a step scans all workers and waiting jobs.
 // An order is delayed by less than the duration of a request to a worker.
@@ -30,17 +21,6 @@
 
 }  // namespace
 
-// Actions that the scheduler requested, executed without the lock.
-struct PoolRunner::PendingActions {
-  SchedulerOutput output;
-  std::vector<std::pair<SubmitCallback, SubmitResponse>> submit_responses;
-  std::vector<std::pair<CancelCallback, CancelOutcome>> cancel_responses;
-  std::vector<RecordWrite> writes;
-  std::shared_ptr<RecordWriter> writer;
-  std::function<void()> released;
-  MonoTime wake = MonoTime::max();
-};
-
 PoolRunner::PoolRunner(Dependencies parts, Claim claim, ExecutionBounds bounds)
     : deps_(std::move(parts)),
       claim_(std::move(claim)),
@@ -48,10 +28,6 @@
       bounds_(bounds),
       plan_(std::make_shared<FleetPlan>()) {}
 
-void PoolRunner::Start() {
-  ReadSequence();
-}
-
 void PoolRunner::Activate(const Recovery& recovery) {
   const MonoTime now = deps_.clock.Now();
   {
@@ -64,6 +40,8 @@
     options.bounds = bounds_;
     options.fence = claim_.revision;
     options.earlier_owner_grace = kRenewalGrace;
+    options.handed_over_leases = recovery.leases;
+    clears_leases_ = recovery.has_lease_record;
     scheduler_ = std::make_unique<PoolScheduler>(options, deps_.metrics, now);
     scheduler_->SetPlan(plan_);
     scheduler_->Load(recovery.records, now, deps_.clock.WallNow());
@@ -113,9 +91,10 @@
 void PoolRunner::CollectActions(PendingActions* work) {
   const MonoTime now = deps_.clock.Now();
   const bool active = state_ == State::kActive;
+  // The handed-over leases must not outlive a lease that this owner grants.
   scheduler_->SetOrdersAllowed(
       active && now < lease_valid_until_,
-      active && now < lease_valid_until_ + kRenewalGrace);
+      active && now < lease_valid_until_ + kRenewalGrace && !clears_leases_);
   if (now >= last_step_at_ + kMinStepInterval) {
     next_step_ = scheduler_->Step(now, deps_.clock.WallNow());
     last_step_at_ = now;
@@ -125,35 +104,9 @@
   }
   work->output = scheduler_->TakeOutput();
   TakeResponses(&work->output, work);
-  work->wake = next_step_;
   deposed_ = deposed_ || scheduler_->deposed();
-  // One write carries all changes of a busy pool within the interval.
-  const MonoTime write_at = write_started_at_ + kMinWriteInterval;
-  if (!write_in_flight_ && active && scheduler_->HasWrites() &&
-      now < write_at) {
-    next_step_ = std::min(next_step_, write_at);
-    work->wake = next_step_;
-  } else if (!write_in_flight_ && active && scheduler_->HasWrites()) {
-    write_started_at_ = now;
-    work->writes = scheduler_->TakeWrites(RecordWriter::kMaxRecords);
-    work->writer = writer_;
-    write_in_flight_ = true;
-  }
-  if (write_in_flight_ && active) {
-    if (now >= write_started_at_ + kStoreResponseTimeout) {
-      scheduler_->RefuseUnwrittenJobs(kStoreOutageRetryDelay, now);
-      SchedulerOutput refusals = scheduler_->TakeOutput();
-      TakeResponses(&refusals, work);
-    } else {
-      next_step_ =
-          std::min(next_step_, write_started_at_ + kStoreResponseTimeout);
-      work->wake = next_step_;
-    }
-  }
-  if (!write_in_flight_ && state_ == State::kReleasing) {
-    work->released = std::move(on_released_);
-    on_released_ = nullptr;
-  }
+  CollectWrites(now, work);
+  work->wake = next_step_;
 }
 
 void PoolRunner::TakeResponses(SchedulerOutput* output, PendingActions* work) {
@@ -183,21 +136,9 @@
   for (auto& [done, outcome] : work.cancel_responses) {
     done(outcome);
   }
-  if (!work.writes.empty()) {
-    std::vector<StoreWrite> writes;
-    std::vector<std::string> removals;
-    for (RecordWrite& write : work.writes) {
-      std::string key = write.kind == RecordWrite::Kind::kAccepted
-                            ? AcceptedJobKey(claim_.pool, write.job)
-                            : JobProgressKey(claim_.pool, write.job);
-      if (write.remove) {
-        removals.push_back(std::move(key));
-      } else {
-        writes.push_back({std::move(key), std::move(write.value), 0});
-      }
-    }
+  if (work.writer != nullptr) {
     work.writer->Write(
-        std::move(writes), std::move(removals),
+        std::move(work.writes), std::move(work.removals),
         [self](RecordWriter::Outcome outcome) { self->OnWritten(outcome); });
   }
   for (StartOrder& order : work.output.starts) {
@@ -258,6 +199,7 @@
   RunOnScheduler([this](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     write_in_flight_ = false;
+    clears_leases_ = false;
     scheduler.OnWritten(now);
   });
 }
@@ -387,19 +329,19 @@
 }
 
 MonoTime PoolRunner::Tick(MonoTime now) {
-  std::function<void()> retry;
+  std::vector<std::function<void()>> retries;
   std::shared_ptr<RecordWriter> writer;
   bool step = false;
   {
     absl::MutexLock lock(&mutex_);
     if (now >= retry_at_) {
-      retry = std::move(retry_);
+      retries.swap(retries_);
       retry_at_ = MonoTime::max();
     }
     writer = writer_;
     step = now >= next_step_;
   }
-  if (retry) {
+  for (const std::function<void()>& retry : retries) {
     retry();
   }
   MonoTime next = MonoTime::max();
@@ -425,6 +367,9 @@
       state_ = State::kReleasing;
       on_released_ = std::move(done);
       done = nullptr;
+    } else if (state_ == State::kReleasing) {
+      // The release under way calls its own callback.
+      return;
     }
   }
   if (done) {
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -1,12 +1,15 @@
 #ifndef FLEET_POOL_RUNNER_H_
 #define FLEET_POOL_RUNNER_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "Adapter/platform_adapter.h"
 #include "Common/clock.h"
@@ -91,13 +94,20 @@
  private:
   // Records of the pool in the store, while they are being read.
   struct Recovery {
+    // Reads that have not completed: the jobs, and the leases.
+    std::atomic<int> pending_reads{2};
     uint64_t sequence_revision = 0;
     std::map<std::string, JobRecords> records;
     std::string after;
+    // True if the last owner has handed over leases, readable or not.
+    bool has_lease_record = false;
+    RemainingLeases leases;
   };
   struct PendingActions;
 
-  void ReadSequence();
+  void ReadSequence(const std::shared_ptr<Recovery>& recovery);
+  void ReadLeases(const std::shared_ptr<Recovery>& recovery);
+  void OnReadCompleted(const std::shared_ptr<Recovery>& recovery);
   void ReadRecords(const std::shared_ptr<Recovery>& recovery, bool progress);
   void RetryRead(std::function<void()> read);
   void Activate(const Recovery& recovery);
@@ -114,6 +124,16 @@
   void TakeResponses(SchedulerOutput* output, PendingActions* work)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void ExecuteActions(PendingActions work);
+  // Adds the write that is due, if any.
+  void CollectWrites(MonoTime now, PendingActions* work)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Writes the leases to hand over, then ends the release.
+  void CollectRelease(MonoTime now, PendingActions* work)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void AddJobRecords(std::vector<RecordWrite> records,
+                     PendingActions* work) const;
+  void BeginWrite(MonoTime now, PendingActions* work)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void OnWritten(RecordWriter::Outcome outcome);
 
   const Dependencies deps_;
@@ -134,7 +154,11 @@
   MonoTime lease_valid_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   MonoTime active_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   std::function<void()> on_released_ ABSL_GUARDED_BY(mutex_);
-  std::function<void()> retry_ ABSL_GUARDED_BY(mutex_);
+  // A handed-over lease record is in the store, and this owner has not removed
+  // it yet. Until then it grants no leases.
+  bool clears_leases_ ABSL_GUARDED_BY(mutex_) = false;
+  bool leases_handed_over_ ABSL_GUARDED_BY(mutex_) = false;
+  std::vector<std::function<void()>> retries_ ABSL_GUARDED_BY(mutex_);
   MonoTime retry_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   // Received before the scheduler exists.
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/pool_runner_recovery.cc
+++ b/Source/Core/Fleet/pool_runner_recovery.cc
@@ -1,6 +1,7 @@
 // Recovery of a pool's records after a claim.
 #include <utility>
 
+#include "Common/log.h"
 #include "Fleet/pool_runner.h"
 #include "Ownership/owner_record.h"
 
@@ -16,22 +17,58 @@
   const MonoTime at = deps_.clock.Now() + kReadRetryDelay;
   {
     absl::MutexLock lock(&mutex_);
-    retry_ = std::move(read);
+    retries_.push_back(std::move(read));
     retry_at_ = at;
   }
   deps_.wake_at(at);
 }
 
-void PoolRunner::ReadSequence() {
+void PoolRunner::Start() {
+  const auto recovery = std::make_shared<Recovery>();
+  ReadSequence(recovery);
+  ReadLeases(recovery);
+}
+
+void PoolRunner::OnReadCompleted(const std::shared_ptr<Recovery>& recovery) {
+  if (--recovery->pending_reads == 0) {
+    Activate(*recovery);
+  }
+}
+
+void PoolRunner::ReadLeases(const std::shared_ptr<Recovery>& recovery) {
+  deps_.platform.store().Get(
+      LeaseRecordKey(claim_.pool), kReadTimeout,
+      [self = shared_from_this(),
+       recovery](const Result<std::optional<StoreItem>>& item) {
+        if (!item) {
+          self->RetryRead([self, recovery] { self->ReadLeases(recovery); });
+          return;
+        }
+        if (*item) {
+          recovery->has_lease_record = true;
+          Result<RemainingLeases> leases = ParseRemainingLeases((*item)->value);
+          if (leases) {
+            recovery->leases = std::move(*leases);
+          } else {
+            LogEvent(LogLevel::kError, LogCategory::kJobs,
+                     "lease_record_unreadable",
+                     {{"pool", self->claim_.pool},
+                      {"error", ToString(leases.error())}});
+          }
+        }
+        self->OnReadCompleted(recovery);
+      });
+}
+
+void PoolRunner::ReadSequence(const std::shared_ptr<Recovery>& recovery) {
   deps_.platform.store().Get(
       SequenceKey(claim_.pool), kReadTimeout,
-      [self =
-           shared_from_this()](const Result<std::optional<StoreItem>>& item) {
+      [self = shared_from_this(),
+       recovery](const Result<std::optional<StoreItem>>& item) {
         if (!item) {
-          self->RetryRead([self] { self->ReadSequence(); });
+          self->RetryRead([self, recovery] { self->ReadSequence(recovery); });
           return;
         }
-        auto recovery = std::make_shared<Recovery>();
         recovery->sequence_revision = *item ? (*item)->revision : 0;
         self->ReadRecords(recovery, false);
       });
@@ -64,7 +101,7 @@
         if (!progress) {
           self->ReadRecords(recovery, true);
         } else {
-          self->Activate(*recovery);
+          self->OnReadCompleted(recovery);
         }
       });
 }
--- a/Source/Core/Ownership/owner_record.cc
+++ b/Source/Core/Ownership/owner_record.cc
@@ -32,6 +32,10 @@
   return absl::StrCat("figflow/progress/", pool, "/", job);
 }
 
+std::string LeaseRecordKey(absl::string_view scope) {
+  return absl::StrCat("figflow/leases/", scope);
+}
+
 std::string WaveKey(uint64_t wave) {
   return absl::StrCat("figflow/waves/", wave);
 }
--- a/Source/Core/Ownership/owner_record.h
+++ b/Source/Core/Ownership/owner_record.h
@@ -15,6 +15,10 @@
 std::string AcceptedJobKey(absl::string_view pool, absl::string_view job);
 std::string JobProgressKey(absl::string_view pool, absl::string_view job);
 
+// Returns the key of the leases that the last owner of the scope has handed
+// over.
+std::string LeaseRecordKey(absl::string_view scope);
+
 // Returns the key of a maintenance wave's record.
 std::string WaveKey(uint64_t wave);
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -17,6 +17,7 @@
 #include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
+#include "Scheduling/lease_record.h"
 #include "Scheduling/orders.h"
 #include "Scheduling/pool_report.h"
 #include "Scheduling/worker_state.h"
@@ -57,6 +58,9 @@
     // How long an earlier owner may continue to renew leases after this one
     // took over, on workers that only the earlier one reaches.
     std::chrono::milliseconds earlier_owner_grace{0};
+    // Leases that the last owner has handed over, as of the start of this one.
+    // They replace the longest possible lease for these workers.
+    RemainingLeases handed_over_leases;
   };
 
   PoolScheduler(Options options, MetricsRegistry& metrics, MonoTime now);
@@ -158,6 +162,9 @@
   // Returns the number of listed workers, and of those among them that have
   // responded to this owner.
   std::pair<int, int> Reached() const;
+  // Returns the leases of the workers that have tasks and do not respond. Valid
+  // for the next owner if no lease is granted after `now`.
+  RemainingLeases LeasesOfUnreachedWorkers(MonoTime now) const;
 
  private:
   using WorkerMap = std::map<WorkerKey, std::unique_ptr<WorkerState>>;
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -44,6 +44,11 @@
   worker->report.key = key;
   worker->last_response_at = now;
   worker->next_hold = now;
+  const auto handed_over = options_.handed_over_leases.find(key);
+  if (handed_over != options_.handed_over_leases.end()) {
+    worker->inherited_leases_until = activated_at_ + handed_over->second;
+    return *worker;
+  }
   const auto lease = std::chrono::duration_cast<MonoTime::duration>(
       max_inherited_lease_ / kMinWorkerClockRate);
   worker->inherited_leases_until =
@@ -121,6 +126,21 @@
   return {listed, reached};
 }
 
+RemainingLeases PoolScheduler::LeasesOfUnreachedWorkers(MonoTime now) const {
+  RemainingLeases leases;
+  for (const auto& [key, worker] : workers_) {
+    const bool reached =
+        worker->addressable && worker->fenced && worker->missed_responses == 0;
+    if (reached || worker->tasks.empty()) {
+      continue;
+    }
+    const auto remaining =
+        std::max(worker->AllLeasesExpiredAt() - now, MonoTime::duration(0));
+    leases[key] = std::chrono::ceil<std::chrono::milliseconds>(remaining);
+  }
+  return leases;
+}
+
 void PoolScheduler::OnResponseReceived(WorkerState& worker,
                                        std::chrono::milliseconds clock,
                                        MonoTime now) {
--- a/Source/UnitTests/Fleet/fleet_fault_test.cc
+++ b/Source/UnitTests/Fleet/fleet_fault_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "Fleet/fleet_test_support.h"
+#include "Ownership/owner_record.h"
 
 namespace figflow::test {
 namespace {
@@ -16,6 +17,8 @@
   CPPUNIT_TEST(SuspendedOwnerSendsNoOrdersAfterTakeOver);
   CPPUNIT_TEST(AllDaemonsKilledAtOnce);
   CPPUNIT_TEST(RollingRestartRefusesNoJob);
+  CPPUNIT_TEST(HandOversInARowDoNotProlongALease);
+  CPPUNIT_TEST(HandedOverLeasesDoNotOutliveTheNextOwner);
   CPPUNIT_TEST(LostStoreResponses);
   CPPUNIT_TEST(WritesExecutedLate);
   CPPUNIT_TEST(CutOffOwnerLeavesNoOutcomeUnknown);
@@ -116,6 +119,85 @@
                          fleet.first_answers[503] + fleet.first_answers[504]);
   }
 
+  // Guards against a perpetual task of a lost worker that stays out of service
+  // for as long as daemons are restarted: each new owner waited for the longest
+  // lease that an earlier one could have granted.
+  void HandOversInARowDoNotProlongALease() {
+    ModelFleet fleet(64);
+    StartFleet(fleet, 1, 4, 0);
+    JobSpec spec = SimpleJob("keep", "q0", 1, 2, 2'000);
+    spec.stages[0].perpetual = true;
+    spec.stages[0].max_per_worker = 1;
+    fleet.Submit(spec, 0);
+    fleet.Run(seconds(8));
+    const auto tasks_at_work = [&fleet] {
+      int tasks = 0;
+      for (const std::string& id : fleet.workers.Ids("p0")) {
+        const model::ModelWorker& worker = *fleet.workers.Find(id);
+        tasks += worker.cut ? 0 : static_cast<int>(worker.running.size());
+      }
+      return tasks;
+    };
+    CPPUNIT_ASSERT_EQUAL(2, tasks_at_work());
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      model::ModelWorker& worker = *fleet.workers.Find(id);
+      if (!worker.running.empty()) {
+        worker.cut = true;
+        break;
+      }
+    }
+    const MonoTime cut_at = fleet.time.Now();
+    for (int i = 1; i <= 4; ++i) {
+      fleet.time.After(milliseconds(1'500 * i), [&fleet] {
+        fleet.Restart(std::max(0, fleet.OwnerOf("p0")));
+      });
+    }
+    while (tasks_at_work() < 2 && fleet.time.Now() < cut_at + seconds(30)) {
+      fleet.Run(milliseconds(50));
+    }
+    // A task may be out of service for 6 s after its run, and for 3 s more.
+    CPPUNIT_ASSERT_MESSAGE(
+        absl::StrCat(WholeMilliseconds(fleet.time.Now() - cut_at).count(),
+                     " ms"),
+        fleet.time.Now() - cut_at <= seconds(9));
+    AssertPromisesKept(fleet);
+  }
+
+  // Guards against a run that is started elsewhere while it still exists: the
+  // leases that one owner handed over were granted anew by the next one, which
+  // then crashed.
+  void HandedOverLeasesDoNotOutliveTheNextOwner() {
+    ModelFleet fleet(65);
+    fleet.workers.SetClockRate(0.98);
+    StartFleet(fleet, 1, 4, 0);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{seconds(15), false};
+    };
+    fleet.Submit(SimpleJob("a", "q0", 1, 1, 2'000), 0);
+    fleet.Run(seconds(8));
+    model::ModelWorker* worker = nullptr;
+    for (const std::string& id : fleet.workers.Ids("p0")) {
+      if (!fleet.workers.Find(id)->running.empty()) {
+        worker = fleet.workers.Find(id);
+      }
+    }
+    CPPUNIT_ASSERT(worker != nullptr);
+    worker->cut = true;
+    fleet.Run(milliseconds(2'200));
+    fleet.Restart(fleet.OwnerOf("p0"));
+    fleet.Run(milliseconds(300));
+    const std::string record = LeaseRecordKey("p0");
+    CPPUNIT_ASSERT(fleet.OwnerOf("p0") >= 0);
+    worker->cut = false;
+    fleet.Run(seconds(2));
+    CPPUNIT_ASSERT(!worker->running.empty());
+    CPPUNIT_ASSERT(fleet.store.Find(record) == nullptr);
+    worker->cut = true;
+    fleet.Kill(fleet.OwnerOf("p0"), seconds(1));
+    fleet.Run(seconds(40));
+    AssertPromisesKept(fleet);
+  }
+
   void LostStoreResponses() {
     ModelFleet fleet(7);
     StartFleet(fleet, 1, 4, 0);
