Judge the permission for instance orders when they are sent

Cause: the instance controller checked its lease when it decided on an order. The order then waited in the HTTP client, for up to its time limit of 1.5 s, or for as long as the process was paused. Where the platform does not check fences, an order of an earlier controller could thus follow one of a later controller for the same instance.

Change: an order names the latest time to send it, which is the end of the sender's lease. The HTTP client checks it on a clock that counts suspensions, right before the first byte, and reports a request that is too late as not sent.

Measured: RequestIsNotSentAfterItsLastMoment fails without the check (the thread of the client is held for 200 ms, the request may be sent within 50 ms). InstanceOrdersCarryTheirLastMoment and the test of the controller cover the way from the lease to the client.

--- a/Source/Core/Adapter/instance_gateway.h
+++ b/Source/Core/Adapter/instance_gateway.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/clock.h"
 #include "Common/error.h"
 
 namespace figflow {
@@ -55,6 +56,9 @@
   uint64_t wave = 0;
   std::string holder;
   uint64_t fence = 0;
+  // Latest time to send the order: the sender's ownership is not certain after
+  // it.
+  MonoTime send_by = MonoTime::max();
 };
 
 // Moves and maintenance of instances. Calls return at once; an error means that
--- a/Source/Core/Http/client_transfer.cc
+++ b/Source/Core/Http/client_transfer.cc
@@ -73,6 +73,7 @@
   done_ = std::move(done);
   sent_ = false;
   stale_ = false;
+  too_late_ = false;
   resend_refused_ = false;
   use_fresh_ = request_.fresh_connection;
 }
@@ -158,8 +159,13 @@
     transfer->stale_ = true;
     return CURL_PREREQFUNC_ABORT;
   }
+  const MonoTime now = SystemClock().Now();
+  if (now >= transfer->request_.send_by) {
+    transfer->too_late_ = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   transfer->sent_ = true;
-  transfer->sent_at_ = SystemClock().Now();
+  transfer->sent_at_ = now;
   transfer->pool->loop->OnSent(*transfer, transfer->sent_at_);
   return CURL_PREREQFUNC_OK;
 }
@@ -340,6 +346,9 @@
                          "the response exceeds the size limit");
   } else if (framing_fault_ != nullptr) {
     result = MakeFailure(ErrorCode::kUnknownOutcome, framing_fault_);
+  } else if (too_late_) {
+    result = MakeFailure(ErrorCode::kDeadlineExceeded,
+                         "it is too late to send the request");
   } else if (resend_refused_) {
     result = MakeFailure(ErrorCode::kUnknownOutcome,
                          "the connection closed before the response");
--- a/Source/Core/Http/client_transfer.h
+++ b/Source/Core/Http/client_transfer.h
@@ -96,6 +96,8 @@
   bool sent_ = false;
   MonoTime sent_at_;
   bool stale_ = false;
+  // The attempt ended before sending because of send_by.
+  bool too_late_ = false;
   bool resend_refused_ = false;
   bool use_fresh_ = false;
   bool head_ended_ = false;
--- a/Source/Core/Http/http_transport.h
+++ b/Source/Core/Http/http_transport.h
@@ -23,6 +23,9 @@
   // Content-Length are set by the transport.
   std::shared_ptr<const HttpRequest> message;
   MonoTime deadline;
+  // Latest time to send the request; a later one is not sent and fails with
+  // kDeadlineExceeded.
+  MonoTime send_by = MonoTime::max();
   // If not zero, takes the place of `deadline`: the time for a connection, and
   // from the sending of the request for the whole response. Time before the
   // transport took up the request is not part of it.
--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -224,12 +224,14 @@
 void InstanceController::SendMoves(MonoTime now) {
   std::vector<InstanceMove> moves;
   PoolLayout layout;
+  MonoTime send_by;
   {
     absl::MutexLock lock(&mutex_);
     if (!OrdersAllowed(now)) {
       return;
     }
     layout = layout_;
+    send_by = lease_valid_until_;
     moves.swap(moves_to_send_);
     for (const InstanceMove& move : moves) {
       pending_moves_[move.instance] = {move.pool, now, WorkerOn(move.instance)};
@@ -243,6 +245,7 @@
     order.pool = layout.PoolOf(move.pool);
     order.holder = options_.holder;
     order.fence = options_.fence;
+    order.send_by = send_by;
     platform_.instances().Move(order,
                                [self = shared_from_this(),
                                 move](const Result<InstanceAnswer>& response) {
--- a/Source/Core/Instances/instance_controller_waves.cc
+++ b/Source/Core/Instances/instance_controller_waves.cc
@@ -183,11 +183,13 @@
 
 void InstanceController::SendMaintenanceOrders(MonoTime now) {
   std::vector<std::pair<uint64_t, std::string>> to_send;
+  MonoTime send_by;
   {
     absl::MutexLock lock(&mutex_);
     if (!OrdersAllowed(now)) {
       return;
     }
+    send_by = lease_valid_until_;
     const std::set<std::string> in_use = InstancesInUse(now);
     for (auto& [number, wave] : waves_) {
       if (!wave.loaded) {
@@ -219,6 +221,7 @@
     order.wave = number;
     order.holder = options_.holder;
     order.fence = options_.fence;
+    order.send_by = send_by;
     platform_.instances().Maintain(
         order, [self = shared_from_this(), number = number,
                 instance = instance](const Result<InstanceAnswer>& response) {
--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -35,6 +35,7 @@
   void Move(const InstanceOrder& order,
             std::function<void(Result<InstanceAnswer>)> done) override {
     ++moves;
+    send_by = order.send_by;
     time_.After(delay_, [this, order, done] { gateway_.Move(order, done); });
   }
   void Maintain(const InstanceOrder& order,
@@ -43,6 +44,8 @@
   }
 
   int moves = 0;
+  // Of the latest move.
+  MonoTime send_by;
 
  private:
   InstanceGateway& gateway_;
@@ -153,7 +156,8 @@
       plan->pools.push_back(config);
     }
     controller->SetPlan(plan);
-    controller->SetLeaseValidUntil(time.Now() + seconds(60));
+    lease_valid_until = time.Now() + seconds(60);
+    controller->SetLeaseValidUntil(lease_valid_until);
     controller->Start();
   }
 
@@ -187,6 +191,7 @@
   std::set<std::string> pools_without_owner;
   std::set<std::string> evacuate;
   std::shared_ptr<InstanceController> controller;
+  MonoTime lease_valid_until;
 };
 
 class InstanceControllerTest : public CppUnit::TestFixture {
@@ -249,6 +254,8 @@
       driver.RunFor(milliseconds(50));
     }
     CPPUNIT_ASSERT(driver.platform.slow.moves > 0);
+    // An order must not leave after the ownership has become uncertain.
+    CPPUNIT_ASSERT(driver.platform.slow.send_by == driver.lease_valid_until);
     // The backlog is cleared, so no further move is planned.
     driver.reports["busy"].waiting_millicores = 0;
     driver.reports["busy"].backlog_millicore_ms = 0;
--- a/Source/UnitTests/Http/http_client_test.cc
+++ b/Source/UnitTests/Http/http_client_test.cc
@@ -28,6 +28,8 @@
   size_t max_answer = 1 << 20;
   milliseconds answer_time{0};
   milliseconds stall_time{0};
+  // Time until the request may be sent; 0 for no limit.
+  milliseconds send_within{0};
 };
 
 class HttpClientTest : public CppUnit::TestFixture {
@@ -40,6 +42,7 @@
   CPPUNIT_TEST(AnswerThatIsThereIsDeliveredByALateThread);
   CPPUNIT_TEST(LateThreadStillTimesOutSilentTargets);
   CPPUNIT_TEST(AnswerTimeBeginsWithTheSending);
+  CPPUNIT_TEST(RequestIsNotSentAfterItsLastMoment);
   CPPUNIT_TEST(AnswerThatKeepsComingOutlastsItsDeadline);
   CPPUNIT_TEST(AnswerThatStopsComingEndsEarly);
   CPPUNIT_TEST(MethodsShareOneConnection);
@@ -192,6 +195,24 @@
                          Fetch({"GET", "/b"}).response->body);
   }
 
+  // Guards against an order that leaves a paused process after the permission
+  // for it has run out.
+  void RequestIsNotSentAfterItsLastMoment() {
+    Call call = {"POST", "/", {{"Idempotency-Key", "k"}}, "body"};
+    call.send_within = milliseconds(2'000);
+    CPPUNIT_ASSERT(Fetch(call).response.has_value());
+    call.headers = {{"Idempotency-Key", "late"}};
+    call.send_within = milliseconds(50);
+    std::future<TransferResult> late;
+    HoldThread(milliseconds(200),
+               [&] { late = FetchLater(call, server_->address()); });
+    const TransferResult result = late.get();
+    CPPUNIT_ASSERT(!result.sent);
+    CPPUNIT_ASSERT(result.response.error().code ==
+                   ErrorCode::kDeadlineExceeded);
+    CPPUNIT_ASSERT_EQUAL(0, server_->state().executions("late"));
+  }
+
   // Guards against a response that comes after its deadline and is taken for
   // the response to the next request.
   void TimedOutConnectionIsNotReused() {
@@ -399,6 +420,9 @@
     request.max_answer_bytes = call.max_answer;
     request.answer_time = call.answer_time;
     request.stall_time = call.stall_time;
+    if (call.send_within.count() > 0) {
+      request.send_by = SystemClock().Now() + call.send_within;
+    }
     auto promise = std::make_shared<std::promise<TransferResult>>();
     const uint64_t started =
         client_->Start(std::move(request), [promise](TransferResult result) {
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(PolicyIsAsked);
   CPPUNIT_TEST(InstancesAreListedPageByPage);
   CPPUNIT_TEST(InstanceOrdersByTable);
+  CPPUNIT_TEST(InstanceOrdersCarryTheirLastMoment);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -264,6 +265,17 @@
     CPPUNIT_ASSERT_EQUAL(std::string("12"), last.headers[1].second);
   }
 
+  // Guards against an order that is sent after its sender's lease.
+  void InstanceOrdersCarryTheirLastMoment() {
+    InstanceOrder order{"m-1", "p", 0, "holder", 12};
+    order.send_by = clock_.Now() + milliseconds(700);
+    instances_.Move(order, [](const Result<InstanceAnswer>&) {});
+    CPPUNIT_ASSERT(transport_.send_by == order.send_by);
+    order.send_by += milliseconds(100);
+    instances_.Maintain(order, [](const Result<InstanceAnswer>&) {});
+    CPPUNIT_ASSERT(transport_.send_by == order.send_by);
+  }
+
  private:
   static OrderTarget Target() {
     OrderTarget target;
--- a/Source/UnitTests/Wire/table_transport.h
+++ b/Source/UnitTests/Wire/table_transport.h
@@ -21,6 +21,7 @@
     answer_time = request.answer_time;
     max_answer_bytes = request.max_answer_bytes;
     stall_time = request.stall_time;
+    send_by = request.send_by;
     TransferResult result;
     result.sent = sent;
     if (status == 0) {
@@ -53,6 +54,7 @@
   std::chrono::milliseconds answer_time{0};
   size_t max_answer_bytes = 0;
   std::chrono::milliseconds stall_time{0};
+  MonoTime send_by;
 };
 
 }  // namespace figflow::test
