Lend instances of pools with late work, and reserve fewer in large pools

Cause: a pool kept its instances until all its work was done. Where peaks follow each other closely, the next pool's work became late while the pool before it worked off jobs that were late already, and so on at each turn. Between peaks each pool of the large deployment also held 11 idle instances, which only the pool that peaks next used.

Change: a pool's report tells late work from work that can meet its objective. Work in time comes first across pools: a pool that can do its work in time with fewer instances lends instances, which get no new task and move when their tasks have ended; nothing is stopped for it. A pool keeps its minimum share, now at most 8 instances. Workers with perpetual tasks are evacuated two at a time for a wave, also beside waiting work, if one at a time would miss the wave's deadline.

--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -133,8 +133,9 @@
   request.method = "POST";
   request.target = kPoolPath;
   request.headers = {{"Content-Type", "application/cbor"}};
-  request.body = FormatCbor(json::array(
-      {sync.pool, sync.orders.evacuate, sync.orders.ended, sync.orders.later}));
+  request.body = FormatCbor(
+      json::array({sync.pool, sync.orders.evacuate, sync.orders.ended,
+                   sync.orders.later, sync.orders.lend}));
   return request;
 }
 
@@ -147,8 +148,10 @@
         row.at(0).get<std::string>(),
         {row.at(1).get<std::set<std::string>>(),
          row.at(2).get<std::set<std::string>>(),
-         // Daemons of earlier versions omit this field.
+         // Daemons of earlier versions omit these fields.
          row.size() > 3 ? row.at(3).get<std::set<std::string>>()
+                        : std::set<std::string>(),
+         row.size() > 4 ? row.at(4).get<std::set<std::string>>()
                         : std::set<std::string>()}};
   });
 }
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -320,7 +320,7 @@
       for (const std::string& worker : orders.ended) {
         scheduler.OnWorkerEnded(worker, now);
       }
-      scheduler.SetEvacuating(orders.evacuate, now);
+      scheduler.SetEvacuating(orders.evacuate, orders.lend, now);
       scheduler.SetEvacuatingLater(orders.later, now);
       report = scheduler.Report(now);
     }
--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -345,6 +345,13 @@
     instances.erase(instance);
     workers.insert(move.worker);
   }
+  workers.merge(WorkersOn(instances));
+  return workers;
+}
+
+std::set<std::string> InstanceController::WorkersOn(
+    const std::set<std::string>& instances) const {
+  std::set<std::string> workers;
   for (const auto& [scope, report] : reports_) {
     for (const WorkerLoad& load : report.workers) {
       if (instances.count(load.instance) > 0) {
@@ -366,7 +373,8 @@
 
 WorkerOrders InstanceController::OrdersFor(
     const std::string& scope,
-    const std::set<std::string>& to_evacuate) const {
+    const std::set<std::string>& to_evacuate,
+    const std::set<std::string>& to_lend) const {
   WorkerOrders orders;
   for (const auto& [worker, ended] : ended_workers_) {
     const bool concerns = ended.scope.empty() || ended.scope == scope;
@@ -375,10 +383,12 @@
     }
   }
   orders.evacuate = to_evacuate;
+  orders.lend = to_lend;
   for (const auto& [other, report] : reports_) {
     for (const WorkerLoad& load : report.workers) {
       if (other != scope) {
         orders.evacuate.erase(load.worker);
+        orders.lend.erase(load.worker);
       } else if (AwaitsMaintenance(load.instance)) {
         orders.later.insert(load.worker);
       }
@@ -402,13 +412,14 @@
                : ended_workers_.erase(it);
     }
     const std::set<std::string> to_evacuate = WorkersToEvacuate();
+    const std::set<std::string> to_lend = WorkersOn(lending_);
     for (const PoolConfig& pool : plan_->pools) {
       if (pool.spare) {
         continue;
       }
       for (const std::string& scope : layout_.ScopesOfPool(pool.name)) {
         if (syncing_.insert(scope).second) {
-          to_sync[scope] = OrdersFor(scope, to_evacuate);
+          to_sync[scope] = OrdersFor(scope, to_evacuate, to_lend);
         }
       }
     }
--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -117,13 +117,17 @@
   // have certainly ended.
   std::set<std::string> WorkersToEvacuate() const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns the workers on these instances according to the latest reports.
+  std::set<std::string> WorkersOn(const std::set<std::string>& instances) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns whether an open wave has not begun the maintenance of the instance.
   bool AwaitsMaintenance(const std::string& instance) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns the orders that concern the scope, and those whose scope is not
   // known.
   WorkerOrders OrdersFor(const std::string& scope,
-                         const std::set<std::string>& to_evacuate) const
+                         const std::set<std::string>& to_evacuate,
+                         const std::set<std::string>& to_lend) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Records that the order for the worker's instance was carried out. `worker`
   // is empty if the instance ran none.
@@ -213,6 +217,7 @@
   std::vector<MovePlanner> move_planners_ ABSL_GUARDED_BY(mutex_) =
       std::vector<MovePlanner>(1);
   std::set<std::string> evacuating_for_moves_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> lending_ ABSL_GUARDED_BY(mutex_);
   std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, PendingMove> pending_moves_ ABSL_GUARDED_BY(mutex_);
   // A worker that has certainly ended.
--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -150,11 +150,13 @@
   }
   LogPools(input, now);
   evacuating_for_moves_.clear();
+  lending_.clear();
   moves_to_send_.clear();
   for (int partition = 0; partition < layout_.partitions; ++partition) {
     MovePlan plan =
         move_planners_[partition].Plan(InputOfPartition(input, partition), now);
     evacuating_for_moves_.merge(plan.evacuate);
+    lending_.merge(plan.lend);
     std::move(plan.moves.begin(), plan.moves.end(),
               std::back_inserter(moves_to_send_));
   }
@@ -210,6 +212,8 @@
          {"used_millicores", absl::StrCat(used)},
          {"perpetual_millicores", absl::StrCat(report.perpetual_millicores)},
          {"waiting_millicores", absl::StrCat(report.waiting_millicores)},
+         {"late_backlog_millicore_ms",
+          absl::StrCat(report.late_backlog_millicore_ms)},
          {"offered_millicores", absl::StrCat(report.offered_millicores)},
          {"unplaced", absl::StrCat(report.unplaced_tasks)},
          {"spread", absl::StrCat(report.min_perpetual_workers)},
--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -19,8 +19,10 @@
 // one back cost about as much as 2.3 s in a pool.
 constexpr std::chrono::milliseconds kIdleBeforeReturn{1'500};
 // A pool keeps this share of an even distribution of all instances for the
-// start of its next peak.
+// start of its next peak, and at most this number: spare instances come within
+// the time of a move, and cost nothing until then.
 constexpr double kMinPoolShare = 0.35;
+constexpr double kMaxReservedInstances = 8;
 // A pool gives up instances only while its own load is below this share of the
 // capacity that would remain.
 constexpr double kMaxDonorLoad = 0.6;
@@ -64,14 +66,22 @@
   // waiting work.
   double offered = 0;
   double wanted = 0;
+  // The same without waiting work that can't meet its objective.
+  double wanted_in_time = 0;
 
   // Returns whether the pool can't work off its waiting work soon by itself, or
-  // more work arrives than it can do.
+  // more work arrives than it can do. Work that is late already does not count.
   bool IsShort() const {
-    return BacklogSeconds() >= kToleratedBacklogSeconds ||
+    return InTimeBacklogSeconds() >= kToleratedBacklogSeconds ||
            report->unplaced_tasks > 0 || offered > capacity;
   }
 
+  // Returns whether the pool can't work off its late work soon.
+  bool IsLate() const {
+    return report->late_backlog_millicore_ms > 0 &&
+           BacklogSeconds() >= kToleratedBacklogSeconds;
+  }
+
   // Returns how many workers perpetual tasks need in addition to the present
   // ones.
   int MissingWorkers() const {
@@ -84,8 +94,18 @@
   }
 
   double BacklogSeconds() const {
+    return SecondsOf(report->backlog_millicore_ms);
+  }
+
+  double InTimeBacklogSeconds() const {
+    return SecondsOf(report->backlog_millicore_ms -
+                     report->late_backlog_millicore_ms);
+  }
+
+  // Returns how long the pool takes for this work.
+  double SecondsOf(int64_t millicore_ms) const {
     const double usable = std::max(1.0, capacity * kUsableShare);
-    return static_cast<double>(report->backlog_millicore_ms) / 1000.0 / usable;
+    return static_cast<double>(millicore_ms) / 1000.0 / usable;
   }
 
   void CountCapacity() {
@@ -101,12 +121,17 @@
     offered = static_cast<double>(report->offered_millicores +
                                   report->perpetual_millicores) /
               kUsableShare;
-    wanted = offered + static_cast<double>(report->backlog_millicore_ms) /
-                           1000.0 / kDrainSeconds / kUsableShare;
+    const auto to_drain = [](int64_t millicore_ms) {
+      return static_cast<double>(millicore_ms) / 1000.0 / kDrainSeconds /
+             kUsableShare;
+    };
+    wanted = offered + to_drain(report->backlog_millicore_ms);
+    wanted_in_time = wanted - to_drain(report->late_backlog_millicore_ms);
     // A perpetual task that no present worker can run may fit on an additional
     // one.
     if (report->unplaced_tasks > 0) {
       wanted = std::max(wanted, capacity + instance_capacity);
+      wanted_in_time = std::max(wanted_in_time, capacity + instance_capacity);
     }
   }
 };
@@ -123,13 +148,29 @@
   std::map<std::string, std::vector<std::string>> idle;
   // Spare instances that are not used yet.
   std::vector<std::string> spare;
+  // Instances with tasks that pools can lend, the one with the fewest tasks
+  // last.
+  std::map<std::string, std::vector<std::string>> lendable;
   MovePlan plan;
 
   // Returns whether the pool can manage with one instance less.
   bool CanDonate(const PoolNeed& need) const {
     return need.wanted < kMaxDonorLoad * (need.capacity - instance_capacity) &&
-           need.size > std::max<double>(min_pool_size,
-                                        need.report->min_perpetual_workers);
+           need.size > MinSize(need);
+  }
+
+  // Returns whether the pool has late work, and can do the other work with one
+  // instance less.
+  bool CanLend(const PoolNeed& need) const {
+    return need.IsLate() && !need.IsShort() &&
+           need.wanted_in_time <= need.capacity - instance_capacity &&
+           need.size > MinSize(need);
+  }
+
+  // Returns the number of instances that the pool keeps in any case.
+  double MinSize(const PoolNeed& need) const {
+    return std::max<double>(min_pool_size,
+                            std::max(1, need.report->min_perpetual_workers));
   }
 
   // Keeps the instance free of tasks and no longer counts it for its pool.
@@ -145,8 +186,8 @@
 };
 
 MovePlan MovePlanner::Plan(const MoveInput& input, MonoTime now) {
-  PlanningRound round{input, now, {}, MaxInstanceCapacity(input.pools),
-                      0,     {},  {}, {}};
+  PlanningRound round{input, now, {}, MaxInstanceCapacity(input.pools), 0, {},
+                      {},    {},  {}};
   // Without the list of instances the pools' shares are not known.
   if (round.instance_capacity <= 0 || input.instance_count == 0) {
     return {};
@@ -175,8 +216,10 @@
       need->second.incoming += round->instance_capacity;
     }
   }
-  round->min_pool_size = kMinPoolShare * input.instance_count /
-                         static_cast<double>(round->needs.size());
+  const double even_share =
+      input.instance_count / static_cast<double>(round->needs.size());
+  round->min_pool_size =
+      std::min(kMinPoolShare * even_share, kMaxReservedInstances);
   for (const auto& [instance, capacity] : input.spare) {
     if (IsMovable(input, instance)) {
       round->spare.push_back(instance);
@@ -186,29 +229,52 @@
 
 void MovePlanner::FindIdleInstances(PlanningRound* round) {
   std::set<std::string> idle_now;
+  std::set<std::string> movable_now;
   for (const auto& [name, report] : round->input.pools) {
+    std::vector<const WorkerLoad*> lendable;
     for (const WorkerLoad& load : report.workers) {
-      if (load.usable && load.tasks == 0 && !load.instance.empty() &&
-          IsMovable(round->input, load.instance)) {
+      if (!load.usable || load.instance.empty() ||
+          !IsMovable(round->input, load.instance)) {
+        continue;
+      }
+      movable_now.insert(load.instance);
+      if (lent_targets_.count(load.instance) > 0) {
+        continue;
+      }
+      if (load.tasks == 0) {
         idle_now.insert(load.instance);
         round->idle[name].push_back(load.instance);
         idle_since_.emplace(load.instance, round->now);
       }
+      if (load.tasks > 0 && load.perpetual_tasks == 0 && !load.evacuating) {
+        lendable.push_back(&load);
+      }
+    }
+    std::stable_sort(lendable.begin(), lendable.end(),
+                     [](const WorkerLoad* a, const WorkerLoad* b) {
+                       return a->tasks > b->tasks;
+                     });
+    for (const WorkerLoad* load : lendable) {
+      round->lendable[name].push_back(load->instance);
     }
   }
   RetainOnly(idle_now, &idle_since_);
   RetainOnly(idle_now, &chosen_targets_);
+  RetainOnly(movable_now, &lent_targets_);
 }
 
 void MovePlanner::AdvanceChosenInstances(PlanningRound* round) {
   for (const auto& [name, report] : round->input.pools) {
     for (const WorkerLoad& load : report.workers) {
-      const auto choice = chosen_targets_.find(load.instance);
-      if (choice == chosen_targets_.end()) {
+      const auto lent = lent_targets_.find(load.instance);
+      const auto chosen = chosen_targets_.find(load.instance);
+      const bool is_lent = lent != lent_targets_.end();
+      if (!is_lent && chosen == chosen_targets_.end()) {
         continue;
       }
+      const auto choice = is_lent ? lent : chosen;
       const auto target = round->needs.find(choice->second);
-      round->plan.evacuate.insert(load.instance);
+      (is_lent ? round->plan.lend : round->plan.evacuate).insert(load.instance);
       if (load.evacuating && load.tasks == 0) {
         round->plan.moves.push_back({load.instance, choice->second});
       } else if (target != round->needs.end()) {
@@ -231,28 +297,37 @@
   }
   std::sort(by_need.begin(), by_need.end(),
             [](const PoolNeed* a, const PoolNeed* b) {
-              return a->BacklogSeconds() > b->BacklogSeconds();
+              return a->InTimeBacklogSeconds() > b->InTimeBacklogSeconds();
             });
   int planned = 0;
   // Perpetual tasks need few instances, and can't run at all without them.
   for (PoolNeed* need : by_need) {
     const double missing = need->MissingWorkers() * round->instance_capacity;
-    AssignInstances(need, need->capacity + missing, round, &planned);
+    AssignInstances(need, need->capacity + missing, true, round, &planned);
   }
   for (PoolNeed* need : by_need) {
     if (need->IsShort()) {
-      AssignInstances(need, need->wanted, round, &planned);
+      AssignInstances(need, need->wanted_in_time, true, round, &planned);
+    }
+  }
+  for (PoolNeed* need : by_need) {
+    if (need->IsLate()) {
+      AssignInstances(need, need->wanted, false, round, &planned);
     }
   }
 }
 
 void MovePlanner::AssignInstances(PoolNeed* need,
                                   double wanted,
+                                  bool may_borrow,
                                   PlanningRound* round,
                                   int* planned) {
   while (need->capacity + need->incoming < wanted &&
          *planned < kMaxMovesPerPlan) {
-    const Source source = TakeInstance(*need, round);
+    Source source = TakeIdleInstance(*need, round);
+    if (source == Source::kNone && may_borrow) {
+      source = TakeLentInstance(*need, round);
+    }
     if (source == Source::kNone) {
       return;
     }
@@ -263,8 +338,8 @@
   }
 }
 
-MovePlanner::Source MovePlanner::TakeInstance(const PoolNeed& taker,
-                                              PlanningRound* round) {
+MovePlanner::Source MovePlanner::TakeIdleInstance(const PoolNeed& taker,
+                                                  PlanningRound* round) {
   const std::string& pool = taker.report->pool;
   if (!round->spare.empty()) {
     round->plan.moves.push_back({round->spare.back(), pool});
@@ -285,6 +360,36 @@
   return Source::kTaken;
 }
 
+MovePlanner::Source MovePlanner::TakeLentInstance(const PoolNeed& taker,
+                                                  PlanningRound* round) {
+  PoolNeed* donor = FindLender(taker, round);
+  if (donor == nullptr) {
+    return Source::kNone;
+  }
+  std::vector<std::string>& from = round->lendable[donor->report->pool];
+  lent_targets_[from.back()] = taker.report->pool;
+  round->plan.lend.insert(from.back());
+  from.pop_back();
+  round->RemoveCapacity(donor);
+  return Source::kTaken;
+}
+
+MovePlanner::PoolNeed* MovePlanner::FindLender(const PoolNeed& taker,
+                                               PlanningRound* round) {
+  PoolNeed* donor = nullptr;
+  for (auto& [name, candidate] : round->needs) {
+    const bool can_lend = &candidate != &taker &&
+                          !round->lendable[name].empty() &&
+                          round->CanLend(candidate);
+    if (can_lend &&
+        (donor == nullptr || candidate.capacity - candidate.wanted_in_time >
+                                 donor->capacity - donor->wanted_in_time)) {
+      donor = &candidate;
+    }
+  }
+  return donor;
+}
+
 MovePlanner::PoolNeed* MovePlanner::FindDonor(const PoolNeed& taker,
                                               PlanningRound* round) {
   PoolNeed* donor = nullptr;
--- a/Source/Core/Instances/move_planner.h
+++ b/Source/Core/Instances/move_planner.h
@@ -44,6 +44,8 @@
   std::vector<InstanceMove> moves;
   // Idle instances to keep free of tasks because they are about to be moved.
   std::set<std::string> evacuate;
+  // Instances to move once their present tasks have ended.
+  std::set<std::string> lend;
 };
 
 // Decides which instances move to another pool.
@@ -54,6 +56,12 @@
 // have been idle for as long as a move is worth. The queues peak in turn: for
 // some seconds one needs more than its pool holds, while the others need a
 // twentieth of their mean.
+//
+// If the peaks exceed what the fleet can do, the pool of the last peak still
+// works off late jobs when the next peak begins. Work that can meet its
+// objective comes first across pools as well: a pool with late work lends what
+// it does not need for other work as the tasks there end. It keeps its minimum
+// share, so late work does not starve.
 class MovePlanner {
  public:
   MovePlan Plan(const MoveInput& input, MonoTime now);
@@ -69,23 +77,31 @@
   // Moves chosen instances that are evacuated and receive no more tasks.
   void AdvanceChosenInstances(PlanningRound* round);
   void FillShortPools(PlanningRound* round);
-  // Assigns instances to the pool until it has `wanted` millicores.
+  // Assigns instances to the pool until it has `wanted` millicores. Pools with
+  // late work lend some if `may_borrow` is true.
   void AssignInstances(PoolNeed* need,
                        double wanted,
+                       bool may_borrow,
                        PlanningRound* round,
                        int* planned);
   // Takes an instance for the pool: a spare one, or an idle one of another
   // pool.
-  Source TakeInstance(const PoolNeed& taker, PlanningRound* round);
+  Source TakeIdleInstance(const PoolNeed& taker, PlanningRound* round);
+  // Takes the instance with the fewest tasks of a pool that does not need it
+  // for work that can be in time.
+  Source TakeLentInstance(const PoolNeed& taker, PlanningRound* round);
   // Returns the pool with the most surplus capacity; null if none can give an
   // instance.
   static PoolNeed* FindDonor(const PoolNeed& taker, PlanningRound* round);
+  static PoolNeed* FindLender(const PoolNeed& taker, PlanningRound* round);
   void ReturnIdleInstances(PlanningRound* round);
 
   std::map<std::string, MonoTime> idle_since_;
   // Target pool of each instance that was chosen to move, until it is
   // evacuated.
   std::map<std::string, std::string> chosen_targets_;
+  // The same for instances that are lent with tasks still running.
+  std::map<std::string, std::string> lent_targets_;
 };
 
 }  // namespace figflow
--- a/Source/Core/Instances/wave_planner.cc
+++ b/Source/Core/Instances/wave_planner.cc
@@ -70,6 +70,8 @@
   // Workers that are being evacuated of perpetual tasks, by pool and in total.
   std::map<std::string, int> perpetual_by_pool;
   int perpetual_evacuations = 0;
+  // Workers with perpetual tasks that still have to be evacuated, by pool.
+  std::map<std::string, int> perpetual_waiting;
   for (const auto& [name, pool] : pools) {
     for (const WorkerLoad& load : pool.workers) {
       const auto member = wave.instances.find(load.instance);
@@ -80,6 +82,7 @@
       }
       const bool chosen = evacuating.count(load.instance) > 0;
       candidates.push_back({load.instance, name, &load, chosen});
+      perpetual_waiting[name] += load.perpetual_tasks > 0 ? 1 : 0;
     }
   }
   std::stable_sort(candidates.begin(), candidates.end(),
@@ -113,9 +116,12 @@
     const int under_way =
         down + static_cast<int>(plan.to_maintain.size() + plan.evacuate.size());
     if (load.perpetual_tasks > 0) {
-      const int max_evacuations = pool.waiting_millicores > 0 && !short_of_time
-                                      ? 1
-                                      : kMaxPerpetualEvacuations;
+      // Beside waiting work, one at a time is enough only if all of them are
+      // done by the deadline.
+      const bool slowly =
+          pool.waiting_millicores > 0 &&
+          perpetual_waiting[candidate.pool] * kEvacuationTime <= time_left;
+      const int max_evacuations = slowly ? 1 : kMaxPerpetualEvacuations;
       if (candidate.evacuating ||
           (perpetual_by_pool[candidate.pool] < max_evacuations &&
            under_way < wave.max_down)) {
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -21,11 +21,11 @@
                      load.perpetual_tasks, load.used_millicores,
                      load.capacity_millicores, load.evacuating, load.usable}));
   }
-  return FormatCbor(
-      json::array({report.pool, report.waiting_millicores,
-                   report.backlog_millicore_ms, report.offered_millicores,
-                   report.perpetual_millicores, report.unplaced_tasks,
-                   std::move(workers), report.min_perpetual_workers}));
+  return FormatCbor(json::array(
+      {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
+       report.offered_millicores, report.perpetual_millicores,
+       report.unplaced_tasks, std::move(workers), report.min_perpetual_workers,
+       report.late_backlog_millicore_ms}));
 }
 
 Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
@@ -37,8 +37,10 @@
     report.offered_millicores = row.at(3).get<int64_t>();
     report.perpetual_millicores = row.at(4).get<int64_t>();
     report.unplaced_tasks = row.at(5).get<int>();
-    // Daemons of earlier versions do not send this element.
+    // Daemons of earlier versions do not send these elements.
     report.min_perpetual_workers = row.size() > 7 ? row.at(7).get<int>() : 0;
+    report.late_backlog_millicore_ms =
+        row.size() > 8 ? row.at(8).get<int64_t>() : 0;
     for (const json& entry : row.at(6)) {
       WorkerLoad load;
       load.worker = entry.at(0).get<std::string>();
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -22,6 +22,9 @@
   std::set<std::string> ended;
   // Workers to evacuate later: perpetual tasks go elsewhere if possible.
   std::set<std::string> later;
+  // Workers that get no new tasks and whose instance leaves the pool once their
+  // present tasks have ended. No task is stopped for it.
+  std::set<std::string> lend;
 };
 
 // Load of one worker of a pool, as its owner sees it.
@@ -50,6 +53,8 @@
   // Sum of request times predicted duration over the same tasks without
   // perpetual ones, in millicores times milliseconds.
   int64_t backlog_millicore_ms = 0;
+  // The part of it whose jobs cannot meet their objective any more.
+  int64_t late_backlog_millicore_ms = 0;
   // Recent processor time of new work per second.
   int64_t offered_millicores = 0;
   // Processors requested by assigned perpetual tasks.
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -129,8 +129,11 @@
   void OnWritten(MonoTime now);
 
   // Evacuates these workers and no others, as long as the evacuation is
-  // requested at least every 2 s.
-  void SetEvacuating(const std::set<std::string>& workers, MonoTime now);
+  // requested at least every 2 s. Tasks of the workers in `lent` are not
+  // stopped.
+  void SetEvacuating(const std::set<std::string>& workers,
+                     const std::set<std::string>& lent,
+                     MonoTime now);
   // Makes perpetual tasks avoid these workers and no others, as long as this is
   // requested at least every 2 s.
   void SetEvacuatingLater(const std::set<std::string>& workers, MonoTime now);
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -1,9 +1,11 @@
 // Evacuates workers: before their instance is maintained or moved, and while
 // they drain.
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "Common/log.h"
+#include "Scheduling/dispatch_order.h"
 #include "Scheduling/pool_scheduler.h"
 #include "Scheduling/scheduler_metrics.h"
 #include "absl/strings/str_cat.h"
@@ -43,9 +45,16 @@
 }  // namespace
 
 void PoolScheduler::SetEvacuating(const std::set<std::string>& workers,
+                                  const std::set<std::string>& lent,
                                   MonoTime now) {
   for (auto& [key, worker] : workers_) {
-    const bool wanted = workers.count(key.id) > 0;
+    const bool evacuated = workers.count(key.id) > 0;
+    const bool wanted = evacuated || lent.count(key.id) > 0;
+    if (worker->lent && evacuated) {
+      // The tasks that were left to end get their time from now on.
+      worker->evacuating_since = now;
+    }
+    worker->lent = wanted && !evacuated;
     if (wanted) {
       worker->evacuation_requested_at = now;
     }
@@ -125,7 +134,7 @@
       }
       continue;
     }
-    if (worker.report.draining) {
+    if (worker.report.draining || worker.lent) {
       continue;
     }
     const MonoTime stop_at = worker.evacuating_since + kEvacuationGrace;
@@ -174,6 +183,7 @@
   }
   for (const auto& [id, job] : open_jobs_) {
     for (const auto& [number, occurrence] : job->occurrences) {
+      std::optional<bool> late;
       for (size_t i = 0; i < occurrence.stages.size(); ++i) {
         const StageSpec& spec = job->spec.stages[i];
         const int waiting = occurrence.stages[i].waiting;
@@ -187,10 +197,19 @@
           if (spec.perpetual || spec.gang) {
             report.unplaced_tasks += waiting;
           }
-          if (!spec.perpetual) {
-            report.backlog_millicore_ms +=
-                requested * PredictedDuration(*job, spec).count();
+          if (spec.perpetual) {
+            continue;
+          }
+          if (!late) {
+            late = ComputeDispatchRank(*job, occurrence,
+                                       plan_->FindQueueByName(job->spec.queue),
+                                       durations_[job->spec.queue], now)
+                       .urgency >= Urgency::kLastChance;
           }
+          const int64_t work =
+              requested * PredictedDuration(*job, spec).count();
+          report.backlog_millicore_ms += work;
+          report.late_backlog_millicore_ms += *late ? work : 0;
         }
       }
     }
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -53,6 +53,8 @@
   // The worker gets no new tasks because its instance is about to leave the
   // pool or to be maintained.
   bool evacuating = false;
+  // The instance is lent once the present tasks have ended; none is stopped.
+  bool lent = false;
   MonoTime evacuating_since;
   // When the evacuation was last requested.
   MonoTime evacuation_requested_at;
--- a/Source/UnitTests/Instances/planners_test.cc
+++ b/Source/UnitTests/Instances/planners_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(BusyPoolDonatesNothing);
   CPPUNIT_TEST(PendingMovesCountAsCapacity);
   CPPUNIT_TEST(IdleInstancesReturnToSparePool);
+  CPPUNIT_TEST(LargePoolReservesFewInstances);
   CPPUNIT_TEST(UnplacedTasksRequestOneInstance);
   CPPUNIT_TEST(PerWorkerLimitsRequestInstances);
   CPPUNIT_TEST(PerpetualTasksTakePriorityOverBacklogs);
@@ -69,6 +70,7 @@
   CPPUNIT_TEST(WaveNeverExceedsMaxDown);
   CPPUNIT_TEST(WaveEvacuatesFasterNearDeadline);
   CPPUNIT_TEST(WaveLimitsEvacuationsOfPerpetualWorkers);
+  CPPUNIT_TEST(WaveBesidePeakEvacuatesPerpetualWorkersInTime);
   CPPUNIT_TEST(WaveWithPerpetualTasksMeetsDeadline);
   CPPUNIT_TEST(WaveMaintainsInstancesWithoutWorker);
   CPPUNIT_TEST(WaveRecordRoundTrips);
@@ -180,6 +182,19 @@
     CPPUNIT_ASSERT_EQUAL(plan.evacuate.size(), again.evacuate.size());
   }
 
+  // Guards against instances that are paid for in all pools although only the
+  // pool that peaks next uses them.
+  void LargePoolReservesFewInstances() {
+    MovePlanner planner;
+    MoveInput input = Input();
+    input.instance_count = 132;
+    input.pools["a"] = Pool("a", 31, 2);
+    input.pools["b"] = Pool("b", 0, 33);
+    planner.Plan(input, kNow);
+    const MovePlan plan = planner.Plan(input, kNow + seconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{33 - 8}, plan.evacuate.size());
+  }
+
   void UnplacedTasksRequestOneInstance() {
     MovePlanner planner;
     MoveInput input = Input();
@@ -289,6 +304,22 @@
     CPPUNIT_ASSERT(plan.evacuate.size() <= 2);
   }
 
+  // Guards against a wave that is late because workers with perpetual tasks are
+  // evacuated one by one for as long as other work waits.
+  void WaveBesidePeakEvacuatesPerpetualWorkersInTime() {
+    PoolReport pool = Pool("a", 0, 8);
+    pool.waiting_millicores = kSize;
+    for (WorkerLoad& load : pool.workers) {
+      load.perpetual_tasks = 1;
+    }
+    const auto evacuated = [&](milliseconds left) {
+      return PlanWave(Wave(left, 8), {{"a", pool}}, {}, {}, {}, kNow)
+          .evacuate.size();
+    };
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, evacuated(seconds(60)));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, evacuated(seconds(20)));
+  }
+
   // Replays a wave over half of a pool in which some workers have a perpetual
   // task of the same stage and others are idle, while one task moves in a
   // second. Guards against perpetual tasks that are left to the end, when there
