Keep an instance in its pool while it reboots for maintenance

Cause: the platform lists an instance as gone during its reboot, and the daemon removed it from the data centre's document as lost. The holder of the roll-out then found no record and counted the reboot as failed. It showed only if a list was read during the reboot: in the tests a reboot takes 500 ms, a list is read each second, and the stages of an instance follow the lists, so the two rarely met but beside load. This explains the known red RolloutRebootsEachInstanceOnce, "2 of 2 instances failed in wave 2"; the unit tests modelled a reboot with the state leaving.

Change: instances in maintenance are not removed by the list. If one is still gone when its operation is over, its maintenance ends and it is lost like any other.

Measured: RebootingInstanceStays fails before. The process test now uses reboots of 1.5 s, which each list shows as gone.

--- a/Source/Core/Maintenance/maintenance_controller.cc
+++ b/Source/Core/Maintenance/maintenance_controller.cc
@@ -436,8 +436,17 @@
     const bool known = wave != round.base.document.instances.end() &&
                        wave->second.operation == record.operation;
     const ListedInstance* listed = FindListed(*round.listed, id);
-    if ((known && IsInFlight(wave->second.stage)) || listed == nullptr ||
-        listed->state != InstanceState::kLive ||
+    if ((known && IsInFlight(wave->second.stage)) || listed == nullptr) {
+      continue;
+    }
+    if (listed->state == InstanceState::kGone) {
+      // The operation is over, so the instance is lost like any other one.
+      if (auto ended = EndMaintenanceOf(id, record.operation); !ended) {
+        return ended;
+      }
+      continue;
+    }
+    if (listed->state != InstanceState::kLive ||
         (known && !HasRestarted(listed, wave->second))) {
       continue;
     }
--- a/Source/Core/Maintenance/maintenance_controller.h
+++ b/Source/Core/Maintenance/maintenance_controller.h
@@ -109,7 +109,8 @@
   // Marks instances that left the project, so that the wave can end.
   void DropDeparted(Round& round) const;
   Result<void> PlanNewStarts(Round& round);
-  // Brings instances back into use that came back after their operation ended.
+  // Brings instances back into use that came back after their operation ended,
+  // and ends the maintenance of those that are gone.
   Result<void> ReturnRecovered(const Round& round);
   Result<void> CallReboots(const WaveDocument& document, const Round& round);
   Result<void> EndMaintenanceOf(const InstanceId& id,
--- a/Source/Core/Pools/instance_ownership.cc
+++ b/Source/Core/Pools/instance_ownership.cc
@@ -160,7 +160,9 @@
   // replace them.
   for (const ListedInstance& instance : listed) {
     const auto it = document.instances.find(instance.id);
+    // An instance that reboots for maintenance is listed as gone meanwhile.
     if (it != document.instances.end() &&
+        it->second.stage != InstanceStage::kMaintenance &&
         instance.state == InstanceState::kGone &&
         instance.boot >= it->second.boot) {
       Leave(document, it, instance.boot, change);
--- a/Source/Core/Pools/instance_ownership.h
+++ b/Source/Core/Pools/instance_ownership.h
@@ -47,7 +47,8 @@
 // a pool with a shortage of instances, otherwise to the spare pool. Lost ones
 // are removed. A higher boot number updates address and limits. A departed
 // instance is added again only with a higher boot number, and is drained first,
-// even if it joins its former pool. Instances missing from the list are kept.
+// even if it joins its former pool. Instances missing from the list are kept,
+// and so are those in maintenance, which are gone during a reboot.
 // Returns whether the document changed.
 bool SyncInstances(DataCentreDocument& document,
                    const std::vector<ListedInstance>& listed,
--- a/Source/UnitTests/Pools/instance_ownership_test.cc
+++ b/Source/UnitTests/Pools/instance_ownership_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(MovesAreFewAndLimited);
   CPPUNIT_TEST(OlderConfigurationPlansNothing);
   CPPUNIT_TEST(ListBringsInstancesInAndOut);
+  CPPUNIT_TEST(RebootingInstanceStays);
   CPPUNIT_TEST(LedgerCountsEachInstantOnce);
   CPPUNIT_TEST(MaintenanceExcludesMovesAndNeedsItsOwnConfirmation);
   CPPUNIT_TEST_SUITE_END();
@@ -140,6 +141,23 @@
     CPPUNIT_ASSERT(!SyncInstances(document, {other, entry}, config, At(1s)));
   }
 
+  // Guards against a reboot that counts as failed because the list shows the
+  // instance as gone while it reboots.
+  void RebootingInstanceStays() {
+    DataCentreDocument document = Filled(0, 1, 0);
+    const InstanceId id("w0");
+    const OperationId operation("op");
+    CPPUNIT_ASSERT(BeginMaintenance(document, id, operation, At(0s)).value());
+    ListedInstance gone = Worker(0);
+    gone.state = InstanceState::kGone;
+    CPPUNIT_ASSERT(!SyncInstances(document, {gone}, {}, At(1s)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, document.instances.count(id));
+    // It is lost if it stays away after its operation.
+    CPPUNIT_ASSERT(EndMaintenance(document, id, operation));
+    CPPUNIT_ASSERT(SyncInstances(document, {gone}, {}, At(2s)));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, document.instances.count(id));
+  }
+
   // Guards against counting time twice or not at all if clocks differ or are
   // set back.
   void LedgerCountsEachInstantOnce() {
--- a/Source/UnitTests/Process/cluster.cc
+++ b/Source/UnitTests/Process/cluster.cc
@@ -198,7 +198,7 @@
   const json fleet = {{"listen", Address(kPlatformPort)},
                       {"list_lag_ms", 500},
                       {"usage_lag_ms", 500},
-                      {"reboot_ms", 500},
+                      {"reboot_ms", options_.reboot_time.count()},
                       {"instances", instances}};
   std::string path = directory_ + "/fleet.json";
   WriteFile(path, fleet.dump(2));
--- a/Source/UnitTests/Process/cluster.h
+++ b/Source/UnitTests/Process/cluster.h
@@ -20,6 +20,8 @@
   std::vector<std::string> data_centres = {"dc-a"};
   int entries_per_data_centre = 2;
   int targets_per_data_centre = 2;
+  // Time that the reboot of a target's instance takes.
+  std::chrono::milliseconds reboot_time{500};
   // Merged into the settings of each daemon.
   nlohmann::json settings = nlohmann::json::object();
   // Extra arguments of each target.
--- a/Source/UnitTests/Process/operations_test.cc
+++ b/Source/UnitTests/Process/operations_test.cc
@@ -203,6 +203,9 @@
   void RolloutRebootsEachInstanceOnce() {
     ClusterOptions options;
     options.targets_per_data_centre = 3;
+    // Longer than the interval between two lists, so that each reboot is seen
+    // as gone.
+    options.reboot_time = milliseconds(1'500);
     ServingCluster cluster(options);
     BackgroundLoad load({cluster.Shop(0), cluster.Shop(1)}, 2);
     const CallResult started =
