--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -8,6 +8,13 @@
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
+namespace {
+
+// Number of holds in a row without a response after which speculative tasks are
+// copied.
+constexpr int kMissedHoldsBeforeCopies = 2;
+
+}  // namespace
 
 void PoolScheduler::LogResultWithoutEffect(const WorkerState& worker,
                                            const EndedRun& ended,
@@ -261,6 +268,20 @@
   AdvanceAcknowledged(worker);
 }
 
+void PoolScheduler::OnHoldMissed(WorkerState& worker,
+                                 const HoldOrder& order,
+                                 MonoTime sent_at,
+                                 MonoTime now) {
+  worker.silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
+                              worker.AllLeasesExpiredAt());
+  OnResponseMissed(worker, now);
+  // Responses to starts and stops may be lost one by one while the worker still
+  // reports its runs.
+  if (++worker.missed_holds >= kMissedHoldsBeforeCopies) {
+    ReleaseSpeculativeTasks(worker, now);
+  }
+}
+
 void PoolScheduler::OnHoldResponse(const HoldOrder& order,
                                    const Result<HoldResponse>& answer,
                                    MonoTime sent_at,
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -21,9 +21,6 @@
 constexpr std::chrono::seconds kEndedWorkerRetention{15};
 // Delay before the next hold to a worker that missed two responses.
 constexpr std::chrono::milliseconds kHoldRetryDelay{200};
-// Number of holds in a row without a response after which speculative tasks are
-// copied.
-constexpr int kMissedHoldsBeforeCopies = 2;
 
 }  // namespace
 
@@ -170,20 +167,6 @@
   worker.next_hold = now + kHoldRetryDelay;
 }
 
-void PoolScheduler::OnHoldMissed(WorkerState& worker,
-                                 const HoldOrder& order,
-                                 MonoTime sent_at,
-                                 MonoTime now) {
-  worker.silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
-                              worker.AllLeasesExpiredAt());
-  OnResponseMissed(worker, now);
-  // Responses to starts and stops may be lost one by one while the worker still
-  // reports its runs.
-  if (++worker.missed_holds >= kMissedHoldsBeforeCopies) {
-    ReleaseSpeculativeTasks(worker, now);
-  }
-}
-
 void PoolScheduler::EndWorker(WorkerState& worker,
                               const char* cause,
                               MonoTime now) {
