--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -16,6 +16,9 @@
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 
+// Configuration and executors are known everywhere, and pools have owners.
+constexpr int64_t kSettleMs = 4000;
+
 struct Case {
   Store& store;
   World& world;
@@ -43,15 +46,20 @@
                      const std::string& path,
                      const std::string& service);
 nlohmann::json Service(const std::string& name, bool guards, bool spare);
+nlohmann::json Step(int count, int64_t cpu, int64_t work_ms);
+std::string Number(int64_t number);
 
 int RunRepoint(Case& test);
 int RunAdvice(Case& test);
 int RunHolders(Case& test);
+int RunForeign(Case& test);
+int RunGone(Case& test);
+
+// Trials that are no cases; REPORT.md names them.
 int RunLimit(Case& test);
 int RunGang(Case& test);
 int RunPending(Case& test);
-int RunForeign(Case& test);
-int RunGone(Case& test);
+int RunDrain(Case& test);
 
 }  // namespace review
 
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -21,7 +21,8 @@
 constexpr Entry kCases[] = {{"repoint", &RunRepoint}, {"gone", &RunGone},
                             {"foreign", &RunForeign}, {"advice", &RunAdvice},
                             {"holders", &RunHolders}, {"limit", &RunLimit},
-                            {"gang", &RunGang},       {"pending", &RunPending}};
+                            {"gang", &RunGang},       {"pending", &RunPending},
+                            {"drain", &RunDrain}};
 
 std::string Target(const std::string& path, const std::string& job) {
   return "/" + path + "/" + job;
@@ -134,6 +135,15 @@
           {"Stretch", 1.6}};
 }
 
+json Step(int count, int64_t cpu, int64_t work_ms) {
+  return {
+      {"Count", count}, {"Cpu", cpu}, {"MemMb", 256}, {"EstimateMs", work_ms}};
+}
+
+std::string Number(int64_t number) {
+  return std::to_string(number);
+}
+
 json Service(const std::string& name, bool guards, bool spare) {
   return {{"Name", name},   {"HealthPath", "/health"},
           {"MaxConns", 64}, {"Protocol", "h1"},
--- a/review/standin/net.cc
+++ b/review/standin/net.cc
@@ -16,6 +16,10 @@
 namespace review {
 namespace {
 
+constexpr int kFirstPort = 20000;
+constexpr int kPortSpan = 12000;
+constexpr int kPortsPerRun = 64;
+
 std::mutex listeners_mutex;
 std::map<int, int> listeners;
 
@@ -170,9 +174,21 @@
 }
 
 int FreePort() {
-  int port = 0;
-  close(BoundSocket(&port));
-  return port;
+  // Below the ports that the kernel gives to outgoing connections, and apart
+  // from those of another run beside this one.
+  static int next = kFirstPort + getpid() * kPortsPerRun % kPortSpan;
+  while (true) {
+    const int port = next;
+    next = port + 1 < kFirstPort + kPortSpan ? port + 1 : kFirstPort;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool is_free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                              sizeof(address)) == 0;
+    close(fd);
+    if (is_free) {
+      return port;
+    }
+  }
 }
 
 int Serve(Handler handler) {
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -12,6 +12,8 @@
 
 // The clock of an executor starts above 0, as one that nobody set.
 constexpr int64_t kClockStart = 5000;
+// Longer than any order waits for its answer.
+constexpr int64_t kHangMs = 5000;
 constexpr int64_t kRegistryKeepsMs = 3 * kHeartbeatMs;
 // Of the starts rejected for want of a ticket, in the record.
 constexpr int kRejectionsShown = 20;
@@ -106,7 +108,7 @@
        {"Zone", "z-a"},
        {"Version", "v1"},
        {"Slots", 8},
-       {"State", "ready"},
+       {"State", executor.draining ? "draining" : "ready"},
        {"ColdLeftMs", 0},
        {"Machine", executor.machine},
        {"Capacity", {{"Cpu", executor.cpu}, {"MemMb", 65536}, {"Gpu", 0}}},
@@ -156,6 +158,19 @@
   crash_on_next_start_ = true;
 }
 
+void World::Hang(const std::string& id, bool hangs) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  executors_.at(id)->hangs = hangs;
+  record_.Line(id + (hangs ? " leaves orders unanswered" : " answers again"));
+}
+
+void World::Drain(const std::string& id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  executors_.at(id)->draining = true;
+  Announce(*executors_.at(id));
+  record_.Line(id + " drains");
+}
+
 void World::AddJob(const std::string& job, std::vector<StepInfo> steps) {
   const std::lock_guard<std::mutex> lock(mutex_);
   jobs_[job] = std::move(steps);
@@ -197,6 +212,11 @@
   if (!executor.alive) {
     return {};
   }
+  if (executor.hangs) {
+    lock.unlock();
+    SleepMs(kHangMs);
+    return {};
+  }
   const auto expected = request.headers.find("expect-instance");
   if (expected != request.headers.end() && expected->second != executor.id) {
     return {421, "{}"};
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -79,8 +79,8 @@
   // Rejects what does not fit.
   bool guards = true;
   bool alive = true;
-  // Silent: takes no part in anything.
   bool draining = false;
+  bool hangs = false;
   int64_t beat = 0;
   uint64_t fence = 0;
   // On the steady clock.
@@ -127,6 +127,9 @@
   void Crash(const std::string& id);
   // The executor that gets the next start order crashes before it answers.
   void CrashOnNextStart();
+  // The executor takes orders, and neither answers them nor carries them out.
+  void Hang(const std::string& id, bool hangs);
+  void Drain(const std::string& id);
   // The steps of a job, known from its client.
   void AddJob(const std::string& job, std::vector<StepInfo> steps);
 
