Give up lost workers whose repeated orders fail at once

Callers saw accepted jobs stop for good (LOST) after an executor was lost for good while a start order to it was under way, with most executors of the pool free.

Cause: connections to a dead process are refused at once. A start or stop order of unknown outcome is repeated after 150 ms, and the failure of any order moved the next hold to 200 ms later, so no hold was sent again. A worker past its lease is given up only after a hold has failed within the last 1.5 s.

Change: only a failed hold delays the next hold; the first missing response to any order still requests one at once. The same holds for stops, which shared the cause.

--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -13,6 +13,8 @@
 // Number of holds in a row without a response after which speculative tasks are
 // copied.
 constexpr int kMissedHoldsBeforeCopies = 2;
+// Delay before the next hold to a worker that missed two responses.
+constexpr std::chrono::milliseconds kHoldRetryDelay{200};
 
 }  // namespace
 
@@ -275,6 +277,11 @@
   worker.silence.OnHoldFailed(sent_at, now - sent_at - order.answer_time,
                               worker.AllLeasesExpiredAt());
   OnResponseMissed(worker, now);
+  // Only a failed hold delays the next one: orders that fail at once are
+  // repeated within the delay and would postpone it forever.
+  if (worker.missed_responses > 1) {
+    worker.next_hold = now + kHoldRetryDelay;
+  }
   // Responses to starts and stops may be lost one by one while the worker still
   // reports its runs.
   if (++worker.missed_holds >= kMissedHoldsBeforeCopies) {
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -19,8 +19,6 @@
 // How long an ended worker is remembered; longer than the instance controller
 // repeats its report.
 constexpr std::chrono::seconds kEndedWorkerRetention{15};
-// Delay before the next hold to a worker that missed two responses.
-constexpr std::chrono::milliseconds kHoldRetryDelay{200};
 
 }  // namespace
 
@@ -158,13 +156,9 @@
              {{"worker", worker.report.key.id},
               {"pool", options_.pool},
               {"tasks", absl::StrCat(worker.tasks.size())}});
-  }
-  // A single response may just be lost, which the next hold shows.
-  if (worker.missed_responses == 1) {
+    // A single response may just be lost, which the next hold shows.
     worker.next_hold = now;
-    return;
   }
-  worker.next_hold = now + kHoldRetryDelay;
 }
 
 void PoolScheduler::EndWorker(WorkerState& worker,
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -148,9 +148,8 @@
     Step();
   }
 
-  // Fails the latest start order without a response.
-  void DropStartResponse() {
-    const StartOrder order = starts.back();
+  // Fails a start order without a response.
+  void DropStartResponse(const StartOrder& order) {
     scheduler_->OnStartResponse(
         order,
         Fail(ErrorCode::kDeadlineExceeded, "worker.start",
@@ -158,6 +157,18 @@
         now_);
     Step();
   }
+  // Fails the latest start order without a response.
+  void DropStartResponse() { DropStartResponse(StartOrder(starts.back())); }
+
+  // Fails a stop order without a response.
+  void DropStopResponse(const StopOrder& order) {
+    scheduler_->OnStopResponse(
+        order,
+        Fail(ErrorCode::kDeadlineExceeded, "worker.stop",
+             order.target.worker.id, "lost"),
+        now_);
+    Step();
+  }
 
   // Accepts the latest start order and returns it.
   StartOrder RespondToStart() {
