Log when a worker responds again after missing responses

Cause: the log showed that a worker missed a response, but not whether it responded later, so a worker that was never given up looked like one that had recovered.

--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -139,8 +139,17 @@
 void PoolScheduler::OnResponseReceived(WorkerState& worker,
                                        std::chrono::milliseconds clock,
                                        MonoTime now) {
+  if (worker.missed_responses > 0) {
+    dispatch_needed_ = true;
+    const auto silence = WholeMilliseconds(now - worker.last_response_at);
+    LogEvent(LogLevel::kInfo, LogCategory::kJobs, "worker_regained",
+             {{"worker", worker.report.key.id},
+              {"pool", options_.pool},
+              {"missed", absl::StrCat(worker.missed_responses)},
+              {"silent_ms", absl::StrCat(silence.count())},
+              {"tasks", absl::StrCat(worker.tasks.size())}});
+  }
   worker.last_response_at = now;
-  dispatch_needed_ = dispatch_needed_ || worker.missed_responses > 0;
   worker.missed_responses = 0;
   worker.missed_holds = 0;
   worker.silence.OnAnswer();
