Serve jobs in the pool that accepted them when their queue gets another one

Callers got 410 for accepted jobs (LOST), and a repeated request started all tasks again while the first runs went on (TWICE), after a queue's route was removed and added for another service.

Cause: calls were sent only to the pool that the plan in force names for the route, and jobs are kept by pool.

Change: the daemons record the pools of each route under one key of the store, and route a call only once its route is recorded with its pool. Queries, cancellations and counts go on to the earlier pools; a submission looks the job up there first, and is answered 504 if such a pool cannot tell. A read of a job's record ends with its caller's time limit.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -25,24 +25,14 @@
 // A forwarded job is returned sooner, so that the peer can try another route.
 constexpr std::chrono::milliseconds kRelayMaxWait{150};
 constexpr std::chrono::milliseconds kCallRetryDelay{40};
-// The store confirms within a few milliseconds whether the plan is the latest.
-constexpr std::chrono::milliseconds kPlanPollInterval{10};
 // Reserved for the response to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kResponseMargin{150};
 constexpr std::chrono::milliseconds kStoreReadTimeout{500};
-constexpr std::chrono::milliseconds kCallTimeout{3'000};
+// Used when a call has little time left.
+constexpr std::chrono::milliseconds kMinStoreReadTimeout{20};
 // Limit on a caller's host and path in the log.
 constexpr size_t kMaxLoggedBytes = 100;
 
-CallerReply Unavailable(std::string reason) {
-  CallerReply response;
-  response.outcome = CallOutcome::kUnavailable;
-  response.retry_after =
-      ComputeRetryDelay(std::chrono::milliseconds(0), kCallTimeout, "");
-  response.reason = std::move(reason);
-  return response;
-}
-
 CallerReply StateResponse(const JobView& view) {
   CallerReply response;
   response.outcome = CallOutcome::kState;
@@ -75,81 +65,6 @@
   ResolveQueue(request, routed);
 }
 
-void CallRouter::ResolveQueue(const HttpRequest& request,
-                              const std::shared_ptr<RoutedCall>& routed) {
-  const std::shared_ptr<const FleetPlan> plan = engine_.plan();
-  const std::optional<PoolLayout> layout = engine_.layout();
-  if (plan == nullptr || !layout) {
-    FinishCall(routed, Unavailable(plan == nullptr ? "no-plan" : "no-layout"));
-    return;
-  }
-  Result<CallerCall> call = platform_.ParseCall(request, *plan);
-  if (!call) {
-    if (call.error().code == ErrorCode::kNotFound) {
-      OnUnknownPath(request, plan->version, routed);
-      return;
-    }
-    CallerReply response;
-    response.outcome = CallOutcome::kMalformed;
-    response.reason = call.error().message;
-    FinishCall(routed, response);
-    return;
-  }
-  routed->call = std::move(*call);
-  if (routed->call.kind == CallKind::kSubmit) {
-    if (const Result<void> valid = CheckJobSpec(routed->call.spec); !valid) {
-      CallerReply response;
-      response.outcome = CallOutcome::kMalformed;
-      response.reason = valid.error().message;
-      FinishCall(routed, response);
-      return;
-    }
-    routed->spec_bytes = FormatJobSpec(routed->call.spec);
-  }
-  if (routed->call.kind == CallKind::kCountPending) {
-    CountInAllPartitions(routed, layout->ScopesOfPool(routed->call.pool));
-    return;
-  }
-  const std::string& job = routed->call.job;
-  if (routed->call.kind == CallKind::kSubmit) {
-    routed->call.pool = layout->ScopeOfJob(routed->call.pool, job,
-                                           routed->call.spec.perpetual());
-  } else {
-    std::vector<std::string> scopes =
-        layout->ScopesOfJob(routed->call.pool, job);
-    routed->call.pool = scopes.front();
-    routed->other_scopes.assign(scopes.begin() + 1, scopes.end());
-  }
-  StartRouting(routed);
-}
-
-void CallRouter::OnUnknownPath(const HttpRequest& request,
-                               uint64_t plan_version,
-                               const std::shared_ptr<RoutedCall>& routed) {
-  const MonoTime now = clock_.Now();
-  if (engine_.PlanIsCurrent(now)) {
-    LogNoSuchQueue(request, plan_version);
-    CallerReply response;
-    response.outcome = CallOutcome::kNoSuchQueue;
-    response.reason = "no such queue";
-    FinishCall(routed, response);
-    return;
-  }
-  const std::chrono::milliseconds outage = engine_.StoreResponseAge(now);
-  if (outage <= kStoreTimeout &&
-      now < routed->arrived + engine_.MaxPlanWait()) {
-    engine_.ConfirmPlan();
-    engine_.RunAfter(kPlanPollInterval, [this, request, routed] {
-      ResolveQueue(request, routed);
-    });
-    return;
-  }
-  CallerReply response = Unavailable("plan-may-be-old");
-  response.retry_after =
-      ComputeRetryDelay(outage, kCallTimeout, request.target);
-  FinishCall(routed, response);
-}
-
 void CallRouter::StartRouting(const std::shared_ptr<RoutedCall>& routed) {
   const std::chrono::milliseconds timeout =
       routed->call.patience.count() > 0 ? routed->call.patience : kCallTimeout;
@@ -160,9 +75,21 @@
                                          : routed->relayed ? kRelayMaxWait
                                                            : kSubmitMaxWait;
   routed->refuse_after = std::min(routed->deadline, routed->arrived + wait);
+  if (routed->call.kind == CallKind::kQuery &&
+      !MayHaveOwner(routed->call.pool)) {
+    ReadJobFromStore(routed);
+    return;
+  }
   TryRoute(routed);
 }
 
+bool CallRouter::MayHaveOwner(const std::string& scope) const {
+  const std::shared_ptr<const FleetPlan> plan = engine_.plan();
+  const std::optional<PoolLayout> layout = engine_.layout();
+  return plan == nullptr || !layout ||
+         plan->HasActivePool(layout->PoolOf(scope));
+}
+
 RouteView CallRouter::MakeRouteView(const RoutedCall& routed) {
   const std::string& pool = routed.call.pool;
   const MonoTime now = clock_.Now();
@@ -235,10 +162,21 @@
   }
 }
 
+std::chrono::milliseconds CallRouter::StoreReadTimeout(const RoutedCall& routed,
+                                                       MonoTime now) {
+  const auto left = WholeMilliseconds(routed.deadline - now);
+  return std::clamp(left, kMinStoreReadTimeout, kStoreReadTimeout);
+}
+
 void CallRouter::ReadJobFromStore(const std::shared_ptr<RoutedCall>& routed) {
   const CallerCall& call = routed->call;
+  const MonoTime now = clock_.Now();
+  if (now >= routed->deadline) {
+    RetryLater(routed);
+    return;
+  }
   platform_.store().Get(
-      JobProgressKey(call.pool, call.job), kStoreReadTimeout,
+      JobProgressKey(call.pool, call.job), StoreReadTimeout(*routed, now),
       [this, routed](const Result<std::optional<StoreItem>>& item) {
         if (!item) {
           RetryLater(routed);
@@ -256,7 +194,8 @@
         // There is no progress record yet, but the job may have been accepted.
         const CallerCall& queried = routed->call;
         platform_.store().Get(
-            AcceptedJobKey(queried.pool, queried.job), kStoreReadTimeout,
+            AcceptedJobKey(queried.pool, queried.job),
+            StoreReadTimeout(*routed, clock_.Now()),
             [this, routed](const Result<std::optional<StoreItem>>& accepted) {
               if (!accepted) {
                 RetryLater(routed);
@@ -388,15 +327,15 @@
 
 void CallRouter::FinishCall(const std::shared_ptr<RoutedCall>& routed,
                             const CallerReply& last_response) {
-  if (routed->is_subquery) {
-    routed->respond(last_response);
-    return;
-  }
   if (TryOtherScope(routed, last_response)) {
     return;
   }
   const CallerReply response =
       CombineScopeResponses(routed->uncertain, last_response);
+  if (routed->is_subquery) {
+    routed->respond(response);
+    return;
+  }
   const auto duration = clock_.Now() - routed->arrived;
   latency_.Record(duration);
   metrics_
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -53,7 +53,7 @@
     std::string spec_bytes;
     // True if a peer forwarded the call.
     bool relayed = false;
-    // True for one of several queries that make up a caller's call.
+    // True for one of several calls that make up a caller's call.
     bool is_subquery = false;
     MonoTime arrived;
     MonoTime deadline;
@@ -85,6 +85,14 @@
   void OnUnknownPath(const HttpRequest& request,
                      uint64_t plan_version,
                      const std::shared_ptr<RoutedCall>& routed);
+  // Delays a call whose route the store does not hold yet: its jobs may be in
+  // another pool.
+  void OnUnrecordedRoute(const HttpRequest& request,
+                         const std::shared_ptr<RoutedCall>& routed);
+  // Submits a job unless one of `scopes`, of the pools that the queue had
+  // before, has accepted it.
+  void SubmitIfNew(const std::shared_ptr<RoutedCall>& routed,
+                   std::vector<std::string> scopes);
   void StartRouting(const std::shared_ptr<RoutedCall>& routed);
   // Queries the owners of all partitions of a pool. Responds with the sum, or
   // with the last response that is not a count.
@@ -97,6 +105,14 @@
   // waiting gains nothing.
   static constexpr std::chrono::milliseconds kStoreTimeout{1'000};
 
+  // Default time limit of a call.
+  static constexpr std::chrono::milliseconds kCallTimeout{3'000};
+
+  // Returns the response to a call that was not carried out.
+  static CallerReply Unavailable(std::string reason);
+  // Returns whether the plan has the pool of the scope. Without an owner, only
+  // the store tells which jobs the pool has accepted.
+  bool MayHaveOwner(const std::string& scope) const;
   RouteView MakeRouteView(const RoutedCall& routed);
   void TryRoute(const std::shared_ptr<RoutedCall>& routed);
   // Called after an attempt failed: tries a different route at once and retries
@@ -124,6 +140,9 @@
   // Pings a subset of the peers, a different one each time, if a ping round is
   // due.
   void PingPeers(MonoTime now);
+  // Returns how long a read may take that a call waits for.
+  static std::chrono::milliseconds StoreReadTimeout(const RoutedCall& routed,
+                                                    MonoTime now);
   void ReadJobFromStore(const std::shared_ptr<RoutedCall>& routed);
   // Retries after a delay, or responds that the call failed: at its time limit,
   // or when no daemon can accept a job because the store is unavailable.
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -18,6 +18,7 @@
 #include "Fleet/overload_detector.h"
 #include "Fleet/pool_runner.h"
 #include "Fleet/route_choice.h"
+#include "Fleet/route_history.h"
 #include "Instances/instance_controller.h"
 #include "Ownership/claim_policy.h"
 #include "Ownership/member_list.h"
@@ -93,6 +94,11 @@
   std::shared_ptr<const FleetPlan> plan() const;
   // Returns none until the partitioning of the pools is known.
   std::optional<PoolLayout> layout() const;
+  // Returns the other pools that have served the queue's route and may still
+  // hold its jobs, or none while the store does not hold the queue's route with
+  // its pool.
+  std::optional<std::vector<std::string>> FormerPools(
+      const QueueConfig& queue) const;
   // Returns null unless this daemon owns the scope. The runner may still be
   // reading its records.
   std::shared_ptr<PoolRunner> OwnRunner(const std::string& scope) const;
@@ -156,6 +162,16 @@
   void ProposeLayout(MonoTime now);
   void WriteLayout(int instances);
   void SetLayout(const PoolLayout& layout);
+  // Schedules the record of the plan's routes unless it is complete.
+  void CheckRoutesRecorded(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Sets the history as of a revision of its key.
+  void SetRoutes(const RouteHistory& routes, uint64_t revision);
+  // Writes the routes of the plan to the store if it is due. Returns when to
+  // call it again.
+  MonoTime RecordRoutes(MonoTime now);
+  // Reads the history that another daemon has written: the watch of the owners'
+  // keys may be lost.
+  void ReadRoutes();
   // Returns the scope that the worker serves, or an empty string while the
   // layout is unknown.
   std::string ScopeOf(const WorkerReport& report) const
@@ -182,6 +198,7 @@
                                        WallTime now) const;
   void OnOwnerItem(const StoreItem& item);
   void OnLayoutItem(const StoreItem& item);
+  void OnRoutesItem(const StoreItem& item);
   void OnMemberItem(const StoreItem& item);
   void RemoveLostMembers(MonoTime now);
   int PeerCount() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -208,6 +225,11 @@
   MonoTime layout_wanted_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   // Earliest time of the next proposal of a layout.
   MonoTime propose_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  // The history that the store holds, and the revision of its key.
+  RouteHistory routes_ ABSL_GUARDED_BY(mutex_);
+  uint64_t routes_revision_ ABSL_GUARDED_BY(mutex_) = 0;
+  // Time of the next write of the history; max if it covers the plan.
+  MonoTime record_routes_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
   // Latest worker of each instance.
   std::map<std::string, WorkerKey> latest_workers_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -66,6 +66,7 @@
       return;
     }
     plan_ = plan;
+    CheckRoutesRecorded(clock_.Now());
     for (const auto& [pool, runner] : runners_) {
       runners.push_back(runner);
     }
@@ -167,6 +168,10 @@
     OnLayoutItem(item);
     return;
   }
+  if (scope == kRoutesScope) {
+    OnRoutesItem(item);
+    return;
+  }
   Owner owner;
   owner.revision = item.revision;
   owner.seen_at = clock_.Now();
--- /dev/null
+++ b/Source/Core/Fleet/fleet_engine_routes.cc
@@ -0,0 +1,114 @@
+// Record of the pools that have served each route, which the daemons keep in
+// the store.
+#include <algorithm>
+#include <chrono>
+
+#include <xxhash.h>
+
+#include "Common/log.h"
+#include "Fleet/fleet_engine.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow {
+namespace {
+
+constexpr std::chrono::milliseconds kWriteTimeout{600};
+constexpr std::chrono::milliseconds kReadTimeout{600};
+// A write that is not visible by then is repeated.
+constexpr std::chrono::milliseconds kRetryDelay{700};
+// All daemons receive a plan at once. The first ones record its routes; the
+// others see the record before their own time to write.
+constexpr std::chrono::milliseconds kWriteSpread{150};
+
+}  // namespace
+
+std::optional<std::vector<std::string>> FleetEngine::FormerPools(
+    const QueueConfig& queue) const {
+  absl::MutexLock lock(&mutex_);
+  if (!routes_.Contains(queue)) {
+    return std::nullopt;
+  }
+  return routes_.FormerPools(queue);
+}
+
+void FleetEngine::CheckRoutesRecorded(MonoTime now) {
+  const bool recorded = plan_ == nullptr || routes_.Covers(*plan_);
+  if (recorded) {
+    record_routes_at_ = MonoTime::max();
+  } else if (record_routes_at_ == MonoTime::max()) {
+    const uint64_t hash =
+        XXH64(options_.entry.data(), options_.entry.size(), 0);
+    record_routes_at_ = now + std::chrono::milliseconds(static_cast<int64_t>(
+                                  hash % kWriteSpread.count()));
+  }
+}
+
+void FleetEngine::SetRoutes(const RouteHistory& routes, uint64_t revision) {
+  absl::MutexLock lock(&mutex_);
+  if (revision <= routes_revision_) {
+    return;
+  }
+  routes_ = routes;
+  routes_revision_ = revision;
+  CheckRoutesRecorded(clock_.Now());
+}
+
+void FleetEngine::OnRoutesItem(const StoreItem& item) {
+  if (item.removed) {
+    return;
+  }
+  const Result<RouteHistory> routes = ParseRouteHistory(item.value);
+  if (!routes) {
+    LogEvent(LogLevel::kError, LogCategory::kPools, "routes_unreadable",
+             {{"error", ToString(routes.error())}});
+    return;
+  }
+  SetRoutes(*routes, item.revision);
+  WakeAt(clock_.Now());
+}
+
+MonoTime FleetEngine::RecordRoutes(MonoTime now) {
+  Transaction transaction;
+  RouteHistory routes;
+  {
+    absl::MutexLock lock(&mutex_);
+    if (record_routes_at_ == MonoTime::max() || !owners_->synced()) {
+      return MonoTime::max();
+    }
+    if (now < record_routes_at_) {
+      return record_routes_at_;
+    }
+    record_routes_at_ = now + kRetryDelay;
+    routes = routes_;
+    routes.Add(*plan_);
+    transaction.expected = {{OwnerKey(kRoutesScope), routes_revision_}};
+  }
+  transaction.writes = {
+      {OwnerKey(kRoutesScope), FormatRouteHistory(routes), 0}};
+  platform_.store().Commit(
+      transaction, kWriteTimeout,
+      [this, routes](const Result<TransactionResult>& result) {
+        if (!result) {
+          return;
+        }
+        if (!result->committed) {
+          ReadRoutes();
+          return;
+        }
+        SetRoutes(routes, result->revision);
+        LogEvent(LogLevel::kInfo, LogCategory::kConfig, "routes_recorded",
+                 {{"revision", absl::StrCat(result->revision)}});
+      });
+  return now + kRetryDelay;
+}
+
+void FleetEngine::ReadRoutes() {
+  platform_.store().Get(OwnerKey(kRoutesScope), kReadTimeout,
+                        [this](const Result<std::optional<StoreItem>>& item) {
+                          if (item && *item) {
+                            OnRoutesItem(**item);
+                          }
+                        });
+}
+
+}  // namespace figflow
--- a/Source/Core/Scheduling/fleet_plan.cc
+++ b/Source/Core/Scheduling/fleet_plan.cc
@@ -34,4 +34,9 @@
   return it == pools.end() ? nullptr : &*it;
 }
 
+bool FleetPlan::HasActivePool(absl::string_view name) const {
+  const PoolConfig* pool = FindPoolByName(name);
+  return pool != nullptr && !pool->spare;
+}
+
 }  // namespace figflow
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -62,6 +62,8 @@
                                absl::string_view path) const;
   const QueueConfig* FindQueueByName(absl::string_view name) const;
   const PoolConfig* FindPoolByName(absl::string_view name) const;
+  // Returns whether the plan has the pool, and its instances are not spare.
+  bool HasActivePool(absl::string_view name) const;
 };
 
 // Time limits set by the platform's workers and contracts, the same for all
