Keep a daemon with an earlier plan from submitting a job a second time

Cause: the look-up before a submission says what the former pool holds now, not what it accepts later.

Change: a look-up is a call of its own. A pool that does not hold the job does not accept it for 30 s by an earlier plan than the look-up's, and answers such a request as unknown (504). While the job is being written, the look-up has no certain answer and is repeated. Look-ups go to the owner; the store is read only for pools that no plan has any more.

Evidence: DaemonWithEarlierPlanDoesNotSubmitAgain was red without the block: 200 at the daemon with the earlier plan after 200 at one with the new plan.

--- a/Source/Core/Adapter/caller_call.cc
+++ b/Source/Core/Adapter/caller_call.cc
@@ -9,8 +9,8 @@
     "accepted",  "refused",     "unknown",       "unavailable",   "state",
     "cancelled", "no-such-job", "pending-count", "no-such-queue", "malformed"};
 
-constexpr std::array<absl::string_view, 4> kKindNames = {
-    "submit", "query", "cancel", "count-pending"};
+constexpr std::array<absl::string_view, 5> kKindNames = {
+    "submit", "query", "cancel", "count-pending", "look-up"};
 
 }  // namespace
 
--- a/Source/Core/Adapter/caller_call.h
+++ b/Source/Core/Adapter/caller_call.h
@@ -12,7 +12,15 @@
 namespace figflow {
 
 // What a caller asks for.
-enum class CallKind { kSubmit, kQuery, kCancel, kCountPending };
+enum class CallKind {
+  kSubmit,
+  kQuery,
+  kCancel,
+  kCountPending,
+  // Sent by a daemon that submits the job to another pool unless this pool has
+  // accepted it. If not, this pool does not accept it by an earlier plan.
+  kLookUp,
+};
 
 absl::string_view CallKindName(CallKind kind);
 
@@ -24,6 +32,8 @@
   std::string job;
   // For kSubmit.
   JobSpec spec;
+  // Version of the plan by which the call was routed to the pool; 0 if unknown.
+  uint64_t plan_version = 0;
   // How long the caller waits for the answer.
   std::chrono::milliseconds patience{0};
 };
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -75,8 +75,9 @@
                                          : routed->relayed ? kRelayMaxWait
                                                            : kSubmitMaxWait;
   routed->refuse_after = std::min(routed->deadline, routed->arrived + wait);
-  if (routed->call.kind == CallKind::kQuery &&
-      !MayHaveOwner(routed->call.pool)) {
+  const bool reads = routed->call.kind == CallKind::kQuery ||
+                     routed->call.kind == CallKind::kLookUp;
+  if (reads && !MayHaveOwner(routed->call.pool)) {
     ReadJobFromStore(routed);
     return;
   }
@@ -387,7 +388,8 @@
         }
         done(response);
       };
-      if (!runner->Submit(call.spec, spec_bytes, on_response)) {
+      if (!runner->Submit(call.spec, spec_bytes, call.plan_version,
+                          on_response)) {
         done(Unavailable("pool-not-ready"));
       }
       return;
@@ -406,8 +408,12 @@
       }
       return;
     }
-    case CallKind::kQuery: {
-      const Result<JobView> view = runner->Query(call.job);
+    case CallKind::kQuery:
+    case CallKind::kLookUp: {
+      const Result<JobView> view =
+          call.kind == CallKind::kQuery
+              ? runner->Query(call.job)
+              : runner->LookUp(call.job, call.plan_version);
       if (view) {
         done(StateResponse(*view));
       } else if (view.error().code == ErrorCode::kNotFound) {
--- a/Source/Core/Fleet/call_router_resolve.cc
+++ b/Source/Core/Fleet/call_router_resolve.cc
@@ -48,6 +48,7 @@
     return;
   }
   routed->call = std::move(*call);
+  routed->call.plan_version = plan->version;
   if (routed->call.kind == CallKind::kSubmit) {
     if (const Result<void> valid = CheckJobSpec(routed->call.spec); !valid) {
       CallerReply response;
@@ -120,9 +121,10 @@
   auto lookup = std::make_shared<RoutedCall>();
   lookup->arrived = routed->arrived;
   lookup->is_subquery = true;
-  lookup->call.kind = CallKind::kQuery;
+  lookup->call.kind = CallKind::kLookUp;
   lookup->call.queue = routed->call.queue;
   lookup->call.job = routed->call.job;
+  lookup->call.plan_version = routed->call.plan_version;
   lookup->call.patience = routed->call.patience;
   lookup->call.pool = scopes.front();
   lookup->other_scopes.assign(scopes.begin() + 1, scopes.end());
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -18,7 +18,7 @@
 constexpr char kStoreReachableBody[] = "store answers";
 constexpr char kStoreUnavailableBody[] = "store away";
 constexpr char kStep[] = "peer.call";
-constexpr int kLastKind = static_cast<int>(CallKind::kCountPending);
+constexpr int kLastKind = static_cast<int>(CallKind::kLookUp);
 constexpr int kLastOutcome = static_cast<int>(CallOutcome::kMalformed);
 constexpr int kLastStatus = static_cast<int>(JobStatus::kCancelled);
 
@@ -40,12 +40,12 @@
   request.method = "POST";
   request.target = kCallPath;
   request.headers = {{"Content-Type", "application/cbor"}};
-  request.body = FormatCbor(
-      json::array({static_cast<int>(call.call.kind), call.call.queue,
-                   call.call.pool, call.call.job,
-                   json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
-                                                     call.spec_bytes.end())),
-                   call.relay, call.call.patience.count()}));
+  request.body = FormatCbor(json::array(
+      {static_cast<int>(call.call.kind), call.call.queue, call.call.pool,
+       call.call.job,
+       json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
+                                         call.spec_bytes.end())),
+       call.relay, call.call.patience.count(), call.call.plan_version}));
   return request;
 }
 
@@ -65,6 +65,8 @@
         peer.relay = row.at(5).get<bool>();
         peer.call.patience =
             std::chrono::milliseconds(row.at(6).get<int64_t>());
+        // Daemons of earlier versions omit this field.
+        peer.call.plan_version = row.size() > 7 ? row.at(7).get<uint64_t>() : 0;
         return peer;
       });
   if (!parsed || parsed->call.kind != CallKind::kSubmit) {
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -246,18 +246,27 @@
 
 bool PoolRunner::Submit(JobSpec spec,
                         std::string spec_bytes,
+                        uint64_t plan_version,
                         SubmitCallback done) {
   bool accepted = false;
+  bool elsewhere = false;
   RunOnScheduler([&](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     accepted = AcceptsCallsLocked();
-    if (accepted) {
+    elsewhere = scheduler.IsSubmittedElsewhere(spec.id, plan_version, now);
+    if (accepted && !elsewhere) {
       const uint64_t token = next_token_++;
       pending_submits_[token] = std::move(done);
       scheduler.Submit(std::move(spec), std::move(spec_bytes), token, now,
                        deps_.clock.WallNow());
     }
   });
+  if (accepted && elsewhere) {
+    SubmitResponse response;
+    response.outcome = SubmitOutcome::kUnknown;
+    response.reason = "submitted-to-another-pool";
+    done(response);
+  }
   return accepted;
 }
 
@@ -292,6 +301,16 @@
   return Fail(ErrorCode::kNotFound, "pool.query", claim_.pool, "no such job");
 }
 
+Result<JobView> PoolRunner::LookUp(const std::string& job,
+                                   uint64_t plan_version) {
+  absl::MutexLock lock(&mutex_);
+  if (!AcceptsCallsLocked()) {
+    return Fail(ErrorCode::kUnavailable, "pool.look-up", claim_.pool,
+                "the pool is not owned here");
+  }
+  return scheduler_->LookUp(job, plan_version, deps_.clock.Now());
+}
+
 Result<int64_t> PoolRunner::CountPending(const std::string& queue) {
   absl::MutexLock lock(&mutex_);
   if (state_ != State::kActive || deposed_) {
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -57,11 +57,18 @@
   void OnWorkerUnlisted(const std::string& worker);
 
   // These return false, without calling `done`, unless the pool is active.
-  bool Submit(JobSpec spec, std::string spec_bytes, SubmitCallback done);
+  // `plan_version` is the plan by which the job was routed to this pool.
+  bool Submit(JobSpec spec,
+              std::string spec_bytes,
+              uint64_t plan_version,
+              SubmitCallback done);
   bool Cancel(const std::string& job, CancelCallback done);
   // Errors: kUnavailable unless the pool is active, kNotFound if there is no
   // such job.
   Result<JobView> Query(const std::string& job);
+  // Same as Query for a daemon that submits the job to another pool if this one
+  // has not accepted it. Error kUnavailable also while that is uncertain.
+  Result<JobView> LookUp(const std::string& job, uint64_t plan_version);
   Result<int64_t> CountPending(const std::string& queue);
 
   // Applies the orders of the instance controller and returns a report. Error:
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -98,6 +98,17 @@
   void Cancel(const std::string& job, uint64_t token, MonoTime now);
   // Returns the state that the store holds, or none if there is no such job.
   std::optional<JobView> Query(const std::string& job) const;
+  // Returns the state of a job that a daemon submits to another pool by its
+  // plan, unless this pool has accepted it. Errors: kNotFound; kUnavailable
+  // while the job is being written.
+  Result<JobView> LookUp(const std::string& job,
+                         uint64_t plan_version,
+                         MonoTime now);
+  // Returns whether a daemon with a later plan has looked the job up and may
+  // have submitted it to another pool.
+  bool IsSubmittedElsewhere(const std::string& id,
+                            uint64_t plan_version,
+                            MonoTime now) const;
   // Returns the number of accepted jobs of a queue of which no task has
   // started, without scheduled jobs.
   int64_t CountPending(const std::string& queue) const;
@@ -339,6 +350,13 @@
   // Maximum lease that any owner can have granted.
   std::chrono::milliseconds max_inherited_lease_;
   JobMap jobs_;
+  struct SubmittedElsewhere {
+    // Latest plan by which the job was looked up.
+    uint64_t plan_version = 0;
+    MonoTime looked_up_at;
+  };
+  // Jobs that were looked up and not found, by id.
+  std::map<std::string, SubmittedElsewhere> submitted_elsewhere_;
   // Jobs that may have waiting tasks, and scheduled ones with more occurrences
   // to come.
   std::map<std::string, std::shared_ptr<Job>> open_jobs_;
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -1,6 +1,7 @@
 // Loads, submits, cancels and completes jobs.
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "Common/log.h"
@@ -17,6 +18,9 @@
 // Maximum number of lost runs kept for each task. Each one has cost a lease, so
 // more of them take longer than a caller waits.
 constexpr size_t kMaxLostRuns = 8;
+// How long a job is known to be submitted to another pool: longer than a caller
+// waits, and than daemons decide by different plans.
+constexpr std::chrono::seconds kSubmittedElsewhereRetention{30};
 
 }  // namespace
 
@@ -180,6 +184,38 @@
   return JobView{known->second->durable_status, known->second->started};
 }
 
+Result<JobView> PoolScheduler::LookUp(const std::string& id,
+                                      uint64_t plan_version,
+                                      MonoTime now) {
+  const std::optional<JobView> view = Query(id);
+  if (view) {
+    return *view;
+  }
+  if (jobs_.count(id) > 0) {
+    return Fail(ErrorCode::kUnavailable, "pool.look-up", id,
+                "the job is being written");
+  }
+  for (auto it = submitted_elsewhere_.begin();
+       it != submitted_elsewhere_.end();) {
+    it = now - it->second.looked_up_at > kSubmittedElsewhereRetention
+             ? submitted_elsewhere_.erase(it)
+             : std::next(it);
+  }
+  SubmittedElsewhere& entry = submitted_elsewhere_[id];
+  entry.plan_version = std::max(entry.plan_version, plan_version);
+  entry.looked_up_at = now;
+  return Fail(ErrorCode::kNotFound, "pool.look-up", id, "no such job");
+}
+
+bool PoolScheduler::IsSubmittedElsewhere(const std::string& id,
+                                         uint64_t plan_version,
+                                         MonoTime now) const {
+  const auto entry = submitted_elsewhere_.find(id);
+  return jobs_.count(id) == 0 && entry != submitted_elsewhere_.end() &&
+         plan_version < entry->second.plan_version &&
+         now - entry->second.looked_up_at <= kSubmittedElsewhereRetention;
+}
+
 int64_t PoolScheduler::CountPending(const std::string& queue) const {
   return std::count_if(
       open_jobs_.begin(), open_jobs_.end(), [&](const auto& item) {
--- a/Source/UnitTests/Fleet/fleet_routes_test.cc
+++ b/Source/UnitTests/Fleet/fleet_routes_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(JobIsServedAfterItsQueueGotAnotherPool);
   CPPUNIT_TEST(LaterDaemonsKnowTheFormerPool);
   CPPUNIT_TEST(RepeatedRequestMeetsAChangedPool);
+  CPPUNIT_TEST(DaemonWithEarlierPlanDoesNotSubmitAgain);
   CPPUNIT_TEST(CancellationReachesTheFormerPool);
   CPPUNIT_TEST(CountIncludesTheFormerPool);
   CPPUNIT_TEST(UncertainFormerPoolIsNoRefusal);
@@ -76,6 +77,32 @@
     CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
   }
 
+  // Guards against a second run of a job that a daemon with the earlier plan
+  // submits to the former pool after the new pool has accepted it.
+  void DaemonWithEarlierPlanDoesNotSubmitAgain() {
+    ModelFleet fleet(9);
+    fleet.workers.behaviour = [](const TaskName&) {
+      return model::TaskBehaviour{kTaskTime, false};
+    };
+    StartFleet(fleet, 2, 2, 0);
+    const int owner = fleet.OwnerOf("p0");
+    const int late = (owner + 1) % fleet.daemons();
+    const int other = (owner + 2) % fleet.daemons();
+    fleet.Node(late)->store_cut = true;
+    SetPoolOfQueue(fleet, 2, "p1");
+    fleet.Run(milliseconds(500));
+    fleet.promises.OnSubmitted(Job());
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(fleet, "POST", other));
+    fleet.promises.OnAccepted("job");
+    CPPUNIT_ASSERT_EQUAL(504, StatusOf(fleet, "POST", late));
+    fleet.Node(late)->store_cut = false;
+    fleet.Run(seconds(3));
+    AssertJobIsKnown(fleet);
+    fleet.Run(kTaskTime + seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         absl::StrJoin(fleet.promises.broken(), "; "));
+  }
+
   // Guards against a cancellation that is answered as if there were no such
   // job.
   void CancellationReachesTheFormerPool() {
