Deny a job only by a current plan

Callers got 410 for an accepted job from a daemon that was cut off from the store and had not received the plan by which the job went to another pool.

Cause: a daemon denied what the pools of its plan do not hold, whatever the age of the plan. Unknown paths are denied only by a plan that is current; unknown jobs were not.

Change: the same condition holds for jobs. Otherwise the daemon asks the store for the plan and answers 503.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -331,12 +331,18 @@
   if (TryOtherScope(routed, last_response)) {
     return;
   }
-  const CallerReply response =
+  CallerReply response =
       CombineScopeResponses(routed->uncertain, last_response);
   if (routed->is_subquery) {
     routed->respond(response);
     return;
   }
+  if (response.outcome == CallOutcome::kNoSuchJob && !routed->relayed &&
+      !engine_.PlanIsCurrent(clock_.Now())) {
+    // By a later plan, the job may be in a pool that was not queried.
+    engine_.ConfirmPlan();
+    response = Unavailable("plan-may-be-old");
+  }
   const auto duration = clock_.Now() - routed->arrived;
   latency_.Record(duration);
   metrics_
--- a/Source/Soak/callers.cc
+++ b/Source/Soak/callers.cc
@@ -116,7 +116,7 @@
     entry.accepted = true;
     entry.accepted_at = time_.Now();
     ++counts_.accepted;
-    promises_.OnAccepted(id);
+    promises_.OnAccepted(id, entry.accepted_at);
     Poll(id);
     if (entry.job->spec.perpetual() || Chance(0.15)) {
       const int most = entry.job->spec.perpetual() ? 6'000 : 2'000;
@@ -172,7 +172,7 @@
       }
     } else if (reply.status == http_status::kGone &&
                now > entry.accepted_at + kVisible) {
-      promises_.OnUnknownJobAnswer(id);
+      promises_.OnUnknownJobAnswer(id, now);
     }
     // The end of a job is asked for again: it must not change.
     if (!entry.over || Chance(0.3)) {
--- a/Source/StandIns/Fleet/model_fleet.cc
+++ b/Source/StandIns/Fleet/model_fleet.cc
@@ -316,8 +316,11 @@
            longest = std::max(longest, time.Now() - sent_at);
          }
          if (status == http_status::kOk) {
-           promises.OnAccepted(spec.id);
-           Poll(spec.queue, spec.id, daemon);
+           promises.OnAccepted(spec.id, time.Now());
+           // The states that one caller sees are in order.
+           if (polled_.insert(spec.id).second) {
+             Poll(spec.queue, spec.id, daemon);
+           }
            return;
          }
          if (status == 503) {
@@ -339,7 +342,7 @@
          if (status == http_status::kOk) {
            promises.OnShown(job, body);
          } else if (status == http_status::kGone) {
-           promises.OnUnknownJobAnswer(job);
+           promises.OnUnknownJobAnswer(job, time.Now());
          }
          const bool over =
              body == "completed" || body == "failed" || body == "cancelled";
--- a/Source/StandIns/Fleet/model_fleet.h
+++ b/Source/StandIns/Fleet/model_fleet.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,8 @@
   MetricsRegistry metrics_;
   uint64_t next_process_ = 1;
   std::vector<std::unique_ptr<Daemon>> daemons_;
+  // Jobs whose state is asked for.
+  std::set<std::string> polled_;
 };
 
 // A job of one stage after the other, each with `tasks` tasks.
--- a/Source/StandIns/Fleet/promises.cc
+++ b/Source/StandIns/Fleet/promises.cc
@@ -12,6 +12,9 @@
 // Time after the acknowledgement of a cancellation in which a task may still
 // start (platform contract).
 constexpr std::chrono::seconds kCancelTime{3};
+// Time after the acceptance of a job until which a daemon may not know it
+// (platform contract).
+constexpr std::chrono::seconds kVisibleTime{3};
 // Time without disruption after which a daemon counts as in touch (platform
 // contract).
 constexpr std::chrono::seconds kStableWindow{3};
@@ -27,13 +30,23 @@
   broken_.push_back(what);
 }
 
+void Promises::SetPlan(const FleetPlan& plan) {
+  plan_ = plan;
+  for (const QueueConfig& queue : plan.queues) {
+    pools_of_queue_[queue.name].insert(queue.pool);
+  }
+}
+
 void Promises::OnSubmitted(const JobSpec& spec) {
   jobs_[spec.id].spec = spec;
 }
 
-void Promises::OnAccepted(const std::string& job) {
+void Promises::OnAccepted(const std::string& job, MonoTime now) {
   JobRecord& record = jobs_[job];
-  record.accepted = true;
+  if (!record.accepted) {
+    record.accepted = true;
+    record.accepted_at = now;
+  }
 }
 
 void Promises::OnRefused(const std::string& job) {
@@ -77,8 +90,13 @@
   record.shown = state;
 }
 
-void Promises::OnUnknownJobAnswer(const std::string& job) {
-  if (jobs_[job].accepted) {
+void Promises::OnUnknownJobAnswer(const std::string& job, MonoTime now) {
+  const JobRecord& record = jobs_[job];
+  // A daemon may have the plan before, which routes the queue to another pool.
+  // RULES.md, LOST: "later than `visible_ms` after the acknowledgement".
+  const bool may_be_invisible = pools_of_queue_[record.spec.queue].size() > 1 &&
+                                now <= record.accepted_at + kVisibleTime;
+  if (record.accepted && !may_be_invisible) {
     Break(absl::StrCat("accepted job ", job, " is said not to exist"));
   }
 }
@@ -176,8 +194,7 @@
     Break(absl::StrCat("task ", text, " on ", worker, " beside ", beside,
                        " others of its stage"));
   }
-  const QueueConfig* queue = plan_.FindQueueByName(job.spec.queue);
-  if (queue != nullptr && queue->pool != on.pool) {
+  if (pools_of_queue_[job.spec.queue].count(on.pool) == 0) {
     Break(absl::StrCat("task ", text, " on ", worker, " of pool ", on.pool));
   }
   if (!stage.speculative && !stage.perpetual) {
--- a/Source/StandIns/Fleet/promises.h
+++ b/Source/StandIns/Fleet/promises.h
@@ -18,7 +18,7 @@
 class Promises {
  public:
   // The queues' attempts and pools from now on.
-  void SetPlan(const FleetPlan& plan) { plan_ = plan; }
+  void SetPlan(const FleetPlan& plan);
   // Gangs may lose a member by a fault: one that waits in vain breaks nothing.
   void AllowLoneMembers() { lone_members_allowed_ = true; }
 
@@ -29,12 +29,12 @@
   // A caller handed the job in, for the first time or again.
   void OnSubmitted(const JobSpec& spec);
   // An attempt was answered: taken, or refused for good.
-  void OnAccepted(const std::string& job);
+  void OnAccepted(const std::string& job, MonoTime now);
   void OnRefused(const std::string& job);
   void OnCancelAsked(const std::string& job);
   void OnCancelAcknowledged(const std::string& job, MonoTime now);
   void OnShown(const std::string& job, const std::string& state);
-  void OnUnknownJobAnswer(const std::string& job);
+  void OnUnknownJobAnswer(const std::string& job, MonoTime now);
 
   void OnStarted(const WorkerReport& worker,
                  const TaskName& task,
@@ -67,6 +67,7 @@
   struct JobRecord {
     JobSpec spec;
     bool accepted = false;
+    MonoTime accepted_at;
     bool refused = false;
     bool started = false;
     bool cancel_asked = false;
@@ -98,6 +99,9 @@
   std::map<std::string, std::set<std::pair<std::string, uint32_t>>> running_;
   std::map<std::string, uint64_t> instance_fences_;
   FleetPlan plan_;
+  // Pools to which any plan sends a queue. RULES.md, ROUTE: "a service to which
+  // no configuration sends the queue".
+  std::map<std::string, std::set<std::string>> pools_of_queue_;
   bool lone_members_allowed_ = false;
   MonoTime disturbed_until_ = MonoTime::min();
   std::vector<std::string> broken_;
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -15,6 +15,7 @@
 constexpr uint64_t kFirstSeed = 1;
 constexpr uint64_t kLastSeed = 25;
 constexpr uint64_t kLastMixedSeed = 25;
+constexpr uint64_t kLastRouteSeed = 25;
 
 const std::vector<uint64_t> kPastSeeds = {
     // The removal of an owner's key failed, and the pool had no owner for as
@@ -25,6 +26,12 @@
     353,
 };
 
+const std::vector<uint64_t> kPastRouteSeeds = {
+    // A daemon that was cut off from the store denied jobs that a later plan
+    // had sent to another pool.
+    32,
+};
+
 class FaultInjector {
  public:
   FaultInjector(ModelFleet& fleet, uint64_t seed)
@@ -142,6 +149,7 @@
   CPPUNIT_TEST(PastSeeds);
   CPPUNIT_TEST(Seeds);
   CPPUNIT_TEST(MixedSeeds);
+  CPPUNIT_TEST(RouteSeeds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +157,9 @@
     for (const uint64_t seed : kPastSeeds) {
       RunSeed(seed);
     }
+    for (const uint64_t seed : kPastRouteSeeds) {
+      RunRouteSeed(seed);
+    }
   }
 
   void Seeds() { RunSeeds(kLastSeed, RunSeed); }
@@ -156,6 +167,10 @@
   // Runs jobs of all kinds and cancels some of them.
   void MixedSeeds() { RunSeeds(kLastMixedSeed, RunMixedSeed); }
 
+  // Removes the routes of queues and adds them for other pools while requests
+  // arrive again at other daemons.
+  void RouteSeeds() { RunSeeds(kLastRouteSeed, RunRouteSeed); }
+
  private:
   // Runs the seeds up to `last`, or those that FIGFLOW_SEEDS names as "A-B".
   static void RunSeeds(uint64_t last, void (*run)(uint64_t seed)) {
@@ -251,6 +266,54 @@
     AssertSeedPromisesKept(fleet, seed);
   }
 
+  // Draws a plan in which each queue has any pool or no route. The last plan
+  // has routes for both queues.
+  static FleetPlan DrawPlan(uint64_t version,
+                            bool last,
+                            FaultInjector& injector) {
+    FleetPlan plan = SimplePlan(2);
+    plan.version = version;
+    std::vector<QueueConfig> queues;
+    for (QueueConfig& queue : plan.queues) {
+      queue.pool = absl::StrCat("p", injector.Draw(0, 1));
+      if (last || injector.Draw(0, 2) > 0) {
+        queues.push_back(queue);
+      }
+    }
+    plan.queues = queues;
+    return plan;
+  }
+
+  static void RunRouteSeed(uint64_t seed) {
+    ModelFleet fleet(seed);
+    FaultInjector injector(fleet, seed + 3'000);
+    StartSeed(fleet, injector, 200);
+    for (int i = 0; i < 80; ++i) {
+      const JobSpec spec =
+          SimpleJob(absl::StrCat("j", i), absl::StrCat("q", i % 2),
+                    injector.Draw(1, 3), injector.Draw(1, 4), 1'000);
+      const auto at = milliseconds(injector.Draw(0, 12'000));
+      const int requests = injector.Draw(1, 3);
+      for (int k = 0; k < requests; ++k) {
+        const int daemon = injector.Draw(0, fleet.daemons() - 1);
+        const auto delay = milliseconds(k * injector.Draw(100, 4'000));
+        fleet.time.After(
+            at + delay, [&fleet, spec, daemon] { fleet.Submit(spec, daemon); });
+      }
+    }
+    constexpr uint64_t kLastVersion = 6;
+    auto at = milliseconds(0);
+    for (uint64_t version = 2; version <= kLastVersion; ++version) {
+      at += milliseconds(injector.Draw(300, 4'000));
+      const FleetPlan plan =
+          DrawPlan(version, version == kLastVersion, injector);
+      fleet.time.After(at, [&fleet, plan] { fleet.SetPlan(plan); });
+    }
+    ScheduleFaults(fleet, injector, milliseconds(14'000));
+    fleet.Run(seconds(90));
+    AssertSeedPromisesKept(fleet, seed);
+  }
+
   static void AssertSeedPromisesKept(const ModelFleet& fleet, uint64_t seed) {
     const std::string label = absl::StrCat("seed ", seed, ": ");
     CPPUNIT_ASSERT_EQUAL(label,
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -162,11 +162,10 @@
 
   // Fails a stop order without a response.
   void DropStopResponse(const StopOrder& order) {
-    scheduler_->OnStopResponse(
-        order,
-        Fail(ErrorCode::kDeadlineExceeded, "worker.stop",
-             order.target.worker.id, "lost"),
-        now_);
+    scheduler_->OnStopResponse(order,
+                               Fail(ErrorCode::kDeadlineExceeded, "worker.stop",
+                                    order.target.worker.id, "lost"),
+                               now_);
     Step();
   }
 
