Accept no job that was not looked up in all pools of its route

A job ran again after it had completed (TWICE): a daemon that the store turned away and that had missed two plans held a repeated request for 1.6 s, until a new owner of the queue's former pool accepted it.

Cause: the earlier owner of that pool had been asked for the job, and so would not have accepted it by an earlier plan, but kept this in memory only.

Change: a request names its route and says how many pools its daemon knows for it. A new owner reads the record of the routes after its claim, with the pool's records.

--- a/Source/Core/Adapter/caller_call.h
+++ b/Source/Core/Adapter/caller_call.h
@@ -2,6 +2,7 @@
 #define ADAPTER_CALLER_CALL_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -34,6 +35,11 @@
   JobSpec spec;
   // Version of the plan by which the call was routed to the pool; 0 if unknown.
   uint64_t plan_version = 0;
+  // Identifies the queue's route; empty if unknown.
+  std::string route;
+  // Number of pools that the daemon which routed the call knows to have served
+  // the route.
+  size_t route_pools = 0;
   // How long the caller waits for the answer.
   std::chrono::milliseconds patience{0};
 };
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -373,6 +373,18 @@
   switch (call.kind) {
     case CallKind::kSubmit: {
       const uint64_t fence = runner->claim().revision;
+      const bool pool_missed =
+          !call.route.empty() &&
+          call.route_pools < engine_.CountRoutePools(call.route);
+      if (pool_missed && !runner->Query(call.job)) {
+        // The job was not looked up in all pools that may have accepted it.
+        CallerReply response;
+        response.outcome = CallOutcome::kUnknown;
+        response.reason = "route-changed";
+        response.fence = fence;
+        done(response);
+        return;
+      }
       const auto on_response = [done, fence](const SubmitResponse& result) {
         CallerReply response;
         response.fence = fence;
--- a/Source/Core/Fleet/call_router_resolve.cc
+++ b/Source/Core/Fleet/call_router_resolve.cc
@@ -77,6 +77,8 @@
     OnUnrecordedRoute(request, routed);
     return;
   }
+  routed->call.route = RouteHistory::RouteOf(*queue);
+  routed->call.route_pools = former_pools->size() + 1;
   const std::string& job = routed->call.job;
   std::vector<std::string> former_scopes;
   for (const std::string& pool : *former_pools) {
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -99,6 +99,8 @@
   // its pool.
   std::optional<std::vector<std::string>> FormerPools(
       const QueueConfig& queue) const;
+  // Returns the number of pools that are known to have served the route.
+  size_t CountRoutePools(const std::string& route) const;
   // Returns null unless this daemon owns the scope. The runner may still be
   // reading its records.
   std::shared_ptr<PoolRunner> OwnRunner(const std::string& scope) const;
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -230,8 +230,9 @@
   std::vector<WorkerReport> reports;
   {
     absl::MutexLock lock(&mutex_);
-    PoolRunner::Dependencies parts{platform_, clock_, metrics_,
-                                   [this](MonoTime at) { WakeAt(at); }};
+    PoolRunner::Dependencies parts{
+        platform_, clock_, metrics_, [this](MonoTime at) { WakeAt(at); },
+        [this](const StoreItem& item) { OnRoutesItem(item); }};
     runner = std::make_shared<PoolRunner>(
         parts, PoolRunner::Claim{scope, nonce, revision}, bounds_);
     runners_[scope] = runner;
--- a/Source/Core/Fleet/fleet_engine_routes.cc
+++ b/Source/Core/Fleet/fleet_engine_routes.cc
@@ -31,6 +31,11 @@
   return routes_.FormerPools(queue);
 }
 
+size_t FleetEngine::CountRoutePools(const std::string& route) const {
+  absl::MutexLock lock(&mutex_);
+  return routes_.CountPools(route);
+}
+
 void FleetEngine::CheckRoutesRecorded(MonoTime now) {
   const bool recorded = plan_ == nullptr || routes_.Covers(*plan_);
   if (recorded) {
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -45,7 +45,8 @@
        call.call.job,
        json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
                                          call.spec_bytes.end())),
-       call.relay, call.call.patience.count(), call.call.plan_version}));
+       call.relay, call.call.patience.count(), call.call.plan_version,
+       call.call.route, call.call.route_pools}));
   return request;
 }
 
@@ -65,8 +66,12 @@
         peer.relay = row.at(5).get<bool>();
         peer.call.patience =
             std::chrono::milliseconds(row.at(6).get<int64_t>());
-        // Daemons of earlier versions omit this field.
-        peer.call.plan_version = row.size() > 7 ? row.at(7).get<uint64_t>() : 0;
+        // Daemons of earlier versions omit these fields.
+        if (row.size() > 9) {
+          peer.call.plan_version = row.at(7).get<uint64_t>();
+          peer.call.route = row.at(8).get<std::string>();
+          peer.call.route_pools = row.at(9).get<size_t>();
+        }
         return peer;
       });
   if (!parsed || parsed->call.kind != CallKind::kSubmit) {
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -34,6 +34,8 @@
     MetricsRegistry& metrics;
     // Requests a Tick at this time. Called from any thread.
     std::function<void(MonoTime)> wake_at;
+    // Receives the history of the routes, read after the claim.
+    std::function<void(const StoreItem&)> on_routes;
   };
   struct Claim {
     std::string pool;
@@ -101,8 +103,8 @@
  private:
   // Records of the pool in the store, while they are being read.
   struct Recovery {
-    // Reads that have not completed: the jobs, and the leases.
-    std::atomic<int> pending_reads{2};
+    // Reads that have not completed: the jobs, the leases and the routes.
+    std::atomic<int> pending_reads{3};
     uint64_t sequence_revision = 0;
     std::map<std::string, JobRecords> records;
     std::string after;
@@ -114,6 +116,10 @@
 
   void ReadSequence(const std::shared_ptr<Recovery>& recovery);
   void ReadLeases(const std::shared_ptr<Recovery>& recovery);
+  // Reads the history of the routes. This owner does not know which jobs were
+  // looked up at the earlier one; with a later history than theirs, it detects
+  // daemons that would submit them here.
+  void ReadRoutes(const std::shared_ptr<Recovery>& recovery);
   void OnReadCompleted(const std::shared_ptr<Recovery>& recovery);
   void ReadRecords(const std::shared_ptr<Recovery>& recovery, bool progress);
   void RetryRead(std::function<void()> read);
--- a/Source/Core/Fleet/pool_runner_recovery.cc
+++ b/Source/Core/Fleet/pool_runner_recovery.cc
@@ -3,6 +3,7 @@
 
 #include "Common/log.h"
 #include "Fleet/pool_runner.h"
+#include "Fleet/route_history.h"
 #include "Ownership/owner_record.h"
 
 namespace figflow {
@@ -27,6 +28,7 @@
   const auto recovery = std::make_shared<Recovery>();
   ReadSequence(recovery);
   ReadLeases(recovery);
+  ReadRoutes(recovery);
 }
 
 void PoolRunner::OnReadCompleted(const std::shared_ptr<Recovery>& recovery) {
@@ -60,6 +62,22 @@
       });
 }
 
+void PoolRunner::ReadRoutes(const std::shared_ptr<Recovery>& recovery) {
+  deps_.platform.store().Get(
+      OwnerKey(kRoutesScope), kReadTimeout,
+      [self = shared_from_this(),
+       recovery](const Result<std::optional<StoreItem>>& item) {
+        if (!item) {
+          self->RetryRead([self, recovery] { self->ReadRoutes(recovery); });
+          return;
+        }
+        if (*item) {
+          self->deps_.on_routes(**item);
+        }
+        self->OnReadCompleted(recovery);
+      });
+}
+
 void PoolRunner::ReadSequence(const std::shared_ptr<Recovery>& recovery) {
   deps_.platform.store().Get(
       SequenceKey(claim_.pool), kReadTimeout,
--- a/Source/Core/Fleet/route_history.cc
+++ b/Source/Core/Fleet/route_history.cc
@@ -16,11 +16,6 @@
 // Limit of routes that the plan no longer has. Bounds the size of the key.
 constexpr size_t kMaxRemovedRoutes = 1'000;
 
-// Callers name a route by host and path, so these identify it.
-std::string RouteKey(const QueueConfig& queue) {
-  return absl::StrCat(absl::AsciiStrToLower(queue.host), queue.path_prefix);
-}
-
 uint64_t LatestVersion(const std::map<std::string, uint64_t>& pools) {
   uint64_t latest = 0;
   for (const auto& [pool, version] : pools) {
@@ -31,9 +26,18 @@
 
 }  // namespace
 
+std::string RouteHistory::RouteOf(const QueueConfig& queue) {
+  return absl::StrCat(absl::AsciiStrToLower(queue.host), queue.path_prefix);
+}
+
+size_t RouteHistory::CountPools(const std::string& route) const {
+  const auto known = routes_.find(route);
+  return known == routes_.end() ? 0 : known->second.size();
+}
+
 void RouteHistory::Add(const FleetPlan& plan) {
   for (const QueueConfig& queue : plan.queues) {
-    uint64_t& version = routes_[RouteKey(queue)][queue.pool];
+    uint64_t& version = routes_[RouteOf(queue)][queue.pool];
     version = std::max(version, plan.version);
   }
   DropOldestRoutes(plan.version);
@@ -60,13 +64,13 @@
 }
 
 bool RouteHistory::Contains(const QueueConfig& queue) const {
-  const auto route = routes_.find(RouteKey(queue));
+  const auto route = routes_.find(RouteOf(queue));
   return route != routes_.end() && route->second.count(queue.pool) > 0;
 }
 
 std::vector<std::string> RouteHistory::FormerPools(
     const QueueConfig& queue) const {
-  const auto route = routes_.find(RouteKey(queue));
+  const auto route = routes_.find(RouteOf(queue));
   if (route == routes_.end()) {
     return {};
   }
--- a/Source/Core/Fleet/route_history.h
+++ b/Source/Core/Fleet/route_history.h
@@ -24,6 +24,10 @@
 // contains the pool of every accepted job.
 class RouteHistory {
  public:
+  // Returns what identifies the queue's route: its host and path, by which
+  // callers name it.
+  static std::string RouteOf(const QueueConfig& queue);
+
   // Adds the routes of a plan. Drops the routes that were removed from the
   // plan longest ago if there are too many.
   void Add(const FleetPlan& plan);
@@ -35,6 +39,9 @@
   // first.
   std::vector<std::string> FormerPools(const QueueConfig& queue) const;
 
+  // Returns the number of pools that have served the route.
+  size_t CountPools(const std::string& route) const;
+
   bool operator==(const RouteHistory& other) const {
     return routes_ == other.routes_;
   }
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -30,6 +30,9 @@
     // A daemon that was cut off from the store denied jobs that a later plan
     // had sent to another pool.
     32,
+    // A daemon that had missed two plans submitted a completed job to the former
+    // pool, whose new owner did not know that the job had been looked up.
+    149,
 };
 
 class FaultInjector {
