Deny a job only by the plan that its call was routed by

A query that waited 1.8 s for an owner was answered 410 for an accepted job: its daemon received the later plan, by which the job is in another pool, meanwhile.

Cause: the check before a denial asked whether the daemon's plan is current, not whether the call was routed by it.

Change: the plan in force must be the one by which the call was routed.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -84,6 +84,12 @@
   TryRoute(routed);
 }
 
+bool CallRouter::MayDenyJob(const RoutedCall& routed) const {
+  const std::shared_ptr<const FleetPlan> plan = engine_.plan();
+  return plan != nullptr && plan->version == routed.call.plan_version &&
+         engine_.PlanIsCurrent(clock_.Now());
+}
+
 bool CallRouter::MayHaveOwner(const std::string& scope) const {
   const std::shared_ptr<const FleetPlan> plan = engine_.plan();
   const std::optional<PoolLayout> layout = engine_.layout();
@@ -338,7 +344,7 @@
     return;
   }
   if (response.outcome == CallOutcome::kNoSuchJob && !routed->relayed &&
-      !engine_.PlanIsCurrent(clock_.Now())) {
+      !MayDenyJob(*routed)) {
     // By a later plan, the job may be in a pool that was not queried.
     engine_.ConfirmPlan();
     response = Unavailable("plan-may-be-old");
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -110,6 +110,9 @@
 
   // Returns the response to a call that was not carried out.
   static CallerReply Unavailable(std::string reason);
+  // Returns whether the plan by which the call was routed is the current one,
+  // so that no other pool may hold its job.
+  bool MayDenyJob(const RoutedCall& routed) const;
   // Returns whether the plan has the pool of the scope. Without an owner, only
   // the store tells which jobs the pool has accepted.
   bool MayHaveOwner(const std::string& scope) const;
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -30,9 +30,13 @@
     // A daemon that was cut off from the store denied jobs that a later plan
     // had sent to another pool.
     32,
-    // A daemon that had missed two plans submitted a completed job to the former
+    // A daemon that had missed two plans submitted a completed job to the
+    // former
     // pool, whose new owner did not know that the job had been looked up.
     149,
+    // A query waited for an owner while its daemon received a later plan, by
+    // which the job was in another pool.
+    352,
 };
 
 class FaultInjector {
