Accept no job by an earlier plan than the owner's if its route had several pools

A job ran in two pools at once (TWICE): a request that was routed by an earlier plan waited for an owner, while the job was looked up at the owner before and accepted by the other pool.

Cause: the owner before knew of the look-up, the next one did not. Both pools were recorded long before, so the number of pools that the request named was right.

--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -84,6 +84,16 @@
   TryRoute(routed);
 }
 
+bool CallRouter::IsRoutedByEarlierPlan(const CallerCall& call) const {
+  if (call.route.empty()) {
+    return false;
+  }
+  const std::shared_ptr<const FleetPlan> plan = engine_.plan();
+  const size_t pools = engine_.CountRoutePools(call.route);
+  return call.route_pools < pools ||
+         (pools > 1 && plan != nullptr && call.plan_version < plan->version);
+}
+
 bool CallRouter::MayDenyJob(const RoutedCall& routed) const {
   const std::shared_ptr<const FleetPlan> plan = engine_.plan();
   return plan != nullptr && plan->version == routed.call.plan_version &&
@@ -379,11 +389,8 @@
   switch (call.kind) {
     case CallKind::kSubmit: {
       const uint64_t fence = runner->claim().revision;
-      const bool pool_missed =
-          !call.route.empty() &&
-          call.route_pools < engine_.CountRoutePools(call.route);
-      if (pool_missed && !runner->Query(call.job)) {
-        // The job was not looked up in all pools that may have accepted it.
+      if (IsRoutedByEarlierPlan(call) && !runner->Query(call.job)) {
+        // Another pool may have accepted the job.
         CallerReply response;
         response.outcome = CallOutcome::kUnknown;
         response.reason = "route-changed";
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -110,6 +110,10 @@
 
   // Returns the response to a call that was not carried out.
   static CallerReply Unavailable(std::string reason);
+  // Returns whether this daemon knows a later plan or more pools of the route,
+  // of a queue that had several pools, than the daemon that routed the
+  // submission.
+  bool IsRoutedByEarlierPlan(const CallerCall& call) const;
   // Returns whether the plan by which the call was routed is the current one,
   // so that no other pool may hold its job.
   bool MayDenyJob(const RoutedCall& routed) const;
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -37,6 +37,9 @@
     // A query waited for an owner while its daemon received a later plan, by
     // which the job was in another pool.
     352,
+    // A request that was routed by an earlier plan waited for an owner, which
+    // did not know that the job had been looked up at the owner before.
+    541,
 };
 
 class FaultInjector {
