Read the record of the routes after each new plan

A query was answered 410 for an accepted job: its route had got its first pool back, and the daemon, whose watch was lost, had an old record that named this pool only.

Cause: a record that has the pool of the plan was taken as complete. That holds only for a pool that is new on its route.

Change: a call is routed once its pool is the latest one in the record, and the record was read after the plan was received. One read a daemon and plan.

--- a/Source/Core/Fleet/call_router_resolve.cc
+++ b/Source/Core/Fleet/call_router_resolve.cc
@@ -61,7 +61,8 @@
   }
   const QueueConfig* queue = plan->FindQueueByName(routed->call.queue);
   const std::optional<std::vector<std::string>> former_pools =
-      queue == nullptr ? std::nullopt : engine_.FormerPools(*queue);
+      queue == nullptr ? std::nullopt
+                       : engine_.FormerPools(plan->version, *queue);
   if (routed->call.kind == CallKind::kCountPending) {
     std::vector<std::string> scopes = layout->ScopesOfPool(routed->call.pool);
     for (const std::string& pool :
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -169,7 +169,7 @@
   RemoveLostMembers(now);
   CheckOverload(now);
   ProposeLayout(now);
-  next = std::min(next, RecordRoutes(now));
+  next = std::min(next, StepRoutes(now));
   next = std::min(next, StepOwnership(now));
   // After StepOwnership, every active claim belongs to the current lease.
   const MonoTime lease_valid_until = session_->lease_valid_until();
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -95,9 +95,10 @@
   // Returns none until the partitioning of the pools is known.
   std::optional<PoolLayout> layout() const;
   // Returns the other pools that have served the queue's route and may still
-  // hold its jobs, or none while the store does not hold the queue's route with
-  // its pool.
+  // hold its jobs. Returns none until the history was read after the plan with
+  // the queue, and holds the queue's pool as the latest one of its route.
   std::optional<std::vector<std::string>> FormerPools(
+      uint64_t plan_version,
       const QueueConfig& queue) const;
   // Returns the number of pools that are known to have served the route.
   size_t CountRoutePools(const std::string& route) const;
@@ -168,12 +169,13 @@
   void CheckRoutesRecorded(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Sets the history as of a revision of its key.
   void SetRoutes(const RouteHistory& routes, uint64_t revision);
-  // Writes the routes of the plan to the store if it is due. Returns when to
-  // call it again.
+  // Reads the history after a new plan, and writes the routes of the plan to
+  // the store, if it is due. Returns when to call it again.
+  MonoTime StepRoutes(MonoTime now);
   MonoTime RecordRoutes(MonoTime now);
-  // Reads the history that another daemon has written: the watch of the owners'
-  // keys may be lost.
-  void ReadRoutes();
+  // Reads the history: the watch of the owners' keys may be lost.
+  // `plan_version` is the plan in force.
+  void ReadRoutes(uint64_t plan_version);
   // Returns the scope that the worker serves, or an empty string while the
   // layout is unknown.
   std::string ScopeOf(const WorkerReport& report) const
@@ -230,6 +232,10 @@
   // The history that the store holds, and the revision of its key.
   RouteHistory routes_ ABSL_GUARDED_BY(mutex_);
   uint64_t routes_revision_ ABSL_GUARDED_BY(mutex_) = 0;
+  // Latest plan after which the history was read.
+  uint64_t routes_read_version_ ABSL_GUARDED_BY(mutex_) = 0;
+  // Earliest time of the next read, if the history was not read since.
+  MonoTime read_routes_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   // Time of the next write of the history; max if it covers the plan.
   MonoTime record_routes_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   std::map<std::string, WorkerReport> reports_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -66,6 +66,7 @@
       return;
     }
     plan_ = plan;
+    read_routes_at_ = MonoTime::min();
     CheckRoutesRecorded(clock_.Now());
     for (const auto& [pool, runner] : runners_) {
       runners.push_back(runner);
--- a/Source/Core/Fleet/fleet_engine_routes.cc
+++ b/Source/Core/Fleet/fleet_engine_routes.cc
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kReadTimeout{600};
 // A write that is not visible by then is repeated.
 constexpr std::chrono::milliseconds kRetryDelay{700};
+// Interval of the reads after a new plan until one has a response.
+constexpr std::chrono::milliseconds kReadInterval{150};
 // All daemons receive a plan at once. The first ones record its routes; the
 // others see the record before their own time to write.
 constexpr std::chrono::milliseconds kWriteSpread{150};
@@ -23,9 +25,10 @@
 }  // namespace
 
 std::optional<std::vector<std::string>> FleetEngine::FormerPools(
+    uint64_t plan_version,
     const QueueConfig& queue) const {
   absl::MutexLock lock(&mutex_);
-  if (!routes_.Contains(queue)) {
+  if (routes_read_version_ < plan_version || !routes_.IsLatestPool(queue)) {
     return std::nullopt;
   }
   return routes_.FormerPools(queue);
@@ -72,9 +75,29 @@
   WakeAt(clock_.Now());
 }
 
+MonoTime FleetEngine::StepRoutes(MonoTime now) {
+  std::optional<uint64_t> read_for;
+  MonoTime next = MonoTime::max();
+  {
+    absl::MutexLock lock(&mutex_);
+    if (plan_ != nullptr && routes_read_version_ < plan_->version) {
+      if (now >= read_routes_at_) {
+        read_routes_at_ = now + kReadInterval;
+        read_for = plan_->version;
+      }
+      next = read_routes_at_;
+    }
+  }
+  if (read_for) {
+    ReadRoutes(*read_for);
+  }
+  return std::min(next, RecordRoutes(now));
+}
+
 MonoTime FleetEngine::RecordRoutes(MonoTime now) {
   Transaction transaction;
   RouteHistory routes;
+  uint64_t plan_version = 0;
   {
     absl::MutexLock lock(&mutex_);
     if (record_routes_at_ == MonoTime::max() || !owners_->synced()) {
@@ -86,18 +109,19 @@
     record_routes_at_ = now + kRetryDelay;
     routes = routes_;
     routes.Add(*plan_);
+    plan_version = plan_->version;
     transaction.expected = {{OwnerKey(kRoutesScope), routes_revision_}};
   }
   transaction.writes = {
       {OwnerKey(kRoutesScope), FormatRouteHistory(routes), 0}};
   platform_.store().Commit(
       transaction, kWriteTimeout,
-      [this, routes](const Result<TransactionResult>& result) {
+      [this, routes, plan_version](const Result<TransactionResult>& result) {
         if (!result) {
           return;
         }
         if (!result->committed) {
-          ReadRoutes();
+          ReadRoutes(plan_version);
           return;
         }
         SetRoutes(routes, result->revision);
@@ -107,13 +131,19 @@
   return now + kRetryDelay;
 }
 
-void FleetEngine::ReadRoutes() {
-  platform_.store().Get(OwnerKey(kRoutesScope), kReadTimeout,
-                        [this](const Result<std::optional<StoreItem>>& item) {
-                          if (item && *item) {
-                            OnRoutesItem(**item);
-                          }
-                        });
+void FleetEngine::ReadRoutes(uint64_t plan_version) {
+  platform_.store().Get(
+      OwnerKey(kRoutesScope), kReadTimeout,
+      [this, plan_version](const Result<std::optional<StoreItem>>& item) {
+        if (!item) {
+          return;
+        }
+        if (*item) {
+          OnRoutesItem(**item);
+        }
+        absl::MutexLock lock(&mutex_);
+        routes_read_version_ = std::max(routes_read_version_, plan_version);
+      });
 }
 
 }  // namespace figflow
--- a/Source/Core/Fleet/route_history.cc
+++ b/Source/Core/Fleet/route_history.cc
@@ -58,14 +58,23 @@
 }
 
 bool RouteHistory::Covers(const FleetPlan& plan) const {
-  return std::all_of(
-      plan.queues.begin(), plan.queues.end(),
-      [this](const QueueConfig& queue) { return Contains(queue); });
+  return std::all_of(plan.queues.begin(), plan.queues.end(),
+                     [&](const QueueConfig& queue) {
+                       const auto route = routes_.find(RouteOf(queue));
+                       return route != routes_.end() &&
+                              (IsLatestPool(queue) ||
+                               LatestVersion(route->second) > plan.version);
+                     });
 }
 
-bool RouteHistory::Contains(const QueueConfig& queue) const {
+bool RouteHistory::IsLatestPool(const QueueConfig& queue) const {
   const auto route = routes_.find(RouteOf(queue));
-  return route != routes_.end() && route->second.count(queue.pool) > 0;
+  if (route == routes_.end()) {
+    return false;
+  }
+  const auto pool = route->second.find(queue.pool);
+  return pool != route->second.end() &&
+         pool->second == LatestVersion(route->second);
 }
 
 std::vector<std::string> RouteHistory::FormerPools(
--- a/Source/Core/Fleet/route_history.h
+++ b/Source/Core/Fleet/route_history.h
@@ -20,8 +20,8 @@
 // and a daemon that started later has seen no other plan.
 //
 // The daemons keep the history under one key of the store. A job is accepted
-// only after the store holds its route with its pool, so every later history
-// contains the pool of every accepted job.
+// only after the store holds its pool as the latest one of its route, so every
+// later history contains the pool of every accepted job.
 class RouteHistory {
  public:
   // Returns what identifies the queue's route: its host and path, by which
@@ -31,10 +31,13 @@
   // Adds the routes of a plan. Drops the routes that were removed from the
   // plan longest ago if there are too many.
   void Add(const FleetPlan& plan);
-  // Returns whether all routes of the plan are recorded with their pools.
+  // Returns whether all routes of the plan are recorded with their pools, or
+  // with a later pool.
   bool Covers(const FleetPlan& plan) const;
-  // Returns whether the queue's route is recorded with the queue's pool.
-  bool Contains(const QueueConfig& queue) const;
+  // Returns whether the queue's pool is the latest one that is recorded for its
+  // route. A history that was read before an earlier pool served the route
+  // again lacks the pools in between.
+  bool IsLatestPool(const QueueConfig& queue) const;
   // Returns the other pools that have served the queue's route, the latest one
   // first.
   std::vector<std::string> FormerPools(const QueueConfig& queue) const;
--- a/Source/UnitTests/Fleet/fleet_routes_test.cc
+++ b/Source/UnitTests/Fleet/fleet_routes_test.cc
@@ -217,7 +217,7 @@
     for (const std::string pool : {"p1", "p2"}) {
       ++plan.version;
       plan.queues[0].pool = pool;
-      CPPUNIT_ASSERT(!history.Contains(plan.queues[0]));
+      CPPUNIT_ASSERT(!history.IsLatestPool(plan.queues[0]));
       history.Add(plan);
     }
     const Result<RouteHistory> stored =
@@ -226,6 +226,15 @@
     CPPUNIT_ASSERT(*stored == history);
     const std::vector<std::string> former = {"p1", "p0"};
     CPPUNIT_ASSERT(stored->FormerPools(plan.queues[0]) == former);
+    // An earlier pool that serves the route again has to be recorded again.
+    FleetPlan later = plan;
+    ++later.version;
+    later.queues[0].pool = "p0";
+    CPPUNIT_ASSERT(!history.Covers(later));
+    history.Add(later);
+    CPPUNIT_ASSERT(history.IsLatestPool(later.queues[0]));
+    CPPUNIT_ASSERT(!history.IsLatestPool(plan.queues[0]));
+    CPPUNIT_ASSERT(history.Covers(plan));
     CPPUNIT_ASSERT(!ParseRouteHistory("no CBOR").has_value());
   }
 
@@ -241,10 +250,10 @@
       ++plan.version;
       history.Add(plan);
     }
-    CPPUNIT_ASSERT(history.Contains(kept));
-    CPPUNIT_ASSERT(history.Contains(removed));
+    CPPUNIT_ASSERT(history.IsLatestPool(kept));
+    CPPUNIT_ASSERT(history.IsLatestPool(removed));
     removed.path_prefix = "/removed0/";
-    CPPUNIT_ASSERT(!history.Contains(removed));
+    CPPUNIT_ASSERT(!history.IsLatestPool(removed));
     CPPUNIT_ASSERT(FormatRouteHistory(history).size() < 100'000);
   }
 
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -40,6 +40,9 @@
     // A request that was routed by an earlier plan waited for an owner, which
     // did not know that the job had been looked up at the owner before.
     541,
+    // A route got its first pool back, and a daemon with an old record of the
+    // routes took it as complete.
+    267,
 };
 
 class FaultInjector {
