Name the last plan version of a seeded run as a constant

Cause: the linter takes a constant local variable for a wrongly named one.

Change: it is a constant of the file.

--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -16,6 +16,8 @@
 constexpr uint64_t kLastSeed = 25;
 constexpr uint64_t kLastMixedSeed = 25;
 constexpr uint64_t kLastRouteSeed = 25;
+// Latest plan of a run of RouteSeeds.
+constexpr uint64_t kLastPlanVersion = 6;
 
 const std::vector<uint64_t> kPastSeeds = {
     // The removal of an owner's key failed, and the pool had no owner for as
@@ -314,12 +316,11 @@
             at + delay, [&fleet, spec, daemon] { fleet.Submit(spec, daemon); });
       }
     }
-    constexpr uint64_t kLastVersion = 6;
     auto at = milliseconds(0);
-    for (uint64_t version = 2; version <= kLastVersion; ++version) {
+    for (uint64_t version = 2; version <= kLastPlanVersion; ++version) {
       at += milliseconds(injector.Draw(300, 4'000));
       const FleetPlan plan =
-          DrawPlan(version, version == kLastVersion, injector);
+          DrawPlan(version, version == kLastPlanVersion, injector);
       fleet.time.After(at, [&fleet, plan] { fleet.SetPlan(plan); });
     }
     ScheduleFaults(fleet, injector, milliseconds(14'000));
