Replace an unreadable record of the routes

Cause: a daemon that cannot read the record would route no call, and never replace the record, since its writes expect the revision of one that it has read.

Change: the error is logged, and the record is written anew.

Evidence: UnreadableRecordIsReplaced was red without the change: no task ran.

Measured: fleet_tests (88) and fleet_seeded_tests (4) pass.

--- a/Source/Core/Fleet/fleet_engine_routes.cc
+++ b/Source/Core/Fleet/fleet_engine_routes.cc
@@ -69,9 +69,9 @@
   if (!routes) {
     LogEvent(LogLevel::kError, LogCategory::kPools, "routes_unreadable",
              {{"error", ToString(routes.error())}});
-    return;
   }
-  SetRoutes(*routes, item.revision);
+  // An unreadable record is replaced: without one, no call is served.
+  SetRoutes(routes.value_or(RouteHistory()), item.revision);
   WakeAt(clock_.Now());
 }
 
--- a/Source/UnitTests/Fleet/fleet_routes_test.cc
+++ b/Source/UnitTests/Fleet/fleet_routes_test.cc
@@ -5,6 +5,7 @@
 
 #include "Fleet/fleet_test_support.h"
 #include "Fleet/route_history.h"
+#include "Ownership/owner_record.h"
 
 namespace figflow::test {
 namespace {
@@ -25,6 +26,7 @@
   CPPUNIT_TEST(UncertainFormerPoolIsNoRefusal);
   CPPUNIT_TEST(JobOfARemovedPoolIsKnown);
   CPPUNIT_TEST(NewRouteIsServedInTime);
+  CPPUNIT_TEST(UnreadableRecordIsReplaced);
   CPPUNIT_TEST(HistoryKeepsThePoolsOfARoute);
   CPPUNIT_TEST(HistoryDropsTheOldestRemovedRoutes);
   CPPUNIT_TEST_SUITE_END();
@@ -203,6 +205,15 @@
     }
   }
 
+  // Guards against a fleet that serves no call because the record of the routes
+  // is unreadable.
+  void UnreadableRecordIsReplaced() {
+    ModelFleet fleet(11);
+    fleet.store.Put(OwnerKey(kRoutesScope), "no CBOR");
+    StartJob(fleet);
+    AssertJobIsKnown(fleet);
+  }
+
   void HistoryKeepsThePoolsOfARoute() {
     RouteHistory history;
     FleetPlan plan = SimplePlan(3);
