Give constants names that are unique in a unity build

Cause: the linter and the sanitizer builds join the files of a library, where two constants of one name clash.

Change: the constants of the routes and of a test have names of their own; kApplyBound moves to the support header of the two tests that use it.

Measured: the unity build under AddressSanitizer of the fleet library, fleet_tests and scheduling_tests compiles. No value changed.

--- a/Source/Core/Fleet/fleet_engine_routes.cc
+++ b/Source/Core/Fleet/fleet_engine_routes.cc
@@ -12,15 +12,15 @@
 namespace figflow {
 namespace {
 
-constexpr std::chrono::milliseconds kWriteTimeout{600};
-constexpr std::chrono::milliseconds kReadTimeout{600};
+constexpr std::chrono::milliseconds kRoutesWriteTimeout{600};
+constexpr std::chrono::milliseconds kRoutesReadTimeout{600};
 // A write that is not visible by then is repeated.
-constexpr std::chrono::milliseconds kRetryDelay{700};
+constexpr std::chrono::milliseconds kRoutesRetryDelay{700};
 // Interval of the reads after a new plan until one has a response.
-constexpr std::chrono::milliseconds kReadInterval{150};
+constexpr std::chrono::milliseconds kRoutesReadInterval{150};
 // All daemons receive a plan at once. The first ones record its routes; the
 // others see the record before their own time to write.
-constexpr std::chrono::milliseconds kWriteSpread{150};
+constexpr std::chrono::milliseconds kRoutesWriteSpread{150};
 
 }  // namespace
 
@@ -47,7 +47,7 @@
     const uint64_t hash =
         XXH64(options_.entry.data(), options_.entry.size(), 0);
     record_routes_at_ = now + std::chrono::milliseconds(static_cast<int64_t>(
-                                  hash % kWriteSpread.count()));
+                                  hash % kRoutesWriteSpread.count()));
   }
 }
 
@@ -82,7 +82,7 @@
     absl::MutexLock lock(&mutex_);
     if (plan_ != nullptr && routes_read_version_ < plan_->version) {
       if (now >= read_routes_at_) {
-        read_routes_at_ = now + kReadInterval;
+        read_routes_at_ = now + kRoutesReadInterval;
         read_for = plan_->version;
       }
       next = read_routes_at_;
@@ -106,7 +106,7 @@
     if (now < record_routes_at_) {
       return record_routes_at_;
     }
-    record_routes_at_ = now + kRetryDelay;
+    record_routes_at_ = now + kRoutesRetryDelay;
     routes = routes_;
     routes.Add(*plan_);
     plan_version = plan_->version;
@@ -115,7 +115,7 @@
   transaction.writes = {
       {OwnerKey(kRoutesScope), FormatRouteHistory(routes), 0}};
   platform_.store().Commit(
-      transaction, kWriteTimeout,
+      transaction, kRoutesWriteTimeout,
       [this, routes, plan_version](const Result<TransactionResult>& result) {
         if (!result) {
           return;
@@ -128,12 +128,12 @@
         LogEvent(LogLevel::kInfo, LogCategory::kConfig, "routes_recorded",
                  {{"revision", absl::StrCat(result->revision)}});
       });
-  return now + kRetryDelay;
+  return now + kRoutesRetryDelay;
 }
 
 void FleetEngine::ReadRoutes(uint64_t plan_version) {
   platform_.store().Get(
-      OwnerKey(kRoutesScope), kReadTimeout,
+      OwnerKey(kRoutesScope), kRoutesReadTimeout,
       [this, plan_version](const Result<std::optional<StoreItem>>& item) {
         if (!item) {
           return;
--- a/Source/UnitTests/Fleet/fleet_plan_test.cc
+++ b/Source/UnitTests/Fleet/fleet_plan_test.cc
@@ -10,8 +10,6 @@
 namespace figflow::test {
 namespace {
 
-// Time within which a change that the store has acknowledged is in force.
-constexpr milliseconds kApplyBound{2'000};
 // A call that arrives this much later than one that a plan has decided is not
 // decided by an earlier plan.
 constexpr milliseconds kRollbackSlack{250};
--- a/Source/UnitTests/Fleet/fleet_routes_test.cc
+++ b/Source/UnitTests/Fleet/fleet_routes_test.cc
@@ -10,9 +10,7 @@
 namespace figflow::test {
 namespace {
 
-// Time within which a change that the store has acknowledged is in force.
-constexpr milliseconds kApplyBound{2'000};
-constexpr seconds kTaskTime{15};
+constexpr seconds kLongTaskTime{15};
 
 class FleetRoutesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetRoutesTest);
@@ -43,7 +41,7 @@
     SetPoolOfQueue(fleet, 3, "p1");
     fleet.Run(kApplyBound);
     AssertJobIsKnown(fleet);
-    fleet.Run(kTaskTime + seconds(5));
+    fleet.Run(kLongTaskTime + seconds(5));
     AssertPromisesKept(fleet);
     CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
   }
@@ -60,7 +58,7 @@
     SetPoolOfQueue(fleet, 3, "p1");
     fleet.Run(kApplyBound + seconds(5));
     AssertJobIsKnown(fleet);
-    fleet.Run(kTaskTime + seconds(10));
+    fleet.Run(kLongTaskTime + seconds(10));
     AssertPromisesKept(fleet);
     CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
   }
@@ -75,7 +73,7 @@
       const int status = StatusOf(fleet, "POST", i % fleet.daemons());
       CPPUNIT_ASSERT_EQUAL(200, status);
     }
-    fleet.Run(kTaskTime + seconds(5));
+    fleet.Run(kLongTaskTime + seconds(5));
     AssertPromisesKept(fleet);
     CPPUNIT_ASSERT_EQUAL(1, fleet.promises.completed());
   }
@@ -85,7 +83,7 @@
   void DaemonWithEarlierPlanDoesNotSubmitAgain() {
     ModelFleet fleet(9);
     fleet.workers.behaviour = [](const TaskName&) {
-      return model::TaskBehaviour{kTaskTime, false};
+      return model::TaskBehaviour{kLongTaskTime, false};
     };
     StartFleet(fleet, 2, 2, 0);
     const int owner = fleet.OwnerOf("p0");
@@ -101,7 +99,7 @@
     fleet.Node(late)->store_cut = false;
     fleet.Run(seconds(3));
     AssertJobIsKnown(fleet);
-    fleet.Run(kTaskTime + seconds(5));
+    fleet.Run(kLongTaskTime + seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::string(),
                          absl::StrJoin(fleet.promises.broken(), "; "));
   }
@@ -272,7 +270,7 @@
   // Starts a job of long tasks in pool "p0".
   static void StartJob(ModelFleet& fleet) {
     fleet.workers.behaviour = [](const TaskName&) {
-      return model::TaskBehaviour{kTaskTime, false};
+      return model::TaskBehaviour{kLongTaskTime, false};
     };
     StartFleet(fleet, 2, 2, 0);
     fleet.Submit(Job(), 0);
--- a/Source/UnitTests/Fleet/fleet_test_support.h
+++ b/Source/UnitTests/Fleet/fleet_test_support.h
@@ -18,6 +18,8 @@
 using std::chrono::seconds;
 
 inline constexpr Resources kWorkerSize{16'000, 64'000, 0};
+// Time within which a change that the store has acknowledged is in force.
+inline constexpr milliseconds kApplyBound{2'000};
 
 // Adds `each` instances with one worker each to every pool, and `spare` spare
 // ones.
--- a/Source/UnitTests/Scheduling/refused_orders_test.cc
+++ b/Source/UnitTests/Scheduling/refused_orders_test.cc
@@ -17,7 +17,7 @@
 // Longer than any lease, including the allowance for a slow clock, and the
 // detection of an unresponsive worker.
 constexpr seconds kLongestLossTime{8};
-constexpr milliseconds kTick{10};
+constexpr milliseconds kDriveInterval{10};
 
 // Fails all orders to a lost worker as soon as they are sent, and responds to
 // the holds of the other worker.
@@ -55,7 +55,7 @@
         driver_.RespondToHold("b", WorkerStatus());
       }
       driver_.Write();
-      driver_.Advance(kTick);
+      driver_.Advance(kDriveInterval);
     }
   }
 
