Log the evidence by which a worker is ended

Cause: the logs do not tell apart a worker that is ended by a report of the instance controller, by an entry of the registry or by its own response, nor which incarnation the evidence is about.

Change: worker_lost names the incarnation, the instance, the fence, the time since the last response and the number of missed ones. instance_moved and maintenance_begun name the worker that they report as ended. worker_superseded says which entry of the registry ended a worker of another scope.

Measured: nothing yet; no decision has changed.

--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -149,6 +149,12 @@
     }
   }
   if (replaced_runner) {
+    LogEvent(LogLevel::kInfo, LogCategory::kPools, "worker_superseded",
+             {{"worker", replaced_worker},
+              {"instance", report->instance},
+              {"by", id},
+              {"incarnation", absl::StrCat(report->key.incarnation)},
+              {"pool", report->pool}});
     replaced_runner->OnWorkerEnded(replaced_worker);
   }
   if (previous_runner) {
--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -278,7 +278,11 @@
                                  move.pool, "\"}"))
         .Add();
     LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
-             {{"instance", move.instance}, {"pool", move.pool}});
+             {{"instance", move.instance},
+              {"pool", move.pool},
+              {"ended_worker", pending.worker},
+              {"ended_worker_scope", ScopeOfWorker(pending.worker)},
+              {"fence", absl::StrCat(options_.fence)}});
     return;
   }
   if (response && *response == InstanceAnswer::kFenced) {
--- a/Source/Core/Instances/instance_controller_waves.cc
+++ b/Source/Core/Instances/instance_controller_waves.cc
@@ -255,7 +255,9 @@
       wave.changed = true;
       metrics_.GetCounter("figflow_maintenances_begun_total").Add();
       LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
-               {{"wave", absl::StrCat(number)}, {"instance", instance}});
+               {{"wave", absl::StrCat(number)},
+                {"instance", instance},
+                {"ended_worker", wave.worker_before[instance]}});
       return;
     case InstanceAnswer::kFenced:
       deposed_ = true;
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -176,10 +176,16 @@
   if (!worker.tasks.empty()) {
     stats_->workers_lost.Add();
     stats_->runs_lost.Add(worker.tasks.size());
+    const auto silence = WholeMilliseconds(now - worker.last_response_at);
     LogEvent(LogLevel::kWarning, LogCategory::kJobs, "worker_lost",
              {{"worker", worker.report.key.id},
+              {"incarnation", absl::StrCat(worker.report.key.incarnation)},
+              {"instance", worker.report.instance},
               {"pool", options_.pool},
+              {"fence", absl::StrCat(options_.fence)},
               {"cause", cause},
+              {"silent_ms", absl::StrCat(silence.count())},
+              {"missed", absl::StrCat(worker.missed_responses)},
               {"tasks", absl::StrCat(worker.tasks.size())}});
   }
   const std::set<TaskRef> tasks = worker.tasks;
