Add failing tests of workers that are reported as ended while they run

Callers saw tasks that ran twice at once. A report of the instance controller that a worker has ended returns its tasks at once, and the controller takes each success of an order as the end of the worker that it knows on the instance, also if the order was carried out before.

--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -142,6 +142,7 @@
             return;
           }
           evacuate = orders.evacuate;
+          ended.insert(orders.ended.begin(), orders.ended.end());
           for (WorkerLoad& load : reports[pool].workers) {
             load.evacuating = orders.evacuate.count(load.worker) > 0;
           }
@@ -190,6 +191,8 @@
   // Pools without an owner.
   std::set<std::string> pools_without_owner;
   std::set<std::string> evacuate;
+  // Workers that were ever reported as ended.
+  std::set<std::string> ended;
   std::shared_ptr<InstanceController> controller;
   MonoTime lease_valid_until;
 };
@@ -199,6 +202,9 @@
   CPPUNIT_TEST(RecordedMaintenanceWaitsForAnIdleWorker);
   CPPUNIT_TEST(WorkerStaysEvacuatedDuringItsMove);
   CPPUNIT_TEST(EvacuationUsesTheLatestReport);
+  CPPUNIT_TEST(MoveToPresentPoolEndsNoWorker);
+  CPPUNIT_TEST(EarlierWorkerIsNotMoved);
+  CPPUNIT_TEST(RepeatedMaintenanceEndsNoWorker);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -311,6 +317,78 @@
                              worker.rfind("earlier-", 0) != 0);
     }
   }
+
+  // Lists four earlier workers in pool "left", whose instances have moved to
+  // "joined", where their present workers run.
+  static void ListEarlierWorkers(ControllerDriver& driver) {
+    for (int i = 0; i < 4; ++i) {
+      const std::string instance =
+          driver.instances.Add("joined", {1'000, 1'000, 0});
+      WorkerLoad present = driver.LoadOn(instance);
+      present.tasks = 1;
+      driver.reports["joined"].workers.push_back(present);
+      WorkerLoad earlier = driver.LoadOn(instance);
+      earlier.worker = absl::StrCat("earlier-", i);
+      driver.reports["left"].workers.push_back(earlier);
+    }
+    // More work than the pool can do.
+    driver.reports["joined"].waiting_millicores = 4'000;
+    driver.reports["joined"].backlog_millicore_ms = 8'000'000;
+    driver.reports["joined"].offered_millicores = 6'000;
+  }
+
+  // Guards against workers that are ended while they run: a move to the pool in
+  // which the instance is succeeds, and was taken as the end of its worker.
+  void MoveToPresentPoolEndsNoWorker() {
+    ControllerDriver driver;
+    ListEarlierWorkers(driver);
+    driver.Start({"left", "joined"});
+    driver.RunFor(seconds(3));
+    for (const WorkerLoad& present : driver.reports["joined"].workers) {
+      CPPUNIT_ASSERT_MESSAGE(
+          absl::StrCat(present.worker, " runs, but is reported as ended"),
+          driver.ended.count(present.worker) == 0);
+    }
+  }
+
+  // Guards against moves of instances by the report of a pool that they have
+  // left: their present worker may have tasks.
+  void EarlierWorkerIsNotMoved() {
+    ControllerDriver driver;
+    ListEarlierWorkers(driver);
+    driver.Start({"left", "joined"});
+    driver.RunFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(0, driver.platform.slow.moves);
+  }
+
+  // Guards against workers that are ended while they run: the order for a
+  // maintenance that is done succeeds, and was taken as the end of the worker
+  // that has started since.
+  void RepeatedMaintenanceEndsNoWorker() {
+    ControllerDriver driver;
+    const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.instances = {instance};
+    wave.complete_within = seconds(30);
+    driver.instances.SetWave(wave);
+    // An earlier controller has maintained the instance.
+    InstanceOrder order;
+    order.instance = instance;
+    order.wave = 1;
+    const auto earlier = driver.instances.ViewOf(driver.node);
+    earlier->Maintain(order, [](const Result<InstanceAnswer>&) {});
+    driver.time.RunFor(seconds(3));
+    driver.store.Put(HandOverKey(), FormatHandOverRecord(HandOverRecord()));
+    const WorkerLoad present = driver.LoadOn(instance);
+    CPPUNIT_ASSERT(!present.worker.empty());
+    driver.reports["p"].workers = {present};
+    driver.Start({"p"});
+    driver.controller->OnWaveRequested(wave, driver.time.Now());
+    driver.RunFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(1, driver.instances.Maintained(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, driver.ended.count(present.worker));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(InstanceControllerTest);
