Reproduce workers ended while they run in a seeded model

No seeded run let the report of a pool that an instance has left meet a finished move of that instance: workers wrote their registry entries once, all daemons learned of changes at the same time, and no controller was lost at a move.

Change: workers of the model write heartbeats, the registry keeps the entries of ended ones for 4.5 to 14 s, watches of one prefix of one daemon can fall silent, and a new run kills the controller as moves begin while two queues peak in turn.

--- a/Source/StandIns/Fleet/model_instances.cc
+++ b/Source/StandIns/Fleet/model_instances.cc
@@ -156,6 +156,9 @@
   }
   record.instance.pool = order.pool;
   TakeDown(record, InstanceStatus::kMoving, kMoveTime);
+  if (on_move) {
+    on_move();
+  }
   return InstanceAnswer::kDone;
 }
 
--- a/Source/StandIns/Fleet/model_instances.h
+++ b/Source/StandIns/Fleet/model_instances.h
@@ -1,6 +1,7 @@
 #ifndef STANDINS_FLEET_MODEL_INSTANCES_H_
 #define STANDINS_FLEET_MODEL_INSTANCES_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -32,6 +33,8 @@
 
   // The list of instances gets no answer.
   bool list_away = false;
+  // Called once a move has begun; empty for nothing.
+  std::function<void()> on_move;
 
  private:
   friend class InstanceView;
--- a/Source/StandIns/Fleet/model_node.h
+++ b/Source/StandIns/Fleet/model_node.h
@@ -26,6 +26,8 @@
   bool peers_cut = false;
   // Its calls reach the store, and the answers get lost.
   bool store_answers_lost = false;
+  // Its watches of this prefix get no response; empty for none.
+  std::string silent_prefix;
   // The store turns this daemon away.
   bool store_busy = false;
   // What its link carries in a second; 0 for no limit.
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -123,9 +123,10 @@
     const auto latency = store_.faults.latency;
     store_.waiters_[id] = {
         call.prefix, call.after_revision,
-        [this, id, &time, node, latency, done,
+        [this, id, &time, node, latency, done, prefix = call.prefix,
          most = call.max_answer_bytes](StoreChanges changes) {
-          if (node->store_answers_lost || node->store_cut) {
+          if (node->store_answers_lost || node->store_cut ||
+              node->silent_prefix == prefix) {
             store_.lost_.insert(id);
             return;
           }
@@ -143,21 +144,22 @@
         }};
     time.After(latency, [this] { store_.Notify(); });
     // What is there when the call arrives is told, however short the wait is.
-    time.After(std::max<VirtualTime::Duration>(wait, latency), [this, id,
-                                                                latency, done,
-                                                                node] {
-      const bool waiting = store_.waiters_.erase(id) > 0;
-      StoreChanges none;
-      none.store_revision = 0;
-      if (!waiting) {
-        return;
-      }
-      if (store_.faults.silent || node->store_cut || node->store_answers_lost) {
-        store_.lost_.insert(id);
-        return;
-      }
-      RunIn(store_.time_, node, latency, [done, none] { done(none); });
-    });
+    time.After(
+        std::max<VirtualTime::Duration>(wait, latency),
+        [this, id, latency, done, node, prefix = call.prefix] {
+          const bool waiting = store_.waiters_.erase(id) > 0;
+          StoreChanges none;
+          none.store_revision = 0;
+          if (!waiting) {
+            return;
+          }
+          if (store_.faults.silent || node->store_cut ||
+              node->store_answers_lost || node->silent_prefix == prefix) {
+            store_.lost_.insert(id);
+            return;
+          }
+          RunIn(store_.time_, node, latency, [done, none] { done(none); });
+        });
     // A watch that got lost ends by the caller's own time limit.
     RunIn(time, node_, wait + std::chrono::milliseconds(800), [this, id, done] {
       if (store_.waiters_.erase(id) > 0 || store_.lost_.erase(id) > 0) {
--- a/Source/StandIns/Fleet/model_workers.cc
+++ b/Source/StandIns/Fleet/model_workers.cc
@@ -17,8 +17,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLongestLease{6'000};
-// Three heartbeats of 1.5 s.
-constexpr milliseconds kRegistryKeeps{4'500};
 constexpr milliseconds kWorkerLeaseCheck{20};
 constexpr milliseconds kStopTime{100};
 constexpr milliseconds kGangWait{3'000};
@@ -90,6 +88,18 @@
   store_.Put(registry_.prefix + report.key.id, registry_.format(report));
 }
 
+void ModelWorkers::StartHeartbeats(milliseconds interval, milliseconds kept) {
+  registry_keeps_ = kept;
+  time_.After(interval, [this, interval, kept] {
+    for (const auto& [id, worker] : workers_) {
+      if (worker->alive) {
+        Enter(*worker);
+      }
+    }
+    StartHeartbeats(interval, kept);
+  });
+}
+
 ModelWorker* ModelWorkers::Find(const std::string& id) {
   const auto known = workers_.find(id);
   return known == workers_.end() ? nullptr : known->second.get();
@@ -120,7 +130,7 @@
       EndRun(*there, member, RunResult::kGangMemberEnded);
     }
   }
-  time_.After(kRegistryKeeps,
+  time_.After(registry_keeps_,
               [this, id] { store_.Remove(registry_.prefix + id); });
 }
 
--- a/Source/StandIns/Fleet/model_workers.h
+++ b/Source/StandIns/Fleet/model_workers.h
@@ -100,6 +100,10 @@
     std::function<std::string(const WorkerReport&)> format;
   };
   void SetRegistry(Registry registry) { registry_ = std::move(registry); }
+  // Workers write their entries again at this interval, and the registry keeps
+  // those of ended workers for `kept`. Without a call they write only changes.
+  void StartHeartbeats(std::chrono::milliseconds interval,
+                       std::chrono::milliseconds kept);
   // Workers added from now on have clocks that run at this rate.
   void SetClockRate(double rate) { clock_rate_ = rate; }
 
@@ -148,6 +152,8 @@
   int next_id_ = 1;
   uint64_t next_serial_ = 1;
   Registry registry_;
+  // Three heartbeats of 1.5 s.
+  std::chrono::milliseconds registry_keeps_{4'500};
   double clock_rate_ = 1.0;
 };
 
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -17,6 +17,7 @@
 constexpr uint64_t kLastMixedSeed = 25;
 // Fewer, for the time limit of the program under ThreadSanitizer.
 constexpr uint64_t kLastRouteSeed = 8;
+constexpr uint64_t kLastMoveSeed = 8;
 // Latest plan of a run of RouteSeeds.
 constexpr uint64_t kLastPlanVersion = 6;
 
@@ -48,6 +49,17 @@
     267,
 };
 
+const std::vector<uint64_t> kPastMoveSeeds = {
+    // An instance was moved to the pool in which it was, because a pool that it
+    // had left listed an earlier worker. The present one was ended for it.
+    2,
+    10,
+    15,
+    40,
+    // The same, and the tasks of the worker that was ended had just completed.
+    30,
+};
+
 class FaultInjector {
  public:
   FaultInjector(ModelFleet& fleet, uint64_t seed)
@@ -166,6 +178,8 @@
   CPPUNIT_TEST(Seeds);
   CPPUNIT_TEST(MixedSeeds);
   CPPUNIT_TEST(RouteSeeds);
+  CPPUNIT_TEST(MoveSeeds);
+  CPPUNIT_TEST(PastMoveSeeds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -187,6 +201,16 @@
   // arrive again at other daemons.
   void RouteSeeds() { RunSeeds(kLastRouteSeed, RunRouteSeed); }
 
+  // Lets queues peak in turn, so that instances move all the time, while
+  // controllers change and the registry lists workers that have ended.
+  void MoveSeeds() { RunSeeds(kLastMoveSeed, RunMoveSeed); }
+
+  void PastMoveSeeds() {
+    for (const uint64_t seed : kPastMoveSeeds) {
+      RunMoveSeed(seed);
+    }
+  }
+
  private:
   // Runs the seeds up to `last`, or those that FIGFLOW_SEEDS names as "A-B".
   static void RunSeeds(uint64_t last, void (*run)(uint64_t seed)) {
@@ -329,6 +353,52 @@
     AssertSeedPromisesKept(fleet, seed);
   }
 
+  static void RunMoveSeed(uint64_t seed) {
+    ModelFleet fleet(seed);
+    FaultInjector injector(fleet, seed + 4'000);
+    fleet.workers.StartHeartbeats(milliseconds(1'500),
+                                  milliseconds(injector.Draw(4'500, 14'000)));
+    StartSeed(fleet, injector, 200);
+    for (int peak = 0; peak < 8; ++peak) {
+      for (int i = 0; i < 14; ++i) {
+        const JobSpec spec =
+            SimpleJob(absl::StrCat("j", peak, "-", i),
+                      absl::StrCat("q", peak % 2), 2, 8, 4'000);
+        const auto at = milliseconds(3'000 * peak + injector.Draw(0, 1'500));
+        const int daemon = injector.Draw(0, fleet.daemons() - 1);
+        fleet.time.After(
+            at, [&fleet, spec, daemon] { fleet.Submit(spec, daemon); });
+      }
+    }
+    fleet.instances.on_move = [&fleet, &injector] {
+      if (injector.Draw(0, 5) == 0) {
+        LoseController(fleet, injector);
+      }
+    };
+    ScheduleFaults(fleet, injector, milliseconds(24'000));
+    fleet.Run(seconds(110));
+    AssertSeedPromisesKept(fleet, seed);
+  }
+
+  // Kills the controller before it can report the move, and keeps another
+  // daemon from learning of it by the registry.
+  static void LoseController(ModelFleet& fleet, FaultInjector& injector) {
+    const int controller = fleet.OwnerOf("@instances");
+    if (controller < 0) {
+      return;
+    }
+    fleet.time.After(milliseconds(injector.Draw(1, 40)), [&fleet, controller] {
+      fleet.Kill(controller, milliseconds(300));
+    });
+    const model::NodePtr node =
+        fleet.Node((controller + injector.Draw(1, 3)) % fleet.daemons());
+    if (node) {
+      node->silent_prefix = model::kModelWorkerPrefix;
+      fleet.time.After(milliseconds(injector.Draw(2'000, 9'000)),
+                       [node] { node->silent_prefix.clear(); });
+    }
+  }
+
   static void AssertSeedPromisesKept(const ModelFleet& fleet, uint64_t seed) {
     const std::string label = absl::StrCat("seed ", seed, ": ");
     CPPUNIT_ASSERT_EQUAL(label,
