Do not end workers by the response to an order for their instance

Cause: callers saw tasks run twice at once, on two workers or twice on one. A move or a maintenance that was carried out before succeeds again. The instance controller took each success as the end of the worker that it knew on the instance by then, which may have started after the operation, and repeated the report by id for 10 s. The owner of the pool believed each report anew and returned the tasks of a worker that responded to it; listed at its next heartbeat, the worker got tasks and lost them again.

Change: an end is concluded from the list of instances only: it shows the instance in another pool than the report of a worker that was known before the list was requested, or in maintenance. Reports name the incarnation. The owner gives a worker that is reported as ended no new tasks, but leaves its runs to its own responses, to a later registry entry or to its lease, and uses the worker again if it responds.

--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -117,7 +117,7 @@
   std::shared_ptr<PoolRunner> previous_runner;
   std::shared_ptr<PoolRunner> runner;
   std::shared_ptr<PoolRunner> replaced_runner;
-  std::string replaced_worker;
+  WorkerKey replaced_worker;
   {
     absl::MutexLock lock(&mutex_);
     const auto find = [this](const WorkerReport& of) {
@@ -133,9 +133,9 @@
     if (report && !report->instance.empty()) {
       WorkerKey& latest = latest_workers_[report->instance];
       if (latest.id != id && latest.incarnation < report->key.incarnation) {
-        replaced_worker = latest.id;
+        replaced_worker = latest;
         latest = report->key;
-        const auto other = reports_.find(replaced_worker);
+        const auto other = reports_.find(replaced_worker.id);
         if (other != reports_.end()) {
           replaced_runner = find(other->second);
         }
@@ -150,12 +150,12 @@
   }
   if (replaced_runner) {
     LogEvent(LogLevel::kInfo, LogCategory::kPools, "worker_superseded",
-             {{"worker", replaced_worker},
+             {{"worker", replaced_worker.id},
               {"instance", report->instance},
               {"by", id},
               {"incarnation", absl::StrCat(report->key.incarnation)},
               {"pool", report->pool}});
-    replaced_runner->OnWorkerEnded(replaced_worker);
+    replaced_runner->OnWorkerSuperseded(replaced_worker);
   }
   if (previous_runner) {
     previous_runner->OnWorkerUnlisted(id);
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -140,9 +140,15 @@
   request.method = "POST";
   request.target = kPoolPath;
   request.headers = {{"Content-Type", "application/cbor"}};
+  json ended = json::array();
+  for (const WorkerKey& worker : sync.orders.ended) {
+    ended.push_back(json::array({worker.id, worker.incarnation}));
+  }
+  // Daemons of earlier versions end workers by the ids in the third element,
+  // whichever incarnation runs.
   request.body = FormatCbor(
-      json::array({sync.pool, sync.orders.evacuate, sync.orders.ended,
-                   sync.orders.later, sync.orders.lend}));
+      json::array({sync.pool, sync.orders.evacuate, json::array(),
+                   sync.orders.later, sync.orders.lend, std::move(ended)}));
   return request;
 }
 
@@ -151,15 +157,23 @@
     return Fail(ErrorCode::kNotFound, kStep, "", "unknown path");
   }
   return ParseCbor<PoolSyncRequest>(request.body, kStep, [](const json& row) {
-    return PoolSyncRequest{
-        row.at(0).get<std::string>(),
-        {row.at(1).get<std::set<std::string>>(),
-         row.at(2).get<std::set<std::string>>(),
-         // Daemons of earlier versions omit these fields.
-         row.size() > 3 ? row.at(3).get<std::set<std::string>>()
-                        : std::set<std::string>(),
-         row.size() > 4 ? row.at(4).get<std::set<std::string>>()
-                        : std::set<std::string>()}};
+    PoolSyncRequest sync;
+    sync.pool = row.at(0).get<std::string>();
+    sync.orders.evacuate = row.at(1).get<std::set<std::string>>();
+    // Daemons of earlier versions omit these fields.
+    if (row.size() > 3) {
+      sync.orders.later = row.at(3).get<std::set<std::string>>();
+    }
+    if (row.size() > 4) {
+      sync.orders.lend = row.at(4).get<std::set<std::string>>();
+    }
+    if (row.size() > 5) {
+      for (const json& worker : row.at(5)) {
+        sync.orders.ended.insert(
+            {worker.at(0).get<std::string>(), worker.at(1).get<int64_t>()});
+      }
+    }
+    return sync;
   });
 }
 
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -320,13 +320,17 @@
   return scheduler_->CountPending(queue);
 }
 
-void PoolRunner::OnWorkerEnded(const std::string& worker) {
+void PoolRunner::OnWorkerSuperseded(const WorkerKey& worker) {
   {
     absl::MutexLock lock(&mutex_);
-    reports_.erase(worker);
+    const auto known = reports_.find(worker.id);
+    if (known != reports_.end() &&
+        known->second.key.incarnation <= worker.incarnation) {
+      reports_.erase(known);
+    }
   }
   RunOnScheduler([&](PoolScheduler& scheduler, MonoTime now) {
-    scheduler.OnWorkerEnded(worker, now);
+    scheduler.OnWorkerSuperseded(worker, now);
   });
 }
 
@@ -336,8 +340,8 @@
   RunOnScheduler([&](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     if (AcceptsCallsLocked()) {
-      for (const std::string& worker : orders.ended) {
-        scheduler.OnWorkerEnded(worker, now);
+      for (const WorkerKey& worker : orders.ended) {
+        scheduler.OnWorkerReportedEnded(worker, now);
       }
       scheduler.SetEvacuating(orders.evacuate, orders.lend, now);
       scheduler.SetEvacuatingLater(orders.later, now);
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -76,8 +76,8 @@
   // Applies the orders of the instance controller and returns a report. Error:
   // kUnavailable unless the pool is active.
   Result<PoolReport> ApplyOrders(const WorkerOrders& orders);
-  // Reports that a later worker runs on the instance of this worker.
-  void OnWorkerEnded(const std::string& worker);
+  // Handles a registry entry of a later worker on the instance of this one.
+  void OnWorkerSuperseded(const WorkerKey& worker);
 
   // Performs all actions that are due. Returns when to call it again.
   MonoTime Tick(MonoTime now);
--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -1,6 +1,7 @@
 #include "Instances/instance_controller.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "Common/log.h"
@@ -19,7 +20,8 @@
 // fleet.
 constexpr std::chrono::milliseconds kSyncInterval{50};
 constexpr std::chrono::milliseconds kMaxSyncInterval{250};
-// The registry drops a worker that has ended within this time.
+// How long an end is reported after the last list that shows it; the registry
+// drops a worker that has ended within this time.
 constexpr std::chrono::seconds kEndedWorkerRetention{10};
 
 }  // namespace
@@ -294,37 +296,65 @@
       });
 }
 
-std::string InstanceController::WorkerOn(const std::string& instance) const {
-  // The report of a pool without an owner may still list an earlier worker.
-  std::string worker;
-  MonoTime latest = MonoTime::min();
+InstanceController::ReportedWorker InstanceController::WorkerOn(
+    const std::string& instance) const {
+  // The report of a pool that the instance has left may still list an earlier
+  // worker.
+  ReportedWorker latest;
+  MonoTime latest_report = MonoTime::min();
   for (const auto& [scope, report] : reports_) {
     const MonoTime reported = report_times_.at(scope);
     for (const WorkerLoad& load : report.workers) {
-      if (load.instance == instance && reported > latest) {
-        latest = reported;
-        worker = load.worker;
+      if (load.instance == instance &&
+          std::tie(load.incarnation, reported) >
+              std::tie(latest.key.incarnation, latest_report)) {
+        latest_report = reported;
+        latest = {load.Key(), scope};
       }
     }
   }
-  return worker;
+  return latest;
 }
 
-std::string InstanceController::ScopeOfWorker(const std::string& worker) const {
+void InstanceController::RecordEndedWorkers(MonoTime sent_at) {
   for (const auto& [scope, report] : reports_) {
     for (const WorkerLoad& load : report.workers) {
-      if (load.worker == worker) {
-        return scope;
+      const auto listed = instances_.find(load.instance);
+      if (listed == instances_.end()) {
+        continue;
+      }
+      // An incarnation never changes its pool. One that began after the list
+      // was requested may be in a pool that the list does not show yet.
+      if (listed->second.pool != layout_.PoolOf(scope) &&
+          reported_since_.at(scope).at(load.Key()) <= sent_at) {
+        RecordEndedWorker({load.Key(), scope}, listed->second);
+      }
+    }
+  }
+  for (const auto& [number, wave] : waves_) {
+    for (const auto& [instance, worker] : wave.worker_before) {
+      const auto listed = instances_.find(instance);
+      if (!worker.key.id.empty() && listed != instances_.end() &&
+          listed->second.state == InstanceStatus::kMaintenance) {
+        RecordEndedWorker(worker, listed->second);
       }
     }
   }
-  return "";
 }
 
-void InstanceController::RecordEndedWorker(const std::string& worker,
-                                           MonoTime now) {
-  if (!worker.empty()) {
-    ended_workers_[worker] = {now, ScopeOfWorker(worker)};
+void InstanceController::RecordEndedWorker(const ReportedWorker& worker,
+                                           const Instance& instance) {
+  const auto [ended, added] = ended_workers_.emplace(
+      worker.key, EndedWorker{clock_.Now(), worker.scope});
+  ended->second.since = clock_.Now();
+  if (added) {
+    LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "worker_ended",
+             {{"worker", worker.key.id},
+              {"incarnation", absl::StrCat(worker.key.incarnation)},
+              {"scope", worker.scope},
+              {"instance", instance.id},
+              {"listed_pool", instance.pool},
+              {"listed_worker", instance.worker}});
   }
 }
 
@@ -335,7 +365,7 @@
     for (const std::string& instance : wave.evacuating) {
       const auto before = wave.worker_before.find(instance);
       if (before != wave.worker_before.end()) {
-        workers.insert(before->second);
+        workers.insert(before->second.key.id);
       } else {
         instances.insert(instance);
       }
@@ -377,8 +407,7 @@
     const std::set<std::string>& to_lend) const {
   WorkerOrders orders;
   for (const auto& [worker, ended] : ended_workers_) {
-    const bool concerns = ended.scope.empty() || ended.scope == scope;
-    if (concerns) {
+    if (ended.scope == scope) {
       orders.ended.insert(worker);
     }
   }
@@ -438,10 +467,19 @@
                                       Result<PoolReport> report) {
   absl::MutexLock lock(&mutex_);
   syncing_.erase(scope);
-  if (report) {
-    reports_[scope] = std::move(*report);
-    report_times_[scope] = clock_.Now();
+  if (!report) {
+    return;
+  }
+  const MonoTime now = clock_.Now();
+  std::map<WorkerKey, MonoTime>& known = reported_since_[scope];
+  std::map<WorkerKey, MonoTime> reported;
+  for (const WorkerLoad& load : report->workers) {
+    const auto since = known.find(load.Key());
+    reported.emplace(load.Key(), since == known.end() ? now : since->second);
   }
+  known = std::move(reported);
+  reports_[scope] = std::move(*report);
+  report_times_[scope] = now;
 }
 
 }  // namespace figflow
--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -80,12 +80,19 @@
   MonoTime Step(MonoTime now);
 
  private:
+  // A worker that the owner of `scope` reports. The key is empty if there is
+  // none.
+  struct ReportedWorker {
+    WorkerKey key;
+    std::string scope;
+  };
+
   struct Wave {
     MaintenanceWave requested;
     WaveState state;
     WallTime due;
     // The worker on each instance when its maintenance was planned.
-    std::map<std::string, std::string> worker_before;
+    std::map<std::string, ReportedWorker> worker_before;
     // When the response to the order for each instance arrived.
     std::map<std::string, MonoTime> responded_at;
     bool loaded = false;
@@ -129,14 +136,15 @@
                          const std::set<std::string>& to_evacuate,
                          const std::set<std::string>& to_lend) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Records that the order for the worker's instance was carried out. `worker`
-  // is empty if the instance ran none.
-  void RecordEndedWorker(const std::string& worker, MonoTime now)
+  // Records the workers that have certainly ended, by a list of the instances
+  // that was requested at `sent_at`. A response to an order proves no end: an
+  // order that was carried out before succeeds, too.
+  void RecordEndedWorkers(MonoTime sent_at)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Returns the scope whose latest report lists the worker; empty if none does.
-  std::string ScopeOfWorker(const std::string& worker) const
+  void RecordEndedWorker(const ReportedWorker& worker, const Instance& instance)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  std::string WorkerOn(const std::string& instance) const
+  // Returns the latest incarnation that any report lists on the instance.
+  ReportedWorker WorkerOn(const std::string& instance) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns whether the latest report of the scope is recent enough to act on.
   bool IsFresh(const std::string& scope, MonoTime now) const
@@ -206,6 +214,9 @@
   // By scope.
   std::map<std::string, PoolReport> reports_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, MonoTime> report_times_ ABSL_GUARDED_BY(mutex_);
+  // When each worker of the present reports was first reported, by scope.
+  std::map<std::string, std::map<WorkerKey, MonoTime>> reported_since_
+      ABSL_GUARDED_BY(mutex_);
   std::set<std::string> syncing_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Instance> instances_ ABSL_GUARDED_BY(mutex_);
   MonoTime next_list_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
@@ -220,13 +231,13 @@
   std::set<std::string> lending_ ABSL_GUARDED_BY(mutex_);
   std::vector<InstanceMove> moves_to_send_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, PendingMove> pending_moves_ ABSL_GUARDED_BY(mutex_);
-  // A worker that has certainly ended.
   struct EndedWorker {
+    // When a list last showed that it has ended.
     MonoTime since;
-    // Empty if the scope is not known.
     std::string scope;
   };
-  std::map<std::string, EndedWorker> ended_workers_ ABSL_GUARDED_BY(mutex_);
+  // Workers that have certainly ended.
+  std::map<WorkerKey, EndedWorker> ended_workers_ ABSL_GUARDED_BY(mutex_);
 };
 
 }  // namespace figflow
--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -54,6 +54,7 @@
   for (const Instance& instance : *list) {
     instances_[instance.id] = instance;
   }
+  RecordEndedWorkers(sent_at);
   for (auto it = pending_moves_.begin(); it != pending_moves_.end();) {
     const auto known = instances_.find(it->first);
     const bool arrived = sent_at > it->second.ordered_at &&
@@ -236,12 +237,19 @@
     }
     layout = layout_;
     send_by = lease_valid_until_;
-    moves.swap(moves_to_send_);
-    for (const InstanceMove& move : moves) {
-      pending_moves_[move.instance] = {move.pool, now, WorkerOn(move.instance)};
+    for (InstanceMove& move : moves_to_send_) {
+      const std::string worker = WorkerOn(move.instance).key.id;
+      // Two partitions may report a worker on the same instance.
+      if (!pending_moves_
+               .emplace(move.instance, PendingMove{move.pool, now, worker})
+               .second) {
+        continue;
+      }
       ordered_at_[move.instance] = now;
       ++orders_in_flight_;
+      moves.push_back(std::move(move));
     }
+    moves_to_send_.clear();
   }
   for (const InstanceMove& move : moves) {
     InstanceOrder order;
@@ -272,7 +280,6 @@
     PendingMove& pending = pending_moves_[move.instance];
     pending.pool = move.pool;
     pending.ordered_at = now;
-    RecordEndedWorker(pending.worker, now);
     metrics_
         .GetCounter(absl::StrCat("figflow_instance_moves_total{to=\"",
                                  move.pool, "\"}"))
@@ -280,8 +287,7 @@
     LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "instance_moved",
              {{"instance", move.instance},
               {"pool", move.pool},
-              {"ended_worker", pending.worker},
-              {"ended_worker_scope", ScopeOfWorker(pending.worker)},
+              {"worker", pending.worker},
               {"fence", absl::StrCat(options_.fence)}});
     return;
   }
--- a/Source/Core/Instances/instance_controller_waves.cc
+++ b/Source/Core/Instances/instance_controller_waves.cc
@@ -251,13 +251,12 @@
     case InstanceAnswer::kDone:
       wave.state.instances[instance] = MaintenanceStep::kDown;
       wave.responded_at[instance] = now;
-      RecordEndedWorker(wave.worker_before[instance], now);
       wave.changed = true;
       metrics_.GetCounter("figflow_maintenances_begun_total").Add();
       LogEvent(LogLevel::kInfo, LogCategory::kMaintenance, "maintenance_begun",
                {{"wave", absl::StrCat(number)},
                 {"instance", instance},
-                {"ended_worker", wave.worker_before[instance]}});
+                {"worker", wave.worker_before[instance].key.id}});
       return;
     case InstanceAnswer::kFenced:
       deposed_ = true;
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -16,10 +16,10 @@
 std::string FormatPoolReport(const PoolReport& report) {
   json workers = json::array();
   for (const WorkerLoad& load : report.workers) {
-    workers.push_back(
-        json::array({load.worker, load.instance, load.tasks,
-                     load.perpetual_tasks, load.used_millicores,
-                     load.capacity_millicores, load.evacuating, load.usable}));
+    workers.push_back(json::array({load.worker, load.instance, load.tasks,
+                                   load.perpetual_tasks, load.used_millicores,
+                                   load.capacity_millicores, load.evacuating,
+                                   load.usable, load.incarnation}));
   }
   return FormatCbor(json::array(
       {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
@@ -51,6 +51,7 @@
       load.capacity_millicores = entry.at(5).get<int64_t>();
       load.evacuating = entry.at(6).get<bool>();
       load.usable = entry.at(7).get<bool>();
+      load.incarnation = entry.size() > 8 ? entry.at(8).get<int64_t>() : 0;
       report.workers.push_back(std::move(load));
     }
     return report;
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/error.h"
+#include "Scheduling/worker.h"
 #include "absl/strings/string_view.h"
 
 namespace figflow {
@@ -16,10 +17,9 @@
   // Workers to evacuate, which get no new tasks. All other workers are not
   // evacuated.
   std::set<std::string> evacuate;
-  // Workers that have ended together with all their runs, because their
-  // instance was moved or is being maintained. The registry may list them for
-  // some seconds more.
-  std::set<std::string> ended;
+  // Workers whose instance has left the pool or was maintained since. The
+  // registry may list them for some seconds more.
+  std::set<WorkerKey> ended;
   // Workers to evacuate later: perpetual tasks go elsewhere if possible.
   std::set<std::string> later;
   // Workers that get no new tasks and whose instance leaves the pool once their
@@ -42,6 +42,10 @@
   bool evacuating = false;
   // The worker responds and is not draining.
   bool usable = false;
+  // Incarnation of the worker; 0 if its owner is of an earlier version.
+  int64_t incarnation = 0;
+
+  WorkerKey Key() const { return {worker, incarnation}; }
 };
 
 // Report of a pool's owner to the instance controller.
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -84,9 +84,13 @@
   // about its runs.
   void OnWorkerUnlisted(const std::string& id, MonoTime now);
 
-  // Handles the end of a worker whose instance was given to another worker or
-  // switched off.
-  void OnWorkerEnded(const std::string& id, MonoTime now);
+  // Handles a registry entry of a later worker on the instance of `worker`,
+  // which proves that this incarnation, and all before it, have ended.
+  void OnWorkerSuperseded(const WorkerKey& worker, MonoTime now);
+  // Handles a report of the instance controller that a worker has ended. It
+  // gets no new tasks. Its runs end by its own responses or with its lease: a
+  // report of another daemon proves nothing about them.
+  void OnWorkerReportedEnded(const WorkerKey& worker, MonoTime now);
 
   // Submits a job. The response is part of the output once the outcome is
   // certain.
@@ -265,7 +269,15 @@
   // Blocks the placement of a returned task until the worker refuses the task's
   // latest run.
   void BlockPlacement(const TaskRef& ref, WorkerState& worker, MonoTime now);
-  // Ends a worker that has no runs any more, and returns its tasks.
+  // Returns whether the worker was recently reported as ended and has not
+  // responded since.
+  bool IsReportedEnded(const WorkerKey& key, MonoTime now) const;
+  // Uses a worker again that responds to a hold sent after its reported end.
+  void RefuteReportedEnd(WorkerState& worker, MonoTime sent_at);
+  // Ends a worker that certainly has no runs any more, and returns its tasks.
+  // The proof is one of: its leases have run out; another incarnation responded
+  // at its address; the registry lists a later one under its id or on its
+  // instance.
   void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
   // Requests the stop of a run; its task stays out of the waiting ones until
   // the run has ended.
@@ -366,13 +378,14 @@
   std::deque<std::shared_ptr<Job>> changed_jobs_;
   std::vector<std::shared_ptr<Job>> jobs_in_write_;
   WorkerMap workers_;
-  // Latest incarnation that the instance controller has reported as ended, by
-  // worker id.
-  struct EndedIncarnation {
-    int64_t incarnation = 0;
-    MonoTime reported_at;
+  // Workers that the instance controller has reported as ended.
+  struct ReportedEnd {
+    MonoTime first_reported_at;
+    MonoTime last_reported_at;
+    // The worker has responded since.
+    bool refuted = false;
   };
-  std::map<std::string, EndedIncarnation> ended_workers_;
+  std::map<WorkerKey, ReportedEnd> reported_ends_;
   // Duration models by queue.
   std::map<std::string, DurationModel> durations_;
   // Work that arrived recently, in millicores times milliseconds, decaying.
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -60,7 +60,7 @@
     MonoTime now) {
   CandidateWorkers board;
   for (auto& [key, worker] : workers_) {
-    const bool usable = worker->listed && worker->addressable &&
+    const bool usable = worker->IsInUse() && worker->addressable &&
                         worker->fenced && worker->missed_responses == 0 &&
                         !worker->report.draining && !worker->evacuating;
     if (!usable) {
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -154,11 +154,12 @@
   report.offered_millicores =
       static_cast<int64_t>(offered_millicore_ms_ / 1000);
   for (const auto& [key, worker] : workers_) {
-    if (!worker->listed) {
+    if (!worker->IsInUse()) {
       continue;
     }
     WorkerLoad load;
     load.worker = key.id;
+    load.incarnation = key.incarnation;
     load.instance = worker->report.instance;
     // The worker holds the only copy of a result until its record is durable.
     load.tasks = static_cast<int>(worker->tasks.size() + worker->stops.size() +
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -251,6 +251,7 @@
                                 MonoTime sent_at,
                                 MonoTime now) {
   OnResponseReceived(worker, status.clock, now);
+  RefuteReportedEnd(worker, sent_at);
   if (!worker.fenced) {
     worker.fenced = true;
     dispatch_needed_ = true;
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -117,6 +117,11 @@
 }
 
 bool PoolScheduler::NeedsHold(const WorkerState& worker) const {
+  const bool idle =
+      worker.tasks.empty() && worker.stops.empty() && worker.notes.empty();
+  if (worker.reported_ended && idle) {
+    return false;
+  }
   // Holds to an unresponsive worker are repeated until it responds or its tasks
   // are given up: it gets no tasks before.
   const bool wanted = worker.listed || !worker.tasks.empty();
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -16,9 +16,9 @@
 // Delay before an order without a response is sent again; a response takes a
 // few milliseconds.
 constexpr std::chrono::milliseconds kOrderRetryDelay{150};
-// How long an ended worker is remembered; longer than the instance controller
-// repeats its report.
-constexpr std::chrono::seconds kEndedWorkerRetention{15};
+// How long a reported end is remembered after its last report; longer than the
+// registry lists a worker that has ended.
+constexpr std::chrono::seconds kReportedEndRetention{5};
 
 }  // namespace
 
@@ -91,6 +91,7 @@
   }
   worker->report = report;
   worker->listed = true;
+  worker->reported_ended = IsReportedEnded(report.key, now);
   worker->addressable = true;
   dispatch_needed_ = true;
   if (report.clock.count() > 0) {
@@ -115,8 +116,8 @@
   int listed = 0;
   int reached = 0;
   for (const auto& [key, worker] : workers_) {
-    listed += worker->listed ? 1 : 0;
-    reached += worker->listed && worker->fenced ? 1 : 0;
+    listed += worker->IsInUse() ? 1 : 0;
+    reached += worker->IsInUse() && worker->fenced ? 1 : 0;
   }
   return {listed, reached};
 }
@@ -234,34 +235,62 @@
   RequestStop(worker, ref.Name(), task.run, Resources(), now);
 }
 
-void PoolScheduler::OnWorkerEnded(const std::string& id, MonoTime now) {
-  for (auto it = ended_workers_.begin(); it != ended_workers_.end();) {
-    it = now - it->second.reported_at > kEndedWorkerRetention
-             ? ended_workers_.erase(it)
-             : std::next(it);
-  }
-  // The controller repeats its report, and a next incarnation may have the same
-  // id.
-  const auto [reported, first] =
-      ended_workers_.emplace(id, EndedIncarnation{0, now});
-  if (first) {
-    for (const auto& [key, worker] : workers_) {
-      if (key.id == id) {
-        reported->second.incarnation =
-            std::max(reported->second.incarnation, key.incarnation);
-      }
-    }
-  }
+void PoolScheduler::OnWorkerSuperseded(const WorkerKey& superseded,
+                                       MonoTime now) {
   for (auto& [key, worker] : workers_) {
-    if (key.id == id && key.incarnation <= reported->second.incarnation &&
-        (worker->listed || !worker->tasks.empty())) {
-      EndWorker(*worker, "instance-reassigned", now);
+    if (key.id == superseded.id && key.incarnation <= superseded.incarnation) {
+      EndWorker(*worker, "superseded", now);
       worker->listed = false;
       worker->addressable = false;
     }
   }
 }
 
+void PoolScheduler::OnWorkerReportedEnded(const WorkerKey& key, MonoTime now) {
+  for (auto it = reported_ends_.begin(); it != reported_ends_.end();) {
+    it = now - it->second.last_reported_at > kReportedEndRetention
+             ? reported_ends_.erase(it)
+             : std::next(it);
+  }
+  ReportedEnd& end =
+      reported_ends_.emplace(key, ReportedEnd{now, now}).first->second;
+  end.last_reported_at = now;
+  WorkerState* worker = FindWorker(key);
+  if (worker == nullptr || worker->reported_ended || end.refuted) {
+    return;
+  }
+  worker->reported_ended = true;
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "worker_reported_ended",
+           {{"worker", key.id},
+            {"incarnation", absl::StrCat(key.incarnation)},
+            {"instance", worker->report.instance},
+            {"pool", options_.pool},
+            {"tasks", absl::StrCat(worker->tasks.size())}});
+}
+
+bool PoolScheduler::IsReportedEnded(const WorkerKey& key, MonoTime now) const {
+  const auto end = reported_ends_.find(key);
+  return end != reported_ends_.end() && !end->second.refuted &&
+         now - end->second.last_reported_at <= kReportedEndRetention;
+}
+
+void PoolScheduler::RefuteReportedEnd(WorkerState& worker, MonoTime sent_at) {
+  const auto end = reported_ends_.find(worker.report.key);
+  if (!worker.reported_ended || end == reported_ends_.end() ||
+      sent_at <= end->second.first_reported_at) {
+    return;
+  }
+  end->second.refuted = true;
+  worker.reported_ended = false;
+  dispatch_needed_ = true;
+  LogEvent(LogLevel::kWarning, LogCategory::kJobs, "reported_end_refuted",
+           {{"worker", worker.report.key.id},
+            {"incarnation", absl::StrCat(worker.report.key.incarnation)},
+            {"instance", worker.report.instance},
+            {"pool", options_.pool},
+            {"tasks", absl::StrCat(worker.tasks.size())}});
+}
+
 void PoolScheduler::OnStartResponse(const StartOrder& order,
                                     const Result<OrderResponse>& answer,
                                     MonoTime now) {
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -47,6 +47,9 @@
   WorkerReport report;
   // The registry lists the worker now.
   bool listed = false;
+  // The instance controller reports the worker as ended, and it has not
+  // responded since.
+  bool reported_ended = false;
   // The worker's address is known. An assignment in the store may name a worker
   // that has left the registry.
   bool addressable = false;
@@ -99,6 +102,9 @@
   WorkerHealth health;
   PaceControl pace;
 
+  // Returns whether the worker may get tasks, as far as the registry and the
+  // instance controller know.
+  bool IsInUse() const { return listed && !reported_ended; }
   bool HasStop(const TaskName& task, uint32_t run) const;
   // Returns the capacity that is free for new tasks.
   Resources FreeCapacity() const;
--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -115,6 +115,8 @@
   SlowMoves slow;
 };
 
+constexpr int64_t kPresentIncarnation = 2;
+
 // Runs a controller beside pools whose reports the test writes.
 struct ControllerDriver {
   explicit ControllerDriver(milliseconds move_delay = milliseconds(0))
@@ -172,6 +174,7 @@
   WorkerLoad LoadOn(const std::string& instance) const {
     WorkerLoad load;
     load.worker = instances.Find(instance)->worker;
+    load.incarnation = kPresentIncarnation;
     load.instance = instance;
     load.capacity_millicores = 1'000;
     load.usable = true;
@@ -192,7 +195,7 @@
   std::set<std::string> pools_without_owner;
   std::set<std::string> evacuate;
   // Workers that were ever reported as ended.
-  std::set<std::string> ended;
+  std::set<WorkerKey> ended;
   std::shared_ptr<InstanceController> controller;
   MonoTime lease_valid_until;
 };
@@ -329,6 +332,7 @@
       driver.reports["joined"].workers.push_back(present);
       WorkerLoad earlier = driver.LoadOn(instance);
       earlier.worker = absl::StrCat("earlier-", i);
+      earlier.incarnation = kPresentIncarnation - 1;
       driver.reports["left"].workers.push_back(earlier);
     }
     // More work than the pool can do.
@@ -347,7 +351,7 @@
     for (const WorkerLoad& present : driver.reports["joined"].workers) {
       CPPUNIT_ASSERT_MESSAGE(
           absl::StrCat(present.worker, " runs, but is reported as ended"),
-          driver.ended.count(present.worker) == 0);
+          driver.ended.count(present.Key()) == 0);
     }
   }
 
@@ -387,7 +391,7 @@
     driver.controller->OnWaveRequested(wave, driver.time.Now());
     driver.RunFor(seconds(3));
     CPPUNIT_ASSERT_EQUAL(1, driver.instances.Maintained(1));
-    CPPUNIT_ASSERT_EQUAL(size_t{0}, driver.ended.count(present.worker));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, driver.ended.count(present.Key()));
   }
 };
 
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -305,7 +305,7 @@
     SchedulerDriver driver(kStart);
     driver.ListWorker("a");
     driver.RespondToHold("a", WorkerStatus());
-    driver.scheduler().OnWorkerEnded("a", driver.now());
+    driver.scheduler().OnWorkerReportedEnded({"a", 1}, driver.now());
     driver.ListWorker("a", 2);
     driver.Advance(milliseconds(300));
     driver.RespondToHold("a", WorkerStatus());
@@ -314,7 +314,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
     driver.RespondToStart();
     PlanSecondRun(driver);
-    driver.scheduler().OnWorkerEnded("a", driver.now());
+    driver.scheduler().OnWorkerReportedEnded({"a", 1}, driver.now());
     driver.Advance(milliseconds(50));
     driver.Write();
     driver.Advance(milliseconds(50));
--- a/Source/UnitTests/Scheduling/reported_ends_test.cc
+++ b/Source/UnitTests/Scheduling/reported_ends_test.cc
@@ -25,6 +25,10 @@
 class ReportedEndsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReportedEndsTest);
   CPPUNIT_TEST(FalseReportStartsNoTaskTwice);
+  CPPUNIT_TEST(RunsOfEndedWorkerStartElsewhereAfterTheirLease);
+  CPPUNIT_TEST(ReportedWorkerGetsNoTasks);
+  CPPUNIT_TEST(RespondingWorkerIsUsedAgain);
+  CPPUNIT_TEST(LaterWorkerOnInstanceEndsEarlierOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +45,10 @@
     return start;
   }
 
+  static void ReportEndOfA(SchedulerDriver& driver) {
+    driver.scheduler().OnWorkerReportedEnded({"a", 1}, driver.now());
+  }
+
   // Guards against a task that runs twice at once: a report that a worker has
   // ended returned its tasks although it responded.
   void FalseReportStartsNoTaskTwice() {
@@ -48,7 +56,7 @@
     const StartOrder start = StartOnA(driver);
     const MonoTime until = driver.now() + seconds(12);
     while (driver.now() < until) {
-      driver.scheduler().OnWorkerEnded("a", driver.now());
+      ReportEndOfA(driver);
       driver.Advance(milliseconds(50));
       if (driver.Hold("a")) {
         driver.RespondToHold("a", Running(start));
@@ -58,6 +66,68 @@
     }
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
   }
+
+  // Guards against tasks that are lost with a worker whose end is reported.
+  void RunsOfEndedWorkerStartElsewhereAfterTheirLease() {
+    SchedulerDriver driver(kStart);
+    StartOnA(driver);
+    const MonoTime leased_until{driver.starts.front().deadline};
+    const MonoTime until = driver.now() + seconds(8);
+    while (driver.now() < until && driver.starts.size() == 1) {
+      ReportEndOfA(driver);
+      driver.Advance(milliseconds(50));
+      if (driver.Hold("a")) {
+        driver.DropHoldResponse("a");
+      }
+      driver.Write();
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         driver.starts.back().target.worker.id);
+    CPPUNIT_ASSERT(driver.now() > leased_until);
+  }
+
+  // Guards against tasks that are sent to a worker that has ended, which the
+  // registry lists for some seconds more.
+  void ReportedWorkerGetsNoTasks() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.RespondToHold("a", WorkerStatus());
+    ReportEndOfA(driver);
+    driver.ListWorker("a");
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT(driver.starts.empty());
+    CPPUNIT_ASSERT(driver.scheduler().Report(driver.now()).workers.empty());
+  }
+
+  // Guards against a worker that stays unused because of a false report.
+  void RespondingWorkerIsUsedAgain() {
+    SchedulerDriver driver(kStart);
+    const StartOrder start = StartOnA(driver);
+    ReportEndOfA(driver);
+    for (int i = 0; i < 20; ++i) {
+      driver.Advance(milliseconds(50));
+      if (driver.Hold("a")) {
+        driver.RespondToHold("a", Running(start));
+      }
+      ReportEndOfA(driver);
+    }
+    const PoolReport report = driver.scheduler().Report(driver.now());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, report.workers.size());
+    CPPUNIT_ASSERT_EQUAL(1, report.workers.front().tasks);
+  }
+
+  // Guards against tasks that wait for a lease although the registry shows that
+  // their worker has ended.
+  void LaterWorkerOnInstanceEndsEarlierOne() {
+    SchedulerDriver driver(kStart);
+    StartOnA(driver);
+    driver.scheduler().OnWorkerSuperseded({"a", 1}, driver.now());
+    driver.Advance(milliseconds(50));
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReportedEndsTest);
--- a/Source/UnitTests/Wire/codec_test.cc
+++ b/Source/UnitTests/Wire/codec_test.cc
@@ -254,10 +254,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string("why"), back->reason);
     CPPUNIT_ASSERT(back->retry_after == milliseconds(700));
 
-    const Result<PoolSyncRequest> question = ParsePoolSyncRequest(
-        FormatPoolSyncRequest({"p", {{"a"}, {"b", "c"}, {"d"}, {"e", "f"}}}));
+    const Result<PoolSyncRequest> question =
+        ParsePoolSyncRequest(FormatPoolSyncRequest(
+            {"p", {{"a"}, {{"b", 1}, {"c", 2}}, {"d"}, {"e", "f"}}}));
     CPPUNIT_ASSERT(question.has_value());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, question->orders.ended.size());
+    CPPUNIT_ASSERT_EQUAL(int64_t{2},
+                         question->orders.ended.rbegin()->incarnation);
     CPPUNIT_ASSERT_EQUAL(size_t{2}, question->orders.lend.size());
   }
 
--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -233,7 +233,7 @@
          return ParsePeerResponse({200, {}, in}).has_value();
        }},
       {"pool question",
-       FormatPoolSyncRequest({"p", {{"a"}, {"b"}, {"c"}, {"d"}}}).body,
+       FormatPoolSyncRequest({"p", {{"a"}, {{"b", 1}}, {"c"}, {"d"}}}).body,
        [](const std::string& in) {
          HttpRequest request = FormatPoolSyncRequest({"p", {}});
          request.body = in;
