Do not move or maintain an instance by the report of an earlier worker

Cause: an owner that has not learned of a move lists the earlier worker as idle, because an idle worker is not contacted. The controller evacuated and moved the instance by that report, whatever its present worker ran: to another pool, the move would end its tasks. Two pools that both listed an earlier worker caused two orders at once.

Change: plans leave out workers that have ended by the list of instances, or whose instance has a later incarnation in another report. An instance that the last list shows in another pool than its worker's report is not moved or maintained until they agree.

--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -149,8 +149,14 @@
   // Returns whether the latest report of the scope is recent enough to act on.
   bool IsFresh(const std::string& scope, MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns the recent reports without workers that have ended.
   std::map<std::string, PoolReport> FreshReports(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns the instances that the last list shows in another pool than the
+  // report of their worker.
+  std::set<std::string> InstancesInOtherPools(
+      const std::map<std::string, PoolReport>& reports) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns the instances that run tasks according to fresh reports.
   std::set<std::string> InstancesInUse(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -92,21 +92,49 @@
 
 std::map<std::string, PoolReport> InstanceController::FreshReports(
     MonoTime now) const {
+  std::map<std::string, int64_t> latest_incarnations;
+  for (const auto& [scope, report] : reports_) {
+    for (const WorkerLoad& load : report.workers) {
+      int64_t& latest = latest_incarnations[load.instance];
+      latest = std::max(latest, load.incarnation);
+    }
+  }
+  const auto has_ended = [&](const WorkerLoad& load) {
+    mutex_.AssertHeld();
+    return ended_workers_.count(load.Key()) > 0 ||
+           (!load.instance.empty() &&
+            load.incarnation < latest_incarnations[load.instance]);
+  };
   std::map<std::string, PoolReport> pools;
   for (const auto& [pool, report] : reports_) {
-    if (IsFresh(pool, now)) {
-      pools[pool] = report;
+    if (!IsFresh(pool, now)) {
+      continue;
     }
+    std::vector<WorkerLoad>& workers = (pools[pool] = report).workers;
+    workers.erase(std::remove_if(workers.begin(), workers.end(), has_ended),
+                  workers.end());
   }
   return pools;
 }
 
+std::set<std::string> InstanceController::InstancesInOtherPools(
+    const std::map<std::string, PoolReport>& reports) const {
+  std::set<std::string> elsewhere;
+  for (const auto& [scope, report] : reports) {
+    const std::string pool = layout_.PoolOf(scope);
+    for (const WorkerLoad& load : report.workers) {
+      const auto listed = instances_.find(load.instance);
+      if (listed != instances_.end() && listed->second.pool != pool) {
+        elsewhere.insert(load.instance);
+      }
+    }
+  }
+  return elsewhere;
+}
+
 std::set<std::string> InstanceController::InstancesInUse(MonoTime now) const {
   std::set<std::string> in_use;
-  for (const auto& [scope, report] : reports_) {
-    if (!IsFresh(scope, now)) {
-      continue;
-    }
+  for (const auto& [scope, report] : FreshReports(now)) {
     for (const WorkerLoad& load : report.workers) {
       if (load.tasks > 0) {
         in_use.insert(load.instance);
@@ -124,6 +152,7 @@
 void InstanceController::PlanMoves(MonoTime now) {
   MoveInput input;
   input.pools = FreshReports(now);
+  input.blocked = InstancesInOtherPools(input.pools);
   input.pending = pending_moves_;
   for (const PoolConfig& pool : plan_->pools) {
     if (pool.spare) {
--- a/Source/Core/Instances/instance_controller_waves.cc
+++ b/Source/Core/Instances/instance_controller_waves.cc
@@ -18,7 +18,16 @@
 }  // namespace
 
 void InstanceController::PlanWaves(MonoTime now) {
-  const std::map<std::string, PoolReport> pools = FreshReports(now);
+  std::map<std::string, PoolReport> pools = FreshReports(now);
+  const std::set<std::string> elsewhere = InstancesInOtherPools(pools);
+  for (auto& [scope, report] : pools) {
+    std::vector<WorkerLoad>& workers = report.workers;
+    workers.erase(std::remove_if(workers.begin(), workers.end(),
+                                 [&](const WorkerLoad& load) {
+                                   return elsewhere.count(load.instance) > 0;
+                                 }),
+                  workers.end());
+  }
   std::set<std::string> without_worker;
   for (const auto& [id, instance] : instances_) {
     if (instance.state == InstanceStatus::kUp && instance.worker.empty() &&
