Do not take one of two workers with the same start for the later one

Cause: of two workers on an instance whose entries name no start, or the same one, the entry that was read last ended the other worker and returned its tasks. A registry that is read again delivers entries by key, not by time.

Change: only a later start proves that a worker has ended. Others wait for responses or leases.

Evidence: ReportedEndsTest::WorkerOfUnknownStartEndsNoOther had two starts before, one now.

--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -73,12 +73,12 @@
   for (auto it = workers_.begin(); it != workers_.end();) {
     WorkerState& other = *(it++)->second;
     const WorkerKey key = other.report.key;
-    // A new incarnation under the same id, or on the same instance, proves that
-    // the earlier one has ended.
+    // A later incarnation under the same id, or on the same instance, proves
+    // that the earlier one has ended. Two of the same start prove nothing.
     const bool same_instance =
         !report.instance.empty() && other.report.instance == report.instance;
     if (key != report.key && (key.id == report.key.id || same_instance) &&
-        key.incarnation <= report.key.incarnation) {
+        key.incarnation < report.key.incarnation) {
       ReplaceWorker(other, *worker, now);
       workers_.erase(key);
     }
--- a/Source/UnitTests/Scheduling/reported_ends_test.cc
+++ b/Source/UnitTests/Scheduling/reported_ends_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ReportedWorkerGetsNoTasks);
   CPPUNIT_TEST(RespondingWorkerIsUsedAgain);
   CPPUNIT_TEST(LaterWorkerOnInstanceEndsEarlierOne);
+  CPPUNIT_TEST(WorkerOfUnknownStartEndsNoOther);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +129,29 @@
     driver.Write();
     CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
   }
+
+  // Guards against a task that runs twice at once: of two workers on an
+  // instance that do not report their start, the one that was read last counted
+  // as the later one.
+  void WorkerOfUnknownStartEndsNoOther() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a", 0);
+    driver.RespondToHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    driver.RespondToStart();
+    WorkerReport other;
+    other.key = {"b", 0};
+    other.pool = "p";
+    other.instance = "instance-of-a";
+    other.capacity = {1'000, 1'000, 0};
+    driver.scheduler().OnWorkerListed(other, driver.now());
+    driver.Step();
+    driver.RespondToHold("b", WorkerStatus());
+    driver.Write();
+    driver.Advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReportedEndsTest);
