Take no entry of an unknown pool for the next worker on its instance

An entry of the registry that names no pool of the plan ended the worker on the instance that it named, and its tasks started a second time. An incarnation under the same id did not count as the latest one of its instance either.

Change: only an entry of a pool that the plan names shows a later worker, under the same id or another one.

--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -200,6 +200,10 @@
   void OnWorkerItem(const StoreItem& item);
   Result<WorkerReport> ParseWorkerItem(const StoreItem& item,
                                        WallTime now) const;
+  // Returns whether the entry proves that earlier workers on its instance have
+  // ended. An entry of a pool that no plan names may be of another writer.
+  bool ShowsLaterWorker(const WorkerReport& report)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void OnOwnerItem(const StoreItem& item);
   void OnLayoutItem(const StoreItem& item);
   void OnRoutesItem(const StoreItem& item);
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -100,6 +100,12 @@
   return report;
 }
 
+bool FleetEngine::ShowsLaterWorker(const WorkerReport& report) {
+  return !report.instance.empty() && plan_ != nullptr &&
+         plan_->FindPoolByName(report.pool) != nullptr &&
+         latest_workers_[report.instance].incarnation < report.key.incarnation;
+}
+
 void FleetEngine::OnWorkerItem(const StoreItem& item) {
   const std::string id = platform_.WorkerIdOf(item.key);
   std::optional<WorkerReport> report;
@@ -130,16 +136,14 @@
         (!report || ScopeOf(known->second) != ScopeOf(*report))) {
       previous_runner = find(known->second);
     }
-    if (report && !report->instance.empty()) {
+    if (report && ShowsLaterWorker(*report)) {
       WorkerKey& latest = latest_workers_[report->instance];
-      if (latest.id != id && latest.incarnation < report->key.incarnation) {
+      const auto other = reports_.find(latest.id);
+      if (latest.id != id && other != reports_.end()) {
         replaced_worker = latest;
-        latest = report->key;
-        const auto other = reports_.find(replaced_worker.id);
-        if (other != reports_.end()) {
-          replaced_runner = find(other->second);
-        }
+        replaced_runner = find(other->second);
       }
+      latest = report->key;
     }
     if (report) {
       reports_[id] = *report;
--- a/Source/UnitTests/Fleet/fleet_registry_test.cc
+++ b/Source/UnitTests/Fleet/fleet_registry_test.cc
@@ -11,6 +11,7 @@
 class FleetRegistryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetRegistryTest);
   CPPUNIT_TEST(EntryFromTheFutureEndsNoWorker);
+  CPPUNIT_TEST(EntryOfUnknownPoolEndsNoWorker);
   CPPUNIT_TEST(UnreadableEntriesHideNoOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -39,6 +40,33 @@
     AssertPromisesKept(fleet);
   }
 
+  // Guards against tasks that start a second time because an entry of a pool
+  // that no plan names counts as the next worker on their instance.
+  void EntryOfUnknownPoolEndsNoWorker() {
+    ModelFleet fleet(3);
+    StartFleet(fleet, 1, 8, 0);
+    JobSpec job = SimpleJob("a", "q0", 1, 4, 4'000);
+    job.stages[0].perpetual = true;
+    fleet.Submit(job, 0);
+    fleet.Run(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.promises.Running().size());
+    for (int i = 1; i <= 8; ++i) {
+      WorkerReport unknown;
+      // Later than those of the model.
+      unknown.key.incarnation = 2'000;
+      unknown.pool = "unknown";
+      unknown.address = "10.0.0.1:1";
+      unknown.instance = absl::StrCat("m", i);
+      unknown.capacity = kWorkerSize;
+      fleet.store.Put(absl::StrCat(model::kModelWorkerPrefix, "odd", i),
+                      model::FormatModelWorker(unknown));
+      fleet.Run(milliseconds(200));
+    }
+    fleet.Run(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fleet.promises.Running().size());
+    AssertPromisesKept(fleet);
+  }
+
   // Guards against a view of the registry that stops updating because of one
   // unreadable entry.
   void UnreadableEntriesHideNoOthers() {
