Use a worker again once its reported end is not repeated

Cause: an idle worker that is falsely reported as ended is not contacted, so it could not refute the report before its next heartbeat, and never without one.

Tests show that workers which did end are reported.

Evidence: ReportIsForgottenIfItIsNotRepeated, EarlierWorkerIsReportedAsEnded and MaintainedWorkerIsReportedAsEnded pass; the first had no start before.

--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -80,6 +80,10 @@
 void PoolScheduler::CheckWorkers(MonoTime now) {
   for (auto it = workers_.begin(); it != workers_.end();) {
     WorkerState& worker = *it->second;
+    if (worker.reported_ended && !IsReportedEnded(it->first, now)) {
+      worker.reported_ended = false;
+      dispatch_needed_ = true;
+    }
     const bool reached =
         worker.addressable && worker.fenced && worker.missed_responses == 0;
     const bool busy = !worker.tasks.empty() || !worker.stops.empty();
--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -207,6 +207,8 @@
   CPPUNIT_TEST(EvacuationUsesTheLatestReport);
   CPPUNIT_TEST(MoveToPresentPoolEndsNoWorker);
   CPPUNIT_TEST(EarlierWorkerIsNotMoved);
+  CPPUNIT_TEST(EarlierWorkerIsReportedAsEnded);
+  CPPUNIT_TEST(MaintainedWorkerIsReportedAsEnded);
   CPPUNIT_TEST(RepeatedMaintenanceEndsNoWorker);
   CPPUNIT_TEST_SUITE_END();
 
@@ -365,6 +367,36 @@
     CPPUNIT_ASSERT_EQUAL(0, driver.platform.slow.moves);
   }
 
+  // Guards against tasks that are sent to workers whose instance has left.
+  void EarlierWorkerIsReportedAsEnded() {
+    ControllerDriver driver;
+    ListEarlierWorkers(driver);
+    driver.Start({"left", "joined"});
+    driver.RunFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, driver.ended.size());
+    for (const WorkerLoad& earlier : driver.reports["left"].workers) {
+      CPPUNIT_ASSERT(driver.ended.count(earlier.Key()) > 0);
+    }
+  }
+
+  // Same for an instance whose maintenance has begun.
+  void MaintainedWorkerIsReportedAsEnded() {
+    ControllerDriver driver;
+    const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.instances = {instance};
+    wave.complete_within = seconds(30);
+    driver.instances.SetWave(wave);
+    const WorkerLoad load = driver.LoadOn(instance);
+    driver.reports["p"].workers = {load};
+    driver.Start({"p"});
+    driver.controller->OnWaveRequested(wave, driver.time.Now());
+    driver.RunFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(1, driver.instances.Maintained(1));
+    CPPUNIT_ASSERT(driver.ended == std::set<WorkerKey>{load.Key()});
+  }
+
   // Guards against workers that are ended while they run: the order for a
   // maintenance that is done succeeds, and was taken as the end of the worker
   // that has started since.
--- a/Source/UnitTests/Scheduling/reported_ends_test.cc
+++ b/Source/UnitTests/Scheduling/reported_ends_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(RunsOfEndedWorkerStartElsewhereAfterTheirLease);
   CPPUNIT_TEST(ReportedWorkerGetsNoTasks);
   CPPUNIT_TEST(RespondingWorkerIsUsedAgain);
+  CPPUNIT_TEST(ReportIsForgottenIfItIsNotRepeated);
   CPPUNIT_TEST(LaterWorkerOnInstanceEndsEarlierOne);
   CPPUNIT_TEST(WorkerOfUnknownStartEndsNoOther);
   CPPUNIT_TEST_SUITE_END();
@@ -119,6 +120,21 @@
     CPPUNIT_ASSERT_EQUAL(1, report.workers.front().tasks);
   }
 
+  // Guards against an idle worker that stays unused because of a false report:
+  // it is not contacted, so it cannot refute the report.
+  void ReportIsForgottenIfItIsNotRepeated() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.RespondToHold("a", WorkerStatus());
+    ReportEndOfA(driver);
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT(driver.starts.empty());
+    driver.Advance(seconds(6));
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+  }
+
   // Guards against tasks that wait for a lease although the registry shows that
   // their worker has ended.
   void LaterWorkerOnInstanceEndsEarlierOne() {
