Wait for a worker to refuse a run that its next incarnation may have accepted

Cause: a response to a start order names no incarnation, and an idle worker gets no holds. If such a worker restarts under its id and address, its next incarnation accepts the order. Once a hold or the registry showed that incarnation, the task was returned as one of the earlier incarnation, and started again while its first run went on, on the same worker or another one.

Change: a run that no hold has listed is handled like an order of unknown outcome: the task waits until the next incarnation refuses the run.

--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -58,6 +58,8 @@
   bool order_in_flight = false;
   // A start order got no response, so a copy of it may still take effect.
   bool order_outcome_unknown = false;
+  // A hold of the worker has listed this run.
+  bool listed_by_worker = false;
   // The worker refuses to start this run; a hold has to show whether it ran.
   bool order_outdated = false;
   MonoTime next_order;
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -207,6 +207,7 @@
       task.inherited = false;
       ref->job->started = true;
     }
+    task.listed_by_worker = true;
     task.percent = running.percent;
     if (!running.checkpoint.empty()) {
       task.checkpoint = running.checkpoint;
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -205,8 +205,12 @@
     std::copy_if(earlier.tasks.begin(), earlier.tasks.end(),
                  std::back_inserter(open_orders), [](const TaskRef& ref) {
                    const Task& task = ref.Get();
+                   // A response to a start order names no incarnation.
+                   const bool accepted_by_either =
+                       task.phase == TaskPhase::kRunning &&
+                       !task.listed_by_worker;
                    return task.order_in_flight || task.order_outcome_unknown ||
-                          task.inherited;
+                          task.inherited || accepted_by_either;
                  });
   }
   EndWorker(earlier, "replaced", now);
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(IncarnationFoundByHoldMayGetEarlierOrder);
   CPPUNIT_TEST(EvacuatedIncarnationMayGetEarlierOrder);
   CPPUNIT_TEST(EarlierOwnersOrderMayReachNextIncarnation);
+  CPPUNIT_TEST(NextIncarnationMayHaveAcceptedOrder);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -368,6 +369,21 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
   }
 
+  // Guards against a task that runs twice at once: an idle worker restarts
+  // under its id, and its next incarnation accepts an order before it is known.
+  void NextIncarnationMayHaveAcceptedOrder() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.RespondToHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    PlanSecondRun(driver);
+    driver.RespondToStart();
+    driver.ListWorker("a", 2);
+    ExpectStartAfterStop(driver);
+  }
+
  private:
   // Orders a task on worker "a" and drops the response. Worker "b" has free
   // capacity.
