Do not use an earlier incarnation whose registry entry is read late

Cause: an entry of an earlier incarnation that is read after the later one is known made the earlier one a worker to use: it counts as responsive, because it is not contacted while it is idle.

Change: an entry is ignored if a later incarnation under its id is known. An incarnation that another one has replaced in a hold no longer counts as listed, so that a wrong start in an entry does not hide the worker for good.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -222,6 +222,8 @@
   WorkerState& FindOrAddIncarnation(const WorkerState& worker,
                                     int64_t incarnation,
                                     MonoTime now);
+  // Returns whether a later incarnation of the worker is known.
+  bool HasLaterIncarnation(const WorkerReport& report) const;
   void ApplyStatus(WorkerState& worker,
                    const WorkerStatus& status,
                    MonoTime sent_at,
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -313,6 +313,7 @@
   const int64_t reported = answer->status.incarnation;
   if (known != 0 && reported != 0 && known != reported) {
     ReplaceWorker(*worker, FindOrAddIncarnation(*worker, reported, now), now);
+    worker->listed = false;
     worker->addressable = false;
     return;
   }
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -65,7 +65,17 @@
   return *next;
 }
 
+bool PoolScheduler::HasLaterIncarnation(const WorkerReport& report) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    return entry.first.id == report.key.id &&
+           entry.first.incarnation > report.key.incarnation;
+  });
+}
+
 void PoolScheduler::OnWorkerListed(const WorkerReport& report, MonoTime now) {
+  if (HasLaterIncarnation(report)) {
+    return;
+  }
   WorkerState* worker = FindWorker(report.key);
   if (worker == nullptr) {
     worker = &AddWorker(report.key, now);
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(EvacuatedIncarnationMayGetEarlierOrder);
   CPPUNIT_TEST(EarlierOwnersOrderMayReachNextIncarnation);
   CPPUNIT_TEST(NextIncarnationMayHaveAcceptedOrder);
+  CPPUNIT_TEST(EntryOfEarlierIncarnationIsNotUsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -384,6 +385,18 @@
     ExpectStartAfterStop(driver);
   }
 
+  // Guards against tasks that are sent to an incarnation that has ended, whose
+  // entry is read after the one of the next incarnation was.
+  void EntryOfEarlierIncarnationIsNotUsed() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a", 2);
+    driver.RespondToHold("a", WorkerStatus());
+    driver.ListWorker("a", 1);
+    const PoolReport report = driver.scheduler().Report(driver.now());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, report.workers.size());
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, report.workers.front().incarnation);
+  }
+
  private:
   // Orders a task on worker "a" and drops the response. Worker "b" has free
   // capacity.
