Evacuate the next worker of an instance whose maintenance is ordered

Cause: a maintenance that was ordered, but not begun, evacuated the worker that was on the instance when it was planned. If that worker ended first, its successor got tasks, the order waited for an idle instance, and the wave kept one place of its limit for good. Found by the review of the trace.

Change: until the maintenance has begun, whatever runs on the instance is evacuated.

Evidence: OrderedMaintenanceEvacuatesTheNextWorker failed before and passes now.

--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -366,7 +366,10 @@
       const auto before = wave.worker_before.find(instance);
       if (before != wave.worker_before.end()) {
         workers.insert(before->second.key.id);
-      } else {
+      }
+      // Once the maintenance has begun, a later worker may be used.
+      if (before == wave.worker_before.end() ||
+          wave.state.instances.at(instance) != MaintenanceStep::kDown) {
         instances.insert(instance);
       }
     }
--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -210,6 +210,7 @@
   CPPUNIT_TEST(EarlierWorkerIsReportedAsEnded);
   CPPUNIT_TEST(MaintainedWorkerIsReportedAsEnded);
   CPPUNIT_TEST(RepeatedMaintenanceEndsNoWorker);
+  CPPUNIT_TEST(OrderedMaintenanceEvacuatesTheNextWorker);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -425,6 +426,35 @@
     CPPUNIT_ASSERT_EQUAL(1, driver.instances.Maintained(1));
     CPPUNIT_ASSERT_EQUAL(size_t{0}, driver.ended.count(present.Key()));
   }
+
+  // Guards against a wave that never goes on: the worker for which a
+  // maintenance was ordered ended before it began, and its successor was not
+  // evacuated.
+  void OrderedMaintenanceEvacuatesTheNextWorker() {
+    ControllerDriver driver;
+    const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.instances = {instance};
+    wave.complete_within = seconds(30);
+    driver.instances.SetWave(wave);
+    const WorkerLoad first = driver.LoadOn(instance);
+    driver.reports["p"].workers = {first};
+    // Refuses the order until it is up again.
+    driver.instances.Crash(instance, seconds(1));
+    driver.Start({"p"});
+    driver.controller->OnWaveRequested(wave, driver.time.Now());
+    driver.RunFor(milliseconds(900));
+    CPPUNIT_ASSERT(driver.evacuate.count(first.worker) > 0);
+    driver.RunFor(milliseconds(150));
+    WorkerLoad next = driver.LoadOn(instance);
+    next.incarnation = kPresentIncarnation + 1;
+    next.tasks = 1;
+    driver.reports["p"].workers = {next};
+    driver.RunFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(0, driver.instances.Maintained(1));
+    CPPUNIT_ASSERT(driver.evacuate.count(next.worker) > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(InstanceControllerTest);
