Conclude the end of a worker only from a list requested after it was known

Cause: an instance in maintenance by a list that was requested before the worker was planned for, or a row without a pool or with the worker itself, counted as its end.

Change: the worker has to be known before the list is requested, the row has to name a pool, and must not name the worker. A predicate no longer adds entries.

--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -202,7 +202,7 @@
                                        WallTime now) const;
   // Returns whether the entry proves that earlier workers on its instance have
   // ended. An entry of a pool that no plan names may be of another writer.
-  bool ShowsLaterWorker(const WorkerReport& report)
+  bool ShowsLaterWorker(const WorkerReport& report) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void OnOwnerItem(const StoreItem& item);
   void OnLayoutItem(const StoreItem& item);
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -100,10 +100,14 @@
   return report;
 }
 
-bool FleetEngine::ShowsLaterWorker(const WorkerReport& report) {
-  return !report.instance.empty() && plan_ != nullptr &&
-         plan_->FindPoolByName(report.pool) != nullptr &&
-         latest_workers_[report.instance].incarnation < report.key.incarnation;
+bool FleetEngine::ShowsLaterWorker(const WorkerReport& report) const {
+  if (report.instance.empty() || plan_ == nullptr ||
+      plan_->FindPoolByName(report.pool) == nullptr) {
+    return false;
+  }
+  const auto latest = latest_workers_.find(report.instance);
+  return latest == latest_workers_.end() ||
+         latest->second.incarnation < report.key.incarnation;
 }
 
 void FleetEngine::OnWorkerItem(const StoreItem& item) {
--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -309,7 +309,7 @@
           std::tie(load.incarnation, reported) >
               std::tie(latest.key.incarnation, latest_report)) {
         latest_report = reported;
-        latest = {load.Key(), scope};
+        latest = {load.Key(), scope, clock_.Now()};
       }
     }
   }
@@ -325,16 +325,19 @@
       }
       // An incarnation never changes its pool. One that began after the list
       // was requested may be in a pool that the list does not show yet.
-      if (listed->second.pool != layout_.PoolOf(scope) &&
+      if (!listed->second.pool.empty() &&
+          listed->second.pool != layout_.PoolOf(scope) &&
+          listed->second.worker != load.worker &&
           reported_since_.at(scope).at(load.Key()) <= sent_at) {
-        RecordEndedWorker({load.Key(), scope}, listed->second);
+        RecordEndedWorker({load.Key(), scope, sent_at}, listed->second);
       }
     }
   }
   for (const auto& [number, wave] : waves_) {
     for (const auto& [instance, worker] : wave.worker_before) {
       const auto listed = instances_.find(instance);
-      if (!worker.key.id.empty() && listed != instances_.end() &&
+      if (!worker.key.id.empty() && worker.known_at <= sent_at &&
+          listed != instances_.end() &&
           listed->second.state == InstanceStatus::kMaintenance) {
         RecordEndedWorker(worker, listed->second);
       }
--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -85,6 +85,7 @@
   struct ReportedWorker {
     WorkerKey key;
     std::string scope;
+    MonoTime known_at;
   };
 
   struct Wave {
@@ -120,8 +121,7 @@
   void RefreshInstances(MonoTime now);
   void OnInstancesListed(MonoTime sent_at,
                          const Result<std::vector<Instance>>& list);
-  // Returns the workers to evacuate for a move or for maintenance, until they
-  // have certainly ended.
+  // Returns the workers to evacuate for a move or for maintenance.
   std::set<std::string> WorkersToEvacuate() const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Returns the workers on these instances according to the latest reports.
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -12,7 +12,7 @@
 
 namespace figflow {
 
-// Orders of the instance controller to a pool's owner, by worker id.
+// Orders of the instance controller to a pool's owner.
 struct WorkerOrders {
   // Workers to evacuate, which get no new tasks. All other workers are not
   // evacuated.
