Send no planned task to a worker that is reported as ended

Cause: a task that was planned on a worker before the report was still ordered there, and waited for the lease of an order without a response. A report of an owner of an earlier version names no incarnation, and counted as the one of an earlier worker.

Change: tasks that were not ordered return at once. An unknown incarnation is not compared.

Evidence: PlannedTaskLeavesReportedWorker started the task on the reported worker before, and on the other one now.

--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -102,7 +102,7 @@
   const auto has_ended = [&](const WorkerLoad& load) {
     mutex_.AssertHeld();
     return ended_workers_.count(load.Key()) > 0 ||
-           (!load.instance.empty() &&
+           (!load.instance.empty() && load.incarnation != 0 &&
             load.incarnation < latest_incarnations[load.instance]);
   };
   std::map<std::string, PoolReport> pools;
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -103,7 +103,8 @@
     worker.evacuating = false;
     dispatch_needed_ = true;
   }
-  if (!worker.evacuating && !worker.report.draining) {
+  const bool leaves = worker.evacuating || worker.report.draining;
+  if (!leaves && !worker.reported_ended) {
     return;
   }
   const std::set<TaskRef> tasks = worker.tasks;
@@ -118,10 +119,15 @@
                {{"task", FormatTaskName(ref.Name())},
                 {"run", absl::StrCat(task.run)},
                 {"worker", worker.report.key.id},
-                {"cause", worker.evacuating ? "evacuation" : "draining"}});
+                {"cause", worker.evacuating       ? "evacuation"
+                          : worker.reported_ended ? "reported-ended"
+                                                  : "draining"}});
       ReturnTask(ref, now);
       continue;
     }
+    if (!leaves) {
+      continue;
+    }
     if (task.phase != TaskPhase::kRunning ||
         worker.HasStop(ref.Name(), task.run)) {
       continue;
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -187,7 +187,7 @@
 }
 
 void PoolScheduler::IssueStarts(WorkerState& worker, MonoTime now) {
-  if (!starts_allowed_ || !worker.fenced) {
+  if (!starts_allowed_ || !worker.fenced || worker.reported_ended) {
     return;
   }
   for (const TaskRef& ref : worker.tasks) {
--- a/Source/UnitTests/Scheduling/reported_ends_test.cc
+++ b/Source/UnitTests/Scheduling/reported_ends_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(FalseReportStartsNoTaskTwice);
   CPPUNIT_TEST(RunsOfEndedWorkerStartElsewhereAfterTheirLease);
   CPPUNIT_TEST(ReportedWorkerGetsNoTasks);
+  CPPUNIT_TEST(PlannedTaskLeavesReportedWorker);
   CPPUNIT_TEST(RespondingWorkerIsUsedAgain);
   CPPUNIT_TEST(ReportIsForgottenIfItIsNotRepeated);
   CPPUNIT_TEST(LaterWorkerOnInstanceEndsEarlierOne);
@@ -103,6 +104,24 @@
     CPPUNIT_ASSERT(driver.scheduler().Report(driver.now()).workers.empty());
   }
 
+  // Guards against a start order to a worker that has ended meanwhile: its task
+  // waits for the order's lease.
+  void PlannedTaskLeavesReportedWorker() {
+    SchedulerDriver driver(kStart);
+    driver.ListWorker("a");
+    driver.RespondToHold("a", WorkerStatus());
+    driver.Submit("job");
+    driver.ListWorker("b");
+    driver.RespondToHold("b", WorkerStatus());
+    ReportEndOfA(driver);
+    driver.Write();
+    driver.Advance(milliseconds(10));
+    driver.Write();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         driver.starts.back().target.worker.id);
+  }
+
   // Guards against a worker that stays unused because of a false report.
   void RespondingWorkerIsUsedAgain() {
     SchedulerDriver driver(kStart);
