--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -171,6 +171,16 @@
     }
   }
 
+  // Adds wave 1 with this instance.
+  MaintenanceWave AddWave(const std::string& instance) {
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.instances = {instance};
+    wave.complete_within = seconds(30);
+    instances.SetWave(wave);
+    return wave;
+  }
+
   WorkerLoad LoadOn(const std::string& instance) const {
     WorkerLoad load;
     load.worker = instances.Find(instance)->worker;
@@ -220,11 +230,7 @@
   void RecordedMaintenanceWaitsForAnIdleWorker() {
     ControllerDriver driver;
     const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
-    MaintenanceWave wave;
-    wave.number = 1;
-    wave.instances = {instance};
-    wave.complete_within = seconds(30);
-    driver.instances.SetWave(wave);
+    const MaintenanceWave wave = driver.AddWave(instance);
     WaveRecord record;
     record.due = driver.time.WallNow() + seconds(30);
     record.instances[instance] = MaintenanceStep::kOrdered;
@@ -384,11 +390,7 @@
   void MaintainedWorkerIsReportedAsEnded() {
     ControllerDriver driver;
     const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
-    MaintenanceWave wave;
-    wave.number = 1;
-    wave.instances = {instance};
-    wave.complete_within = seconds(30);
-    driver.instances.SetWave(wave);
+    const MaintenanceWave wave = driver.AddWave(instance);
     const WorkerLoad load = driver.LoadOn(instance);
     driver.reports["p"].workers = {load};
     driver.Start({"p"});
@@ -404,11 +406,7 @@
   void RepeatedMaintenanceEndsNoWorker() {
     ControllerDriver driver;
     const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
-    MaintenanceWave wave;
-    wave.number = 1;
-    wave.instances = {instance};
-    wave.complete_within = seconds(30);
-    driver.instances.SetWave(wave);
+    const MaintenanceWave wave = driver.AddWave(instance);
     // An earlier controller has maintained the instance.
     InstanceOrder order;
     order.instance = instance;
@@ -433,11 +431,7 @@
   void OrderedMaintenanceEvacuatesTheNextWorker() {
     ControllerDriver driver;
     const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
-    MaintenanceWave wave;
-    wave.number = 1;
-    wave.instances = {instance};
-    wave.complete_within = seconds(30);
-    driver.instances.SetWave(wave);
+    const MaintenanceWave wave = driver.AddWave(instance);
     const WorkerLoad first = driver.LoadOn(instance);
     driver.reports["p"].workers = {first};
     // Refuses the order until it is up again.
