--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -264,23 +264,6 @@
   // responds.
   void ReleaseSpeculativeTasks(WorkerState& worker, MonoTime now);
   void BreakGang(const TaskRef& ref, MonoTime now);
-  // Ends a worker whose next incarnation, or the next worker on whose instance,
-  // is known. A copy of a start order may still reach a next incarnation with
-  // the same id.
-  void ReplaceWorker(WorkerState& earlier, WorkerState& next, MonoTime now);
-  // Blocks the placement of a returned task until the worker refuses the task's
-  // latest run.
-  void BlockPlacement(const TaskRef& ref, WorkerState& worker, MonoTime now);
-  // Returns whether the worker was recently reported as ended and has not
-  // responded since.
-  bool IsReportedEnded(const WorkerKey& key, MonoTime now) const;
-  // Uses a worker again that responds to a hold sent after its reported end.
-  void RefuteReportedEnd(WorkerState& worker, MonoTime sent_at);
-  // Ends a worker that certainly has no runs any more, and returns its tasks.
-  // The proof is one of: its leases have run out; another incarnation responded
-  // at its address; the registry lists a later one under its id or on its
-  // instance.
-  void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
   // Requests the stop of a run; its task stays out of the waiting ones until
   // the run has ended.
   void RequestStop(WorkerState& worker,
@@ -302,6 +285,25 @@
   void AdvanceAcknowledged(WorkerState& worker);
   std::optional<TaskRef> FindTask(const TaskName& name) const;
 
+  // pool_scheduler_ends.cc
+  // Ends a worker whose next incarnation, or the next worker on whose instance,
+  // is known. A copy of a start order may still reach a next incarnation with
+  // the same id.
+  void ReplaceWorker(WorkerState& earlier, WorkerState& next, MonoTime now);
+  // Blocks the placement of a returned task until the worker refuses the task's
+  // latest run.
+  void BlockPlacement(const TaskRef& ref, WorkerState& worker, MonoTime now);
+  // Returns whether the worker was recently reported as ended and has not
+  // responded since.
+  bool IsReportedEnded(const WorkerKey& key, MonoTime now) const;
+  // Uses a worker again that responds to a hold sent after its reported end.
+  void RefuteReportedEnd(WorkerState& worker, MonoTime sent_at);
+  // Ends a worker that certainly has no runs any more, and returns its tasks.
+  // The proof is one of: its leases have run out; another incarnation responded
+  // at its address; the registry lists a later one under its id or on its
+  // instance.
+  void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
+
   // pool_scheduler_step.cc
   void CheckWorkers(MonoTime now);
   void IssueHold(WorkerState& worker, MonoTime now);
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -1,6 +1,5 @@
 // Tracks workers and handles their responses to orders.
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "Common/log.h"
@@ -16,9 +15,6 @@
 // Delay before an order without a response is sent again; a response takes a
 // few milliseconds.
 constexpr std::chrono::milliseconds kOrderRetryDelay{150};
-// How long a reported end is remembered after its last report; longer than the
-// registry lists a worker that has ended.
-constexpr std::chrono::seconds kReportedEndRetention{5};
 
 }  // namespace
 
@@ -181,130 +177,6 @@
   }
 }
 
-void PoolScheduler::EndWorker(WorkerState& worker,
-                              const char* cause,
-                              MonoTime now) {
-  if (!worker.tasks.empty()) {
-    stats_->workers_lost.Add();
-    stats_->runs_lost.Add(worker.tasks.size());
-    const auto silence = WholeMilliseconds(now - worker.last_response_at);
-    LogEvent(LogLevel::kWarning, LogCategory::kJobs, "worker_lost",
-             {{"worker", worker.report.key.id},
-              {"incarnation", absl::StrCat(worker.report.key.incarnation)},
-              {"instance", worker.report.instance},
-              {"pool", options_.pool},
-              {"fence", absl::StrCat(options_.fence)},
-              {"cause", cause},
-              {"silent_ms", absl::StrCat(silence.count())},
-              {"missed", absl::StrCat(worker.missed_responses)},
-              {"tasks", absl::StrCat(worker.tasks.size())}});
-  }
-  const std::set<TaskRef> tasks = worker.tasks;
-  for (const TaskRef& ref : tasks) {
-    ReturnLostTask(ref, now);
-  }
-  worker.stops.clear();
-  worker.used = Resources();
-}
-
-void PoolScheduler::ReplaceWorker(WorkerState& earlier,
-                                  WorkerState& next,
-                                  MonoTime now) {
-  std::vector<TaskRef> open_orders;
-  if (earlier.report.key.id == next.report.key.id) {
-    std::copy_if(earlier.tasks.begin(), earlier.tasks.end(),
-                 std::back_inserter(open_orders), [](const TaskRef& ref) {
-                   const Task& task = ref.Get();
-                   // A response to a start order names no incarnation.
-                   const bool accepted_by_either =
-                       task.phase == TaskPhase::kRunning &&
-                       !task.listed_by_worker;
-                   return task.order_in_flight || task.order_outcome_unknown ||
-                          task.inherited || accepted_by_either;
-                 });
-  }
-  EndWorker(earlier, "replaced", now);
-  for (const TaskRef& ref : open_orders) {
-    BlockPlacement(ref, next, now);
-  }
-}
-
-void PoolScheduler::BlockPlacement(const TaskRef& ref,
-                                   WorkerState& worker,
-                                   MonoTime now) {
-  Task& task = ref.Get();
-  if (!ref.job->live() || task.phase != TaskPhase::kWaiting) {
-    return;
-  }
-  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "task_held_back",
-           {{"task", FormatTaskName(ref.Name())},
-            {"run", absl::StrCat(task.run)},
-            {"worker", worker.report.key.id},
-            {"cause", "open-order-to-an-earlier-life"}});
-  task.phase = TaskPhase::kStarting;
-  task.since = now;
-  --ref.GetStage().waiting;
-  AttachTask(ref, worker);
-  task.order_outdated = true;
-  RequestStop(worker, ref.Name(), task.run, Resources(), now);
-}
-
-void PoolScheduler::OnWorkerSuperseded(const WorkerKey& superseded,
-                                       MonoTime now) {
-  for (auto& [key, worker] : workers_) {
-    if (key.id == superseded.id && key.incarnation <= superseded.incarnation) {
-      EndWorker(*worker, "superseded", now);
-      worker->listed = false;
-      worker->addressable = false;
-    }
-  }
-}
-
-void PoolScheduler::OnWorkerReportedEnded(const WorkerKey& key, MonoTime now) {
-  for (auto it = reported_ends_.begin(); it != reported_ends_.end();) {
-    it = now - it->second.last_reported_at > kReportedEndRetention
-             ? reported_ends_.erase(it)
-             : std::next(it);
-  }
-  ReportedEnd& end =
-      reported_ends_.emplace(key, ReportedEnd{now, now}).first->second;
-  end.last_reported_at = now;
-  WorkerState* worker = FindWorker(key);
-  if (worker == nullptr || worker->reported_ended || end.refuted) {
-    return;
-  }
-  worker->reported_ended = true;
-  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "worker_reported_ended",
-           {{"worker", key.id},
-            {"incarnation", absl::StrCat(key.incarnation)},
-            {"instance", worker->report.instance},
-            {"pool", options_.pool},
-            {"tasks", absl::StrCat(worker->tasks.size())}});
-}
-
-bool PoolScheduler::IsReportedEnded(const WorkerKey& key, MonoTime now) const {
-  const auto end = reported_ends_.find(key);
-  return end != reported_ends_.end() && !end->second.refuted &&
-         now - end->second.last_reported_at <= kReportedEndRetention;
-}
-
-void PoolScheduler::RefuteReportedEnd(WorkerState& worker, MonoTime sent_at) {
-  const auto end = reported_ends_.find(worker.report.key);
-  if (!worker.reported_ended || end == reported_ends_.end() ||
-      sent_at <= end->second.first_reported_at) {
-    return;
-  }
-  end->second.refuted = true;
-  worker.reported_ended = false;
-  dispatch_needed_ = true;
-  LogEvent(LogLevel::kWarning, LogCategory::kJobs, "reported_end_refuted",
-           {{"worker", worker.report.key.id},
-            {"incarnation", absl::StrCat(worker.report.key.incarnation)},
-            {"instance", worker.report.instance},
-            {"pool", options_.pool},
-            {"tasks", absl::StrCat(worker.tasks.size())}});
-}
-
 void PoolScheduler::OnStartResponse(const StartOrder& order,
                                     const Result<OrderResponse>& answer,
                                     MonoTime now) {
