Add options for the shape of the soak's deployment

Cause: the soak has 3 daemons and 12 workers in 3 pools.

With spare instances, 80% of the jobs go to one queue for 3 s, then to the next, and their tasks are as large as an instance. A run reports calls without a response in time and by how much the models were late.

--- a/Source/Soak/callers.cc
+++ b/Source/Soak/callers.cc
@@ -25,6 +25,11 @@
 // connection, and faults count this long (platform contract).
 constexpr milliseconds kLossSlack{200};
 constexpr milliseconds kStableWindow{3'000};
+// Share of the jobs that go to the queue of the peak.
+constexpr double kPeakShare = 0.8;
+// Added to each stage of these jobs, whose tasks are as large as an instance.
+constexpr int kMorePeakTasks = 5;
+constexpr int64_t kPeakTaskMillicores = 4'000;
 
 }  // namespace
 
@@ -77,9 +82,23 @@
     }
     spec.stages.push_back(std::move(stage));
   }
+  if (options_.peak > milliseconds(0) && Chance(kPeakShare)) {
+    JoinPeak(&spec);
+  }
   return spec;
 }
 
+void Callers::JoinPeak(JobSpec* spec) const {
+  const auto turn = (time_.Now() - begun_) / options_.peak;
+  spec->queue = absl::StrCat("q", turn % options_.queues);
+  for (StageSpec& stage : spec->stages) {
+    if (!stage.gang && !stage.perpetual) {
+      stage.count += kMorePeakTasks;
+      stage.per_task.cpu_millicores = kPeakTaskMillicores;
+    }
+  }
+}
+
 void Callers::Start() {
   time_.After(options_.interval, [this] { SubmitNext(); });
 }
@@ -223,6 +242,8 @@
       if (result.response) {
         reply.status = result.response->status;
         reply.body = result.response->body;
+      } else if (result.response.error().code == ErrorCode::kDeadlineExceeded) {
+        ++counts_.late;
       } else if (result.sent &&
                  result.response.error().code == ErrorCode::kUnknownOutcome) {
         ++counts_.cut;
--- a/Source/Soak/callers.h
+++ b/Source/Soak/callers.h
@@ -38,6 +38,9 @@
   int queues = 1;
   // Mean time between two jobs.
   std::chrono::milliseconds interval{150};
+  // Time in which most jobs go to one queue and are larger, before it is the
+  // next queue's turn; 0 for none.
+  std::chrono::milliseconds peak{0};
 };
 
 struct CallerCounts {
@@ -47,6 +50,8 @@
   int cancelled = 0;
   int calls = 0;
   int cut = 0;
+  // Calls without a response in time.
+  int late = 0;
 };
 
 // Callers that hand jobs in over connections that stay open until the daemon
@@ -97,6 +102,8 @@
   using ReplyCallback = std::function<void(const Reply&)>;
 
   JobSpec MakeJob();
+  // Makes a job one of the peak at the present time.
+  void JoinPeak(JobSpec* spec) const;
   void SubmitNext();
   void Submit(const std::string& id);
   void OnSubmitted(const std::string& id, const Reply& reply);
@@ -117,6 +124,7 @@
   const Report report_;
   std::mt19937_64 random_;
   const SystemClock clock_;
+  const MonoTime begun_ = time_.Now();
   bool submitting_ = true;
   std::map<std::string, Entry> entries_;
   CallerCounts counts_;
--- a/Source/Soak/real_time.cc
+++ b/Source/Soak/real_time.cc
@@ -57,6 +57,11 @@
   };
   while (true) {
     const MonoTime now = virtual_begun + (clock_.Now() - begun);
+    if (now > time_.NextEvent()) {
+      longest_lag_ = std::max(
+          longest_lag_, std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - time_.NextEvent()));
+    }
     if (now > time_.Now()) {
       time_.RunFor(now - time_.Now());
     }
--- a/Source/Soak/real_time.h
+++ b/Source/Soak/real_time.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_REAL_TIME_H_
 #define SOAK_REAL_TIME_H_
 
+#include <chrono>
 #include <functional>
 #include <thread>
 #include <vector>
@@ -28,12 +29,15 @@
   void Post(std::function<void()> event);
   // Runs `event` on the thread and waits for its end.
   void RunAndWait(const std::function<void()>& event);
+  // The longest time by which an event was late; on the thread only.
+  std::chrono::milliseconds LongestLag() const { return longest_lag_; }
 
  private:
   void Run();
 
   model::VirtualTime& time_;
   const SystemClock clock_;
+  std::chrono::milliseconds longest_lag_{0};
   absl::Mutex mutex_;
   std::vector<std::function<void()>> posted_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/Soak/soak_main.cc
+++ b/Source/Soak/soak_main.cc
@@ -25,6 +25,8 @@
 // memory and a few hundred processes.
 constexpr int kMostDaemons = 200;
 constexpr uint64_t kBytesPerDaemon = uint64_t{60} << 20;
+// One job in each millisecond.
+constexpr int kMaxLoad = 150;
 
 std::atomic<bool> interrupted{false};
 
@@ -52,8 +54,9 @@
             << calls.submitted << " jobs, " << calls.accepted << " accepted, "
             << calls.refused << " refused, " << calls.cancelled
             << " cancelled, " << report.completed << " completed, "
-            << calls.calls << " calls, " << calls.cut << " cut, settled in "
-            << report.settle.count() << " ms;" << faults << std::endl;
+            << calls.calls << " calls, " << calls.cut << " cut, " << calls.late
+            << " late, settled in " << report.settle.count() << " ms, lag "
+            << report.lag.count() << " ms;" << faults << std::endl;
   for (const std::string& broken : report.broken) {
     std::cout << "  " << broken << std::endl;
   }
@@ -62,8 +65,9 @@
   }
 }
 
-// Returns whether all promises were kept. Logs of broken runs are left.
-bool RunSeed(SoakOptions options) {
+// Returns whether all promises were kept. Logs are left of broken runs, and of
+// all if `keep_logs`.
+bool RunSeed(SoakOptions options, bool keep_logs) {
   std::string path =
       (std::filesystem::temp_directory_path() / "figflow-soak-XXXXXX");
   if (mkdtemp(path.data()) == nullptr) {
@@ -73,7 +77,9 @@
   options.directory = path;
   const SoakReport report = figflow::soak::RunSoak(options);
   Print(options.seed, report, path);
-  if (report.broken.empty()) {
+  if (keep_logs) {
+    std::cout << "  all logs in " << path << std::endl;
+  } else if (report.broken.empty()) {
     std::filesystem::remove_all(path);
   }
   return report.broken.empty();
@@ -88,6 +94,9 @@
   int daemons = 3;
   int most = 0;
   int first_port = kFirstPort;
+  int keep_logs = 0;
+  const char* other_program = nullptr;
+  figflow::soak::SoakShape shape;
   const poptOption table[] = {
       {"seed", 0, POPT_ARG_INT, &seed, 0, "first seed", "N"},
       {"seeds", 0, POPT_ARG_INT, &seeds, 0, "number of seeds", "N"},
@@ -97,11 +106,24 @@
        "as many daemons as the machine bears", nullptr},
       {"first-port", 0, POPT_ARG_INT, &first_port, 0,
        "runs beside each other need ports of their own", "PORT"},
+      {"pools", 0, POPT_ARG_INT, &shape.pools, 0, "pools", "N"},
+      {"instances", 0, POPT_ARG_INT, &shape.instances_per_pool, 0,
+       "instances of each pool", "N"},
+      {"spare", 0, POPT_ARG_INT, &shape.spare, 0,
+       "spare instances; with any, queues peak in turn", "N"},
+      {"load", 0, POPT_ARG_INT, &shape.load, 0,
+       "factor on the callers' rate, 1 to 150", "N"},
+      {"program", 0, POPT_ARG_STRING, &other_program, 0,
+       "another figflowd than that of this build", "PATH"},
+      {"keep-logs", 0, POPT_ARG_NONE, &keep_logs, 0, "of kept runs, too",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("figflow_soak", argc, argv, table, 0);
   const int parsed = poptGetNextOpt(context);
   const bool usage = parsed < -1 || poptPeekArg(context) != nullptr ||
-                     daemons < 2 || seconds < 1;
+                     daemons < 2 || seconds < 1 || shape.pools < 1 ||
+                     shape.instances_per_pool < 1 || shape.spare < 0 ||
+                     shape.load < 1 || shape.load > kMaxLoad;
   if (usage) {
     poptPrintUsage(context, stderr, 0);
   }
@@ -113,7 +135,10 @@
   options.daemons = most != 0 ? MostDaemons() : daemons;
   options.duration = std::chrono::seconds(seconds);
   options.first_port = first_port;
-  options.program = absl::StrCat(FIGFLOW_BIN_DIR, "/figflowd");
+  options.shape = shape;
+  options.program = other_program != nullptr
+                        ? std::string(other_program)
+                        : absl::StrCat(FIGFLOW_BIN_DIR, "/figflowd");
   options.interrupted = &interrupted;
   // The daemons end with the run.
   std::signal(SIGINT, &Interrupt);
@@ -121,7 +146,7 @@
   int broken = 0;
   for (int i = 0; i < seeds && !interrupted; ++i) {
     options.seed = static_cast<uint64_t>(seed) + static_cast<uint64_t>(i);
-    broken += RunSeed(options) ? 0 : 1;
+    broken += RunSeed(options, keep_logs != 0) ? 0 : 1;
   }
   std::cout << broken << " of " << seeds << " seeds broke a promise"
             << std::endl;
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -1,5 +1,6 @@
 #include "Soak/soak_run.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <memory>
@@ -22,11 +23,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kPools = 3;
-constexpr int kInstancesPerPool = 4;
+constexpr char kSparePool[] = "spare";
 constexpr Resources kInstanceSize{4'000, 64'000, 0};
-// Lives of workers share these relays.
-constexpr int kWorkerRelays = 24;
+// Lives of workers share the relays: as many as there are instances, and no
+// fewer than this.
+constexpr int kMinWorkerRelays = 24;
+constexpr milliseconds kCallInterval{150};
+constexpr milliseconds kHeartbeatInterval{1'500};
+constexpr milliseconds kEntriesKept{4'500};
+// Instances that come from the spare pool are up for about half of it.
+constexpr milliseconds kPeak{3'000};
 // Worker clocks run up to 2% slow (platform contract).
 constexpr double kSlowestClock = 0.98;
 constexpr milliseconds kStoreLatencies[] = {milliseconds(4), milliseconds(50),
@@ -52,6 +58,7 @@
 
  private:
   void SetUp();
+  void AddInstances(const std::string& pool, int count);
   void Report(const std::string& what);
   void Trace(const std::string& line);
   void Check();
@@ -74,7 +81,7 @@
   Disturbance disturbance_;
   SoakReport report_;
   size_t promises_seen_ = 0;
-  FleetPlan plan_ = model::SimplePlan(kPools);
+  FleetPlan plan_ = model::SimplePlan(options_.shape.pools);
   std::vector<std::string> pools_;
   std::vector<std::string> instance_ids_;
   RealTime loop_;
@@ -125,18 +132,20 @@
 }
 
 void SoakRun::SetUp() {
+  const SoakShape& shape = options_.shape;
   const int relay_port =
       options_.first_port + options_.daemons * kPortsPerDaemon;
-  for (int i = 0; i < kWorkerRelays; ++i) {
+  const int relays = std::max(kMinWorkerRelays, shape.instances());
+  for (int i = 0; i < relays; ++i) {
     worker_relays_.push_back(std::make_unique<test::TcpRelay>(
         static_cast<uint16_t>(relay_port + i), front_.port()));
   }
   workers_.SetRegistry(
-      {kRegistryPrefix, [relay_port](WorkerReport report) {
+      {kRegistryPrefix, [relay_port, relays](WorkerReport report) {
          int number = 0;
          (void)absl::SimpleAtoi(report.key.id.substr(1), &number);
          report.address =
-             absl::StrCat("127.0.0.1:", relay_port + number % kWorkerRelays);
+             absl::StrCat("127.0.0.1:", relay_port + number % relays);
          return FormatWorker(report);
        }});
   workers_.behaviour = [this](const TaskName& /*task*/) {
@@ -152,17 +161,20 @@
       kStoreLatencies[random_() % std::size(kStoreLatencies)];
   promises_.SetPlan(plan_);
   store_.Put(kPlanKey, FormatPlan(plan_));
-  for (int pool = 0; pool < kPools; ++pool) {
+  for (int pool = 0; pool < shape.pools; ++pool) {
     pools_.push_back(absl::StrCat("p", pool));
-    for (int i = 0; i < kInstancesPerPool; ++i) {
-      workers_.SetClockRate(
-          std::uniform_real_distribution<double>(kSlowestClock, 1)(random_));
-      instance_ids_.push_back(instances_.Add(pools_.back(), kInstanceSize));
-    }
+    AddInstances(pools_.back(), shape.instances_per_pool);
+  }
+  if (!shape.IsDefault()) {
+    instances_.SetSparePool(kSparePool);
+    AddInstances(kSparePool, shape.spare);
+    workers_.StartHeartbeats(kHeartbeatInterval, kEntriesKept);
   }
   daemons_.StartAll();
   CallerOptions callers;
-  callers.queues = kPools;
+  callers.queues = shape.pools;
+  callers.interval = kCallInterval / shape.load;
+  callers.peak = shape.spare > 0 ? kPeak : milliseconds(0);
   for (int i = 0; i < daemons_.count(); ++i) {
     callers.addresses.push_back(daemons_.CallerAddress(i));
   }
@@ -188,6 +200,14 @@
   time_.After(kCheckInterval, [this] { Check(); });
 }
 
+void SoakRun::AddInstances(const std::string& pool, int count) {
+  for (int i = 0; i < count; ++i) {
+    workers_.SetClockRate(
+        std::uniform_real_distribution<double>(kSlowestClock, 1)(random_));
+    instance_ids_.push_back(instances_.Add(pool, kInstanceSize));
+  }
+}
+
 void SoakRun::Check() {
   const std::vector<std::string>& broken = promises_.broken();
   for (; promises_seen_ < broken.size(); ++promises_seen_) {
@@ -249,10 +269,18 @@
     report_.calls = callers_->counts();
     report_.completed = promises_.completed();
     report_.faults = faults_->counts();
+    report_.lag = loop_.LongestLag();
   });
   return report_;
 }
 
+bool SoakShape::IsDefault() const {
+  const SoakShape usual;
+  return pools == usual.pools &&
+         instances_per_pool == usual.instances_per_pool &&
+         spare == usual.spare && load == usual.load;
+}
+
 SoakReport RunSoak(const SoakOptions& options) {
   SoakRun run(options);
   return run.Run();
--- a/Source/Soak/soak_run.h
+++ b/Source/Soak/soak_run.h
@@ -11,12 +11,27 @@
 
 namespace figflow::soak {
 
+// Size and load of the deployment. Another one than the default has heartbeats
+// of workers, and faults and peaks of its own.
+struct SoakShape {
+  int pools = 3;
+  int instances_per_pool = 4;
+  // Instances in the spare pool.
+  int spare = 0;
+  // Factor on the callers' rate.
+  int load = 1;
+
+  int instances() const { return pools * instances_per_pool + spare; }
+  bool IsDefault() const;
+};
+
 struct SoakOptions {
   uint64_t seed = 1;
   // Time with faults. The first quarter, and all of it for each fifth seed, has
   // planned work only.
   std::chrono::seconds duration{20};
   int daemons = 3;
+  SoakShape shape;
   int first_port = 0;
   std::string program;
   // Ends the run early once true; null for never.
@@ -32,6 +47,8 @@
   int completed = 0;
   // From the end of the faults until all had ended.
   std::chrono::milliseconds settle{0};
+  // The longest time by which the models were behind real time.
+  std::chrono::milliseconds lag{0};
   std::map<std::string, int> faults;
 };
 
