Reset the store's connections of all daemons in the soak

Cause: an incident was seen while the store reset its connections of all daemons beside hand-overs. The soak resets the link of one daemon at a time.

Change: the fault store-reset-all resets the links of all daemons within 15 ms, 3 to 8 times, 0.1 to 0.7 s apart, and stops 1 to 4 daemons meanwhile.

--- a/Source/Soak/faults.cc
+++ b/Source/Soak/faults.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kLatestWrite{6'000};
 // A stop does not disturb: callers may rely on whole answers.
 constexpr milliseconds kNoDisturbance{0};
+// The links of all daemons to the store are reset within this time.
+constexpr milliseconds kResetSpread{15};
 
 }  // namespace
 
@@ -52,7 +54,8 @@
     {"worker-answers", 2, false, &FaultInjector::LoseWorkerAnswers},
     {"worker-late-orders", 2, false, &FaultInjector::LateOrders},
     {"worker-sick", 1, false, &FaultInjector::SickWorker},
-    {"maintenance", 1, false, &FaultInjector::RequestMaintenance}};
+    {"maintenance", 1, false, &FaultInjector::RequestMaintenance},
+    {"store-reset-all", 12, false, &FaultInjector::ResetAllStoreLinks, true}};
 
 FaultInjector::FaultInjector(FaultTargets targets,
                              Duration mean_gap,
@@ -96,14 +99,20 @@
   });
 }
 
+int FaultInjector::WeightOf(const Kind& kind) const {
+  const bool drawn = (kind.planned || !planned_only_) &&
+                     (!kind.other_shape || targets_.other_shape);
+  return drawn ? kind.weight : 0;
+}
+
 void FaultInjector::InjectOne() {
   int weights = 0;
   for (const Kind& kind : kKinds) {
-    weights += planned_only_ && !kind.planned ? 0 : kind.weight;
+    weights += WeightOf(kind);
   }
   int drawn = Random(0, weights - 1);
   for (const Kind& kind : kKinds) {
-    drawn -= planned_only_ && !kind.planned ? 0 : kind.weight;
+    drawn -= WeightOf(kind);
     if (drawn >= 0) {
       continue;
     }
@@ -247,6 +256,30 @@
   return milliseconds(1);
 }
 
+milliseconds FaultInjector::ResetAllStoreLinks() {
+  model::VirtualTime& time = targets_.models.time;
+  const int resets = Random(3, 8);
+  const Duration gap = RandomTime(100, 700);
+  const Duration all = gap * resets;
+  for (int i = 0; i < resets; ++i) {
+    for (int daemon = 0; daemon < targets_.daemons.count(); ++daemon) {
+      const Duration spread =
+          RandomTime(0, static_cast<int>(kResetSpread.count()));
+      time.After(gap * i + spread, [this, daemon] {
+        targets_.daemons.StoreRelay(daemon).Reset();
+      });
+    }
+  }
+  const int stops = Random(1, std::min(4, targets_.daemons.count() - 1));
+  for (int i = 0; i < stops; ++i) {
+    time.After(RandomTime(0, static_cast<int>(all.count())),
+               [this, daemon = RandomDaemon()] {
+                 targets_.daemons.Stop(daemon, milliseconds(300));
+               });
+  }
+  return all;
+}
+
 milliseconds FaultInjector::SilenceStoreLink() {
   targets_.daemons.StoreRelay(RandomDaemon()).Silence();
   return milliseconds(1);
--- a/Source/Soak/faults.h
+++ b/Source/Soak/faults.h
@@ -27,6 +27,8 @@
   FleetPlan plan;
   Disturbance& disturbance;
   std::function<void(const std::string& line)> trace;
+  // Kinds that the default shape does not have are drawn, too.
+  bool other_shape = false;
 };
 
 // Injects faults at random times, in series and overlapping. Used on the
@@ -53,11 +55,15 @@
     bool planned;
     // Returns for how long it disturbs.
     Duration (FaultInjector::*inject)();
+    // In other shapes than the default only, whose seeds stay as they are.
+    bool other_shape = false;
   };
   static const Kind kKinds[];
 
   void ScheduleNext();
   void InjectOne();
+  // The weight of the kind among those that may be drawn now.
+  int WeightOf(const Kind& kind) const;
 
   Duration StopOne();
   Duration StopSeveral();
@@ -70,6 +76,7 @@
   Duration PauseAndStop();
   Duration DelayStoreLink();
   Duration ResetStoreLink();
+  Duration ResetAllStoreLinks();
   Duration SilenceStoreLink();
   Duration CutStoreLink();
   Duration CutStoreLinkOneWay();
--- a/Source/Soak/soak_run.cc
+++ b/Source/Soak/soak_run.cc
@@ -191,7 +191,8 @@
                    instance_ids_,
                    plan_,
                    disturbance_,
-                   [this](const std::string& line) { Trace(line); }},
+                   [this](const std::string& line) { Trace(line); },
+                   !shape.IsDefault()},
       kFaultGap, random_());
   faults_->StartPlanned();
   if (options_.seed % kPlannedOnlySeeds != 0) {
