Make the soak's peaks of many tasks, and reset connections more often

Cause: tasks as large as an instance gave each worker one task; workers of the incident had up to 12.

Change: jobs of a peak have 16 more tasks in each stage, of the usual sizes. store-reset-all has the weight 30.

--- a/Source/Soak/callers.cc
+++ b/Source/Soak/callers.cc
@@ -27,9 +27,8 @@
 constexpr milliseconds kStableWindow{3'000};
 // Share of the jobs that go to the queue of the peak.
 constexpr double kPeakShare = 0.8;
-// Added to each stage of these jobs, whose tasks are as large as an instance.
-constexpr int kMorePeakTasks = 5;
-constexpr int64_t kPeakTaskMillicores = 4'000;
+// Added to each stage of these jobs.
+constexpr int kMorePeakTasks = 16;
 
 }  // namespace
 
@@ -94,7 +93,6 @@
   for (StageSpec& stage : spec->stages) {
     if (!stage.gang && !stage.perpetual) {
       stage.count += kMorePeakTasks;
-      stage.per_task.cpu_millicores = kPeakTaskMillicores;
     }
   }
 }
--- a/Source/Soak/faults.cc
+++ b/Source/Soak/faults.cc
@@ -55,7 +55,7 @@
     {"worker-late-orders", 2, false, &FaultInjector::LateOrders},
     {"worker-sick", 1, false, &FaultInjector::SickWorker},
     {"maintenance", 1, false, &FaultInjector::RequestMaintenance},
-    {"store-reset-all", 12, false, &FaultInjector::ResetAllStoreLinks, true}};
+    {"store-reset-all", 30, false, &FaultInjector::ResetAllStoreLinks, true}};
 
 FaultInjector::FaultInjector(FaultTargets targets,
                              Duration mean_gap,
