Lose the controller of instances beside stale registries in the soak

Cause: nothing in the soak made an old report of a pool meet a finished move.

Change: the fault controller-lost keeps up to 6 daemons from learning of changes of the registry for 2 to 9 s and kills the owner of the instances meanwhile. Only other shapes than the default draw it.

--- a/Source/Soak/faults.cc
+++ b/Source/Soak/faults.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "Ownership/owner_record.h"
 #include "Soak/wire_format.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
 
 namespace figflow::soak {
 namespace {
@@ -21,6 +24,9 @@
 // The links of all daemons to the store are reset within this time.
 constexpr milliseconds kResetSpread{15};
 
+// Daemons whose watches of the registry get no response at once.
+constexpr int kMaxSilentDaemons = 6;
+
 }  // namespace
 
 const FaultInjector::Kind FaultInjector::kKinds[] = {
@@ -55,7 +61,8 @@
     {"worker-late-orders", 2, false, &FaultInjector::LateOrders},
     {"worker-sick", 1, false, &FaultInjector::SickWorker},
     {"maintenance", 1, false, &FaultInjector::RequestMaintenance},
-    {"store-reset-all", 30, false, &FaultInjector::ResetAllStoreLinks, true}};
+    {"store-reset-all", 30, false, &FaultInjector::ResetAllStoreLinks, true},
+    {"controller-lost", 15, false, &FaultInjector::LoseController, true}};
 
 FaultInjector::FaultInjector(FaultTargets targets,
                              Duration mean_gap,
@@ -280,6 +287,34 @@
   return all;
 }
 
+int FaultInjector::Controller() const {
+  const StoreItem* item = targets_.models.store.Find(OwnerKey(kInstancesScope));
+  const Result<OwnerRecord> record =
+      ParseOwnerRecord(item != nullptr ? item->value : "");
+  int daemon = -1;
+  const bool known =
+      record &&
+      absl::SimpleAtoi(absl::StripPrefix(record->entry, "entry-"), &daemon);
+  return known ? daemon : -1;
+}
+
+// Some daemons do not learn of its last moves by the registry either.
+milliseconds FaultInjector::LoseController() {
+  const Duration duration = RandomTime(2'000, 9'000);
+  const int silent = Random(1, kMaxSilentDaemons);
+  for (int i = 0; i < silent; ++i) {
+    model::ModelNode& node = targets_.daemons.Node(RandomDaemon());
+    node.silent_prefix = kRegistryPrefix;
+    Undo(duration, [&node] { node.silent_prefix.clear(); });
+  }
+  targets_.models.time.After(RandomTime(500, 2'000), [this] {
+    if (const int controller = Controller(); controller >= 0) {
+      targets_.daemons.Kill(controller, milliseconds(300));
+    }
+  });
+  return duration;
+}
+
 milliseconds FaultInjector::SilenceStoreLink() {
   targets_.daemons.StoreRelay(RandomDaemon()).Silence();
   return milliseconds(1);
--- a/Source/Soak/faults.h
+++ b/Source/Soak/faults.h
@@ -77,6 +77,7 @@
   Duration DelayStoreLink();
   Duration ResetStoreLink();
   Duration ResetAllStoreLinks();
+  Duration LoseController();
   Duration SilenceStoreLink();
   Duration CutStoreLink();
   Duration CutStoreLinkOneWay();
@@ -105,6 +106,8 @@
   test::TcpRelay& RandomWorkerRelay();
   // Runs `undo` after `duration`, or at the end of all faults.
   void Undo(Duration duration, const std::function<void()>& undo);
+  // The daemon that owns the instances by the store; -1 if there is none.
+  int Controller() const;
   int RandomDaemon() { return Random(0, targets_.daemons.count() - 1); }
   int Random(int low, int high);
   Duration RandomTime(int low_ms, int high_ms) {
