Merge the shapes of the soak

Cause: the soak of real processes had no split pools, few workers and no moves.

Change: joins the options for the shape, and the faults that act beside moves.

--- a/Source/Soak/faults.cc
+++ b/Source/Soak/faults.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "Ownership/owner_record.h"
 #include "Soak/wire_format.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
 
 namespace figflow::soak {
 namespace {
@@ -18,6 +21,11 @@
 constexpr milliseconds kLatestWrite{6'000};
 // A stop does not disturb: callers may rely on whole answers.
 constexpr milliseconds kNoDisturbance{0};
+// The links of all daemons to the store are reset within this time.
+constexpr milliseconds kResetSpread{15};
+
+// Daemons whose watches of the registry get no response at once.
+constexpr int kMaxSilentDaemons = 6;
 
 }  // namespace
 
@@ -52,7 +60,9 @@
     {"worker-answers", 2, false, &FaultInjector::LoseWorkerAnswers},
     {"worker-late-orders", 2, false, &FaultInjector::LateOrders},
     {"worker-sick", 1, false, &FaultInjector::SickWorker},
-    {"maintenance", 1, false, &FaultInjector::RequestMaintenance}};
+    {"maintenance", 1, false, &FaultInjector::RequestMaintenance},
+    {"store-reset-all", 30, false, &FaultInjector::ResetAllStoreLinks, true},
+    {"controller-lost", 15, false, &FaultInjector::LoseController, true}};
 
 FaultInjector::FaultInjector(FaultTargets targets,
                              Duration mean_gap,
@@ -96,14 +106,20 @@
   });
 }
 
+int FaultInjector::WeightOf(const Kind& kind) const {
+  const bool drawn = (kind.planned || !planned_only_) &&
+                     (!kind.other_shape || targets_.other_shape);
+  return drawn ? kind.weight : 0;
+}
+
 void FaultInjector::InjectOne() {
   int weights = 0;
   for (const Kind& kind : kKinds) {
-    weights += planned_only_ && !kind.planned ? 0 : kind.weight;
+    weights += WeightOf(kind);
   }
   int drawn = Random(0, weights - 1);
   for (const Kind& kind : kKinds) {
-    drawn -= planned_only_ && !kind.planned ? 0 : kind.weight;
+    drawn -= WeightOf(kind);
     if (drawn >= 0) {
       continue;
     }
@@ -247,6 +263,58 @@
   return milliseconds(1);
 }
 
+milliseconds FaultInjector::ResetAllStoreLinks() {
+  model::VirtualTime& time = targets_.models.time;
+  const int resets = Random(3, 8);
+  const Duration gap = RandomTime(100, 700);
+  const Duration all = gap * resets;
+  for (int i = 0; i < resets; ++i) {
+    for (int daemon = 0; daemon < targets_.daemons.count(); ++daemon) {
+      const Duration spread =
+          RandomTime(0, static_cast<int>(kResetSpread.count()));
+      time.After(gap * i + spread, [this, daemon] {
+        targets_.daemons.StoreRelay(daemon).Reset();
+      });
+    }
+  }
+  const int stops = Random(1, std::min(4, targets_.daemons.count() - 1));
+  for (int i = 0; i < stops; ++i) {
+    time.After(RandomTime(0, static_cast<int>(all.count())),
+               [this, daemon = RandomDaemon()] {
+                 targets_.daemons.Stop(daemon, milliseconds(300));
+               });
+  }
+  return all;
+}
+
+int FaultInjector::Controller() const {
+  const StoreItem* item = targets_.models.store.Find(OwnerKey(kInstancesScope));
+  const Result<OwnerRecord> record =
+      ParseOwnerRecord(item != nullptr ? item->value : "");
+  int daemon = -1;
+  const bool known =
+      record &&
+      absl::SimpleAtoi(absl::StripPrefix(record->entry, "entry-"), &daemon);
+  return known ? daemon : -1;
+}
+
+// Some daemons do not learn of its last moves by the registry either.
+milliseconds FaultInjector::LoseController() {
+  const Duration duration = RandomTime(2'000, 9'000);
+  const int silent = Random(1, kMaxSilentDaemons);
+  for (int i = 0; i < silent; ++i) {
+    model::ModelNode& node = targets_.daemons.Node(RandomDaemon());
+    node.silent_prefix = kRegistryPrefix;
+    Undo(duration, [&node] { node.silent_prefix.clear(); });
+  }
+  targets_.models.time.After(RandomTime(500, 2'000), [this] {
+    if (const int controller = Controller(); controller >= 0) {
+      targets_.daemons.Kill(controller, milliseconds(300));
+    }
+  });
+  return duration;
+}
+
 milliseconds FaultInjector::SilenceStoreLink() {
   targets_.daemons.StoreRelay(RandomDaemon()).Silence();
   return milliseconds(1);
--- a/Source/Soak/faults.h
+++ b/Source/Soak/faults.h
@@ -27,6 +27,8 @@
   FleetPlan plan;
   Disturbance& disturbance;
   std::function<void(const std::string& line)> trace;
+  // Kinds that the default shape does not have are drawn, too.
+  bool other_shape = false;
 };
 
 // Injects faults at random times, in series and overlapping. Used on the
@@ -53,11 +55,15 @@
     bool planned;
     // Returns for how long it disturbs.
     Duration (FaultInjector::*inject)();
+    // In other shapes than the default only, whose seeds stay as they are.
+    bool other_shape = false;
   };
   static const Kind kKinds[];
 
   void ScheduleNext();
   void InjectOne();
+  // The weight of the kind among those that may be drawn now.
+  int WeightOf(const Kind& kind) const;
 
   Duration StopOne();
   Duration StopSeveral();
@@ -70,6 +76,8 @@
   Duration PauseAndStop();
   Duration DelayStoreLink();
   Duration ResetStoreLink();
+  Duration ResetAllStoreLinks();
+  Duration LoseController();
   Duration SilenceStoreLink();
   Duration CutStoreLink();
   Duration CutStoreLinkOneWay();
@@ -98,6 +106,8 @@
   test::TcpRelay& RandomWorkerRelay();
   // Runs `undo` after `duration`, or at the end of all faults.
   void Undo(Duration duration, const std::function<void()>& undo);
+  // The daemon that owns the instances by the store; -1 if there is none.
+  int Controller() const;
   int RandomDaemon() { return Random(0, targets_.daemons.count() - 1); }
   int Random(int low, int high);
   Duration RandomTime(int low_ms, int high_ms) {
