--- a/Source/UnitTests/Scheduling/reported_ends_test.cc
+++ b/Source/UnitTests/Scheduling/reported_ends_test.cc
@@ -42,7 +42,7 @@
     driver.Submit("job");
     driver.Write();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
-    const StartOrder start = driver.RespondToStart();
+    StartOrder start = driver.RespondToStart();
     driver.ListWorker("b");
     driver.RespondToHold("b", WorkerStatus());
     return start;
