Share the order of a test and correct a comment

Cause: two tests of ends wrote the same six lines, and a comment named partitions where two pools report a worker on one instance.

Change: OrderOnA serves both tests; the assertions stay. No behaviour changes.

--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -268,7 +268,7 @@
     send_by = lease_valid_until_;
     for (InstanceMove& move : moves_to_send_) {
       const std::string worker = WorkerOn(move.instance).key.id;
-      // Two partitions may report a worker on the same instance.
+      // Two pools may report a worker on the same instance.
       if (!pending_moves_
                .emplace(move.instance, PendingMove{move.pool, now, worker})
                .second) {
--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -374,12 +374,7 @@
   // under its id, and its next incarnation accepts an order before it is known.
   void NextIncarnationMayHaveAcceptedOrder() {
     SchedulerDriver driver(kStart);
-    driver.ListWorker("a");
-    driver.RespondToHold("a", WorkerStatus());
-    driver.Submit("job");
-    driver.Write();
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
-    PlanSecondRun(driver);
+    OrderOnA(driver);
     driver.RespondToStart();
     driver.ListWorker("a", 2);
     ExpectStartAfterStop(driver);
@@ -398,15 +393,19 @@
   }
 
  private:
-  // Orders a task on worker "a" and drops the response. Worker "b" has free
-  // capacity.
-  static void DropResponseToOrder(SchedulerDriver& driver) {
+  // Orders a task on worker "a". Worker "b" has free capacity.
+  static void OrderOnA(SchedulerDriver& driver) {
     driver.ListWorker("a");
     driver.RespondToHold("a", WorkerStatus());
     driver.Submit("job");
     driver.Write();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, driver.starts.size());
     PlanSecondRun(driver);
+  }
+
+  // Orders a task on worker "a" and drops the response.
+  static void DropResponseToOrder(SchedulerDriver& driver) {
+    OrderOnA(driver);
     driver.DropStartResponse();
   }
 
