Review case 10: jobs that cannot be done exclude every sound executor

Cause: an executor gets no tasks for 2 to 16 s after two failures in a row, also if all failures are of one job that fails everywhere.

--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,9 +1,6 @@
-// Upkeep of a machine stops one member of a gang that saves its progress.
-#include <map>
-#include <set>
+// Two of 43 jobs have tasks that always fail; then a task that lasts ends.
 #include <string>
 #include <thread>
-#include <utility>
 
 #include "../standin-2/play.h"
 
@@ -12,83 +9,96 @@
 using namespace standin;
 
 constexpr char kPool[] = "mill";
-constexpr int kMembers = 3;
-constexpr int64_t kWork = 12000;
-constexpr int64_t kPlay = 40000;
+constexpr int kExecutors = 8;
+constexpr int kLastingTasks = 5;
+constexpr int kLastingCpu = 2000;
+constexpr int kPoisonTasks = 24;
+constexpr int kPoisonCpu = 20000;
+constexpr int kShortCpu = 1000;
+constexpr int kShortJobs = 40;
+constexpr int kLasting = 1;
+constexpr int kPoison = 1000;
+constexpr int kPoison2 = 1001;
+// After the end of the traffic.
+constexpr int64_t kFinish = 14000;
+constexpr int64_t kLastingEnds = 18000;
+// A task that lasts runs again this long after its last run.
+constexpr int64_t kAgain = 6000 + 3000;
+
+bool IsOf(const std::string& task, int job) {
+  return task.rfind(JobId(job), 0) == 0;
+}
+
+bool IsPoison(const std::string& task) {
+  return IsOf(task, kPoison) || IsOf(task, kPoison2);
+}
 
 }  // namespace
 
 int main(int count, char** arguments) {
   Play play(count, arguments);
-  play.platform.cpu_of = [](const std::string&) { return 8000; };
-  play.platform.behaviour = [](const std::string&) {
+  play.platform.cpu_of = [](const std::string& task) {
+    return IsOf(task, kLasting) ? kLastingCpu
+           : IsPoison(task)     ? kPoisonCpu
+                                : kShortCpu;
+  };
+  play.platform.behaviour = [](const std::string& task) {
     Behaviour behaviour;
-    behaviour.work_ms = kWork;
-    behaviour.gang = kMembers;
-    behaviour.saves = true;
+    behaviour.work_ms = 300;
+    behaviour.fails = IsPoison(task) && WithTrouble();
+    if (IsOf(task, kLasting)) {
+      behaviour.work_ms = 1'000'000;
+      behaviour.lasts = true;
+    }
     return behaviour;
   };
-  for (int i = 1; i <= kMembers + 1; ++i) {
+  for (int i = 1; i <= kExecutors; ++i) {
     play.cloud.Add("m-" + std::to_string(i), kPool, false);
   }
   play.Configure({kPool});
   if (!play.StartDaemons(3)) {
     play.Finish(kCouldNotRun, "the daemons did not become ready");
   }
-  const json job = {{"Spec", "pulp"},
-                    {"Steps",
-                     {{{"Count", kMembers},
-                       {"Cpu", 8000},
-                       {"MemMb", 1024},
-                       {"EstimateMs", kWork},
-                       {"Gang", true},
-                       {"SavesProgress", true},
-                       {"MaxPerServer", 1}}}}};
-  if (!play.Submit(kPool, JobId(1), job)) {
-    play.Finish(kCouldNotRun, "the job was not accepted");
-  }
-  SleepUntil(NowMs() + 4000);
-  if (WithTrouble()) {
-    std::string machine;
-    for (int i = 1; machine.empty() && i <= kMembers + 1; ++i) {
-      const std::lock_guard<std::mutex> lock(play.platform.mutex);
-      for (const RunSeen& run : play.platform.runs) {
-        if (run.executor == "i-" + std::to_string(i)) {
-          machine = "m-" + std::to_string(i);
-        }
-      }
+  const auto job = [](int tasks, int cpu, bool lasts) {
+    json step = {
+        {"Count", tasks}, {"Cpu", cpu}, {"MemMb", 64}, {"EstimateMs", 300}};
+    if (lasts) {
+      step["Perpetual"] = true;
+      step["MaxPerServer"] = 1;
     }
-    play.record.Line("a wave asks for the upkeep of " + machine);
-    play.store.Put("op/wave/1", {{"Wave", 1},
-                                 {"Machines", {machine}},
-                                 {"CompleteByS", 26},
-                                 {"Cap", 1}});
+    return json{{"Spec", "pulp"}, {"Steps", {step}}};
+  };
+  bool accepted = play.Submit(kPool, JobId(kLasting),
+                              job(kLastingTasks, kLastingCpu, true));
+  for (int i = 1; i <= kShortJobs; ++i) {
+    accepted = accepted && play.Submit(kPool, JobId(kLasting + i),
+                                       job(6, kShortCpu, false));
   }
-  const int64_t until = NowMs() + kPlay;
-  std::string state;
-  while (NowMs() < until && state != "completed") {
-    SleepUntil(NowMs() + 500);
-    state = play.State(kPool, JobId(1));
+  SleepUntil(NowMs() + 2000);
+  for (const int id : {kPoison, kPoison2}) {
+    accepted = accepted && play.Submit(kPool, JobId(id),
+                                       job(kPoisonTasks, kPoisonCpu, false));
   }
-  const std::lock_guard<std::mutex> lock(play.platform.mutex);
-  // Values with which the members of each run of the gang were started.
-  std::map<uint32_t, std::set<std::string>> values;
-  for (const RunSeen& run : play.platform.runs) {
-    values[run.run].insert(run.checkpoint);
+  if (!accepted) {
+    play.Finish(kCouldNotRun, "a job was not accepted");
   }
-  int mixed = 0;
-  for (const auto& [run, checkpoints] : values) {
-    std::string list;
-    for (const std::string& value : checkpoints) {
-      list += " '" + value + "'";
+  const int64_t end_of_traffic = NowMs();
+  SleepUntil(end_of_traffic + kLastingEnds);
+  const std::string task = JobId(kLasting) + ".0.0.0";
+  play.platform.Fail(task);
+  const int64_t ended = NowMs();
+  int64_t again = -1;
+  while (again < 0 && NowMs() < ended + 25000) {
+    SleepUntil(NowMs() + 50);
+    const std::lock_guard<std::mutex> lock(play.platform.mutex);
+    for (const RunSeen& run : play.platform.runs) {
+      again = run.task == task && run.began > ended ? run.began : again;
     }
-    play.record.Line("run " + std::to_string(run) + " was started with" + list);
-    mixed += checkpoints.size() > 1 ? 1 : 0;
   }
-  play.Finish(mixed > 0              ? kBroken
-              : state == "completed" ? kHeld
-                                     : kCouldNotRun,
-              std::to_string(values.size()) + " runs of the gang, " +
-                  std::to_string(mixed) +
-                  " of them started with different checkpoints, job " + state);
+  const int64_t gap = (again < 0 ? NowMs() : again) - ended;
+  play.Finish(gap > kAgain ? kBroken : kHeld,
+              "the task that lasts ran again after " + std::to_string(gap) +
+                  " ms, jobs of failing tasks " +
+                  play.State(kPool, JobId(kPoison)) + " and " +
+                  play.State(kPool, JobId(kPoison2)));
 }
