--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -1,4 +1,4 @@
-// Two of 43 jobs have tasks that always fail; then a task that lasts ends.
+// Three of 64 jobs have tasks that always fail; then a task that lasts ends.
 #include <string>
 #include <thread>
 
@@ -13,12 +13,15 @@
 constexpr int kLastingTasks = 5;
 constexpr int kLastingCpu = 2000;
 constexpr int kPoisonTasks = 24;
-constexpr int kPoisonCpu = 20000;
-constexpr int kShortCpu = 1000;
-constexpr int kShortJobs = 40;
+constexpr int kPoisonCpu = 11000;
+constexpr int kShortCpu = 3500;
+constexpr int kShortJobs = 60;
 constexpr int kLasting = 1;
 constexpr int kPoison = 1000;
 constexpr int kPoison2 = 1001;
+constexpr int kPoison3 = 1002;
+// All jobs but the lasting one are handed in within this time.
+constexpr int64_t kSpan = 3000;
 // After the end of the traffic.
 constexpr int64_t kFinish = 14000;
 constexpr int64_t kLastingEnds = 18000;
@@ -30,7 +33,7 @@
 }
 
 bool IsPoison(const std::string& task) {
-  return IsOf(task, kPoison) || IsOf(task, kPoison2);
+  return IsOf(task, kPoison) || IsOf(task, kPoison2) || IsOf(task, kPoison3);
 }
 
 }  // namespace
@@ -70,18 +73,23 @@
   };
   bool accepted = play.Submit(kPool, JobId(kLasting),
                               job(kLastingTasks, kLastingCpu, true));
+  const int64_t begin = NowMs();
   for (int i = 1; i <= kShortJobs; ++i) {
     accepted = accepted && play.Submit(kPool, JobId(kLasting + i),
                                        job(6, kShortCpu, false));
   }
-  SleepUntil(NowMs() + 2000);
-  for (const int id : {kPoison, kPoison2}) {
+  // The short tasks have ended by then.
+  SleepUntil(NowMs() + 700);
+  for (const int id : {kPoison, kPoison2, kPoison3}) {
     accepted = accepted && play.Submit(kPool, JobId(id),
                                        job(kPoisonTasks, kPoisonCpu, false));
   }
   if (!accepted) {
     play.Finish(kCouldNotRun, "a job was not accepted");
   }
+  if (NowMs() > begin + kSpan) {
+    play.Finish(kCouldNotRun, "the jobs took too long to hand in");
+  }
   const int64_t end_of_traffic = NowMs();
   SleepUntil(end_of_traffic + kLastingEnds);
   const std::string task = JobId(kLasting) + ".0.0.0";
@@ -99,6 +107,7 @@
   play.Finish(gap > kAgain ? kBroken : kHeld,
               "the task that lasts ran again after " + std::to_string(gap) +
                   " ms, jobs of failing tasks " +
-                  play.State(kPool, JobId(kPoison)) + " and " +
-                  play.State(kPool, JobId(kPoison2)));
+                  play.State(kPool, JobId(kPoison)) + ", " +
+                  play.State(kPool, JobId(kPoison2)) + ", " +
+                  play.State(kPool, JobId(kPoison3)));
 }
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,10 +1,13 @@
 // A start order without an answer is carried out late, by the next life of its
 // executor.
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "../standin-2/play.h"
 
@@ -15,10 +18,18 @@
 constexpr char kPool[] = "mill";
 constexpr char kTask[] = "0000000000000001.0.0.0";
 constexpr int64_t kWork = 14000;
+constexpr int64_t kShortWork = 300;
+// One of them crashes.
+constexpr int kExecutors = 17;
+// Beside the task, so that its first order is a small share of all.
+constexpr int kShortJobs = 12;
+constexpr int kShortTasks = 2;
+// Span in which orders are counted.
+constexpr int64_t kOrders = 5500;
 // After the first start order.
 constexpr int64_t kCrashAt = 1000;
-constexpr int64_t kAgainAt = 7000;
-constexpr int64_t kCarriedOutAt = 9000;
+constexpr int64_t kAgainAt = 5500;
+constexpr int64_t kCarriedOutAt = 7500;
 constexpr int64_t kPlay = 25000;
 
 // The address of an executor's machine. Its lives come one after the other.
@@ -65,10 +76,17 @@
   // The machine that got the first start order of the task, and when.
   static std::atomic<Machine*> victim;
   static std::atomic<int64_t> first_order;
+  // Start orders in the span that begins with it.
+  static std::atomic<int> orders;
 
  private:
   Response Handle(const Request& request) {
-    if (request.Path() == "/-/run-start" && victim == nullptr) {
+    const bool start = request.Path() == "/-/run-start";
+    const bool of_task = start && request.Json().value("Task", "") == kTask;
+    if (start && (first_order == 0 || NowMs() < first_order + kOrders)) {
+      ++orders;
+    }
+    if (of_task && victim == nullptr) {
       held_ = request;
       victim = this;
       first_order = NowMs();
@@ -95,29 +113,42 @@
 
 std::atomic<Machine*> Machine::victim{nullptr};
 std::atomic<int64_t> Machine::first_order{0};
+std::atomic<int> Machine::orders{0};
 
 }  // namespace
 
 int main(int count, char** arguments) {
   Play play(count, arguments);
   play.platform.cpu_of = [](const std::string&) { return 1000; };
-  play.platform.behaviour = [](const std::string&) {
+  play.platform.behaviour = [](const std::string& task) {
     Behaviour behaviour;
-    behaviour.work_ms = kWork;
+    behaviour.work_ms = task == kTask ? kWork : kShortWork;
     return behaviour;
   };
-  const Machine first(&play, "i-1");
-  const Machine second(&play, "i-2");
+  std::vector<std::unique_ptr<Machine>> machines;
+  for (int i = 1; i <= kExecutors; ++i) {
+    machines.push_back(
+        std::make_unique<Machine>(&play, "i-" + std::to_string(i)));
+  }
   play.Configure({kPool});
   if (!play.StartDaemons(3)) {
     play.Finish(kCouldNotRun, "the daemons did not become ready");
   }
-  const json job = {
-      {"Spec", "pulp"},
-      {"Steps",
-       {{{"Count", 1}, {"Cpu", 1000}, {"MemMb", 64}, {"EstimateMs", kWork}}}}};
-  if (!play.Submit(kPool, JobId(1), job)) {
-    play.Finish(kCouldNotRun, "the job was not accepted");
+  const auto job = [](int tasks, int64_t work) {
+    return json{{"Spec", "pulp"},
+                {"Steps",
+                 {{{"Count", tasks},
+                   {"Cpu", 1000},
+                   {"MemMb", 64},
+                   {"EstimateMs", work}}}}};
+  };
+  bool accepted = play.Submit(kPool, JobId(1), job(1, kWork));
+  for (int i = 1; i <= kShortJobs; ++i) {
+    accepted = accepted &&
+               play.Submit(kPool, JobId(1 + i), job(kShortTasks, kShortWork));
+  }
+  if (!accepted) {
+    play.Finish(kCouldNotRun, "a job was not accepted");
   }
   const int64_t limit = NowMs() + 10000;
   while (Machine::first_order == 0 && NowMs() < limit) {
@@ -161,5 +192,7 @@
               : state == "completed" ? kHeld
                                      : kCouldNotRun,
               std::to_string(runs.size()) + " runs, two at the same time for " +
-                  std::to_string(overlap) + " ms, job " + state);
+                  std::to_string(overlap) + " ms, job " + state + ", " +
+                  std::to_string(Machine::orders) +
+                  " start orders in the span of the late one");
 }
