Let the next incarnation of a worker refuse open start orders

Callers saw a task run twice at once: a copy of its start order got no response, the retry was accepted, the worker crashed, and the task was started elsewhere once the lease had run out.

Cause: that an order may still be carried out was kept with the task, and forgotten as soon as the task had another worker, was done or cancelled. Only a next incarnation that was known before the lease ran out had to refuse it.

Each later incarnation gets stop orders for these runs as soon as it is known, also if the response fails only then. A worker that has accepted the stop refuses the run for good. An order that was certainly not sent does not count as open: the gateway reports it as kUnavailable.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -18,6 +18,7 @@
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
 #include "Scheduling/lease_record.h"
+#include "Scheduling/open_orders.h"
 #include "Scheduling/orders.h"
 #include "Scheduling/pool_report.h"
 #include "Scheduling/worker_state.h"
@@ -293,6 +294,12 @@
   // Blocks the placement of a returned task until the worker refuses the task's
   // latest run.
   void BlockPlacement(const TaskRef& ref, WorkerState& worker, MonoTime now);
+  // Records a start order without a response. Later incarnations of the worker
+  // have to refuse its run.
+  void RecordOpenOrder(const StartOrder& order, MonoTime now);
+  // Lets a worker that was added refuse the runs that were ordered from earlier
+  // incarnations.
+  void StopOpenOrders(WorkerState& worker, MonoTime now);
   // Returns whether the worker was recently reported as ended and has not
   // responded since.
   bool IsReportedEnded(const WorkerKey& key, MonoTime now) const;
@@ -390,6 +397,7 @@
     bool refuted = false;
   };
   std::map<WorkerKey, ReportedEnd> reported_ends_;
+  OpenOrders open_orders_;
   // Duration models by queue.
   std::map<std::string, DurationModel> durations_;
   // Work that arrived recently, in millicores times milliseconds, decaying.
--- a/Source/Core/Scheduling/pool_scheduler_ends.cc
+++ b/Source/Core/Scheduling/pool_scheduler_ends.cc
@@ -87,6 +87,23 @@
   RequestStop(worker, ref.Name(), task.run, Resources(), now);
 }
 
+void PoolScheduler::RecordOpenOrder(const StartOrder& order, MonoTime now) {
+  const WorkerKey& target = order.target.worker;
+  open_orders_.Add(target.id, order.task, order.run, now);
+  for (auto& [key, worker] : workers_) {
+    if (key.id == target.id && key.incarnation > target.incarnation) {
+      RequestStop(*worker, order.task, order.run, Resources(), now);
+    }
+  }
+}
+
+void PoolScheduler::StopOpenOrders(WorkerState& worker, MonoTime now) {
+  for (const OpenOrders::Order& order :
+       open_orders_.OrdersTo(worker.report.key.id, now)) {
+    RequestStop(worker, order.task, order.run, Resources(), now);
+  }
+}
+
 void PoolScheduler::OnWorkerSuperseded(const WorkerKey& superseded,
                                        MonoTime now) {
   for (auto& [key, worker] : workers_) {
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -35,6 +35,7 @@
   worker->report.key = key;
   worker->last_response_at = now;
   worker->next_hold = now;
+  StopOpenOrders(*worker, now);
   const auto handed_over = options_.handed_over_leases.find(key);
   if (handed_over != options_.handed_over_leases.end()) {
     worker->inherited_leases_until = activated_at_ + handed_over->second;
@@ -180,6 +181,11 @@
 void PoolScheduler::OnStartResponse(const StartOrder& order,
                                     const Result<OrderResponse>& answer,
                                     MonoTime now) {
+  const bool may_be_open =
+      !answer && answer.error().code != ErrorCode::kUnavailable;
+  if (may_be_open) {
+    RecordOpenOrder(order, now);
+  }
   WorkerState* worker = FindWorker(order.target.worker);
   if (worker == nullptr) {
     return;
@@ -200,7 +206,7 @@
   Task& task = ref->Get();
   task.order_in_flight = false;
   if (!answer) {
-    task.order_outcome_unknown = true;
+    task.order_outcome_unknown = task.order_outcome_unknown || may_be_open;
     task.next_order = now + kOrderRetryDelay;
     return;
   }
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CallsToWorkersAreTimedFromTheirSending);
   CPPUNIT_TEST(HoldIsRead);
   CPPUNIT_TEST(BadHoldIsAnError);
+  CPPUNIT_TEST(UnsentOrderIsUnavailable);
   CPPUNIT_TEST(OddNumbersInAHoldAreAnError);
   CPPUNIT_TEST(PolicyIsAsked);
   CPPUNIT_TEST(InstancesAreListedPageByPage);
@@ -70,7 +71,15 @@
       CPPUNIT_ASSERT(answer->answer == test.answer);
     }
     transport_.status = 0;
-    CPPUNIT_ASSERT(!Start().has_value());
+    CPPUNIT_ASSERT(Start().error().code == ErrorCode::kUnknownOutcome);
+  }
+
+  // Guards against an order that counts as open though it was never sent.
+  void UnsentOrderIsUnavailable() {
+    transport_.status = 0;
+    transport_.sent = false;
+    transport_.error = ErrorCode::kDeadlineExceeded;
+    CPPUNIT_ASSERT(Start().error().code == ErrorCode::kUnavailable);
   }
 
   void StartCarriesWhatItNeeds() {
