Keep runs whose ends a worker has not listed yet

Cause: a worker lists 500 ended runs at a time. A run that was in neither list of a response was taken for lost, although the list of ends was not complete. The same held for stopped runs, and for runs that an earlier owner had ordered.

A response with a full list of ends is now marked as partial, and proves nothing about runs that it does not list. Acknowledging the listed ends brings the others.

--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -213,6 +213,10 @@
       task.checkpoint = running.checkpoint;
     }
   }
+  if (status.more_ended) {
+    // A run that is in neither list may have an end that is not listed yet.
+    return;
+  }
   const std::set<TaskRef> tasks = worker.tasks;
   for (const TaskRef& ref : tasks) {
     Task& task = ref.Get();
--- a/Source/Core/Scheduling/worker.h
+++ b/Source/Core/Scheduling/worker.h
@@ -101,6 +101,9 @@
   int64_t incarnation = 0;
   std::vector<RunningTask> running;
   std::vector<EndedRun> ended;
+  // The worker may have ended runs that `ended` leaves out. Those are listed
+  // once the listed ones are acknowledged.
+  bool more_ended = false;
 };
 
 // Outcome of an order to a worker.
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -169,14 +169,18 @@
     Step();
   }
 
-  // Accepts the latest start order and returns it.
-  StartOrder RespondToStart() {
-    StartOrder order = starts.back();
+  // Accepts a start order.
+  void RespondToStart(const StartOrder& order) {
     OrderResponse answer;
     answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
     scheduler_->OnStartResponse(order, answer, now_);
     Step();
+  }
+  // Accepts the latest start order and returns it.
+  StartOrder RespondToStart() {
+    StartOrder order = starts.back();
+    RespondToStart(order);
     return order;
   }
 
--- a/Source/UnitTests/Wire/calls_test.cc
+++ b/Source/UnitTests/Wire/calls_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CallsToWorkersAreTimedFromTheirSending);
   CPPUNIT_TEST(HoldIsRead);
   CPPUNIT_TEST(BadHoldIsAnError);
+  CPPUNIT_TEST(FullListOfEndsMayBePartial);
   CPPUNIT_TEST(UnsentOrderIsUnavailable);
   CPPUNIT_TEST(OddNumbersInAHoldAreAnError);
   CPPUNIT_TEST(PolicyIsAsked);
@@ -191,6 +192,23 @@
     }
   }
 
+  // Guards against runs that count as lost because their ends are not listed
+  // yet.
+  void FullListOfEndsMayBePartial() {
+    const auto body = [](int ends) {
+      json rows = json::array();
+      for (int i = 1; i <= ends; ++i) {
+        rows.push_back({i, "j.0.0.1", i, "done", ""});
+      }
+      return json({{"ClockMs", 5}, {"Running", json::array()}, {"Ended", rows}})
+          .dump();
+    };
+    transport_.body = body(499);
+    CPPUNIT_ASSERT(!Hold()->status.more_ended);
+    transport_.body = body(500);
+    CPPUNIT_ASSERT(Hold()->status.more_ended);
+  }
+
   void BadHoldIsAnError() {
     for (const char* body :
          {"", "[]", R"({"ClockMs":1})", R"({"ClockMs":"x","Running":[]})",
