Give the model's workers next lives, partial lists and a policy in turn

A worker never started again under its id, listed all ended runs at once, and the placement policy answered all queries at the same time.

Change: ModelWorkers::Restart begins a next life with a clock and a count of ended runs of its own, which orders that name the id reach before the registry shows it; a hold lists 500 ended runs; the policy's service handles the queries of one daemon in turn, turns away what exceeds 32, and its tickets are valid from the handling of their query.

--- a/Source/StandIns/Fleet/model_node.h
+++ b/Source/StandIns/Fleet/model_node.h
@@ -36,6 +36,10 @@
   MonoTime link_free_at = MonoTime::min();
   // Of all answers of the store.
   size_t received_bytes = 0;
+  // Queries that the placement policy's service has not answered, and when it
+  // will have handled all of them.
+  int policy_queries = 0;
+  MonoTime policy_free_at = MonoTime::min();
 };
 
 using NodePtr = std::shared_ptr<ModelNode>;
--- a/Source/StandIns/Fleet/model_worker_view.cc
+++ b/Source/StandIns/Fleet/model_worker_view.cc
@@ -53,9 +53,12 @@
           if (Unreached(worker, node)) {
             return;
           }
-          const auto answer = [&workers, node, order, done, answered] {
+          const int64_t life = worker->report.key.incarnation;
+          const auto answer = [&workers, node, order, done, answered, life] {
             ModelWorker* now = workers.Find(order.target.worker.id);
-            if (Unreached(now, node) || now->answers_lost) {
+            // The next life does not know the connections of this one.
+            if (Unreached(now, node) || now->answers_lost ||
+                now->report.key.incarnation != life) {
               return;
             }
             const HoldResponse look = workers.Look(*now, order);
--- a/Source/StandIns/Fleet/model_workers.cc
+++ b/Source/StandIns/Fleet/model_workers.cc
@@ -20,9 +20,7 @@
 constexpr milliseconds kWorkerLeaseCheck{20};
 constexpr milliseconds kStopTime{100};
 constexpr milliseconds kGangWait{3'000};
-constexpr milliseconds kTicketLifetime{3'000};
-constexpr milliseconds kQuestionTime{20};
-constexpr milliseconds kTimePerWorker{2};
+constexpr size_t kMostListedEnds = 500;
 
 }  // namespace
 
@@ -118,6 +116,7 @@
 void ModelWorkers::Crash(const std::string& id) {
   ModelWorker& worker = *workers_.at(id);
   worker.alive = false;
+  worker.restarts = false;
   const std::map<std::string, ModelWorker::Run> lost =
       std::move(worker.running);
   worker.running.clear();
@@ -131,7 +130,38 @@
     }
   }
   time_.After(registry_keeps_,
-              [this, id] { store_.Remove(registry_.prefix + id); });
+              [this, id, life = worker.report.key.incarnation] {
+                if (Find(id)->report.key.incarnation == life) {
+                  store_.Remove(registry_.prefix + id);
+                }
+              });
+}
+
+void ModelWorkers::Restart(const std::string& id,
+                           milliseconds down,
+                           milliseconds unseen) {
+  Crash(id);
+  workers_.at(id)->restarts = true;
+  time_.After(down, [this, id, unseen] {
+    std::unique_ptr<ModelWorker>& worker = workers_.at(id);
+    if (!worker->restarts) {
+      return;
+    }
+    auto next = std::make_unique<ModelWorker>();
+    next->report = worker->report;
+    next->report.key.incarnation = 1'000 + next_id_++;
+    next->cut = worker->cut;
+    next->clock_rate = worker->clock_rate;
+    next->born = time_.Now();
+    const int64_t life = next->report.key.incarnation;
+    worker = std::move(next);
+    time_.After(unseen, [this, id, life] {
+      const ModelWorker& listed = *Find(id);
+      if (listed.alive && listed.report.key.incarnation == life) {
+        Enter(listed);
+      }
+    });
+  });
 }
 
 void ModelWorkers::Drain(const std::string& id) {
@@ -251,9 +281,19 @@
 void ModelWorkers::Ask(const NodePtr& node,
                        const PolicyQuery& question,
                        const WorkerGateway::PolicyCallback& done) {
+  if (node->policy_queries >= policy.most_waiting) {
+    RunIn(time_, node, faults.latency, [done] {
+      done(Fail(ErrorCode::kUnavailable, "model.policy", "", "turned away"));
+    });
+    return;
+  }
+  ++node->policy_queries;
+  const MonoTime begun = std::max(time_.Now(), node->policy_free_at);
+  node->policy_free_at = begun + policy.query_time +
+                         policy.time_per_worker * question.workers.size();
   PolicyResponse answer;
-  answer.lifetime = kTicketLifetime;
-  const MonoTime expires = time_.Now() + kTicketLifetime;
+  answer.lifetime = policy.ticket_lifetime;
+  const MonoTime expires = begun + policy.ticket_lifetime;
   for (const WorkerKey& worker : question.workers) {
     if (!allows || allows(question.stage, worker.id)) {
       const std::string ticket = absl::StrCat("t", next_serial_++);
@@ -261,8 +301,10 @@
       tickets_[ticket] = {worker.id, question.stage, expires};
     }
   }
-  const auto delay = kQuestionTime + kTimePerWorker * question.workers.size();
-  RunIn(time_, node, delay, [done, answer] { done(answer); });
+  RunIn(time_, node, node->policy_free_at - time_.Now(), [node, done, answer] {
+    --node->policy_queries;
+    done(answer);
+  });
 }
 
 bool ModelWorkers::TicketHolds(const ModelWorker& worker,
@@ -389,7 +431,10 @@
                      worker.ended.end());
   answer.status.clock = clock;
   answer.status.incarnation = worker.report.key.incarnation;
-  answer.status.ended = worker.ended;
+  const size_t listed = std::min(worker.ended.size(), kMostListedEnds);
+  answer.status.ended.assign(worker.ended.begin(),
+                             worker.ended.begin() + listed);
+  answer.status.more_ended = listed == kMostListedEnds;
   for (const auto& [task, run] : worker.running) {
     RunningTask running;
     running.name = run.name;
--- a/Source/StandIns/Fleet/model_workers.h
+++ b/Source/StandIns/Fleet/model_workers.h
@@ -28,6 +28,8 @@
 struct ModelWorker {
   WorkerReport report;
   bool alive = true;
+  // It has ended and will start again under its id.
+  bool restarts = false;
   // Reached by nobody, or reached while its answers get lost.
   bool cut = false;
   bool answers_lost = false;
@@ -91,6 +93,12 @@
   ModelWorker* Find(const std::string& id);
   // The worker ends; the registry keeps it for three heartbeats.
   void Crash(const std::string& id);
+  // The worker ends and starts again under its id after `down`, with a clock
+  // and a count of ended runs of its own. The registry shows the next life
+  // `unseen` after its start.
+  void Restart(const std::string& id,
+               std::chrono::milliseconds down,
+               std::chrono::milliseconds unseen);
   void Drain(const std::string& id);
   std::vector<std::string> Ids(const std::string& pool) const;
 
@@ -109,6 +117,15 @@
 
   WorkerFaults faults;
   Behaviour behaviour;
+  // The placement policy's service, which handles the queries of one daemon in
+  // turn. A ticket is valid from the time at which its query is handled.
+  struct PolicyService {
+    std::chrono::milliseconds query_time{20};
+    std::chrono::milliseconds time_per_worker{2};
+    std::chrono::milliseconds ticket_lifetime{3'000};
+    int most_waiting = 32;
+  };
+  PolicyService policy;
   // Placement policy; empty for none.
   std::function<bool(const TaskName& stage, const std::string& worker)> allows;
   // What a run reports of its load; empty for nothing.
