Query the placement policy for one stage at a time

Cause: all waiting stages queried the policy at once. Its service handles the queries of a daemon in turn, but the validity of the tickets was counted from the sending of the query. Each ticket had expired on arrival, so all stages asked again, and the queue never got shorter.

A pool now has one query in flight, for the most urgent stage that needs one, and places the stage before it asks for the next. The validity is counted from the earliest time at which the query can have been handled, by the policy's times in the plan, because the pools of a daemon share its turn.

--- a/Source/Core/Scheduling/placement_tickets.cc
+++ b/Source/Core/Scheduling/placement_tickets.cc
@@ -11,7 +11,7 @@
 
 void PlacementTickets::OnAnswer(const std::set<WorkerKey>& workers,
                                 const PolicyResponse& answer,
-                                MonoTime queried_at) {
+                                MonoTime issued_at) {
   std::map<std::string, std::string> allowed;
   for (const PolicyTicket& ticket : answer.allowed) {
     allowed[ticket.worker] = ticket.ticket;
@@ -21,7 +21,7 @@
     if (ticket == allowed.end()) {
       forbidden_.insert(worker);
     } else {
-      tickets_[worker] = {ticket->second, queried_at + answer.lifetime};
+      tickets_[worker] = {ticket->second, issued_at + answer.lifetime};
     }
   }
 }
--- a/Source/Core/Scheduling/placement_tickets.h
+++ b/Source/Core/Scheduling/placement_tickets.h
@@ -20,7 +20,7 @@
 
 struct PolicyResponse {
   std::vector<PolicyTicket> allowed;
-  // Validity of the tickets, counted from the query.
+  // Validity of the tickets, counted from when the service handled the query.
   std::chrono::milliseconds lifetime{0};
 };
 
@@ -28,11 +28,11 @@
 // policy. The set of allowed workers does not change; the tickets expire.
 class PlacementTickets {
  public:
-  // Handles the response to a query about these workers that was sent at
-  // `queried_at`.
+  // Handles the response to a query about these workers. The tickets are valid
+  // from `issued_at`.
   void OnAnswer(const std::set<WorkerKey>& workers,
                 const PolicyResponse& answer,
-                MonoTime queried_at);
+                MonoTime issued_at);
   // Handles the refusal of a ticket by its worker.
   void OnTicketRefused(const WorkerKey& worker);
 
@@ -42,8 +42,6 @@
   // Returns whether the policy service does not allow the worker.
   bool IsForbidden(const WorkerKey& worker) const;
 
-  // A query is in flight.
-  bool query_in_flight = false;
   // Earliest time of the next query.
   MonoTime next_query;
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -411,6 +411,7 @@
   MonoTime wait_logged_at_;
   // A change may allow a waiting task to be placed.
   bool dispatch_needed_ = true;
+  bool policy_query_in_flight_ = false;
   bool starts_allowed_ = true;
   bool renewals_allowed_ = true;
   bool deposed_ = false;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -334,10 +334,13 @@
 void PoolScheduler::QueryPolicy(const ReadyStage& item,
                                 const CandidateWorkers& board,
                                 MonoTime now) {
-  PlacementTickets& advice = item.GetStage().advice;
-  if (advice.query_in_flight) {
+  // The service handles queries in turn, so the tickets of a query that waits
+  // for others would expire before they are used. The most urgent stage comes
+  // first.
+  if (policy_query_in_flight_) {
     return;
   }
+  PlacementTickets& advice = item.GetStage().advice;
   if (now < advice.next_query) {
     Wake(advice.next_query);
     dispatch_needed_ = true;
@@ -357,7 +360,7 @@
   if (question.workers.empty()) {
     return;
   }
-  advice.query_in_flight = true;
+  policy_query_in_flight_ = true;
   output_.questions.push_back(std::move(question));
 }
 
@@ -365,18 +368,28 @@
                                      const Result<PolicyResponse>& answer,
                                      MonoTime sent_at,
                                      MonoTime now) {
+  policy_query_in_flight_ = false;
+  dispatch_needed_ = true;
   const std::optional<TaskRef> ref = FindTask(question.stage);
   if (!ref) {
     return;
   }
   PlacementTickets& advice = ref->GetStage().advice;
-  advice.query_in_flight = false;
-  dispatch_needed_ = true;
   if (!answer) {
     advice.next_query = now + kQueryRetryDelay;
     return;
   }
-  advice.OnAnswer(question.workers, *answer, sent_at);
+  // Queries of other pools of this daemon may have been handled before this
+  // one.
+  MonoTime issued_at = sent_at;
+  const QueueConfig* queue = plan_->FindQueueByName(ref->job->spec.queue);
+  if (queue != nullptr && queue->policy) {
+    const auto workers = static_cast<int64_t>(question.workers.size());
+    issued_at = std::max(issued_at,
+                         now - queue->policy->query_time -
+                             queue->policy->time_per_worker * workers);
+  }
+  advice.OnAnswer(question.workers, *answer, issued_at);
   if (answer->allowed.empty()) {
     advice.next_query = now;
   }
