Place stages behind those that wait for no free capacity

Cause: a pool counted as full after 33 stages that could not be placed completely, whatever they waited for. The stages behind them were not looked at. The same held for stages without a labelled worker or a ticket, and for tasks that are larger than any worker.

A stage now counts only if a worker that may run it lacks free capacity, and the scan ends only while half of the pool is in use. Perpetual stages do not count: they must start wherever they fit.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -27,6 +27,7 @@
 namespace figflow {
 
 class MetricsRegistry;
+struct PlacementObstacles;
 struct SchedulerMetrics;
 
 // Records of one job in the store.
@@ -337,9 +338,18 @@
   CandidateWorkers FindCandidateWorkers(MonoTime now);
   // Returns the ready stages in placement sequence.
   std::vector<ReadyStage> SortedReadyStages(MonoTime now);
+  enum class StagePlacement {
+    // All tasks have a worker.
+    kPlaced,
+    // A worker lacks free capacity for a task that it may run.
+    kWaitsForCapacity,
+    // No worker may run the tasks that wait.
+    kWaits,
+  };
   // Plans the waiting tasks of a stage as far as the free capacity allows.
-  // Returns whether all of them have a worker.
-  bool PlanStage(const ReadyStage& item, CandidateWorkers& board, MonoTime now);
+  StagePlacement PlanStage(const ReadyStage& item,
+                           CandidateWorkers& board,
+                           MonoTime now);
   // Returns the number of tasks of the stage on each candidate worker.
   static std::vector<int> CountStageTasks(const ReadyStage& item,
                                           const CandidateWorkers& board);
@@ -363,7 +373,7 @@
                    MonoTime now);
   void LogWaitReasons(const ReadyStage& item,
                       const CandidateWorkers& board,
-                      const std::vector<bool>& allowed,
+                      const PlacementObstacles& obstacles,
                       int waiting,
                       MonoTime now);
 
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -12,9 +12,9 @@
 namespace figflow {
 namespace {
 
-// The pool counts as full after this many stages that could not be placed
-// completely; the next ended run or step scans the stages again.
-constexpr int kMaxUnplacedStages = 32;
+// A pool of which half is in use counts as full after this many stages that
+// wait for free capacity; the next ended run or step scans the stages again.
+constexpr int kMaxStagesWithoutCapacity = 32;
 // Minimum intervals between two logs of wait reasons for one stage, and for the
 // whole pool: at a peak hundreds of stages wait for the same reason.
 constexpr std::chrono::milliseconds kStageWaitLogInterval{2'000};
@@ -41,8 +41,25 @@
 struct PoolScheduler::CandidateWorkers {
   std::vector<WorkerState*> workers;
   std::vector<WorkerOption> options;
+
+  // Returns whether half of the processors or of the memory is in use.
+  bool IsHalfUsed() const;
 };
 
+bool PoolScheduler::CandidateWorkers::IsHalfUsed() const {
+  Resources capacity;
+  Resources room;
+  for (const WorkerOption& option : options) {
+    capacity += option.report->capacity;
+    room += option.room;
+  }
+  const auto half_used = [](int64_t free, int64_t total) {
+    return total > 0 && 2 * free <= total;
+  };
+  return half_used(room.cpu_millicores, capacity.cpu_millicores) ||
+         half_used(room.memory_mb, capacity.memory_mb);
+}
+
 struct PoolScheduler::ReadyStage {
   DispatchRank rank;
   std::shared_ptr<Job> job;
@@ -122,13 +139,18 @@
   if (board.options.empty()) {
     return;
   }
-  int unplaced_stages = 0;
+  int without_capacity = 0;
   for (const ReadyStage& item : SortedReadyStages(now)) {
     if (item.Spec().gang && !GangIsFree(item.GetStage())) {
       continue;
     }
-    if (!PlanStage(item, board, now) &&
-        ++unplaced_stages > kMaxUnplacedStages) {
+    // Stages that wait for a label, a limit or a ticket say nothing about the
+    // free capacity, and perpetual ones start wherever they fit.
+    const bool waits_for_capacity =
+        PlanStage(item, board, now) == StagePlacement::kWaitsForCapacity &&
+        !item.Spec().perpetual;
+    without_capacity += waits_for_capacity ? 1 : 0;
+    if (without_capacity > kMaxStagesWithoutCapacity && board.IsHalfUsed()) {
       return;
     }
   }
@@ -245,9 +267,9 @@
   return {};
 }
 
-bool PoolScheduler::PlanStage(const ReadyStage& item,
-                              CandidateWorkers& board,
-                              MonoTime now) {
+PoolScheduler::StagePlacement PoolScheduler::PlanStage(const ReadyStage& item,
+                                                       CandidateWorkers& board,
+                                                       MonoTime now) {
   Stage& stage = item.GetStage();
   const StageSpec& spec = item.Spec();
   const bool has_policy = item.queue != nullptr && item.queue->policy;
@@ -274,15 +296,22 @@
     }
   }
   const bool complete = static_cast<int>(chosen.size()) == stage.waiting;
+  StagePlacement placement = StagePlacement::kPlaced;
   if (!complete) {
     if (has_policy) {
       QueryPolicy(item, board, now);
     }
-    LogWaitReasons(item, board, allowed,
+    const PlacementObstacles obstacles =
+        CountObstacles({&spec, nullptr, &allowed}, board.options,
+                       CountStageTasks(item, board));
+    placement = obstacles.no_processor + obstacles.no_memory > 0
+                    ? StagePlacement::kWaitsForCapacity
+                    : StagePlacement::kWaits;
+    LogWaitReasons(item, board, obstacles,
                    stage.waiting - static_cast<int>(chosen.size()), now);
   }
   if (chosen.empty()) {
-    return complete;
+    return placement;
   }
   uint32_t gang_run = 0;
   for (const Task& task : stage.tasks) {
@@ -302,7 +331,7 @@
     stage.tasks[index].planned_version = item.job->version;
   }
   LogPlacement(item, board, chosen, now);
-  return complete;
+  return placement;
 }
 
 void PoolScheduler::LogPlacement(const ReadyStage& item,
@@ -397,7 +426,7 @@
 
 void PoolScheduler::LogWaitReasons(const ReadyStage& item,
                                    const CandidateWorkers& board,
-                                   const std::vector<bool>& allowed,
+                                   const PlacementObstacles& obstacles,
                                    int waiting,
                                    MonoTime now) {
   Stage& stage = item.GetStage();
@@ -407,9 +436,6 @@
   }
   stage.wait_logged_at = now;
   wait_logged_at_ = now;
-  const std::vector<int> stage_tasks = CountStageTasks(item, board);
-  const PlacementObstacles obstacles = CountObstacles(
-      {&item.Spec(), nullptr, &allowed}, board.options, stage_tasks);
   LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
            {{"job", item.job->spec.id},
             {"stage", absl::StrCat(item.stage)},
