Blame jobs that fail on several workers, not the workers

Cause: a worker got no tasks after two failures in a row, with times that double, although all of them were of one job, which fails wherever it runs. Nothing lifted an exclusion but its end.

A stage that fails on three workers within 10 s, or on all of a smaller pool, with none of its tasks done meanwhile, is now to blame itself. Its job's failures are taken back from all workers, with the exclusions they caused. Failures of other jobs count as before, so workers that fail everything are still excluded after two. Where no other worker is left, excluded ones are tried again after 2 s.

--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -83,6 +83,9 @@
   std::vector<Task> tasks;
   int done = 0;
   int waiting = 0;
+  // Workers on which tasks failed since the last one was done, with the time of
+  // the last failure.
+  std::map<std::string, MonoTime> failed_on;
   // Tickets of the queue's placement policy; unused if it has none.
   PlacementTickets advice;
   // When the reasons why tasks of the stage wait were last logged.
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -253,9 +253,6 @@
                     const WorkerStatus& status,
                     MonoTime sent_at,
                     MonoTime now);
-  void FailTask(const TaskRef& ref, WorkerState& worker, MonoTime now);
-  // Counts a failed run. Returns whether it was the last attempt.
-  bool CountFailure(const TaskRef& ref, uint32_t run, WorkerState& worker);
   // Sets the pace of the fillers on a worker by the reported load of its
   // serving tasks.
   void AdjustFillerPace(WorkerState& worker,
@@ -265,7 +262,6 @@
   // elsewhere. The worker gets stop orders for its own runs as soon as it
   // responds.
   void ReleaseSpeculativeTasks(WorkerState& worker, MonoTime now);
-  void BreakGang(const TaskRef& ref, MonoTime now);
   // Requests the stop of a run; its task stays out of the waiting ones until
   // the run has ended.
   void RequestStop(WorkerState& worker,
@@ -312,6 +308,15 @@
   // instance.
   void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
 
+  // pool_scheduler_failures.cc
+  // Counts a failed run against the worker, or discounts all failures of a job
+  // that fails wherever it runs.
+  void AttributeFailure(const TaskRef& ref, WorkerState& worker, MonoTime now);
+  void FailTask(const TaskRef& ref, WorkerState& worker, MonoTime now);
+  // Counts a failed run. Returns whether it was the last attempt.
+  bool CountFailure(const TaskRef& ref, uint32_t run, WorkerState& worker);
+  void BreakGang(const TaskRef& ref, MonoTime now);
+
   // pool_scheduler_step.cc
   void CheckWorkers(MonoTime now);
   void IssueHold(WorkerState& worker, MonoTime now);
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -42,10 +42,24 @@
   std::vector<WorkerState*> workers;
   std::vector<WorkerOption> options;
 
+  void Add(WorkerState& worker, MonoTime now);
   // Returns whether half of the processors or of the memory is in use.
   bool IsHalfUsed() const;
 };
 
+void PoolScheduler::CandidateWorkers::Add(WorkerState& worker, MonoTime now) {
+  WorkerOption option;
+  option.report = &worker.report;
+  option.room = worker.FreeCapacity();
+  option.recently_failed = worker.health.RecentlyFailed(now);
+  option.evacuate_later = now < worker.evacuate_later_until;
+  option.perpetual_tasks = static_cast<int>(
+      std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                    [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+  options.push_back(option);
+  workers.push_back(&worker);
+}
+
 bool PoolScheduler::CandidateWorkers::IsHalfUsed() const {
   Resources capacity;
   Resources room;
@@ -76,6 +90,7 @@
 PoolScheduler::CandidateWorkers PoolScheduler::FindCandidateWorkers(
     MonoTime now) {
   CandidateWorkers board;
+  std::vector<WorkerState*> excluded;
   for (auto& [key, worker] : workers_) {
     const bool usable = worker->IsInUse() && worker->addressable &&
                         worker->fenced && worker->missed_responses == 0 &&
@@ -84,20 +99,21 @@
       continue;
     }
     if (worker->health.Excluded(now)) {
-      Wake(worker->health.excluded_until());
-      dispatch_needed_ = true;
+      excluded.push_back(worker.get());
       continue;
     }
-    WorkerOption option;
-    option.report = &worker->report;
-    option.room = worker->FreeCapacity();
-    option.recently_failed = worker->health.RecentlyFailed(now);
-    option.evacuate_later = now < worker->evacuate_later_until;
-    option.perpetual_tasks = static_cast<int>(
-        std::count_if(worker->tasks.begin(), worker->tasks.end(),
-                      [](const TaskRef& ref) { return ref.Spec().perpetual; }));
-    board.options.push_back(option);
-    board.workers.push_back(worker.get());
+    board.Add(*worker, now);
+  }
+  const bool last_resort = board.workers.empty();
+  for (WorkerState* worker : excluded) {
+    const MonoTime usable_at = last_resort ? worker->health.last_resort_from()
+                                           : worker->health.excluded_until();
+    if (now >= usable_at) {
+      board.Add(*worker, now);
+      continue;
+    }
+    Wake(usable_at);
+    dispatch_needed_ = true;
   }
   return board;
 }
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -388,6 +388,7 @@
   task.checkpoint.clear();
   task.failed_on.clear();
   task.lost_runs.clear();
+  stage.failed_on.clear();
   ++stage.done;
   dispatch_needed_ = true;
   if (!ref.job->live()) {
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -122,7 +122,7 @@
   }
   // A failure of a run that is not a lost one was counted by an earlier owner.
   if (ended.end == RunResult::kFailed && was_lost) {
-    worker.health.OnRunFailed(now);
+    AttributeFailure(ref, worker, now);
     if (CountFailure(ref, ended.run, worker)) {
       Finish(ref.job, JobStatus::kFailed, now);
     }
@@ -162,7 +162,7 @@
       }
       return;
     case RunResult::kFailed:
-      worker.health.OnRunFailed(now);
+      AttributeFailure(ref, worker, now);
       FailTask(ref, worker, now);
       return;
     case RunResult::kStopped:
--- a/Source/UnitTests/Scheduling/decisions_test.cc
+++ b/Source/UnitTests/Scheduling/decisions_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(FewRunsKeepTheEstimate);
   CPPUNIT_TEST(TwoFailuresExcludeAWorker);
   CPPUNIT_TEST(ExclusionsGetLonger);
+  CPPUNIT_TEST(DiscountedFailuresLiftExclusion);
   CPPUNIT_TEST(PlacesTasksByConstraints);
   CPPUNIT_TEST(PerpetualTasksShareWorkers);
   CPPUNIT_TEST(ObstaclesAreCounted);
@@ -107,23 +108,41 @@
 
   void TwoFailuresExcludeAWorker() {
     WorkerHealth health;
-    health.OnRunFailed(kNow);
+    health.OnRunFailed("job", kNow);
     CPPUNIT_ASSERT(!health.Excluded(kNow));
     CPPUNIT_ASSERT(health.RecentlyFailed(kNow));
-    health.OnRunFailed(kNow);
+    health.OnRunFailed("job", kNow);
     CPPUNIT_ASSERT(health.Excluded(kNow));
     // A success of a run that began before does not lift the exclusion.
     health.OnRunDone(kNow + milliseconds(10));
     CPPUNIT_ASSERT(health.Excluded(kNow + milliseconds(20)));
   }
 
+  // Guards against sound workers that stay excluded after a job has failed
+  // elsewhere, and against failing ones that are used again by mistake.
+  void DiscountedFailuresLiftExclusion() {
+    WorkerHealth sound;
+    WorkerHealth failing;
+    for (WorkerHealth* health : {&sound, &failing}) {
+      health->OnRunFailed("hopeless", kNow);
+      health->OnRunFailed("hopeless", kNow);
+    }
+    failing.OnRunFailed("a", kNow);
+    failing.OnRunFailed("b", kNow);
+    sound.DiscountFailures("hopeless");
+    failing.DiscountFailures("hopeless");
+    CPPUNIT_ASSERT(!sound.Excluded(kNow));
+    CPPUNIT_ASSERT(!sound.RecentlyFailed(kNow));
+    CPPUNIT_ASSERT(failing.Excluded(kNow));
+  }
+
   void ExclusionsGetLonger() {
     WorkerHealth health;
     MonoTime now = kNow;
     milliseconds previous{0};
     for (int i = 0; i < 3; ++i) {
-      health.OnRunFailed(now);
-      health.OnRunFailed(now);
+      health.OnRunFailed("job", now);
+      health.OnRunFailed("job", now);
       const auto length = std::chrono::duration_cast<milliseconds>(
           health.excluded_until() - now);
       CPPUNIT_ASSERT(length > previous);
@@ -131,7 +150,7 @@
       now = health.excluded_until();
     }
     health.OnRunDone(now + seconds(1));
-    health.OnRunFailed(now + seconds(2));
+    health.OnRunFailed("job", now + seconds(2));
     CPPUNIT_ASSERT(!health.Excluded(now + seconds(2)));
   }
 
