Tell which incarnation of a worker an order, hold or end belongs to

A start order met the crash of its worker and was carried out by the next incarnation. Its run ended as done, a hold that was meant for the earlier incarnation acknowledged that end before anybody had read it, and the task started again. Or the lease that the owner counted with ran out while the next incarnation still held one.

Cause: evidence about the next incarnation counted for the earlier one, whose clock and count of ended runs it does not share. A deadline on the earlier clock grants the next one the longest lease, and the number of an earlier end makes it forget its first ones.

One rule now: an order, hold or end proves something only for the incarnation that is known to have handled it. - A response to an order whose clock went back is of a later incarnation: it counts as missing, and its order as open (worker_clock_went_back). - Ended runs are acknowledged once, and only while no start order is in flight and no response is missing. - A run that this incarnation has not confirmed starts elsewhere only after the longest lease that its orders and holds may have granted the next one, also if that one is listed and silent, or the pool is handed over. - A start order is repeated only after a response to a hold: each copy grants the next incarnation another lease.

--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -60,6 +60,8 @@
   bool order_outcome_unknown = false;
   // A hold of the worker has listed this run.
   bool listed_by_worker = false;
+  // A response shows that this incarnation of the worker has the run.
+  bool confirmed = false;
   // The worker refuses to start this run; a hold has to show whether it ran.
   bool order_outdated = false;
   MonoTime next_order;
--- a/Source/Core/Scheduling/open_orders.cc
+++ b/Source/Core/Scheduling/open_orders.cc
@@ -40,8 +40,7 @@
     std::vector<Order>& orders = it->second;
     orders.erase(std::remove_if(orders.begin(), orders.end(),
                                 [&](const Order& order) {
-                                  return now - order.unanswered_at >
-                                         kRetention;
+                                  return now - order.unanswered_at > kRetention;
                                 }),
                  orders.end());
     it = orders.empty() ? orders_.erase(it) : std::next(it);
--- a/Source/Core/Scheduling/orders.h
+++ b/Source/Core/Scheduling/orders.h
@@ -25,6 +25,7 @@
   // Fence of the sender. A worker that has seen a higher fence ignores the
   // order.
   uint64_t fence = 0;
+  MonoTime issued_at;
 };
 
 struct StartOrder {
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -275,6 +275,12 @@
                           std::chrono::milliseconds clock,
                           MonoTime now);
   void OnResponseMissed(WorkerState& worker, MonoTime now);
+  // Handles a response to an order, or its loss. Returns whether it is a
+  // response of this incarnation of the worker, and of no later one.
+  bool OnOrderResponse(WorkerState& worker,
+                       const OrderTarget& target,
+                       const Result<OrderResponse>& answer,
+                       MonoTime now);
   // Handles a hold without a response, or without a report of the runs.
   void OnHoldMissed(WorkerState& worker,
                     const HoldOrder& order,
@@ -307,6 +313,13 @@
   // at its address; the registry lists a later one under its id or on its
   // instance.
   void EndWorker(WorkerState& worker, const char* cause, MonoTime now);
+  // Returns the tasks of an unresponsive worker whose leases have run out. The
+  // others wait until a next incarnation cannot run them any more either.
+  void EndExpiredRuns(WorkerState& worker, MonoTime now);
+  void ReturnLostTasks(WorkerState& worker,
+                       const std::set<TaskRef>& tasks,
+                       const char* cause,
+                       MonoTime now);
 
   // pool_scheduler_failures.cc
   // Counts a failed run against the worker, or discounts all failures of a job
@@ -325,7 +338,14 @@
   void IssueStarts(WorkerState& worker, MonoTime now);
   std::optional<std::chrono::milliseconds> RenewedDeadline(WorkerState& worker,
                                                            MonoTime now);
-  OrderTarget MakeOrderTarget(const WorkerState& worker) const;
+  OrderTarget MakeOrderTarget(const WorkerState& worker, MonoTime now) const;
+  // Notes that an order with a lease deadline is sent.
+  void OnLeaseGranted(WorkerState& worker,
+                      std::chrono::milliseconds answer_time,
+                      MonoTime now) const;
+  // Returns whether ended runs may be acknowledged: no later incarnation can
+  // have a run of this owner by an order that is not confirmed yet.
+  static bool MayAcknowledge(const WorkerState& worker);
   void Wake(MonoTime at);
 
   // pool_scheduler_evacuate.cc
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -430,9 +430,9 @@
   const QueueConfig* queue = plan_->FindQueueByName(ref->job->spec.queue);
   if (queue != nullptr && queue->policy) {
     const auto workers = static_cast<int64_t>(question.workers.size());
-    issued_at = std::max(issued_at,
-                         now - queue->policy->query_time -
-                             queue->policy->time_per_worker * workers);
+    issued_at =
+        std::max(issued_at, now - queue->policy->query_time -
+                                queue->policy->time_per_worker * workers);
   }
   advice.OnAnswer(question.workers, *answer, issued_at);
   if (answer->allowed.empty()) {
--- a/Source/Core/Scheduling/pool_scheduler_ends.cc
+++ b/Source/Core/Scheduling/pool_scheduler_ends.cc
@@ -19,12 +19,13 @@
 
 }  // namespace
 
-void PoolScheduler::EndWorker(WorkerState& worker,
-                              const char* cause,
-                              MonoTime now) {
-  if (!worker.tasks.empty()) {
+void PoolScheduler::ReturnLostTasks(WorkerState& worker,
+                                    const std::set<TaskRef>& tasks,
+                                    const char* cause,
+                                    MonoTime now) {
+  if (!tasks.empty()) {
     stats_->workers_lost.Add();
-    stats_->runs_lost.Add(worker.tasks.size());
+    stats_->runs_lost.Add(tasks.size());
     const auto silence = WholeMilliseconds(now - worker.last_response_at);
     LogEvent(LogLevel::kWarning, LogCategory::kJobs, "worker_lost",
              {{"worker", worker.report.key.id},
@@ -35,16 +36,37 @@
               {"cause", cause},
               {"silent_ms", absl::StrCat(silence.count())},
               {"missed", absl::StrCat(worker.missed_responses)},
-              {"tasks", absl::StrCat(worker.tasks.size())}});
+              {"tasks", absl::StrCat(tasks.size())}});
   }
-  const std::set<TaskRef> tasks = worker.tasks;
   for (const TaskRef& ref : tasks) {
     ReturnLostTask(ref, now);
   }
+}
+
+void PoolScheduler::EndWorker(WorkerState& worker,
+                              const char* cause,
+                              MonoTime now) {
+  ReturnLostTasks(worker, std::set<TaskRef>(worker.tasks), cause, now);
   worker.stops.clear();
   worker.used = Resources();
 }
 
+void PoolScheduler::EndExpiredRuns(WorkerState& worker, MonoTime now) {
+  constexpr char kCause[] = "lease-ran-out";
+  const MonoTime all_expired_at = worker.AllOrdersExpiredAt();
+  if (now >= all_expired_at) {
+    EndWorker(worker, kCause, now);
+    return;
+  }
+  Wake(all_expired_at);
+  std::set<TaskRef> expired;
+  std::copy_if(worker.tasks.begin(), worker.tasks.end(),
+               std::inserter(expired, expired.end()), [](const TaskRef& ref) {
+                 return WorkerState::EndsWithThisIncarnation(ref.Get());
+               });
+  ReturnLostTasks(worker, expired, kCause, now);
+}
+
 void PoolScheduler::ReplaceWorker(WorkerState& earlier,
                                   WorkerState& next,
                                   MonoTime now) {
@@ -62,6 +84,8 @@
                  });
   }
   EndWorker(earlier, "replaced", now);
+  next.inherited_leases_until = std::max(next.inherited_leases_until,
+                                         earlier.next_incarnation_leases_until);
   for (const TaskRef& ref : open_orders) {
     BlockPlacement(ref, next, now);
   }
--- a/Source/Core/Scheduling/pool_scheduler_failures.cc
+++ b/Source/Core/Scheduling/pool_scheduler_failures.cc
@@ -30,13 +30,13 @@
     it = now - it->second > kFailureMemory ? stage.failed_on.erase(it)
                                            : std::next(it);
   }
-  const auto usable = std::count_if(
-      workers_.begin(), workers_.end(), [](const auto& entry) {
+  const auto usable =
+      std::count_if(workers_.begin(), workers_.end(), [](const auto& entry) {
         const WorkerState& other = *entry.second;
         return other.IsInUse() && other.addressable && other.fenced;
       });
-  const int needed = std::clamp(static_cast<int>(usable),
-                                kMinWorkersToBlameJob, kWorkersToBlameJob);
+  const int needed = std::clamp(static_cast<int>(usable), kMinWorkersToBlameJob,
+                                kWorkersToBlameJob);
   const std::string& job = ref.job->spec.id;
   if (static_cast<int>(stage.failed_on.size()) < needed) {
     worker.health.OnRunFailed(job, now);
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -340,6 +340,7 @@
   task.order_in_flight = false;
   task.order_outcome_unknown = false;
   task.listed_by_worker = false;
+  task.confirmed = false;
   task.order_outdated = false;
   task.order_deadline = std::chrono::milliseconds(0);
   task.inherited = false;
--- a/Source/Core/Scheduling/pool_scheduler_pace.cc
+++ b/Source/Core/Scheduling/pool_scheduler_pace.cc
@@ -50,7 +50,7 @@
     // Set to unknown again if the order gets no response.
     task.pace = worker.pace.percent();
     output_.paces.push_back(
-        {MakeOrderTarget(worker), ref.Name(), task.run, task.pace});
+        {MakeOrderTarget(worker, now), ref.Name(), task.run, task.pace});
   }
 }
 
@@ -63,15 +63,10 @@
     return;
   }
   Task& task = ref->Get();
-  if (!answer) {
-    OnResponseMissed(*worker, now);
-    if (task.run == order.run) {
-      task.pace = -1;
-    }
-    return;
+  if (!OnOrderResponse(*worker, order.target, answer, now) &&
+      task.run == order.run) {
+    task.pace = -1;
   }
-  OnResponseReceived(*worker, answer->clock, now);
-  deposed_ = deposed_ || answer->answer == OrderOutcome::kFenced;
 }
 
 void PoolScheduler::ReleaseSpeculativeTasks(WorkerState& worker, MonoTime now) {
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -208,6 +208,7 @@
       ref->job->started = true;
     }
     task.listed_by_worker = true;
+    task.confirmed = true;
     task.percent = running.percent;
     if (!running.checkpoint.empty()) {
       task.checkpoint = running.checkpoint;
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -30,6 +30,11 @@
 // Minimum interval between two holds while results that were read are not
 // durable yet: the worker would list the ended runs again at once.
 constexpr std::chrono::milliseconds kUnwrittenHoldInterval{250};
+// Maximum delay of a hold that acknowledges ended runs, for the responses to
+// start orders, which take a few milliseconds.
+constexpr std::chrono::milliseconds kMaxHoldDelay{100};
+// Within this time a start order that is not late is carried out.
+constexpr std::chrono::milliseconds kOrderResponseTime{400};
 // Maximum interval between two steps.
 constexpr std::chrono::milliseconds kMaxStepInterval{250};
 
@@ -50,8 +55,22 @@
   next_wake_ = std::min(next_wake_, at);
 }
 
-OrderTarget PoolScheduler::MakeOrderTarget(const WorkerState& worker) const {
-  return {worker.report.key, worker.report.address, options_.fence};
+OrderTarget PoolScheduler::MakeOrderTarget(const WorkerState& worker,
+                                           MonoTime now) const {
+  return {worker.report.key, worker.report.address, options_.fence, now};
+}
+
+void PoolScheduler::OnLeaseGranted(WorkerState& worker,
+                                   std::chrono::milliseconds answer_time,
+                                   MonoTime now) const {
+  const auto longest = std::chrono::duration_cast<MonoTime::duration>(
+      max_inherited_lease_ / kMinWorkerClockRate);
+  worker.next_incarnation_leases_until = std::max(
+      worker.next_incarnation_leases_until, now + answer_time + longest);
+}
+
+bool PoolScheduler::MayAcknowledge(const WorkerState& worker) {
+  return worker.missed_responses == 0 && worker.starts_in_flight == 0;
 }
 
 MonoTime PoolScheduler::Step(MonoTime now, WallTime wall) {
@@ -93,7 +112,7 @@
       if (now < worker.AllLeasesExpiredAt()) {
         Wake(worker.AllLeasesExpiredAt());
       } else if (!worker.addressable || worker.silence.IsUnresponsive(now)) {
-        EndWorker(worker, "lease-ran-out", now);
+        EndExpiredRuns(worker, now);
       }
     }
     if (!worker.listed && worker.tasks.empty() && worker.stops.empty() &&
@@ -155,16 +174,29 @@
     Wake(due);
     return;
   }
+  const bool acknowledges =
+      worker.acknowledged > worker.delivered_acknowledgement;
+  if (acknowledges && worker.starts_in_flight > 0 &&
+      now < due + kMaxHoldDelay) {
+    Wake(due + kMaxHoldDelay);
+    return;
+  }
   HoldOrder order;
-  order.target = MakeOrderTarget(worker);
+  order.target = MakeOrderTarget(worker, now);
   order.deadline = RenewedDeadline(worker, now);
-  order.acknowledged = worker.acknowledged;
+  // A next incarnation counts its ended runs anew, and would forget those up to
+  // this number.
+  order.acknowledged =
+      acknowledges && MayAcknowledge(worker) ? worker.acknowledged : 0;
   const bool wait = worker.fenced && !worker.tasks.empty() &&
                     worker.stops.empty() && worker.missed_responses == 0;
   // The next renewal must reach the worker well within its lease.
   const auto max_wait = std::min(kMaxHoldWait, LeaseOf(options_.bounds) / 3);
   order.wait = wait ? max_wait : std::chrono::milliseconds(0);
   order.answer_time = order.wait + kHoldResponseTime;
+  if (order.deadline) {
+    OnLeaseGranted(worker, order.answer_time, now);
+  }
   worker.hold_in_flight = true;
   worker.hold_sent_at = now;
   stats_->holds.Add();
@@ -182,12 +214,16 @@
     }
     stop.in_flight = true;
     stats_->stops.Add();
-    output_.stops.push_back({MakeOrderTarget(worker), stop.task, stop.run});
+    output_.stops.push_back(
+        {MakeOrderTarget(worker, now), stop.task, stop.run});
   }
 }
 
 void PoolScheduler::IssueStarts(WorkerState& worker, MonoTime now) {
-  if (!starts_allowed_ || !worker.fenced || worker.reported_ended) {
+  // A copy of an order would grant a next incarnation another lease, so a hold
+  // has to show first that this one still responds.
+  if (!starts_allowed_ || !worker.fenced || worker.reported_ended ||
+      worker.missed_responses > 0) {
     return;
   }
   for (const TaskRef& ref : worker.tasks) {
@@ -200,20 +236,15 @@
       Wake(task.next_order);
       continue;
     }
-    if (worker.missed_responses > 0 && task.order_deadline.count() == 0) {
-      // A first order could not carry a lease.
-      continue;
-    }
-    if (worker.missed_responses == 0) {
-      const std::chrono::milliseconds lease =
-          std::min(kFirstLease, LeaseOf(options_.bounds));
-      task.order_deadline =
-          std::max(worker.latest_deadline, worker.clock.DeadlineIn(lease, now));
-      worker.latest_deadline =
-          std::max(worker.latest_deadline, task.order_deadline);
-    }
+    const std::chrono::milliseconds lease =
+        std::min(kFirstLease, LeaseOf(options_.bounds));
+    task.order_deadline =
+        std::max(worker.latest_deadline, worker.clock.DeadlineIn(lease, now));
+    worker.latest_deadline =
+        std::max(worker.latest_deadline, task.order_deadline);
+    OnLeaseGranted(worker, kOrderResponseTime, now);
     StartOrder order;
-    order.target = MakeOrderTarget(worker);
+    order.target = MakeOrderTarget(worker, now);
     order.task = ref.Name();
     order.run = task.run;
     order.job = ref.job;
@@ -221,6 +252,7 @@
     order.checkpoint = task.checkpoint;
     order.ticket = ref.GetStage().advice.TicketFor(worker.report.key, now);
     task.order_in_flight = true;
+    ++worker.starts_in_flight;
     stats_->starts.Add();
     if (task.order_outcome_unknown) {
       stats_->start_retries.Add();
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -10,8 +10,6 @@
 namespace figflow {
 namespace {
 
-// Minimum rate of a worker's clock. A slower clock makes a lease last longer.
-constexpr double kMinWorkerClockRate = 0.98;
 // Delay before an order without a response is sent again; a response takes a
 // few milliseconds.
 constexpr std::chrono::milliseconds kOrderRetryDelay{150};
@@ -138,7 +136,7 @@
       continue;
     }
     const auto remaining =
-        std::max(worker->AllLeasesExpiredAt() - now, MonoTime::duration(0));
+        std::max(worker->AllOrdersExpiredAt() - now, MonoTime::duration(0));
     leases[key] = std::chrono::ceil<std::chrono::milliseconds>(remaining);
   }
   return leases;
@@ -178,23 +176,50 @@
   }
 }
 
+bool PoolScheduler::OnOrderResponse(WorkerState& worker,
+                                    const OrderTarget& target,
+                                    const Result<OrderResponse>& answer,
+                                    MonoTime now) {
+  if (!answer) {
+    OnResponseMissed(worker, now);
+    return false;
+  }
+  deposed_ = deposed_ || answer->answer == OrderOutcome::kFenced;
+  if (answer->answer == OrderOutcome::kReplaced) {
+    EndWorker(worker, "replaced", now);
+    worker.addressable = false;
+    return true;
+  }
+  if (worker.clock.IsBehind(answer->clock, target.issued_at)) {
+    LogEvent(LogLevel::kWarning, LogCategory::kJobs, "worker_clock_went_back",
+             {{"worker", worker.report.key.id},
+              {"incarnation", absl::StrCat(worker.report.key.incarnation)},
+              {"pool", options_.pool},
+              {"clock_ms", absl::StrCat(answer->clock.count())},
+              {"tasks", absl::StrCat(worker.tasks.size())}});
+    OnResponseMissed(worker, now);
+    return false;
+  }
+  OnResponseReceived(worker, answer->clock, now);
+  return true;
+}
+
 void PoolScheduler::OnStartResponse(const StartOrder& order,
                                     const Result<OrderResponse>& answer,
                                     MonoTime now) {
-  const bool may_be_open =
-      !answer && answer.error().code != ErrorCode::kUnavailable;
-  if (may_be_open) {
+  WorkerState* worker = FindWorker(order.target.worker);
+  const bool responded =
+      worker == nullptr ? answer.has_value()
+                        : OnOrderResponse(*worker, order.target, answer, now);
+  const bool was_sent =
+      answer || answer.error().code != ErrorCode::kUnavailable;
+  if (!responded && was_sent) {
     RecordOpenOrder(order, now);
   }
-  WorkerState* worker = FindWorker(order.target.worker);
   if (worker == nullptr) {
     return;
   }
-  if (answer) {
-    OnResponseReceived(*worker, answer->clock, now);
-  } else {
-    OnResponseMissed(*worker, now);
-  }
+  worker->starts_in_flight = std::max(worker->starts_in_flight - 1, 0);
   const std::optional<TaskRef> ref = FindTask(order.task);
   const bool current = ref && ref->Get().worker == worker &&
                        ref->Get().run == order.run &&
@@ -205,8 +230,12 @@
   }
   Task& task = ref->Get();
   task.order_in_flight = false;
-  if (!answer) {
-    task.order_outcome_unknown = task.order_outcome_unknown || may_be_open;
+  if (!responded) {
+    task.order_outcome_unknown = task.order_outcome_unknown || was_sent;
+    if (!task.order_outcome_unknown) {
+      // No copy was sent.
+      task.order_deadline = std::chrono::milliseconds(0);
+    }
     task.next_order = now + kOrderRetryDelay;
     return;
   }
@@ -220,6 +249,7 @@
   }
   switch (answer->answer) {
     case OrderOutcome::kStarted:
+      task.confirmed = true;
       if (task.phase == TaskPhase::kStarting) {
         task.phase = TaskPhase::kRunning;
         task.since = now;
@@ -230,7 +260,7 @@
       }
       return;
     case OrderOutcome::kFenced:
-      deposed_ = true;
+    case OrderOutcome::kReplaced:
       return;
     case OrderOutcome::kOutdated:
       task.order_outdated = true;
@@ -241,10 +271,6 @@
       // this response.
       task.next_order = now;
       return;
-    case OrderOutcome::kReplaced:
-      EndWorker(*worker, "replaced", now);
-      worker->addressable = false;
-      return;
     case OrderOutcome::kUnhealthy:
       worker->health.OnRefused(now);
       break;
@@ -311,30 +337,17 @@
   if (worker == nullptr) {
     return;
   }
+  const bool responded = OnOrderResponse(*worker, order.target, answer, now);
   const auto stop = worker->stops.find({FormatTaskName(order.task), order.run});
-  if (stop != worker->stops.end()) {
-    stop->second.in_flight = false;
-    stop->second.next_try = now + kOrderRetryDelay;
-  }
-  if (!answer) {
-    OnResponseMissed(*worker, now);
+  if (stop == worker->stops.end()) {
     return;
   }
-  OnResponseReceived(*worker, answer->clock, now);
-  switch (answer->answer) {
-    case OrderOutcome::kFenced:
-      deposed_ = true;
-      return;
-    case OrderOutcome::kReplaced:
-      EndWorker(*worker, "replaced", now);
-      worker->addressable = false;
-      return;
-    default:
-      break;
-  }
-  const bool accepted = answer->answer == OrderOutcome::kStarted ||
-                        answer->answer == OrderOutcome::kOutdated;
-  if (accepted && stop != worker->stops.end() && !stop->second.accepted) {
+  stop->second.in_flight = false;
+  stop->second.next_try = now + kOrderRetryDelay;
+  const bool accepted =
+      responded && (answer->answer == OrderOutcome::kStarted ||
+                    answer->answer == OrderOutcome::kOutdated);
+  if (accepted && !stop->second.accepted) {
     stop->second.accepted = true;
     stop->second.accepted_at = now;
   }
--- a/Source/Core/Scheduling/worker_clock.cc
+++ b/Source/Core/Scheduling/worker_clock.cc
@@ -3,8 +3,6 @@
 namespace figflow {
 namespace {
 
-// A worker's clock may be slow by 2% (platform contract).
-constexpr double kMinClockRate = 0.98;
 // Margin for rounding to whole milliseconds on both sides.
 constexpr std::chrono::milliseconds kRoundingMargin{2};
 
@@ -19,6 +17,18 @@
   observed_ = now;
 }
 
+bool WorkerClock::IsBehind(std::chrono::milliseconds reading,
+                           MonoTime sent_at) const {
+  if (!known_ || reading.count() == 0) {
+    return false;
+  }
+  const auto elapsed =
+      std::chrono::duration<double, std::milli>(sent_at - observed_).count();
+  const double lowest = static_cast<double>(reading_.count()) +
+                        (elapsed > 0 ? elapsed * kMinWorkerClockRate : elapsed);
+  return static_cast<double>((reading + kRoundingMargin).count()) < lowest;
+}
+
 std::chrono::milliseconds WorkerClock::DeadlineIn(
     std::chrono::milliseconds lease,
     MonoTime now) const {
@@ -30,7 +40,7 @@
 MonoTime WorkerClock::DeadlinePassedBy(
     std::chrono::milliseconds deadline) const {
   const auto remaining = std::chrono::duration<double, std::milli>(
-      static_cast<double>((deadline - reading_).count()) / kMinClockRate);
+      static_cast<double>((deadline - reading_).count()) / kMinWorkerClockRate);
   return observed_ + std::chrono::duration_cast<MonoTime::duration>(remaining) +
          kRoundingMargin;
 }
--- a/Source/Core/Scheduling/worker_clock.h
+++ b/Source/Core/Scheduling/worker_clock.h
@@ -7,6 +7,10 @@
 
 namespace figflow {
 
+// Minimum rate of a worker's clock (platform contract). A slower clock makes a
+// lease last longer.
+inline constexpr double kMinWorkerClockRate = 0.98;
+
 // Relates a worker's steady clock, which its leases use, to this daemon's
 // clock.
 class WorkerClock {
@@ -18,6 +22,11 @@
 
   bool known() const { return known_; }
 
+  // Returns whether the clock cannot read `reading` after `sent_at`: the
+  // response to a call that was sent then is of a later incarnation, whose
+  // clock started anew.
+  bool IsBehind(std::chrono::milliseconds reading, MonoTime sent_at) const;
+
   // Returns the worker's clock `lease` from now, or slightly less: a deadline
   // computed from it is never later than intended.
   std::chrono::milliseconds DeadlineIn(std::chrono::milliseconds lease,
--- a/Source/Core/Scheduling/worker_gateway.h
+++ b/Source/Core/Scheduling/worker_gateway.h
@@ -9,9 +9,9 @@
 namespace figflow {
 
 // Sends orders to workers. The methods return immediately; `done` is called
-// exactly once, from another thread. Error kUnavailable means that the order was
-// not sent. Any other error means that no response arrived: the order may have
-// been carried out, or may still be carried out seconds later.
+// exactly once, from another thread. Error kUnavailable means that the order
+// was not sent. Any other error means that no response arrived: the order may
+// have been carried out, or may still be carried out seconds later.
 class WorkerGateway {
  public:
   virtual ~WorkerGateway() = default;
--- a/Source/Core/Scheduling/worker_health.cc
+++ b/Source/Core/Scheduling/worker_health.cc
@@ -46,8 +46,7 @@
 }
 
 void WorkerHealth::DiscountFailures(const std::string& job) {
-  const auto first =
-      std::remove(failed_jobs_.begin(), failed_jobs_.end(), job);
+  const auto first = std::remove(failed_jobs_.begin(), failed_jobs_.end(), job);
   if (first == failed_jobs_.end()) {
     return;
   }
--- a/Source/Core/Scheduling/worker_state.cc
+++ b/Source/Core/Scheduling/worker_state.cc
@@ -1,5 +1,7 @@
 #include "Scheduling/worker_state.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
@@ -26,6 +28,21 @@
   return clock.DeadlinePassedBy(latest_deadline);
 }
 
+MonoTime WorkerState::AllOrdersExpiredAt() const {
+  const bool next_may_run = std::any_of(
+      tasks.begin(), tasks.end(),
+      [](const TaskRef& ref) { return !EndsWithThisIncarnation(ref.Get()); });
+  return next_may_run
+             ? std::max(AllLeasesExpiredAt(), next_incarnation_leases_until)
+             : AllLeasesExpiredAt();
+}
+
+bool WorkerState::EndsWithThisIncarnation(const Task& task) {
+  const bool ordered =
+      task.phase != TaskPhase::kPlanned && task.order_deadline.count() > 0;
+  return !ordered || task.inherited || task.confirmed;
+}
+
 Resources ReservedResources(const StageSpec& spec) {
   Resources size = spec.per_task;
   if (spec.filler) {
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -70,9 +70,14 @@
   bool fenced = false;
   // Latest lease deadline that the worker may have been given, on its clock.
   std::chrono::milliseconds latest_deadline{0};
-  // When all leases from earlier owners have run out; used until the worker is
-  // fenced.
+  // When all leases from earlier owners, and from orders to earlier
+  // incarnations, have run out; used until the worker is fenced.
   MonoTime inherited_leases_until;
+  // Until when a next incarnation may hold a lease from an order to this one.
+  // Its clock starts anew, so any deadline grants it the longest lease.
+  MonoTime next_incarnation_leases_until = MonoTime::min();
+  // Start orders without a response so far.
+  int starts_in_flight = 0;
 
   bool hold_in_flight = false;
   MonoTime hold_sent_at;
@@ -111,6 +116,11 @@
   // Returns the time at which the worker certainly has none of its runs any
   // more, unless it is reached before.
   MonoTime AllLeasesExpiredAt() const;
+  // Same for the tasks that only a next incarnation may run, and for those of
+  // this one.
+  MonoTime AllOrdersExpiredAt() const;
+  // Returns whether no incarnation runs the task after `AllLeasesExpiredAt`.
+  static bool EndsWithThisIncarnation(const Task& task);
 };
 
 // Returns "job.occurrence.stage.index", the name of a task in logs and keys.
--- a/Source/UnitTests/Fleet/fleet_seeded_test.cc
+++ b/Source/UnitTests/Fleet/fleet_seeded_test.cc
@@ -1,18 +1,15 @@
 // Random combinations of faults against the whole engine. A seed that ever
 // failed stays in kPastSeeds with a line on the cause.
 #include <cstdint>
-#include <cstdlib>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "Fleet/fleet_test_support.h"
+#include "Fleet/seed_support.h"
 
 namespace figflow::test {
 namespace {
 
-// FIGFLOW_SEEDS=FIRST-LAST runs other seeds.
-constexpr uint64_t kFirstSeed = 1;
 constexpr uint64_t kLastSeed = 25;
 constexpr uint64_t kLastMixedSeed = 25;
 // Fewer, for the time limit of the program under ThreadSanitizer.
@@ -63,7 +60,7 @@
 class FaultInjector {
  public:
   FaultInjector(ModelFleet& fleet, uint64_t seed)
-      : fleet_(fleet), random_(seed) {}
+      : fleet_(fleet), draw_(seed) {}
 
   // Injects one fault, which ends by itself.
   void InjectFault() {
@@ -159,9 +156,7 @@
     }
   }
 
-  int Draw(int low, int high) {
-    return std::uniform_int_distribution<int>(low, high)(random_);
-  }
+  int Draw(int low, int high) { return draw_.Draw(low, high); }
 
  private:
   void After(milliseconds delay, std::function<void()> event) {
@@ -169,7 +164,7 @@
   }
 
   ModelFleet& fleet_;
-  std::mt19937_64 random_;
+  SeededDraw draw_;
 };
 
 class FleetSeededTest : public CppUnit::TestFixture {
@@ -212,21 +207,6 @@
   }
 
  private:
-  // Runs the seeds up to `last`, or those that FIGFLOW_SEEDS names as "A-B".
-  static void RunSeeds(uint64_t last, void (*run)(uint64_t seed)) {
-    uint64_t first = kFirstSeed;
-    if (const char* range = std::getenv("FIGFLOW_SEEDS")) {
-      char* rest = nullptr;
-      first = std::strtoull(range, &rest, 10);
-      last = rest != nullptr && *rest == '-'
-                 ? std::strtoull(rest + 1, nullptr, 10)
-                 : first;
-    }
-    for (uint64_t seed = first; seed <= last; ++seed) {
-      run(seed);
-    }
-  }
-
   static JobSpec DrawJob(const std::string& id, FaultInjector& injector) {
     JobSpec spec = SimpleJob(id, absl::StrCat("q", injector.Draw(0, 1)),
                              injector.Draw(1, 4), injector.Draw(1, 6), 1'000);
@@ -399,14 +379,6 @@
     }
   }
 
-  static void AssertSeedPromisesKept(const ModelFleet& fleet, uint64_t seed) {
-    const std::string label = absl::StrCat("seed ", seed, ": ");
-    CPPUNIT_ASSERT_EQUAL(label,
-                         label + absl::StrJoin(fleet.promises.broken(), "; "));
-    CPPUNIT_ASSERT_EQUAL(
-        label, label + absl::StrJoin(fleet.promises.Unfinished(), "; "));
-  }
-
   static void RunSeed(uint64_t seed) {
     ModelFleet fleet(seed);
     FaultInjector injector(fleet, seed + 1'000);
--- a/Source/UnitTests/Scheduling/decisions_test.cc
+++ b/Source/UnitTests/Scheduling/decisions_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST_SUITE(DecisionsTest);
   CPPUNIT_TEST(SlowWorkerClockExtendsLease);
   CPPUNIT_TEST(OlderClockReadingIsIgnored);
+  CPPUNIT_TEST(ClockOfLaterIncarnationIsBehind);
   CPPUNIT_TEST(UselessEstimatesPredictMean);
   CPPUNIT_TEST(GoodEstimatesAreKept);
   CPPUNIT_TEST(FewRunsKeepTheEstimate);
@@ -70,6 +71,24 @@
                    milliseconds(10'000));
   }
 
+  // Guards against responses of a next incarnation that pass for those of the
+  // earlier one, and against overtaken responses that do not.
+  void ClockOfLaterIncarnationIsBehind() {
+    WorkerClock clock;
+    CPPUNIT_ASSERT(!clock.IsBehind(milliseconds(1), kNow));
+    clock.Observe(milliseconds(10'000), kNow);
+    CPPUNIT_ASSERT(clock.IsBehind(milliseconds(9'000), kNow));
+    CPPUNIT_ASSERT(!clock.IsBehind(milliseconds(10'000), kNow));
+    // Sent, and responded to, before the last reading arrived.
+    CPPUNIT_ASSERT(
+        !clock.IsBehind(milliseconds(9'960), kNow - milliseconds(50)));
+    // A clock that is 2% slow.
+    CPPUNIT_ASSERT(!clock.IsBehind(milliseconds(10'980), kNow + seconds(1)));
+    CPPUNIT_ASSERT(clock.IsBehind(milliseconds(10'900), kNow + seconds(1)));
+    // A response without a reading.
+    CPPUNIT_ASSERT(!clock.IsBehind(milliseconds(0), kNow));
+  }
+
   void UselessEstimatesPredictMean() {
     DurationModel model;
     const int estimates[] = {50, 4'000, 300, 9'000, 100, 2'000};
--- a/Source/UnitTests/Scheduling/dispatch_test.cc
+++ b/Source/UnitTests/Scheduling/dispatch_test.cc
@@ -98,10 +98,9 @@
       driver.Write();
       driver.Advance(milliseconds(10));
     }
-    CPPUNIT_ASSERT(std::any_of(driver.starts.begin(), driver.starts.end(),
-                               [&](const StartOrder& start) {
-                                 return start.task.job == spec.id;
-                               }));
+    CPPUNIT_ASSERT(std::any_of(
+        driver.starts.begin(), driver.starts.end(),
+        [&](const StartOrder& start) { return start.task.job == spec.id; }));
   }
 };
 
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -130,8 +130,7 @@
   void RespondToHold(const std::string& worker, const WorkerStatus& status) {
     HoldResponse answer;
     answer.status = status;
-    answer.status.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now_.time_since_epoch());
+    answer.status.clock = WorkerClockNow();
     const SentHold hold = holds_.at(worker);
     holds_.erase(worker);
     scheduler_->OnHoldResponse(hold.order, answer, hold.sent_at, now_);
@@ -171,9 +170,13 @@
 
   // Accepts a start order.
   void RespondToStart(const StartOrder& order) {
+    RespondToStart(order, WorkerClockNow());
+  }
+  // Same with this reading of the worker's clock.
+  void RespondToStart(const StartOrder& order,
+                      std::chrono::milliseconds clock) {
     OrderResponse answer;
-    answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now_.time_since_epoch());
+    answer.clock = clock;
     scheduler_->OnStartResponse(order, answer, now_);
     Step();
   }
@@ -185,10 +188,11 @@
   }
 
   // Accepts the latest stop order.
-  void RespondToStop() {
+  void RespondToStop() { RespondToStop(WorkerClockNow()); }
+  // Same with this reading of the worker's clock.
+  void RespondToStop(std::chrono::milliseconds clock) {
     OrderResponse answer;
-    answer.clock = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now_.time_since_epoch());
+    answer.clock = clock;
     scheduler_->OnStopResponse(stops.back(), answer, now_);
     Step();
   }
@@ -202,6 +206,12 @@
     MonoTime sent_at;
   };
 
+  // All workers' clocks began with this one.
+  std::chrono::milliseconds WorkerClockNow() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        now_.time_since_epoch());
+  }
+
   MetricsRegistry metrics_;
   MonoTime now_;
   WallTime wall_ = FromEpoch(std::chrono::milliseconds(1'700'000'000'000));
