--- a/Source/UnitTests/Scheduling/ends_test.cc
+++ b/Source/UnitTests/Scheduling/ends_test.cc
@@ -12,17 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-WorkerStatus Ended(const StartOrder& start, RunResult how) {
-  WorkerStatus status;
-  EndedRun ended;
-  ended.number = 1;
-  ended.name = start.task;
-  ended.run = start.run;
-  ended.end = how;
-  status.ended = {ended};
-  return status;
-}
-
 class EndsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndsTest);
   CPPUNIT_TEST(EarlierDoneRunCompletesPlannedTask);
@@ -211,15 +200,6 @@
     CPPUNIT_ASSERT_EQUAL(0, tasks());
   }
 
-  static WorkerStatus Running(const StartOrder& start) {
-    WorkerStatus status;
-    RunningTask running;
-    running.name = start.task;
-    running.run = start.run;
-    status.running = {running};
-    return status;
-  }
-
   // Evacuates the worker until its run gets a stop order, then ends the
   // evacuation.
   static void StopByEvacuation(SchedulerDriver& driver,
--- a/Source/UnitTests/Scheduling/failures_test.cc
+++ b/Source/UnitTests/Scheduling/failures_test.cc
@@ -49,14 +49,7 @@
     while (!driver.Hold("a")) {
       driver.Advance(milliseconds(10));
     }
-    EndedRun ended;
-    ended.number = number;
-    ended.name = start.task;
-    ended.run = start.run;
-    ended.end = RunResult::kFailed;
-    WorkerStatus status;
-    status.ended = {ended};
-    driver.RespondToHold("a", status);
+    driver.RespondToHold("a", Ended(start, RunResult::kFailed, number));
   }
 };
 
--- a/Source/UnitTests/Scheduling/next_incarnation_test.cc
+++ b/Source/UnitTests/Scheduling/next_incarnation_test.cc
@@ -15,15 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-WorkerStatus Running(const StartOrder& start) {
-  WorkerStatus status;
-  RunningTask running;
-  running.name = start.task;
-  running.run = start.run;
-  status.running = {running};
-  return status;
-}
-
 // Longest lease that a worker grants, and a reading of a clock that has just
 // started.
 constexpr milliseconds kLongestLease{6'000};
@@ -237,14 +228,7 @@
     driver.Write();
     const StartOrder first = driver.RespondToStart();
     driver.Advance(milliseconds(50));
-    EndedRun ended;
-    ended.number = 1;
-    ended.name = first.task;
-    ended.run = first.run;
-    ended.end = RunResult::kDone;
-    WorkerStatus status;
-    status.ended = {ended};
-    driver.RespondToHold("a", status);
+    driver.RespondToHold("a", Ended(first, RunResult::kDone));
     driver.Submit("job");
     driver.Write();
     driver.Write();
--- a/Source/UnitTests/Scheduling/partial_lists_test.cc
+++ b/Source/UnitTests/Scheduling/partial_lists_test.cc
@@ -87,24 +87,13 @@
     driver.RespondToHold("b", WorkerStatus());
   }
 
-  static EndedRun Done(const StartOrder& start, uint64_t number) {
-    EndedRun ended;
-    ended.number = number;
-    ended.name = start.task;
-    ended.run = start.run;
-    ended.end = RunResult::kDone;
-    return ended;
-  }
   static WorkerStatus FirstEnd(const SchedulerDriver& driver) {
-    WorkerStatus status;
-    status.ended = {Done(driver.starts[0], 1)};
+    WorkerStatus status = Ended(driver.starts[0], RunResult::kDone);
     status.more_ended = true;
     return status;
   }
   static WorkerStatus SecondEnd(const SchedulerDriver& driver) {
-    WorkerStatus status;
-    status.ended = {Done(driver.starts[1], 2)};
-    return status;
+    return Ended(driver.starts[1], RunResult::kDone, 2);
   }
 
   static void ExpectNoFurtherStart(SchedulerDriver& driver) {
--- a/Source/UnitTests/Scheduling/reported_ends_test.cc
+++ b/Source/UnitTests/Scheduling/reported_ends_test.cc
@@ -12,16 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-WorkerStatus Running(const StartOrder& start) {
-  WorkerStatus status;
-  RunningTask running;
-  running.name = start.task;
-  running.run = start.run;
-  running.percent = 50;
-  status.running = {running};
-  return status;
-}
-
 class ReportedEndsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReportedEndsTest);
   CPPUNIT_TEST(FalseReportStartsNoTaskTwice);
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -17,6 +17,31 @@
 
 inline const MonoTime kStart = MonoTime(std::chrono::hours(1));
 
+// A response to a hold that lists the run of `start`.
+inline WorkerStatus Running(const StartOrder& start) {
+  RunningTask running;
+  running.name = start.task;
+  running.run = start.run;
+  running.percent = 50;
+  WorkerStatus status;
+  status.running = {running};
+  return status;
+}
+
+// A response to a hold that lists the end of the run of `start`.
+inline WorkerStatus Ended(const StartOrder& start,
+                          RunResult how,
+                          uint64_t number = 1) {
+  EndedRun ended;
+  ended.number = number;
+  ended.name = start.task;
+  ended.run = start.run;
+  ended.end = how;
+  WorkerStatus status;
+  status.ended = {ended};
+  return status;
+}
+
 // Drives the scheduler of a pool with a store that responds when the test
 // triggers it, and workers whose responses the test writes.
 class SchedulerDriver {
