Query the policy for jobs whose queue was removed

Cause: whether a stage needs tickets was read from the plan in force, which no longer has the queue. Its start orders carried no ticket, and each was refused.

A refusal for want of a ticket now shows that the stage has a policy, so the policy service is queried for it whatever the plan says. This costs one refused start for each stage, and needs nothing in the records: it holds for each owner.

--- a/Source/Core/Scheduling/placement_tickets.cc
+++ b/Source/Core/Scheduling/placement_tickets.cc
@@ -28,6 +28,7 @@
 
 void PlacementTickets::OnTicketRefused(const WorkerKey& worker) {
   tickets_.erase(worker);
+  required_ = true;
 }
 
 std::string PlacementTickets::TicketFor(const WorkerKey& worker,
--- a/Source/Core/Scheduling/placement_tickets.h
+++ b/Source/Core/Scheduling/placement_tickets.h
@@ -39,6 +39,9 @@
   // Returns the ticket for a start order that is sent soon after `now`; empty
   // if there is none.
   std::string TicketFor(const WorkerKey& worker, MonoTime now) const;
+  // Returns whether a worker has refused a start for want of a ticket: the
+  // stage has a policy, although its queue may have been removed.
+  bool required() const { return required_; }
   // Returns whether the policy service does not allow the worker.
   bool IsForbidden(const WorkerKey& worker) const;
 
@@ -52,6 +55,7 @@
   };
   std::map<WorkerKey, Entry> tickets_;
   std::set<WorkerKey> forbidden_;
+  bool required_ = false;
 };
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -288,7 +288,8 @@
                                                        MonoTime now) {
   Stage& stage = item.GetStage();
   const StageSpec& spec = item.Spec();
-  const bool has_policy = item.queue != nullptr && item.queue->policy;
+  const bool has_policy =
+      (item.queue != nullptr && item.queue->policy) || stage.advice.required();
   std::vector<bool> allowed(board.workers.size(), true);
   if (has_policy) {
     for (size_t i = 0; i < board.workers.size(); ++i) {
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -116,6 +116,9 @@
     for (StopOrder& stop : output.stops) {
       stops.push_back(std::move(stop));
     }
+    for (PolicyQuery& query : output.questions) {
+      queries.push_back(std::move(query));
+    }
   }
 
   // Lets the store accept all pending writes. Returns the records.
@@ -205,6 +208,25 @@
     scheduler_->OnStartResponse(order, answer, now_);
     Step();
   }
+  // Refuses a start order.
+  void RefuseStart(const StartOrder& order, OrderOutcome outcome) {
+    OrderResponse answer;
+    answer.answer = outcome;
+    answer.clock = WorkerClockNow();
+    scheduler_->OnStartResponse(order, answer, now_);
+    Step();
+  }
+  // Lets the placement policy allow all workers of the latest query.
+  void RespondToQuery() {
+    const PolicyQuery query = queries.back();
+    PolicyResponse answer;
+    answer.lifetime = std::chrono::seconds(3);
+    for (const WorkerKey& worker : query.workers) {
+      answer.allowed.push_back({worker.id, "ticket"});
+    }
+    scheduler_->OnPolicyResponse(query, answer, now_, now_);
+    Step();
+  }
   // Accepts the latest start order and returns it.
   StartOrder RespondToStart() {
     StartOrder order = starts.back();
@@ -224,6 +246,7 @@
 
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
+  std::vector<PolicyQuery> queries;
 
  private:
   struct SentHold {
