Pass on the orders of earlier controllers at a hand-over

Cause: the hand-over record held the orders of its own writer only, and no time, so it could not be passed on without making the interval longer.

The record names each instance with the time that is left, of this controller and of earlier ones. After a controller that did not hand over it stays active until the interval has passed. A record of the earlier form is unreadable and counts as active, which only waits longer.

--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -1,6 +1,7 @@
 #include "Instances/instance_controller.h"
 
 #include <algorithm>
+#include <chrono>
 #include <tuple>
 #include <utility>
 
@@ -91,7 +92,11 @@
     const Result<HandOverRecord> record = ParseHandOverRecord(handover->value);
     after_crash_ = !record || record->active;
     if (record) {
-      ordered_by_predecessor_ = record->recently_ordered;
+      for (const auto& [instance, blocked_for] : record->recently_ordered) {
+        blocked_until_[instance] =
+            created_at_ +
+            std::min<MonoTime::duration>(blocked_for, options_.holder_interval);
+      }
     }
   }
   RecordWriter::Ownership ownership;
@@ -103,51 +108,6 @@
                                            ownership, wake_);
 }
 
-bool InstanceController::HasRecentEarlierOrder(const std::string& instance,
-                                               MonoTime now) const {
-  return now < created_at_ + options_.holder_interval &&
-         (after_crash_ || ordered_by_predecessor_.count(instance) > 0);
-}
-
-void InstanceController::HandOver(std::function<void()> done) {
-  {
-    absl::MutexLock lock(&mutex_);
-    handing_over_ = true;
-    on_handed_over_ = std::move(done);
-  }
-  TryHandOver();
-}
-
-void InstanceController::TryHandOver() {
-  std::shared_ptr<RecordWriter> writer;
-  std::function<void()> done;
-  HandOverRecord record;
-  {
-    absl::MutexLock lock(&mutex_);
-    if (!handing_over_ || !on_handed_over_ || orders_in_flight_ > 0 ||
-        writing_) {
-      return;
-    }
-    done = std::move(on_handed_over_);
-    on_handed_over_ = nullptr;
-    if (active_written_ && writer_ != nullptr && !deposed_) {
-      writing_ = true;
-      writer = writer_;
-      for (const auto& [instance, at] : ordered_at_) {
-        if (clock_.Now() < at + options_.holder_interval) {
-          record.recently_ordered.insert(instance);
-        }
-      }
-    }
-  }
-  if (writer == nullptr) {
-    done();
-    return;
-  }
-  writer->Write({{HandOverKey(), FormatHandOverRecord(record), 0}}, {},
-                [done](RecordWriter::Outcome) { done(); });
-}
-
 void InstanceController::Stop() {
   absl::MutexLock lock(&mutex_);
   stopped_ = true;
--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -196,7 +196,9 @@
 
   // Instances ordered by this controller, with the time of the last order.
   std::map<std::string, MonoTime> ordered_at_ ABSL_GUARDED_BY(mutex_);
-  std::set<std::string> ordered_by_predecessor_ ABSL_GUARDED_BY(mutex_);
+  // Instances ordered by earlier controllers, with the time until which this
+  // one leaves them alone.
+  std::map<std::string, MonoTime> blocked_until_ ABSL_GUARDED_BY(mutex_);
   // True if the last controller did not hand over, so that any instance may
   // have a recent order.
   bool after_crash_ ABSL_GUARDED_BY(mutex_) = true;
--- a/Source/Core/Instances/wave_record.cc
+++ b/Source/Core/Instances/wave_record.cc
@@ -47,7 +47,11 @@
 }
 
 std::string FormatHandOverRecord(const HandOverRecord& record) {
-  return FormatCbor(json::array({record.active, record.recently_ordered}));
+  json ordered = json::array();
+  for (const auto& [instance, blocked_for] : record.recently_ordered) {
+    ordered.push_back({instance, blocked_for.count()});
+  }
+  return FormatCbor(json::array({record.active, std::move(ordered)}));
 }
 
 Result<HandOverRecord> ParseHandOverRecord(absl::string_view bytes) {
@@ -55,7 +59,10 @@
       bytes, "handover.record", [](const json& row) {
         HandOverRecord record;
         record.active = row.at(0).get<bool>();
-        record.recently_ordered = row.at(1).get<std::set<std::string>>();
+        for (const json& entry : row.at(1)) {
+          record.recently_ordered[entry.at(0).get<std::string>()] =
+              std::chrono::milliseconds(entry.at(1).get<int64_t>());
+        }
         return record;
       });
 }
--- a/Source/Core/Instances/wave_record.h
+++ b/Source/Core/Instances/wave_record.h
@@ -1,8 +1,8 @@
 #ifndef INSTANCES_WAVE_RECORD_H_
 #define INSTANCES_WAVE_RECORD_H_
 
+#include <chrono>
 #include <map>
-#include <set>
 #include <string>
 
 #include "Common/clock.h"
@@ -26,11 +26,13 @@
 
 // Reports which orders of earlier controllers may still be in flight. A
 // controller writes the record as active before its first order, and as
-// inactive when it hands over.
+// inactive when it hands over, unless any instance may still have an order of a
+// controller that did not hand over.
 struct HandOverRecord {
   bool active = false;
-  // Instances that the controller ordered shortly before it handed over.
-  std::set<std::string> recently_ordered;
+  // Instances that this controller or an earlier one ordered shortly before,
+  // with the time for which no other controller may order.
+  std::map<std::string, std::chrono::milliseconds> recently_ordered;
 };
 
 std::string FormatHandOverRecord(const HandOverRecord& record);
--- a/Source/Core/Scheduling/pool_scheduler_ends.cc
+++ b/Source/Core/Scheduling/pool_scheduler_ends.cc
@@ -52,10 +52,9 @@
 }
 
 void PoolScheduler::EndExpiredRuns(WorkerState& worker, MonoTime now) {
-  constexpr char kCause[] = "lease-ran-out";
   const MonoTime all_expired_at = worker.AllOrdersExpiredAt();
   if (now >= all_expired_at) {
-    EndWorker(worker, kCause, now);
+    EndWorker(worker, "lease-ran-out", now);
     return;
   }
   Wake(all_expired_at);
@@ -64,7 +63,7 @@
                std::inserter(expired, expired.end()), [](const TaskRef& ref) {
                  return WorkerState::EndsWithThisIncarnation(ref.Get());
                });
-  ReturnLostTasks(worker, expired, kCause, now);
+  ReturnLostTasks(worker, expired, "lease-ran-out", now);
 }
 
 void PoolScheduler::ReplaceWorker(WorkerState& earlier,
--- a/Source/StandIns/Fleet/model_workers.cc
+++ b/Source/StandIns/Fleet/model_workers.cc
@@ -431,10 +431,11 @@
                      worker.ended.end());
   answer.status.clock = clock;
   answer.status.incarnation = worker.report.key.incarnation;
-  const size_t listed = std::min(worker.ended.size(), kMostListedEnds);
-  answer.status.ended.assign(worker.ended.begin(),
-                             worker.ended.begin() + listed);
-  answer.status.more_ended = listed == kMostListedEnds;
+  answer.status.ended = worker.ended;
+  answer.status.more_ended = worker.ended.size() >= kMostListedEnds;
+  if (answer.status.more_ended) {
+    answer.status.ended.resize(kMostListedEnds);
+  }
   for (const auto& [task, run] : worker.running) {
     RunningTask running;
     running.name = run.name;
--- a/Source/UnitTests/Fleet/fleet_policy_test.cc
+++ b/Source/UnitTests/Fleet/fleet_policy_test.cc
@@ -6,6 +6,8 @@
 namespace figflow::test {
 namespace {
 
+constexpr int kPolicyPools = 16;
+
 class FleetPolicyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetPolicyTest);
   CPPUNIT_TEST(BurstOfJobsIsStarted);
@@ -28,15 +30,14 @@
   // handles the calls of one daemon in turn.
   void PoolsOfOneDaemonShareThePolicyService() {
     ModelFleet fleet(32);
-    constexpr int kPools = 16;
-    StartPolicyFleet(fleet, kPools, 1);
-    for (int pool = 0; pool < kPools; ++pool) {
+    StartPolicyFleet(fleet, kPolicyPools, 1);
+    for (int pool = 0; pool < kPolicyPools; ++pool) {
       SubmitMany(fleet, absl::StrCat("a", pool, "-"), absl::StrCat("q", pool),
                  2, milliseconds(10), 1, 2);
     }
     fleet.Run(seconds(20));
     AssertPromisesKept(fleet);
-    CPPUNIT_ASSERT_EQUAL(2 * kPools, fleet.promises.completed());
+    CPPUNIT_ASSERT_EQUAL(2 * kPolicyPools, fleet.promises.completed());
   }
 
  private:
--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -221,6 +221,8 @@
   CPPUNIT_TEST(MaintainedWorkerIsReportedAsEnded);
   CPPUNIT_TEST(RepeatedMaintenanceEndsNoWorker);
   CPPUNIT_TEST(OrderedMaintenanceEvacuatesTheNextWorker);
+  CPPUNIT_TEST(HandOverNamesOrdersOfEarlierControllers);
+  CPPUNIT_TEST(HandOverAfterACrashBlocksAllInstances);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -251,6 +253,27 @@
     CPPUNIT_ASSERT_EQUAL(1, driver.instances.Maintained(1));
   }
 
+  // Guards against two controllers that order for an instance within the
+  // interval: a second hand-over dropped what the first one had named.
+  void HandOverNamesOrdersOfEarlierControllers() {
+    HandOverRecord first;
+    first.recently_ordered = {{"m-1", milliseconds(2'000)},
+                              {"m-2", milliseconds(200)}};
+    const HandOverRecord second = HandOverAgain(first);
+    CPPUNIT_ASSERT(!second.active);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, second.recently_ordered.size());
+    const milliseconds left = second.recently_ordered.at("m-1");
+    CPPUNIT_ASSERT(left > milliseconds(0));
+    CPPUNIT_ASSERT(left <= milliseconds(1'500));
+  }
+
+  // Same failure after a controller that did not hand over.
+  void HandOverAfterACrashBlocksAllInstances() {
+    HandOverRecord first;
+    first.active = true;
+    CPPUNIT_ASSERT(HandOverAgain(first).active);
+  }
+
   // Guards against a move that ends tasks: a list of the instances that was
   // read before a slow move took effect ended the evacuation.
   void WorkerStaysEvacuatedDuringItsMove() {
@@ -449,6 +472,24 @@
     CPPUNIT_ASSERT_EQUAL(0, driver.instances.Maintained(1));
     CPPUNIT_ASSERT(driver.evacuate.count(next.worker) > 0);
   }
+
+ private:
+  // Lets a controller take over after `first` and hand over 0.5 s later.
+  // Returns its record.
+  static HandOverRecord HandOverAgain(const HandOverRecord& first) {
+    ControllerDriver driver;
+    const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
+    const MaintenanceWave wave = driver.AddWave(instance);
+    driver.store.Put(HandOverKey(), FormatHandOverRecord(first));
+    driver.Start({"p"});
+    driver.controller->OnWaveRequested(wave, driver.time.Now());
+    driver.RunFor(milliseconds(500));
+    bool handed_over = false;
+    driver.controller->HandOver([&handed_over] { handed_over = true; });
+    driver.RunFor(milliseconds(100));
+    CPPUNIT_ASSERT(handed_over);
+    return *ParseHandOverRecord(driver.store.Find(HandOverKey())->value);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(InstanceControllerTest);
--- a/Source/UnitTests/Fleet/restart_seeds_test.cc
+++ b/Source/UnitTests/Fleet/restart_seeds_test.cc
@@ -1,5 +1,5 @@
 // Random restarts of workers under their ids against the whole engine. A seed
-// that ever failed stays in kPastSeeds with a line on the cause.
+// that ever failed stays in kPastRestartSeeds with a line on the cause.
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -10,10 +10,10 @@
 namespace figflow::test {
 namespace {
 
-constexpr uint64_t kLastSeed = 8;
+constexpr uint64_t kLastRestartSeed = 8;
 
 // Each broke while one rule on next lives was taken out.
-const std::vector<uint64_t> kPastSeeds = {
+const std::vector<uint64_t> kPastRestartSeeds = {
     // Ended runs were acknowledged to a life that may have had unread ones.
     4,
     8,
@@ -35,14 +35,14 @@
 
  public:
   void PastSeeds() {
-    for (const uint64_t seed : kPastSeeds) {
+    for (const uint64_t seed : kPastRestartSeeds) {
       RunRestartSeed(seed);
     }
   }
 
   // Lets workers start again under their ids, many of them cut off soon after,
   // while orders to them are under way.
-  void Seeds() { RunSeeds(kLastSeed, RunRestartSeed); }
+  void Seeds() { RunSeeds(kLastRestartSeed, RunRestartSeed); }
 
  private:
   static void RunRestartSeed(uint64_t seed) {
@@ -84,7 +84,7 @@
     if (workers.empty()) {
       return;
     }
-    const std::string id =
+    const std::string& id =
         workers[draw.Draw(0, static_cast<int>(workers.size()) - 1)];
     const auto down = milliseconds(draw.Draw(50, 700));
     const auto cut_after = milliseconds(draw.Draw(0, 400));
--- a/Source/UnitTests/Instances/planners_test.cc
+++ b/Source/UnitTests/Instances/planners_test.cc
@@ -394,6 +394,10 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, read->instances.count("b"));
     CPPUNIT_ASSERT(!ParseWaveRecord("").has_value());
     CPPUNIT_ASSERT(!ParseHandOverRecord("\x01").has_value());
+    HandOverRecord hand_over;
+    hand_over.recently_ordered = {{"m-1", milliseconds(700)}};
+    CPPUNIT_ASSERT(ParseHandOverRecord(FormatHandOverRecord(hand_over))
+                       ->recently_ordered == hand_over.recently_ordered);
   }
 
  private:
--- a/Source/UnitTests/Scheduling/next_incarnation_test.cc
+++ b/Source/UnitTests/Scheduling/next_incarnation_test.cc
@@ -17,7 +17,7 @@
 
 // Longest lease that a worker grants, and a reading of a clock that has just
 // started.
-constexpr milliseconds kLongestLease{6'000};
+constexpr milliseconds kLongestWorkerLease{6'000};
 constexpr milliseconds kNewClock{1'000};
 
 class NextIncarnationTest : public CppUnit::TestFixture {
@@ -121,7 +121,7 @@
     const RemainingLeases leases =
         driver.scheduler().LeasesOfUnreachedWorkers(driver.now());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, leases.size());
-    CPPUNIT_ASSERT(leases.begin()->second >= kLongestLease);
+    CPPUNIT_ASSERT(leases.begin()->second >= kLongestWorkerLease);
   }
 
   // Guards against work that waits for longer than needed: a run that this
@@ -132,7 +132,7 @@
     const MonoTime ordered_at = driver.now();
     driver.RespondToStart();
     LoseLeaseOfA(driver);
-    CPPUNIT_ASSERT(driver.now() < ordered_at + kLongestLease);
+    CPPUNIT_ASSERT(driver.now() < ordered_at + kLongestWorkerLease);
   }
 
   // Guards against a lease without end: each copy of an order grants the next
@@ -216,7 +216,7 @@
   static void ExpectSecondStartAfterLongestLease(SchedulerDriver& driver,
                                                  MonoTime ordered_at) {
     LoseLeaseOfA(driver);
-    CPPUNIT_ASSERT(driver.now() >= ordered_at + kLongestLease);
+    CPPUNIT_ASSERT(driver.now() >= ordered_at + kLongestWorkerLease);
   }
 
   // Orders a task on worker "a" while the end of an earlier one is read and
@@ -257,7 +257,7 @@
     driver.RespondToHold("a", WorkerStatus());
     driver.Advance(milliseconds(200));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, driver.starts.size());
-    const StartOrder first = driver.RespondToStart();
+    StartOrder first = driver.RespondToStart();
     driver.Advance(milliseconds(50));
     driver.RespondToHold("a", Running(first));
     driver.starts.erase(driver.starts.begin());
--- a/Source/UnitTests/Wire/decoder_fuzz_test.cc
+++ b/Source/UnitTests/Wire/decoder_fuzz_test.cc
@@ -180,7 +180,8 @@
   WaveRecord wave;
   wave.instances = {{"m-1", MaintenanceStep::kDown}};
   HandOverRecord hand_over;
-  hand_over.recently_ordered = {"m-1", "m-2"};
+  hand_over.recently_ordered = {{"m-1", std::chrono::milliseconds(700)},
+                                {"m-2", std::chrono::milliseconds(3'000)}};
   return {
       {"plan", kValidPlan,
        [](const std::string& in) { return wire::ParsePlan(in).has_value(); }},
