--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -53,9 +53,7 @@
   option.room = worker.FreeCapacity();
   option.recently_failed = worker.health.RecentlyFailed(now);
   option.evacuate_later = now < worker.evacuate_later_until;
-  option.perpetual_tasks = static_cast<int>(
-      std::count_if(worker.tasks.begin(), worker.tasks.end(),
-                    [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+  option.perpetual_tasks = worker.CountPerpetualTasks();
   options.push_back(option);
   workers.push_back(&worker);
 }
@@ -92,8 +90,7 @@
   CandidateWorkers board;
   std::vector<WorkerState*> excluded;
   for (auto& [key, worker] : workers_) {
-    const bool usable = worker->IsInUse() && worker->addressable &&
-                        worker->fenced && worker->missed_responses == 0 &&
+    const bool usable = worker->IsInUse() && worker->IsReached() &&
                         !worker->report.draining && !worker->evacuating;
     if (!usable) {
       continue;
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -170,9 +170,7 @@
     // The worker holds the only copy of a result until its record is durable.
     load.tasks = static_cast<int>(worker->tasks.size() + worker->stops.size() +
                                   worker->notes.size());
-    load.perpetual_tasks = static_cast<int>(
-        std::count_if(worker->tasks.begin(), worker->tasks.end(),
-                      [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+    load.perpetual_tasks = worker->CountPerpetualTasks();
     for (const TaskRef& ref : worker->tasks) {
       report.perpetual_millicores +=
           ref.Spec().perpetual ? ReservedResources(ref.Spec()).cpu_millicores
@@ -181,8 +179,7 @@
     load.used_millicores = worker->used.cpu_millicores;
     load.capacity_millicores = worker->report.capacity.cpu_millicores;
     load.evacuating = worker->evacuating;
-    load.usable = worker->addressable && worker->fenced &&
-                  worker->missed_responses == 0 && !worker->report.draining;
+    load.usable = worker->IsReached() && !worker->report.draining;
     report.workers.push_back(std::move(load));
   }
   for (auto& [queue, tasks] : waiting_by_queue_) {
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -103,8 +103,7 @@
       worker.reported_ended = false;
       dispatch_needed_ = true;
     }
-    const bool reached =
-        worker.addressable && worker.fenced && worker.missed_responses == 0;
+    const bool reached = worker.IsReached();
     const bool busy = !worker.tasks.empty() || !worker.stops.empty();
     if (!reached && busy) {
       // Until it is certain that the worker is unresponsive, it may still
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -130,9 +130,7 @@
 RemainingLeases PoolScheduler::LeasesOfUnreachedWorkers(MonoTime now) const {
   RemainingLeases leases;
   for (const auto& [key, worker] : workers_) {
-    const bool reached =
-        worker->addressable && worker->fenced && worker->missed_responses == 0;
-    if (reached || worker->tasks.empty()) {
+    if (worker->IsReached() || worker->tasks.empty()) {
       continue;
     }
     const auto remaining =
--- a/Source/Core/Scheduling/worker_state.cc
+++ b/Source/Core/Scheduling/worker_state.cc
@@ -15,6 +15,12 @@
   return stops.count({FormatTaskName(task), run}) > 0;
 }
 
+int WorkerState::CountPerpetualTasks() const {
+  return static_cast<int>(
+      std::count_if(tasks.begin(), tasks.end(),
+                    [](const TaskRef& ref) { return ref.Spec().perpetual; }));
+}
+
 Resources WorkerState::FreeCapacity() const {
   Resources free_capacity = report.capacity;
   free_capacity -= used;
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -111,6 +111,11 @@
   // instance controller know.
   bool IsInUse() const { return listed && !reported_ended; }
   bool HasStop(const TaskName& task, uint32_t run) const;
+  // Returns whether the worker responds to this owner.
+  bool IsReached() const {
+    return addressable && fenced && missed_responses == 0;
+  }
+  int CountPerpetualTasks() const;
   // Returns the capacity that is free for new tasks.
   Resources FreeCapacity() const;
   // Returns the time at which the worker certainly has none of its runs any
