Read customers from the plan and carry them with calls and jobs

Cause: the plan's list of customers, the open routes and their settings were not read at all, so no part of the daemon could tell callers apart.

Change: the plan holds customers with keys, weight and cap, and queues that need no key. A call and a stored job name their customer, and a scheduler counts what each customer occupies on its workers. Nothing decides by them yet.

--- a/Source/Core/Adapter/caller_call.cc
+++ b/Source/Core/Adapter/caller_call.cc
@@ -5,9 +5,10 @@
 namespace figflow {
 namespace {
 
-constexpr std::array<absl::string_view, 10> kOutcomeNames = {
-    "accepted",  "refused",     "unknown",       "unavailable",   "state",
-    "cancelled", "no-such-job", "pending-count", "no-such-queue", "malformed"};
+constexpr std::array<absl::string_view, 11> kOutcomeNames = {
+    "accepted",      "refused",   "unknown",     "unavailable",
+    "state",         "cancelled", "no-such-job", "pending-count",
+    "no-such-queue", "malformed", "unauthorized"};
 
 constexpr std::array<absl::string_view, 5> kKindNames = {
     "submit", "query", "cancel", "count-pending", "look-up"};
--- a/Source/Core/Adapter/caller_call.h
+++ b/Source/Core/Adapter/caller_call.h
@@ -31,6 +31,8 @@
   // The queue's pool; once the call is routed, the scope that holds the job.
   std::string pool;
   std::string job;
+  // Customer whose key the call carries; empty on an open queue.
+  std::string customer;
   // For kSubmit.
   JobSpec spec;
   // Version of the plan by which the call was routed to the pool; 0 if unknown.
@@ -59,6 +61,8 @@
   kPendingCount,
   kNoSuchQueue,
   kMalformed,
+  // The call carries no key of a customer, and had no effect.
+  kUnauthorized,
 };
 
 absl::string_view CallOutcomeName(CallOutcome outcome);
--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -73,6 +73,10 @@
   bounds.plan_apply = settings.plan_apply;
   bounds.plan_rollback_slack = settings.plan_rollback_slack;
   bounds.far_factor = settings.far_factor;
+  bounds.key_withdrawal = settings.key_withdrawal;
+  bounds.cap_overage = settings.cap_overage;
+  bounds.submission_window = ToMilliseconds(settings.submission_window_s);
+  bounds.submission_burst = static_cast<int>(settings.submission_burst);
   return bounds;
 }
 
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -19,7 +19,7 @@
 constexpr char kStoreUnavailableBody[] = "store away";
 constexpr char kStep[] = "peer.call";
 constexpr int kLastKind = static_cast<int>(CallKind::kLookUp);
-constexpr int kLastOutcome = static_cast<int>(CallOutcome::kMalformed);
+constexpr int kLastOutcome = static_cast<int>(CallOutcome::kUnauthorized);
 constexpr int kLastStatus = static_cast<int>(JobStatus::kCancelled);
 
 // Converts the value to an enumerator. ParseCbor turns the exception for a
@@ -46,7 +46,7 @@
        json::binary(std::vector<uint8_t>(call.spec_bytes.begin(),
                                          call.spec_bytes.end())),
        call.relay, call.call.patience.count(), call.call.plan_version,
-       call.call.route, call.call.route_pools}));
+       call.call.route, call.call.route_pools, call.call.customer}));
   return request;
 }
 
@@ -72,6 +72,9 @@
           peer.call.route = row.at(8).get<std::string>();
           peer.call.route_pools = row.at(9).get<size_t>();
         }
+        if (row.size() > 10) {
+          peer.call.customer = row.at(10).get<std::string>();
+        }
         return peer;
       });
   if (!parsed || parsed->call.kind != CallKind::kSubmit) {
--- a/Source/Core/Scheduling/fleet_plan.cc
+++ b/Source/Core/Scheduling/fleet_plan.cc
@@ -34,6 +34,13 @@
   return it == pools.end() ? nullptr : &*it;
 }
 
+const CustomerConfig* FleetPlan::FindCustomer(absl::string_view name) const {
+  const auto it = std::find_if(
+      customers.begin(), customers.end(),
+      [&](const CustomerConfig& customer) { return customer.name == name; });
+  return it == customers.end() ? nullptr : &*it;
+}
+
 bool FleetPlan::HasActivePool(absl::string_view name) const {
   const PoolConfig* pool = FindPoolByName(name);
   return pool != nullptr && !pool->spare;
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "Scheduling/job_spec.h"
 #include "absl/strings/string_view.h"
 
 namespace figflow {
@@ -38,6 +39,21 @@
   std::chrono::milliseconds objective{0};
   std::chrono::milliseconds timeout{0};
   std::optional<PlacementPolicy> policy;
+  // Callers need no key.
+  bool open = false;
+};
+
+// A customer whose callers identify themselves with a key.
+struct CustomerConfig {
+  std::string name;
+  std::vector<std::string> keys;
+  // Share of the capacity when all of it is in use, relative to the other
+  // customers; also the number of jobs a second that the customer may submit. 0
+  // if the plan sets none.
+  double weight = 0;
+  // Maximum of what the customer may have running on all workers. An amount of
+  // 0 is no limit.
+  Resources cap;
 };
 
 struct PoolConfig {
@@ -55,6 +71,10 @@
   uint64_t version = 0;
   std::vector<QueueConfig> queues;
   std::vector<PoolConfig> pools;
+  // Calls to queues that are not open need a customer's key. False for plans
+  // without a list of customers.
+  bool requires_keys = false;
+  std::vector<CustomerConfig> customers;
 
   // Returns the queue of `host` with the longest prefix that `path` begins
   // with, or null if there is none.
@@ -62,6 +82,7 @@
                                absl::string_view path) const;
   const QueueConfig* FindQueueByName(absl::string_view name) const;
   const PoolConfig* FindPoolByName(absl::string_view name) const;
+  const CustomerConfig* FindCustomer(absl::string_view name) const;
   // Returns whether the plan has the pool, and its instances are not spare.
   bool HasActivePool(absl::string_view name) const;
 };
@@ -89,6 +110,17 @@
   // A call that arrives this much later than a call decided by a plan is not
   // decided by an earlier plan.
   std::chrono::milliseconds plan_rollback_slack{250};
+  // A request that arrives this long after the acknowledgement of a plan that
+  // withdraws its key must not be carried out, on any daemon. 0: the plan has
+  // to be in force in time on daemons that are in touch with the store only.
+  std::chrono::milliseconds key_withdrawal{0};
+  // Fraction by which what a customer has running may exceed its cap.
+  double cap_overage = 0.1;
+  // A customer is within its rate if, in each span of this length, it submits
+  // no more than `weight` jobs a second, `cap_overage` more, and
+  // `submission_burst` jobs.
+  std::chrono::milliseconds submission_window{5'000};
+  int submission_burst = 20;
   // Factor by which a gang on several racks, or a task away from its data,
   // takes longer.
   double far_factor = 2.0;
--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -143,7 +143,7 @@
   return FormatCbor(
       json::array({spec.id, spec.queue, spec.payload, std::move(stages),
                    spec.occurrences, SinceEpoch(spec.first_due).count(),
-                   spec.interval.count(), spec.max_attempts}));
+                   spec.interval.count(), spec.max_attempts, spec.customer}));
 }
 
 Result<JobSpec> ParseJobSpec(absl::string_view bytes) {
@@ -159,8 +159,9 @@
     spec.first_due =
         FromEpoch(std::chrono::milliseconds(row.at(5).get<int64_t>()));
     spec.interval = std::chrono::milliseconds(row.at(6).get<int64_t>());
-    // Records of earlier versions lack this element.
+    // Records of earlier versions lack these elements.
     spec.max_attempts = row.size() > 7 ? row.at(7).get<int>() : 0;
+    spec.customer = row.size() > 8 ? row.at(8).get<std::string>() : "";
     return spec;
   });
 }
--- a/Source/Core/Scheduling/job_spec.h
+++ b/Source/Core/Scheduling/job_spec.h
@@ -83,6 +83,8 @@
   // Maximum attempts of the queue when the job was submitted, used if the plan
   // lacks the queue; 0 if unknown.
   int max_attempts = 0;
+  // Customer whose key the submission carried; empty if it carried none.
+  std::string customer;
 
   bool scheduled() const { return occurrences > 0; }
   bool perpetual() const;
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -14,6 +14,7 @@
 
 #include "Common/clock.h"
 #include "Common/error.h"
+#include "Scheduling/customer_usage.h"
 #include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
 #include "Scheduling/job.h"
@@ -424,6 +425,7 @@
   std::deque<std::shared_ptr<Job>> changed_jobs_;
   std::vector<std::shared_ptr<Job>> jobs_in_write_;
   WorkerMap workers_;
+  CustomerUsage usage_;
   // Workers that the instance controller has reported as ended.
   struct ReportedEnd {
     MonoTime first_reported_at;
--- a/Source/Core/Scheduling/pool_scheduler_ends.cc
+++ b/Source/Core/Scheduling/pool_scheduler_ends.cc
@@ -47,6 +47,9 @@
                               const char* cause,
                               MonoTime now) {
   ReturnLostTasks(worker, std::set<TaskRef>(worker.tasks), cause, now);
+  for (const auto& [key, stop] : worker.stops) {
+    usage_.Remove(stop.customer, stop.size);
+  }
   worker.stops.clear();
   worker.used = Resources();
 }
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -320,6 +320,7 @@
   ref.Get().worker = &worker;
   worker.tasks.insert(ref);
   worker.used += ReservedResources(ref.Spec());
+  usage_.Add(ref.job->spec.customer, ReservedResources(ref.Spec()));
   ++ref.GetStage().on_worker[&worker];
 }
 
@@ -331,6 +332,7 @@
   }
   worker->tasks.erase(ref);
   worker->used -= ReservedResources(ref.Spec());
+  usage_.Remove(ref.job->spec.customer, ReservedResources(ref.Spec()));
   std::map<const WorkerState*, int>& counts = ref.GetStage().on_worker;
   const auto count = counts.find(worker);
   if (count != counts.end() && --count->second == 0) {
--- a/Source/Core/Scheduling/pool_scheduler_workers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_workers.cc
@@ -304,16 +304,20 @@
   stop.run = run;
   stop.next_try = now;
   stop.size = size;
+  const auto job = jobs_.find(name.job);
+  stop.customer = job == jobs_.end() ? "" : job->second->spec.customer;
   const auto [entry, added] = worker.stops.emplace(
       std::make_pair(FormatTaskName(name), run), std::move(stop));
   if (added) {
     worker.used += size;
+    usage_.Add(entry->second.customer, size);
     return;
   }
   // The stop was requested while the task still occupied the capacity.
   if (entry->second.size == Resources()) {
     entry->second.size = size;
     worker.used += size;
+    usage_.Add(entry->second.customer, size);
   }
 }
 
@@ -323,6 +327,7 @@
   const auto stop = worker.stops.find({FormatTaskName(name), run});
   if (stop != worker.stops.end()) {
     worker.used -= stop->second.size;
+    usage_.Remove(stop->second.customer, stop->second.size);
     worker.stops.erase(stop);
     dispatch_needed_ = true;
   }
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -31,6 +31,8 @@
   MonoTime next_try;
   // Capacity that the run occupies until the worker lists it as ended.
   Resources size;
+  // Customer of the run's job.
+  std::string customer;
 };
 
 // An ended run that the worker lists, and may discard once the store holds the
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -54,11 +54,15 @@
   std::chrono::milliseconds harm_time{0};
   std::chrono::milliseconds plan_apply{0};
   std::chrono::milliseconds plan_rollback_slack{0};
+  std::chrono::milliseconds key_withdrawal{0};
   std::chrono::milliseconds holder_interval{0};
   double status_retention_s = 0;
   double instance_move_s = 0;
   double instance_maintenance_s = 0;
   double far_factor = 0;
+  double cap_overage = 0;
+  double submission_window_s = 0;
+  int64_t submission_burst = 0;
   // From the signal to stop until the process is killed.
   double stop_grace_s = 0;
   int64_t worker_connections = 0;
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -99,6 +99,21 @@
        600000, false,
        "Calls that come this much after one that a plan has decided are not "
        "decided by an earlier plan (kind fleet)."},
+      {"customers.key_withdrawal_ms", &Settings::key_withdrawal, 0, 0, 600000,
+       false,
+       "Time from the acknowledgement of a plan that withdraws a key after "
+       "which no daemon carries out a request with it, in touch with the store "
+       "or not; 0 for no such limit (kind fleet)."},
+      {"customers.cap_overage", &Settings::cap_overage, 0.1, 0, 10, false,
+       "Fraction by which a customer may exceed its cap (kind fleet)."},
+      {"customers.submission_window_s", &Settings::submission_window_s, 5, 0.1,
+       3600, false,
+       "Span over which a customer's rate of submissions is measured (kind "
+       "fleet)."},
+      {"customers.submission_burst", &Settings::submission_burst, 20, 0, 1e6,
+       false,
+       "Jobs that a customer may submit in such a span beyond its rate (kind "
+       "fleet)."},
       {"instances.move_s", &Settings::instance_move_s, 1.5, 0, 3600, false,
        "Time that an instance takes to move to another pool."},
       {"instances.maintenance_s", &Settings::instance_maintenance_s, 2, 0,
--- a/Source/StandIns/Fleet/model_platform.cc
+++ b/Source/StandIns/Fleet/model_platform.cc
@@ -154,6 +154,9 @@
       case CallOutcome::kMalformed:
         response.status = 400;
         break;
+      case CallOutcome::kUnauthorized:
+        response.status = 401;
+        break;
       case CallOutcome::kUnknown:
         response.status = 504;
         break;
