Maintain no instance whose pool has no recent report

Cause: an instance counted as idle for a maintenance order when no report of the last 700 ms listed tasks on it. While a pool had lost its owner there was no such report, so an order that was planned before ended perpetual tasks that were at work there.

Change: an instance that is up with a worker counts as in use unless a recent report of its scope's owner shows no task on it.

--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -157,7 +157,8 @@
   std::set<std::string> InstancesInOtherPools(
       const std::map<std::string, PoolReport>& reports) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  // Returns the instances that run tasks according to fresh reports.
+  // Returns the instances that may run tasks: those that a recent report shows
+  // in use, and those of pools without one.
   std::set<std::string> InstancesInUse(MonoTime now) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void PlanWaves(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -87,7 +87,9 @@
 }
 
 bool InstanceController::IsFresh(const std::string& scope, MonoTime now) const {
-  return now - report_times_.at(scope) < kMaxReportAge;
+  const auto reported = report_times_.find(scope);
+  return reported != report_times_.end() &&
+         now - reported->second < kMaxReportAge;
 }
 
 std::map<std::string, PoolReport> InstanceController::FreshReports(
@@ -141,6 +143,17 @@
       }
     }
   }
+  // Without a recent report, tasks may run there: they outlive the owner of
+  // their pool.
+  for (const auto& [id, instance] : instances_) {
+    const bool runs_worker = instance.state == InstanceStatus::kUp &&
+                             !instance.worker.empty() &&
+                             plan_->HasActivePool(instance.pool);
+    if (runs_worker &&
+        !IsFresh(layout_.ScopeOfInstance(instance.pool, id), now)) {
+      in_use.insert(id);
+    }
+  }
   return in_use;
 }
 
