Check customers' keys and keep customers' jobs apart

Cause: plans have customers with keys, but no call was checked, and every caller could see, cancel and take over each job by its id.

Change: the entry finds the customer by the key of the call and refuses calls without a valid one with 401 once the plan is confirmed. Where withdrawal is strict, a call with a key runs only if the plan was the newest at most customers.key_withdrawal_ms less 150 ms before its arrival; otherwise the plan is confirmed with the store, or through peers, and the call is refused with 503 if that fails. Ping responses carry the plan's version and staleness in headers, which earlier versions ignore. An owner refuses calls of customers that its later plan has dropped. Jobs of another customer look like unknown ids, at the owner and in the store; progress records of customers' jobs name customer and queue, because only they are kept of ended jobs. Errors of unreadable JSON no longer quote what was read last, which may be a key.

--- a/Source/Core/Adapter/platform_adapter.h
+++ b/Source/Core/Adapter/platform_adapter.h
@@ -41,7 +41,9 @@
   virtual Result<WorkerReport> ParseWorker(absl::string_view key,
                                            absl::string_view bytes) const = 0;
 
-  // Errors: kNotFound, no queue at the address; kInvalid, malformed.
+  // Errors: kNotFound, no queue at the address; kPermissionDenied, no key of a
+  // customer although the queue needs one, with the name of the KeyFault as
+  // message; kInvalid, malformed.
   virtual Result<CallerCall> ParseCall(const HttpRequest& request,
                                        const FleetPlan& plan) const = 0;
   virtual HttpResponse FormatReply(const CallerReply& reply) const = 0;
--- a/Source/Core/Common/bounded_json.cc
+++ b/Source/Core/Common/bounded_json.cc
@@ -52,7 +52,10 @@
   bool parse_error(std::size_t position,
                    const std::string& /*token*/,
                    const nlohmann::detail::exception& error) override {
-    fault_ = absl::StrCat(error.what(), " at byte ", position);
+    // The text goes on with what was read last, which may be a secret.
+    absl::string_view text = error.what();
+    text = text.substr(0, text.find("; last read"));
+    fault_ = absl::StrCat(text, " at byte ", position);
     return false;
   }
 
--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -27,20 +27,9 @@
 constexpr std::chrono::milliseconds kCallRetryDelay{40};
 // Reserved for the response to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kResponseMargin{150};
-constexpr std::chrono::milliseconds kStoreReadTimeout{500};
-// Used when a call has little time left.
-constexpr std::chrono::milliseconds kMinStoreReadTimeout{20};
 // Limit on a caller's host and path in the log.
 constexpr size_t kMaxLoggedBytes = 100;
 
-CallerReply StateResponse(const JobView& view) {
-  CallerReply response;
-  response.outcome = CallOutcome::kState;
-  response.status = view.status;
-  response.started = view.started;
-  return response;
-}
-
 }  // namespace
 
 CallRouter::CallRouter(FleetEngine& engine,
@@ -179,57 +168,13 @@
   }
 }
 
-std::chrono::milliseconds CallRouter::StoreReadTimeout(const RoutedCall& routed,
-                                                       MonoTime now) {
-  const auto left = WholeMilliseconds(routed.deadline - now);
-  return std::clamp(left, kMinStoreReadTimeout, kStoreReadTimeout);
-}
-
-void CallRouter::ReadJobFromStore(const std::shared_ptr<RoutedCall>& routed) {
-  const CallerCall& call = routed->call;
-  const MonoTime now = clock_.Now();
-  if (now >= routed->deadline) {
-    RetryLater(routed);
-    return;
-  }
-  platform_.store().Get(
-      JobProgressKey(call.pool, call.job), StoreReadTimeout(*routed, now),
-      [this, routed](const Result<std::optional<StoreItem>>& item) {
-        if (!item) {
-          RetryLater(routed);
-          return;
-        }
-        if (*item) {
-          const Result<JobView> view = ReadJobView((*item)->value);
-          if (view) {
-            FinishCall(routed, StateResponse(*view));
-          } else {
-            RetryLater(routed);
-          }
-          return;
-        }
-        // There is no progress record yet, but the job may have been accepted.
-        const CallerCall& queried = routed->call;
-        platform_.store().Get(
-            AcceptedJobKey(queried.pool, queried.job),
-            StoreReadTimeout(*routed, clock_.Now()),
-            [this, routed](const Result<std::optional<StoreItem>>& accepted) {
-              if (!accepted) {
-                RetryLater(routed);
-                return;
-              }
-              CallerReply response;
-              response.outcome =
-                  *accepted ? CallOutcome::kState : CallOutcome::kNoSuchJob;
-              response.reason = "not-in-store";
-              FinishCall(routed, response);
-            });
-      });
-}
-
 void CallRouter::RetryLater(const std::shared_ptr<RoutedCall>& routed) {
   const MonoTime now = clock_.Now();
   const bool uncertain = routed->unconfirmed != 0;
+  if (!uncertain && IsOfRemovedCustomer(routed->call)) {
+    FinishCall(routed, Unavailable(kCustomerRemovedReason));
+    return;
+  }
   const bool submit = routed->call.kind == CallKind::kSubmit;
   const std::chrono::milliseconds outage = engine_.StoreResponseAge(now);
   const bool no_acceptor = submit && !uncertain && outage > kStoreTimeout &&
@@ -309,6 +254,7 @@
       {{"job", routed.call.job},
        {"call", std::string(CallKindName(routed.call.kind))},
        {"queue", routed.call.queue},
+       {"customer", routed.call.customer},
        {"pool", routed.call.pool},
        {"outcome", std::string(CallOutcomeName(response.outcome))},
        {"reason", response.reason},
@@ -371,106 +317,12 @@
   const bool unknown_job = response.outcome == CallOutcome::kNoSuchJob;
   const bool reads = routed->call.kind == CallKind::kQuery ||
                      routed->call.kind == CallKind::kCountPending;
-  const bool already_logged = response.outcome == CallOutcome::kNoSuchQueue;
+  const bool already_logged = response.outcome == CallOutcome::kNoSuchQueue ||
+                              response.outcome == CallOutcome::kUnauthorized;
   if (!routed->relayed && !already_logged && (!reads || unknown_job)) {
     LogOutcome(*routed, response, duration);
   }
   routed->respond(response);
 }
 
-void CallRouter::ServeLocally(const CallerCall& call,
-                              const std::string& spec_bytes,
-                              const ResponseCallback& done) {
-  const std::shared_ptr<PoolRunner> runner = engine_.OwnRunner(call.pool);
-  if (runner == nullptr) {
-    done(Unavailable("not-owner"));
-    return;
-  }
-  switch (call.kind) {
-    case CallKind::kSubmit: {
-      const uint64_t fence = runner->claim().revision;
-      if (IsRoutedByEarlierPlan(call) && !runner->Query(call.job)) {
-        // Another pool may have accepted the job.
-        CallerReply response;
-        response.outcome = CallOutcome::kUnknown;
-        response.reason = "route-changed";
-        response.fence = fence;
-        done(response);
-        return;
-      }
-      const auto on_response = [done, fence](const SubmitResponse& result) {
-        CallerReply response;
-        response.fence = fence;
-        response.reason = result.reason;
-        response.retry_after = result.retry_after;
-        switch (result.outcome) {
-          case SubmitOutcome::kAccepted:
-            response.outcome = CallOutcome::kAccepted;
-            break;
-          case SubmitOutcome::kRefused:
-            // Without a retry delay, only the owner has changed.
-            response.outcome = result.retry_after.count() > 0
-                                   ? CallOutcome::kRefused
-                                   : CallOutcome::kUnavailable;
-            break;
-          case SubmitOutcome::kUnknown:
-            response.outcome = CallOutcome::kUnknown;
-            break;
-        }
-        done(response);
-      };
-      if (!runner->Submit(call.spec, spec_bytes, call.plan_version,
-                          on_response)) {
-        done(Unavailable("pool-not-ready"));
-      }
-      return;
-    }
-    case CallKind::kCancel: {
-      const auto on_response = [done](CancelOutcome outcome) {
-        CallerReply response;
-        response.outcome =
-            outcome == CancelOutcome::kCancelled  ? CallOutcome::kCancelled
-            : outcome == CancelOutcome::kNotFound ? CallOutcome::kNoSuchJob
-                                                  : CallOutcome::kUnknown;
-        done(response);
-      };
-      if (!runner->Cancel(call.job, on_response)) {
-        done(Unavailable("pool-not-ready"));
-      }
-      return;
-    }
-    case CallKind::kQuery:
-    case CallKind::kLookUp: {
-      const Result<JobView> view =
-          call.kind == CallKind::kQuery
-              ? runner->Query(call.job)
-              : runner->LookUp(call.job, call.plan_version);
-      if (view) {
-        done(StateResponse(*view));
-      } else if (view.error().code == ErrorCode::kNotFound) {
-        CallerReply response;
-        response.outcome = CallOutcome::kNoSuchJob;
-        response.reason = "not-known-to-owner";
-        response.fence = runner->claim().revision;
-        done(response);
-      } else {
-        done(Unavailable("pool-not-ready"));
-      }
-      return;
-    }
-    case CallKind::kCountPending: {
-      const Result<int64_t> pending = runner->CountPending(call.queue);
-      if (!pending) {
-        done(Unavailable("pool-not-ready"));
-        return;
-      }
-      CallerReply response;
-      response.outcome = CallOutcome::kPendingCount;
-      response.pending = *pending;
-      done(response);
-      return;
-    }
-  }
-}
-
 }  // namespace figflow
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -16,6 +16,7 @@
 #include "Common/clock.h"
 #include "Common/metrics.h"
 #include "Fleet/fleet_engine.h"
+#include "Fleet/peer_calls.h"
 #include "Fleet/peer_health.h"
 #include "Fleet/route_choice.h"
 #include "Http/http_exchange.h"
@@ -79,6 +80,37 @@
   // Determines the queue of a caller's call.
   void ResolveQueue(const HttpRequest& request,
                     const std::shared_ptr<RoutedCall>& routed);
+  // Returns whether a call with a key may be decided by a plan that was the
+  // newest at `confirmed_at`. Otherwise it waits for a confirmation or is
+  // refused.
+  bool CheckKeyConfirmed(const HttpRequest& request,
+                         MonoTime confirmed_at,
+                         const std::shared_ptr<RoutedCall>& routed);
+  // Rejects a call without a valid key, as a path that is not in the plan.
+  // `fault` names what is wrong with the key.
+  void OnInvalidKey(const HttpRequest& request,
+                    const std::string& fault,
+                    MonoTime confirmed_at,
+                    const std::shared_ptr<RoutedCall>& routed);
+  // Confirms the plan with the store, or with peers if the store does not
+  // respond, and then resolves the call again. Returns false if no confirmation
+  // is to be expected in time.
+  bool AwaitPlanConfirmation(const HttpRequest& request,
+                             const std::shared_ptr<RoutedCall>& routed);
+  void RefuseUnconfirmedKey(const HttpRequest& request,
+                            const std::string& customer,
+                            const std::shared_ptr<RoutedCall>& routed);
+  void LogKeyRefused(const HttpRequest& request,
+                     const std::string& reason,
+                     const std::string& customer) const;
+  // Returns whether the customer that the call names is not in the plan any
+  // more, which is later than the one by which the call was checked.
+  bool IsOfRemovedCustomer(const CallerCall& call) const;
+  // Returns this daemon's plan as reported to peers; none if it is unknown or
+  // was never confirmed.
+  std::optional<PeerPlan> OwnPlan() const;
+  // Handles the plan in a response to a ping.
+  void OnPeerPlan(const HttpResponse& response, MonoTime sent_at);
   // Rejects a path that is not in the plan. A plan that may be outdated is
   // confirmed first; if that fails, the path may exist and the call is
   // unavailable.
@@ -98,6 +130,8 @@
   // with the last response that is not a count.
   void CountInAllPartitions(const std::shared_ptr<RoutedCall>& routed,
                             const std::vector<std::string>& scopes);
+  // Reason of an owner that refuses a call of a customer that was removed.
+  static constexpr char kCustomerRemovedReason[] = "customer-removed";
   // Compares later than any claim.
   static constexpr uint64_t kAnyClaim = std::numeric_limits<uint64_t>::max();
   // The store counts as unavailable when it has not responded for this long:
@@ -156,6 +190,7 @@
   void RetryLater(const std::shared_ptr<RoutedCall>& routed);
   void OnResponse(const std::shared_ptr<RoutedCall>& routed,
                   const CallerReply& response);
+  void CountKeyRefusal(const std::string& reason);
   // Includes the staleness of the plan, which tells how reliable the rejection
   // of an unknown path is.
   void LogNoSuchQueue(const HttpRequest& request, uint64_t plan_version) const;
--- a/Source/Core/Fleet/call_router_peers.cc
+++ b/Source/Core/Fleet/call_router_peers.cc
@@ -74,6 +74,9 @@
       const Result<CallerReply> response = ParsePeerResponse(*result.response);
       if (response) {
         if (response->outcome == CallOutcome::kUnavailable) {
+          if (response->reason == kCustomerRemovedReason) {
+            engine_.ConfirmPlan();
+          }
           routed->attempts.failed_claims.insert(claim);
           TryAlternative(routed);
         } else {
@@ -105,16 +108,19 @@
   TransferRequest transfer;
   transfer.address = address;
   transfer.message = std::make_shared<HttpRequest>(FormatPing());
-  transfer.deadline = clock_.Now() + timeout;
-  peers_.Start(std::move(transfer), [this, address, done = std::move(done)](
-                                        const TransferResult& result) {
-    RecordPeerContact(address, result.response.has_value());
-    if (result.response) {
-      peer_health_.OnStoreStateReported(
-          address, ReportsStoreReachable(*result.response), clock_.Now());
-    }
-    done(result.response.has_value());
-  });
+  const MonoTime sent_at = clock_.Now();
+  transfer.deadline = sent_at + timeout;
+  peers_.Start(
+      std::move(transfer), [this, address, sent_at, done = std::move(done)](
+                               const TransferResult& result) {
+        RecordPeerContact(address, result.response.has_value());
+        if (result.response) {
+          peer_health_.OnStoreStateReported(
+              address, ReportsStoreReachable(*result.response), clock_.Now());
+          OnPeerPlan(*result.response, sent_at);
+        }
+        done(result.response.has_value());
+      });
 }
 
 void CallRouter::RecordPeerContact(const std::string& address, bool responded) {
@@ -181,7 +187,7 @@
   if (IsPing(request)) {
     const bool store_reachable =
         engine_.StoreResponseAge(clock_.Now()) <= kStoreTimeout;
-    exchange->Respond(FormatPingResponse(store_reachable));
+    exchange->Respond(FormatPingResponse(store_reachable, OwnPlan()));
     return;
   }
   if (const Result<PoolSyncRequest> sync = ParsePoolSyncRequest(request)) {
--- a/Source/Core/Fleet/call_router_resolve.cc
+++ b/Source/Core/Fleet/call_router_resolve.cc
@@ -29,6 +29,8 @@
 
 void CallRouter::ResolveQueue(const HttpRequest& request,
                               const std::shared_ptr<RoutedCall>& routed) {
+  // Read before the plan, which was the newest at this time or later.
+  const MonoTime plan_confirmed_at = engine_.PlanConfirmedAt();
   const std::shared_ptr<const FleetPlan> plan = engine_.plan();
   const std::optional<PoolLayout> layout = engine_.layout();
   if (plan == nullptr || !layout) {
@@ -41,6 +43,10 @@
       OnUnknownPath(request, plan->version, routed);
       return;
     }
+    if (call.error().code == ErrorCode::kPermissionDenied) {
+      OnInvalidKey(request, call.error().message, plan_confirmed_at, routed);
+      return;
+    }
     CallerReply response;
     response.outcome = CallOutcome::kMalformed;
     response.reason = call.error().message;
@@ -49,6 +55,9 @@
   }
   routed->call = std::move(*call);
   routed->call.plan_version = plan->version;
+  if (!CheckKeyConfirmed(request, plan_confirmed_at, routed)) {
+    return;
+  }
   if (routed->call.kind == CallKind::kSubmit) {
     if (const Result<void> valid = CheckJobSpec(routed->call.spec); !valid) {
       CallerReply response;
@@ -127,6 +136,7 @@
   lookup->call.kind = CallKind::kLookUp;
   lookup->call.queue = routed->call.queue;
   lookup->call.job = routed->call.job;
+  lookup->call.customer = routed->call.customer;
   lookup->call.plan_version = routed->call.plan_version;
   lookup->call.patience = routed->call.patience;
   lookup->call.pool = scopes.front();
@@ -141,6 +151,9 @@
     // Unless that pool responds, an earlier request may have been accepted.
     response.outcome = found.outcome == CallOutcome::kState
                            ? CallOutcome::kAccepted
+                       : found.outcome == CallOutcome::kRefused
+                           // The id is that of another customer's job.
+                           ? CallOutcome::kNoSuchJob
                            : CallOutcome::kUnknown;
     FinishCall(routed, response);
   };
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -119,6 +119,19 @@
   }
   // Returns whether every plan that must be in force has been received.
   bool PlanIsCurrent(MonoTime now) const;
+  // Returns the latest time at which the plan that plan() returns afterwards is
+  // known to have been the newest, by the store or by a peer. Returns the
+  // minimum if there is no such time.
+  MonoTime PlanConfirmedAt() const;
+  // Records that a peer reported the plan of `version` to have been the newest
+  // at `confirmed_at`.
+  void OnPlanConfirmedByPeer(uint64_t version, MonoTime confirmed_at);
+  // Returns whether a plan that was the newest at `confirmed_at` has every
+  // change that must be in force for a call that arrived at `arrived`.
+  bool PlanCoversCall(MonoTime confirmed_at, MonoTime arrived) const;
+  // Returns whether the keys of such a plan may decide the call although later
+  // plans may not have been received.
+  bool KeysCoverCall(MonoTime confirmed_at, MonoTime arrived) const;
   // Returns the maximum time that a call waits for a confirmed plan. A later
   // call may be decided meanwhile by the plan that is in force.
   std::chrono::milliseconds MaxPlanWait() const;
@@ -196,6 +209,8 @@
 
   void OnOperatorItem(const StoreItem& item);
   void OnPlanItem(const StoreItem& item);
+  // Keeps the last readable plan, as of its last confirmation by the store.
+  void OnPlanUnreadable();
   void OnWaveItem(const StoreItem& item);
   void OnWorkerItem(const StoreItem& item);
   Result<WorkerReport> ParseWorkerItem(const StoreItem& item,
@@ -229,6 +244,11 @@
   mutable absl::Mutex mutex_;
   ExecutionBounds bounds_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
+  // When the store confirmed the last readable plan, if a later one is
+  // unreadable.
+  std::optional<MonoTime> readable_plan_confirmed_at_ ABSL_GUARDED_BY(mutex_);
+  // When a plan that this daemon had was the newest by a peer's report.
+  MonoTime peers_confirmed_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   std::optional<PoolLayout> layout_ ABSL_GUARDED_BY(mutex_);
   MonoTime layout_wanted_since_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   // Earliest time of the next proposal of a layout.
--- a/Source/Core/Fleet/fleet_engine_items.cc
+++ b/Source/Core/Fleet/fleet_engine_items.cc
@@ -4,6 +4,7 @@
 
 #include "Common/log.h"
 #include "Fleet/fleet_engine.h"
+#include "Scheduling/customer_keys.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
@@ -55,6 +56,7 @@
     LogEvent(LogLevel::kError, LogCategory::kConfig, "plan_unreadable",
              {{"revision", absl::StrCat(item.revision)},
               {"error", ToString(parsed.error())}});
+    OnPlanUnreadable();
     return;
   }
   auto plan = std::make_shared<const FleetPlan>(std::move(*parsed));
@@ -62,6 +64,7 @@
   std::shared_ptr<InstanceController> controller;
   {
     absl::MutexLock lock(&mutex_);
+    readable_plan_confirmed_at_.reset();
     if (plan_ != nullptr && plan_->version >= plan->version) {
       return;
     }
@@ -78,6 +81,7 @@
             {"revision", absl::StrCat(item.revision)},
             {"queues", absl::StrCat(plan->queues.size())},
             {"parse_ms", absl::StrCat(parse_time.count())}});
+  LogCustomerKeys(*plan);
   for (const auto& runner : runners) {
     runner->SetPlan(plan);
   }
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -3,7 +3,10 @@
 #include <utility>
 
 #include "Common/json.h"
+#include "Http/http_headers.h"
 #include "Http/http_status.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 
 #include "Common/cbor.h"
 
@@ -17,6 +20,10 @@
 constexpr char kPingPath[] = "/figflow/v1/ping";
 constexpr char kStoreReachableBody[] = "store answers";
 constexpr char kStoreUnavailableBody[] = "store away";
+constexpr char kPlanVersionHeader[] = "Figflow-Plan-Version";
+constexpr char kPlanStalenessHeader[] = "Figflow-Plan-Staleness-Ms";
+// A plan that has not been confirmed for this long confirms nothing.
+constexpr std::chrono::hours kMaxReportedStaleness{1};
 constexpr char kStep[] = "peer.call";
 constexpr int kLastKind = static_cast<int>(CallKind::kLookUp);
 constexpr int kLastOutcome = static_cast<int>(CallOutcome::kUnauthorized);
@@ -127,10 +134,18 @@
   return request.target == kPingPath;
 }
 
-HttpResponse FormatPingResponse(bool store_reachable) {
-  return {http_status::kOk,
-          {},
-          store_reachable ? kStoreReachableBody : kStoreUnavailableBody};
+HttpResponse FormatPingResponse(bool store_reachable,
+                                const std::optional<PeerPlan>& plan) {
+  HttpResponse response{
+      http_status::kOk,
+      {},
+      store_reachable ? kStoreReachableBody : kStoreUnavailableBody};
+  if (plan && plan->staleness <= kMaxReportedStaleness) {
+    response.headers = {
+        {kPlanVersionHeader, absl::StrCat(plan->version)},
+        {kPlanStalenessHeader, absl::StrCat(plan->staleness.count())}};
+  }
+  return response;
 }
 
 bool ReportsStoreReachable(const HttpResponse& response) {
@@ -138,6 +153,24 @@
          response.body == kStoreReachableBody;
 }
 
+std::optional<PeerPlan> ReportedPlan(const HttpResponse& response) {
+  const std::string* version = FindHeader(response.headers, kPlanVersionHeader);
+  const std::string* staleness =
+      FindHeader(response.headers, kPlanStalenessHeader);
+  PeerPlan plan;
+  int64_t milliseconds = 0;
+  if (response.status != http_status::kOk || version == nullptr ||
+      staleness == nullptr || !absl::SimpleAtoi(*version, &plan.version) ||
+      !absl::SimpleAtoi(*staleness, &milliseconds) || milliseconds < 0) {
+    return std::nullopt;
+  }
+  plan.staleness = std::chrono::milliseconds(milliseconds);
+  if (plan.staleness > kMaxReportedStaleness) {
+    return std::nullopt;
+  }
+  return plan;
+}
+
 HttpRequest FormatPoolSyncRequest(const PoolSyncRequest& sync) {
   HttpRequest request;
   request.method = "POST";
--- a/Source/Core/Fleet/peer_calls.h
+++ b/Source/Core/Fleet/peer_calls.h
@@ -1,6 +1,9 @@
 #ifndef FLEET_PEER_CALLS_H_
 #define FLEET_PEER_CALLS_H_
 
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "Adapter/platform_adapter.h"
@@ -34,9 +37,19 @@
 // A request without effect that checks whether a daemon responds.
 HttpRequest FormatPing();
 bool IsPing(const HttpRequest& request);
-// `store_answers` is true if the store responds to the daemon that was pinged.
-HttpResponse FormatPingResponse(bool store_reachable);
+// The plan of a daemon, and an upper bound of the time since it was certainly
+// the newest one.
+struct PeerPlan {
+  uint64_t version = 0;
+  std::chrono::milliseconds staleness{0};
+};
+// `store_reachable` is true if the store responds to the daemon that was
+// pinged. Daemons of earlier versions read only the body.
+HttpResponse FormatPingResponse(bool store_reachable,
+                                const std::optional<PeerPlan>& plan);
 bool ReportsStoreReachable(const HttpResponse& response);
+// Returns none if the daemon reports no plan, as earlier versions do.
+std::optional<PeerPlan> ReportedPlan(const HttpResponse& response);
 
 // Message of the instance controller to the owner of a pool. The response is a
 // PoolReport, or status 409 if the daemon does not own the pool.
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -270,7 +270,9 @@
   return accepted;
 }
 
-bool PoolRunner::Cancel(const std::string& job, CancelCallback done) {
+bool PoolRunner::Cancel(const std::string& job,
+                        const JobParty& call,
+                        CancelCallback done) {
   bool accepted = false;
   RunOnScheduler([&](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
@@ -278,7 +280,7 @@
     if (accepted) {
       const uint64_t token = next_token_++;
       pending_cancels_[token] = std::move(done);
-      scheduler.Cancel(job, token, now);
+      scheduler.Cancel(job, call, token, now);
     }
   });
   return accepted;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -64,7 +64,10 @@
               std::string spec_bytes,
               uint64_t plan_version,
               SubmitCallback done);
-  bool Cancel(const std::string& job, CancelCallback done);
+  // A job that `call` may not access counts as unknown.
+  bool Cancel(const std::string& job,
+              const JobParty& call,
+              CancelCallback done);
   // Errors: kUnavailable unless the pool is active, kNotFound if there is no
   // such job.
   Result<JobView> Query(const std::string& job);
--- a/Source/Core/Ownership/prefix_follower.cc
+++ b/Source/Core/Ownership/prefix_follower.cc
@@ -372,6 +372,11 @@
                                            : now - current_as_of_;
 }
 
+MonoTime PrefixFollower::CurrentAsOf() const {
+  absl::MutexLock lock(&mutex_);
+  return current_as_of_;
+}
+
 bool PrefixFollower::stopped() const {
   absl::MutexLock lock(&mutex_);
   return stopped_;
--- a/Source/Core/Ownership/prefix_follower.h
+++ b/Source/Core/Ownership/prefix_follower.h
@@ -85,6 +85,10 @@
   // upper bound of how old the keys can be. Returns the maximum duration before
   // the first response.
   MonoTime::duration Staleness(MonoTime now) const;
+  // Returns when the last request that succeeded was sent: the keys reported by
+  // then were current at some time since. Returns the minimum before the first
+  // response.
+  MonoTime CurrentAsOf() const;
   bool synced() const;
 
  private:
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,6 +13,8 @@
 
 namespace figflow {
 
+class CustomerKeys;
+
 // Placement policy of a queue, decided by a service that lists the workers that
 // may run a stage of the queue's jobs.
 struct PlacementPolicy {
@@ -75,6 +78,8 @@
   // without a list of customers.
   bool requires_keys = false;
   std::vector<CustomerConfig> customers;
+  // Table of the customers' keys; null if the plan has no list of customers.
+  std::shared_ptr<const CustomerKeys> keys;
 
   // Returns the queue of `host` with the longest prefix that `path` begins
   // with, or null if there is none.
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -190,6 +190,19 @@
          std::tie(b.job->spec.id, b.occurrence, b.stage, b.index);
 }
 
+namespace {
+
+// Records of jobs without a customer lack this element.
+JobParty ParseOwner(const json& row) {
+  if (row.size() <= 4) {
+    return {};
+  }
+  return {row.at(4).at(0).get<std::string>(),
+          row.at(4).at(1).get<std::string>()};
+}
+
+}  // namespace
+
 std::string FormatProgress(const Job& job) {
   json occurrences = json::array();
   json lost_runs = json::array();
@@ -205,9 +218,14 @@
   }
   json record = json::array({static_cast<int>(job.status), job.next_occurrence,
                              std::move(occurrences)});
-  if (!lost_runs.empty()) {
+  const bool has_owner = !job.spec.customer.empty();
+  if (!lost_runs.empty() || has_owner) {
     record.push_back(std::move(lost_runs));
   }
+  if (has_owner) {
+    // The record of a finished job is all that the store keeps of it.
+    record.push_back(json::array({job.spec.customer, job.spec.queue}));
+  }
   return FormatCbor(record);
 }
 
@@ -223,6 +241,11 @@
         }
         job.status = *status;
         job.next_occurrence = row.at(1).get<int>();
+        const JobParty owner = ParseOwner(row);
+        if (!owner.customer.empty()) {
+          job.spec.customer = owner.customer;
+          job.spec.queue = owner.queue;
+        }
         for (const json& item : row.at(2)) {
           const int number = item.at(0).get<int>();
           Occurrence& occurrence = job.OpenOccurrence(number, job.arrived);
@@ -264,7 +287,7 @@
           return tl::unexpected<Error>(status.error());
         }
         // Progress is first written when a task has been assigned.
-        return JobView{*status, true};
+        return JobView{*status, true, ParseOwner(row)};
       });
 }
 
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -10,6 +10,7 @@
 
 #include "Common/clock.h"
 #include "Common/error.h"
+#include "Scheduling/job_access.h"
 #include "Scheduling/job_spec.h"
 #include "Scheduling/placement_tickets.h"
 #include "Scheduling/worker.h"
@@ -144,6 +145,7 @@
 
   bool live() const { return status == JobStatus::kLive; }
   bool perpetual() const { return perpetual_; }
+  JobParty owner() const { return {spec.customer, spec.queue}; }
   void SetSpec(JobSpec value);
 
   // Creates the state of occurrence `number`, due at `due`.
@@ -195,6 +197,8 @@
 struct JobView {
   JobStatus status = JobStatus::kLive;
   bool started = false;
+  // Whose job it is.
+  JobParty owner = {};
 };
 
 // Returns the view of a job whose progress record is `bytes`. Error kInvalid.
--- a/Source/Core/Scheduling/orders.h
+++ b/Source/Core/Scheduling/orders.h
@@ -105,6 +105,8 @@
   kRefused,
   // It is unknown here whether the job is durable.
   kUnknown,
+  // The id is that of another customer's job.
+  kNoSuchJob,
 };
 
 struct SubmitResponse {
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -102,7 +102,14 @@
               uint64_t token,
               MonoTime now,
               WallTime wall);
-  void Cancel(const std::string& job, uint64_t token, MonoTime now);
+  // A job that `call` may not access counts as unknown.
+  void Cancel(const std::string& job,
+              const JobParty& call,
+              uint64_t token,
+              MonoTime now);
+  void Cancel(const std::string& job, uint64_t token, MonoTime now) {
+    Cancel(job, {}, token, now);
+  }
   // Returns the state that the store holds, or none if there is no such job.
   std::optional<JobView> Query(const std::string& job) const;
   // Returns the state of a job that a daemon submits to another pool by its
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -124,7 +124,10 @@
   const auto known = jobs_.find(spec.id);
   if (known != jobs_.end()) {
     Job& job = *known->second;
-    if (job.durable_version > 0) {
+    if (!MayAccessJob({spec.customer, spec.queue}, job.owner())) {
+      output_.submit_responses.push_back(
+          {token, SubmitOutcome::kNoSuchJob, std::chrono::milliseconds(0), ""});
+    } else if (job.durable_version > 0) {
       output_.submit_responses.push_back(
           {token, SubmitOutcome::kAccepted, std::chrono::milliseconds(0), ""});
     } else {
@@ -158,10 +161,11 @@
 }
 
 void PoolScheduler::Cancel(const std::string& id,
+                           const JobParty& call,
                            uint64_t token,
                            MonoTime now) {
   const auto known = jobs_.find(id);
-  if (known == jobs_.end()) {
+  if (known == jobs_.end() || !MayAccessJob(call, known->second->owner())) {
     output_.cancel_responses.push_back({token, CancelOutcome::kNotFound});
     return;
   }
@@ -181,7 +185,8 @@
   if (known == jobs_.end() || known->second->durable_version == 0) {
     return std::nullopt;
   }
-  return JobView{known->second->durable_status, known->second->started};
+  return JobView{known->second->durable_status, known->second->started,
+                 known->second->owner()};
 }
 
 Result<JobView> PoolScheduler::LookUp(const std::string& id,
--- a/Source/StandIns/Fleet/model_fleet.cc
+++ b/Source/StandIns/Fleet/model_fleet.cc
@@ -175,6 +175,7 @@
   options.peer_address = absl::StrCat(daemon.name, ":1");
   options.process_id = absl::StrCat(daemon.name, "~", next_process_++, "~");
   options.millicores = daemon.millicores;
+  options.bounds = bounds_;
   process->engine = std::make_unique<FleetEngine>(*process->platform, time,
                                                   metrics_, options);
   process->router = std::make_unique<CallRouter>(
--- a/Source/StandIns/Fleet/model_fleet.h
+++ b/Source/StandIns/Fleet/model_fleet.h
@@ -30,6 +30,8 @@
 
   // The operators' plan.
   void SetPlan(const FleetPlan& plan);
+  // Bounds of the daemons that start later.
+  void SetBounds(const ExecutionBounds& bounds) { bounds_ = bounds; }
   // Adds `count` daemons with a processor share in thousandths of a core.
   void AddDaemons(int count, int64_t millicores = 1'000);
   void Run(VirtualTime::Duration duration) { time.RunFor(duration); }
@@ -80,6 +82,7 @@
 
   std::mt19937_64 random_;
   MetricsRegistry metrics_;
+  ExecutionBounds bounds_;
   uint64_t next_process_ = 1;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   // Jobs whose state is asked for.
--- a/Source/StandIns/Fleet/model_platform.cc
+++ b/Source/StandIns/Fleet/model_platform.cc
@@ -6,6 +6,8 @@
 #include "Common/json.h"
 
 #include "Common/cbor.h"
+#include "Http/http_headers.h"
+#include "Scheduling/customer_keys.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -53,6 +55,7 @@
         if (entry.at(6).get<bool>()) {
           queue.policy = PlacementPolicy();
         }
+        queue.open = entry.at(7).get<bool>();
         plan.queues.push_back(std::move(queue));
       }
       for (const json& entry : row.at(2)) {
@@ -62,6 +65,14 @@
         pool.rejects_overload = true;
         plan.pools.push_back(std::move(pool));
       }
+      plan.requires_keys = row.at(3).get<bool>();
+      for (const json& entry : row.at(4)) {
+        CustomerConfig customer;
+        customer.name = entry.at(0).get<std::string>();
+        customer.keys = entry.at(1).get<std::vector<std::string>>();
+        plan.customers.push_back(std::move(customer));
+      }
+      plan.keys = std::make_shared<const CustomerKeys>(plan.customers);
       return plan;
     });
   }
@@ -109,6 +120,17 @@
     call.pool = queue->pool;
     call.job = parts[2];
     call.patience = milliseconds(3'000);
+    if (plan.requires_keys && !queue->open) {
+      const std::string* key = FindHeader(request.headers, kModelKeyHeader);
+      if (key == nullptr) {
+        return RefuseKey(KeyFault::kMissing);
+      }
+      Result<std::string> customer = FindCustomerByKey(plan, *key);
+      if (!customer) {
+        return tl::unexpected<Error>(customer.error());
+      }
+      call.customer = std::move(*customer);
+    }
     if (request.method == "GET") {
       call.kind = call.job.empty() ? CallKind::kCountPending : CallKind::kQuery;
       return call;
@@ -124,6 +146,7 @@
     }
     call.spec = std::move(*spec);
     call.spec.max_attempts = queue->max_attempts;
+    call.spec.customer = call.customer;
     return call;
   }
 
@@ -182,16 +205,22 @@
 std::string FormatModelPlan(const FleetPlan& plan) {
   json queues = json::array();
   for (const QueueConfig& queue : plan.queues) {
-    queues.push_back(json::array(
-        {queue.name, queue.pool, queue.priority, queue.max_attempts,
-         queue.stretch, queue.objective.count(), queue.policy.has_value()}));
+    queues.push_back(
+        json::array({queue.name, queue.pool, queue.priority, queue.max_attempts,
+                     queue.stretch, queue.objective.count(),
+                     queue.policy.has_value(), queue.open}));
   }
   json pools = json::array();
   for (const PoolConfig& pool : plan.pools) {
     pools.push_back(json::array({pool.name, pool.spare}));
   }
+  json customers = json::array();
+  for (const CustomerConfig& customer : plan.customers) {
+    customers.push_back(json::array({customer.name, customer.keys}));
+  }
   return FormatCbor(
-      json::array({plan.version, std::move(queues), std::move(pools)}));
+      json::array({plan.version, std::move(queues), std::move(pools),
+                   plan.requires_keys, std::move(customers)}));
 }
 
 std::string ModelWaveKey(uint64_t wave) {
--- a/Source/StandIns/Fleet/model_platform.h
+++ b/Source/StandIns/Fleet/model_platform.h
@@ -12,6 +12,8 @@
 namespace figflow::model {
 
 inline constexpr char kModelPlanKey[] = "model/op/plan";
+// Header with the key of the caller's customer.
+inline constexpr char kModelKeyHeader[] = "Model-Key";
 
 std::string FormatModelPlan(const FleetPlan& plan);
 std::string ModelWaveKey(uint64_t wave);
