Test a daemon among callers that do not end their requests

Change: a process test with a crowd of unfinished chunked bodies and endless headers. It checks that the daemon lives, that peak memory and descriptors stay under bounds that follow from the limits it sets, and that another request gets its response.

--- a/Source/Core/Settings/settings.cc
+++ b/Source/Core/Settings/settings.cc
@@ -23,6 +23,8 @@
 // Shorter secrets can be guessed by trying them on the listener.
 constexpr size_t kMinCredentialLength = 16;
 constexpr std::chrono::seconds kRequestGrace{2};
+// A daemon without a plan takes 15 MB.
+constexpr int64_t kLeastMemoryMb = 32;
 
 // One name for each alternative of SettingMember.
 constexpr const char* kUnitNames[] = {
@@ -208,6 +210,10 @@
       faults.push_back({path, "must be empty or \"ip:port\""});
     }
   }
+  if (settings.memory_mb < kLeastMemoryMb) {
+    faults.push_back({"limits.memory_mb",
+                      absl::StrCat("must be 0 or at least ", kLeastMemoryMb)});
+  }
   if (settings.caller_listen == settings.admin_listen ||
       settings.caller_listen == settings.peer_listen ||
       settings.admin_listen == settings.peer_listen) {
@@ -257,6 +263,9 @@
   for (const auto& [path, value] : leaves) {
     faults.push_back({path, UnknownKeyMessage(path)});
   }
+  if (settings.memory_mb == 0) {
+    settings.memory_mb = kDefaultMemoryMb;
+  }
   if (faults.empty()) {
     CheckTogether(settings, faults);
   }
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -67,6 +67,8 @@
   double stop_grace_s = 0;
   int64_t worker_connections = 0;
   double processor_cores = 0;
+  // Never 0: a file that sets 0 gets the default.
+  int64_t memory_mb = 0;
 
   int64_t max_body_bytes = 0;
   int64_t max_answer_bytes = 0;
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -81,6 +81,10 @@
        false,
        "Processor cores that this daemon may use; daemons with more of them "
        "own more pools (kind fleet)."},
+      {"limits.memory_mb", &Settings::memory_mb, kDefaultMemoryMb, 0, 1e6,
+       false,
+       "Memory of the instance; 0 for the default, otherwise at least 32 (kind "
+       "fleet)."},
       {"stop.grace_s", &Settings::stop_grace_s, 60, 1, 3600, false,
        "Time from SIGTERM until the platform kills the process (kind fleet)."},
       {"jobs.status_retention_s", &Settings::status_retention_s, 120, 1, 1e7,
--- a/Source/Core/Settings/settings_table.h
+++ b/Source/Core/Settings/settings_table.h
@@ -20,6 +20,10 @@
                                    int64_t Settings::*,
                                    double Settings::*>;
 
+// Of limits.memory_mb. No limit that follows from it is below those that are
+// set by themselves.
+inline constexpr int64_t kDefaultMemoryMb = 2'048;
+
 struct SettingInfo {
   // Dotted path in the JSON file. Durations end in "_ms", or in "_s" for a
   // decimal number of seconds; sizes end in "_bytes".
--- a/Source/UnitTests/Process/child_process.cc
+++ b/Source/UnitTests/Process/child_process.cc
@@ -6,7 +6,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -108,4 +110,23 @@
   return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
 }
 
+size_t ChildProcess::PeakResidentBytes() const {
+  std::istringstream lines(ReadProcFile(pid_, "status"));
+  std::string line;
+  while (std::getline(lines, line)) {
+    constexpr char kName[] = "VmHWM:";
+    if (line.rfind(kName, 0) == 0) {
+      return std::stoul(line.substr(sizeof(kName) - 1)) * 1024;
+    }
+  }
+  return 0;
+}
+
+size_t ChildProcess::OpenDescriptors() const {
+  const std::filesystem::directory_iterator descriptors(
+      "/proc/" + std::to_string(pid_) + "/fd");
+  return static_cast<size_t>(
+      std::distance(begin(descriptors), end(descriptors)));
+}
+
 }  // namespace figflow::test
--- a/Source/UnitTests/Process/child_process.h
+++ b/Source/UnitTests/Process/child_process.h
@@ -32,6 +32,9 @@
   std::chrono::milliseconds CpuTime() const;
   // Resident memory in bytes.
   size_t ResidentBytes() const;
+  // Most resident memory that the process has had, in bytes.
+  size_t PeakResidentBytes() const;
+  size_t OpenDescriptors() const;
   pid_t pid() const { return pid_; }
 
  private:
--- /dev/null
+++ b/Source/UnitTests/Process/untrusted_callers_test.cc
@@ -0,0 +1,220 @@
+// A daemon among callers that send much and end nothing: it stays alive, within
+// its memory and descriptors, and serves others.
+#include <stdlib.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/json.h"
+#include "Process/child_process.h"
+#include "Process/http_call.h"
+#include "Process/raw_crowd.h"
+#include "Soak/real_time.h"
+#include "Soak/wire_format.h"
+#include "Soak/wire_front.h"
+#include "StandIns/Fleet/model_fleet.h"
+#include "absl/strings/str_cat.h"
+
+namespace figflow::test {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kCallerPort = 23900;
+constexpr int kAdminPort = 23901;
+constexpr int kPeerPort = 23902;
+constexpr int kMetricsPort = 23903;
+
+constexpr size_t kMegabyte = size_t{1} << 20;
+
+// The limits of this test. The crowd below sends 118 MB of bodies on 380
+// connections: 260 bodies within the plan's limit are 63 MB, and 60 beyond it
+// 48 MB. A daemon that holds what is sent exceeds its memory by far, and one
+// that only applies the limit of a body still does.
+constexpr size_t kMemoryMb = 64;
+constexpr size_t kMaxOpen = 400;
+constexpr size_t kMaxBodyBytes = 262'144;
+
+// A process above its memory is killed by the platform.
+constexpr size_t kMostMemory = kMemoryMb * kMegabyte;
+// Callers' connections, 32 each on the addresses for administration and
+// metrics, 24 to the store, and 44 for the process itself: four addresses, four
+// event loops and close watchers with 2 to 4 each, the log and its settings.
+constexpr size_t kMostDescriptors = kMaxOpen + 32 + 32 + 24 + 44;
+
+// With several hundred connections in the way, the request may wait.
+constexpr seconds kRequestBound{20};
+constexpr seconds kStartBound{20};
+constexpr seconds kSendBound{30};
+// The server has stopped reading, or what is left waits for the caller.
+constexpr milliseconds kStall{1'500};
+constexpr milliseconds kPoll{50};
+
+std::string Address(int port) {
+  return absl::StrCat("127.0.0.1:", port);
+}
+
+// The platform's store with a plan, and no worker.
+class StorePlatform {
+ public:
+  StorePlatform()
+      : store_(time_, 1),
+        workers_(time_, store_, promises_, 2),
+        instances_(time_, workers_, promises_),
+        loop_(time_),
+        front_(
+            loop_,
+            {time_, store_, workers_, instances_},
+            3,
+            [](const std::string&) { return nullptr; },
+            [](const std::string&) {}),
+        node_(std::make_shared<model::ModelNode>()) {
+    if (const auto started = front_.Start(); !started) {
+      throw std::runtime_error(ToString(started.error()));
+    }
+    json plan = json::parse(soak::FormatPlan(model::SimplePlan(1)));
+    plan["Limits"] = {{"MaxBodyBytes", kMaxBodyBytes}};
+    host_ = plan["Routes"][0]["Host"];
+    prefix_ = plan["Routes"][0]["Prefix"];
+    front_.AddDaemon(address(), node_);
+    store_.Put(soak::kPlanKey, plan.dump());
+    loop_.Start();
+  }
+  ~StorePlatform() { loop_.Stop(); }
+  StorePlatform(const StorePlatform&) = delete;
+  StorePlatform& operator=(const StorePlatform&) = delete;
+
+  std::string address() const { return Address(front_.port()); }
+  const std::string& host() const { return host_; }
+  const std::string& prefix() const { return prefix_; }
+
+ private:
+  model::VirtualTime time_;
+  model::Promises promises_;
+  model::ModelStore store_;
+  model::ModelWorkers workers_;
+  model::ModelInstances instances_;
+  soak::RealTime loop_;
+  soak::WireFront front_;
+  model::NodePtr node_;
+  std::string host_;
+  std::string prefix_;
+};
+
+class UntrustedCallersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UntrustedCallersTest);
+  CPPUNIT_TEST(UnfinishedRequestsLeaveRoomForOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    directory_ =
+        (std::filesystem::temp_directory_path() / "figflow-callers-XXXXXX");
+    if (mkdtemp(directory_.data()) == nullptr) {
+      throw std::runtime_error("cannot create a temporary directory");
+    }
+    platform_ = std::make_unique<StorePlatform>();
+    const std::string settings = directory_ + "/settings.json";
+    std::ofstream(settings) << Settings().dump(2);
+    daemon_ = std::make_unique<ChildProcess>(
+        absl::StrCat(FIGFLOW_BIN_DIR, "/figflowd"),
+        std::vector<std::string>{"--settings", settings},
+        directory_ + "/figflowd.log");
+    for (milliseconds waited{0};
+         OrdinaryCall() != kNoSuchJob && waited < kStartBound;
+         waited += kPoll) {
+      std::this_thread::sleep_for(kPoll);
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the daemon has not started: " + directory_,
+                                 kNoSuchJob, OrdinaryCall());
+  }
+
+  void tearDown() override {
+    daemon_.reset();
+    platform_.reset();
+    std::filesystem::remove_all(directory_);
+  }
+
+  // Guards against a daemon that runs out of memory or connections because it
+  // holds whatever callers send until they end it, and against one that stays
+  // within its limits by serving nobody.
+  void UnfinishedRequestsLeaveRoomForOthers() {
+    const std::string host = platform_->host();
+    const std::string target = platform_->prefix() + "0123456789abcdef";
+    const size_t at_rest = daemon_->ResidentBytes();
+    RawCrowd crowd(kCallerPort);
+    // Within the plan's limit; only together they are too much.
+    crowd.Add(234, ChunkedRequest(host, target, 256'000, 64'000, false));
+    crowd.Add(26, ChunkedRequest(host, target, 256'000, 64'000, true));
+    crowd.Add(60, ChunkedRequest(host, target, 850'000, 65'536, false));
+    crowd.Add(30, ChunkedRequest(host, target, 200'000, 16, false));
+    crowd.Add(10, ChunkedRequest(host, target, 30'000, 1, false));
+    crowd.Add(20, EndlessHeader(host, 200'000, 500));
+    crowd.Send(kStall, kSendBound);
+    const size_t descriptors = daemon_->OpenDescriptors();
+    const int status = OrdinaryCall();
+    const size_t peak = daemon_->PeakResidentBytes();
+    std::cout << "untrusted callers: sent " << crowd.bytes_sent()
+              << " bytes; resident at rest " << at_rest << ", peak " << peak
+              << " of " << kMostMemory << "; descriptors " << descriptors
+              << " of " << kMostDescriptors << "; status " << status
+              << std::endl;
+    CPPUNIT_ASSERT_MESSAGE("the daemon has ended", daemon_->Running());
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat("resident memory ", peak),
+                           peak > 0 && peak <= kMostMemory);
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat("open descriptors ", descriptors),
+                           descriptors > 0 && descriptors <= kMostDescriptors);
+    CPPUNIT_ASSERT_EQUAL(kNoSuchJob, status);
+  }
+
+ private:
+  static constexpr int kNoSuchJob = 410;
+
+  json Settings() const {
+    return {
+        {"entry", "entry-0"},
+        {"data_centre", "dc-a"},
+        {"listen",
+         {{"callers", Address(kCallerPort)},
+          {"admin", Address(kAdminPort)},
+          {"peers", Address(kPeerPort)},
+          {"metrics", Address(kMetricsPort)}}},
+        {"peers",
+         {{"seeds", json::array()}, {"credential", "not-used-in-this-test"}}},
+        {"admin", {{"credential", "not-used-in-this-test-either"}}},
+        {"platform",
+         {{"kind", "fleet"},
+          {"address", platform_->address()},
+          {"instances_address", platform_->address()}}},
+        {"limits", {{"memory_mb", kMemoryMb}}},
+        {"requests", {{"max_open", kMaxOpen}}}};
+  }
+
+  // Asks for a job that does not exist.
+  int OrdinaryCall() const {
+    return Call("GET",
+                absl::StrCat("http://", Address(kCallerPort),
+                             platform_->prefix(), "fedcba9876543210"),
+                {"Host: " + platform_->host()}, "", kRequestBound)
+        .status;
+  }
+
+  std::string directory_;
+  std::unique_ptr<StorePlatform> platform_;
+  std::unique_ptr<ChildProcess> daemon_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UntrustedCallersTest);
+
+}  // namespace
+}  // namespace figflow::test
--- a/Source/UnitTests/Settings/settings_test.cc
+++ b/Source/UnitTests/Settings/settings_test.cc
@@ -54,6 +54,8 @@
      "limits.processor_cores", "must be from 0.01 to 1024"},
     {"processor as a text", "/limits", R"({"processor_cores": "0.5"})",
      "limits.processor_cores", "expected a number"},
+    {"too little memory", "/limits", R"({"memory_mb": 31})", "limits.memory_mb",
+     "must be 0 or at least 32"},
     {"bad seed", "/peers/seeds", "[7]", "peers.seeds", "expected \"ip:port\""},
     {"short credential", "/peers/credential", "\"short\"", "peers.credential",
      "must have at least 16 characters"},
