Bound what is buffered for callers and peers

The plan's limits for HTTP requests were not read.

Change: one byte budget, two fifths of limits.memory_mb, for the connections of all four addresses. A body reserves before it is read on, in steps; when the budget is short, reading pauses (MHD_suspend_connection), the connection that holds most for the least progress is closed, and what holds least goes on first. A request that was passed to the handler keeps its connection. A request that has not arrived whole within the time for headers or bodies is closed, also one that trickles. Connections are limited by the budget and by the descriptors of the process; near the limit silent ones give way to new ones. A chunked body over the limit gets 413 as it arrives. The plan's Limits hold for the callers' address from the step in which the plan is taken.

--- a/Source/Core/Daemon/daemon.cc
+++ b/Source/Core/Daemon/daemon.cc
@@ -296,7 +296,7 @@
   options.address = settings_.caller_listen.ToString();
   options.threads = static_cast<unsigned>(settings_.caller_threads);
   options.max_connections = static_cast<unsigned>(settings_.max_open_requests);
-  options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+  options.limits.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
   const auto handle = [this](HttpRequest request,
                              const std::shared_ptr<HttpExchange>& exchange) {
     parts_->requests.Handle(std::move(request), exchange);
@@ -315,7 +315,7 @@
   options.address = settings_.admin_listen.ToString();
   options.threads = 1;
   options.max_connections = kAdminConnections;
-  options.max_body_bytes = kMaxUploadBytes;
+  options.limits.max_body_bytes = kMaxUploadBytes;
   // Operations block on the store, so they do not run on the server's threads.
   const auto handle = [this](HttpRequest request,
                              const std::shared_ptr<HttpExchange>& exchange) {
--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -1,5 +1,8 @@
 #include "Daemon/fleet_daemon.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <atomic>
 #include <cmath>
 #include <random>
@@ -13,6 +16,8 @@
 #include "Fleet/call_router.h"
 #include "Fleet/fleet_engine.h"
 #include "Fleet/step_thread.h"
+#include "Http/connection_limits.h"
+#include "Http/connection_monitor.h"
 #include "Http/http_client.h"
 #include "Http/http_server.h"
 #include "Http/http_status.h"
@@ -26,8 +31,12 @@
 constexpr int kStoreConnections = 24;
 // A worker is called at least this often while it runs anything.
 constexpr std::chrono::seconds kIdleConnection{60};
-constexpr unsigned kProbeConnections = 32;
-constexpr unsigned kPeerConnections = 512;
+constexpr size_t kProbeConnections = 32;
+constexpr size_t kPeerConnections = 512;
+// What an address without limits of the plan allows. Longer than a caller or
+// peer takes: calls have a deadline of some seconds.
+constexpr ArrivalLimits kDefaultArrival{std::chrono::seconds(10),
+                                        std::chrono::seconds(90)};
 // The balancer probes each second and acts on the second miss.
 constexpr std::chrono::milliseconds kBalancerNotices{2'100};
 constexpr std::chrono::milliseconds kStopPoll{20};
@@ -95,6 +104,45 @@
   return options;
 }
 
+uint64_t MostDescriptors() {
+  rlimit limit{};
+  // Without an answer, the least that systems give.
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : 1'024;
+}
+
+ConnectionLimits LimitsOf(const Settings& settings) {
+  return ConnectionLimitsFor(
+      {settings.memory_mb, MostDescriptors(),
+       static_cast<size_t>(settings.max_open_requests), kPeerConnections},
+      BytesPerConnection(RequestLimits().max_header_bytes));
+}
+
+RequestLimits DefaultLimits(const Settings& settings) {
+  RequestLimits limits;
+  limits.max_body_bytes = static_cast<size_t>(settings.max_body_bytes);
+  limits.arrival = kDefaultArrival;
+  return limits;
+}
+
+// The plan's limits where it sets them and they are the lower ones.
+RequestLimits LimitsOfPlan(const Settings& settings, const CallLimits& plan) {
+  RequestLimits limits = DefaultLimits(settings);
+  const auto lower = [](size_t* limit, int64_t of_plan) {
+    if (of_plan > 0) {
+      *limit = std::min(*limit, static_cast<size_t>(of_plan));
+    }
+  };
+  lower(&limits.max_body_bytes, plan.max_body_bytes);
+  lower(&limits.max_header_bytes, plan.max_header_bytes);
+  if (plan.header_timeout.count() > 0) {
+    limits.arrival.header = plan.header_timeout;
+  }
+  if (plan.idle_timeout.count() > 0) {
+    limits.arrival.idle = plan.idle_timeout;
+  }
+  return limits;
+}
+
 std::string LogLossMetrics() {
   const LogLosses losses = GetLogLosses();
   return absl::StrCat("# TYPE figflow_log_lines_lost_total counter\n",
@@ -111,6 +159,8 @@
   Parts(const Settings& settings, const Clock& clock);
 
   MetricsRegistry metrics;
+  const ConnectionLimits limits;
+  ConnectionMonitor monitor;
   std::unique_ptr<HttpClient> client;
   std::unique_ptr<PlatformAdapter> platform;
   FleetEngine engine;
@@ -121,10 +171,14 @@
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<HttpServer> peer_server;
   std::unique_ptr<HttpServer> caller_server;
+  // Whose limits hold for callers. On the thread of the steps.
+  std::shared_ptr<const FleetPlan> limiting_plan;
 };
 
 FleetDaemon::Parts::Parts(const Settings& settings, const Clock& clock)
-    : client(
+    : limits(LimitsOf(settings)),
+      monitor(limits.budget, metrics),
+      client(
           std::make_unique<HttpClient>(FleetClientOptions(settings), metrics)),
       platform(wire::MakeAdapter(
           {settings.platform_address.ToString(), settings.instances_address,
@@ -134,7 +188,16 @@
           metrics)),
       engine(*platform, clock, metrics, EngineOptions(settings)),
       router(engine, *platform, *client, clock, metrics),
-      thread(clock, [this](MonoTime now) { return engine.Step(now); }) {
+      thread(clock, [this, settings](MonoTime now) {
+        const MonoTime next = engine.Step(now);
+        const std::shared_ptr<const FleetPlan> plan = engine.plan();
+        if (plan != limiting_plan) {
+          limiting_plan = plan;
+          caller_server->SetLimits(LimitsOfPlan(
+              settings, plan == nullptr ? CallLimits() : plan->call_limits));
+        }
+        return next;
+      }) {
   engine.SetWakeCallback([this](MonoTime at) { thread.WakeAt(at); });
   engine.SetLagProbe([this] { return client->TakeLag(); });
   engine.SetSyncPool([this](const std::string& pool, const WorkerOrders& orders,
@@ -161,20 +224,28 @@
            {{"entry", settings_.entry},
             {"data_centre", settings_.data_centre},
             {"callers", settings_.caller_listen.ToString()},
+            {"connections", absl::StrCat(parts_->limits.callers)},
+            {"buffer_mb", absl::StrCat(parts_->limits.budget >> 20)},
             {"peers", settings_.peer_listen.ToString()}});
   return {};
 }
 
 Result<void> FleetDaemon::Listen() {
   Parts& parts = *parts_;
-  const auto listen = [&](const std::string& address, unsigned connections,
-                          HttpHandler handler,
+  static constexpr char kCallers[] = "callers";
+  const auto listen = [&](const char* name, const std::string& address,
+                          size_t connections, HttpHandler handler,
                           std::unique_ptr<HttpServer>* server) -> Result<void> {
     HttpServerOptions options;
     options.address = address;
     options.threads = 1;
-    options.max_connections = connections;
-    options.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+    options.max_connections = static_cast<unsigned>(connections);
+    options.limits = DefaultLimits(settings_);
+    options.monitor = &parts.monitor;
+    options.name = name;
+    if (name == kCallers) {
+      options.receive_buffer_bytes = kReceiveBufferBytes;
+    }
     // The users' platform takes 503 as a refusal for good.
     options.stopped_status = http_status::kGatewayTimeout;
     Result<std::unique_ptr<HttpServer>> started =
@@ -207,15 +278,15 @@
     }
   };
   Result<void> started =
-      listen(settings_.admin_listen.ToString(), kProbeConnections, on_admin,
-             &parts.admin_server);
+      listen("admin", settings_.admin_listen.ToString(), kProbeConnections,
+             on_admin, &parts.admin_server);
   if (started && !settings_.metrics_listen.empty()) {
-    started = listen(settings_.metrics_listen, kProbeConnections, on_metrics,
-                     &parts.metrics_server);
+    started = listen("metrics", settings_.metrics_listen, kProbeConnections,
+                     on_metrics, &parts.metrics_server);
   }
   if (started) {
     started = listen(
-        settings_.peer_listen.ToString(), kPeerConnections,
+        "peers", settings_.peer_listen.ToString(), parts.limits.peers,
         [&parts](const HttpRequest& request,
                  const std::shared_ptr<HttpExchange>& exchange) {
           parts.router.HandlePeer(request, exchange);
@@ -224,8 +295,7 @@
   }
   if (started) {
     started = listen(
-        settings_.caller_listen.ToString(),
-        static_cast<unsigned>(settings_.max_open_requests),
+        kCallers, settings_.caller_listen.ToString(), parts.limits.callers,
         [&parts](const HttpRequest& request,
                  const std::shared_ptr<HttpExchange>& exchange) {
           parts.router.Handle(request, exchange);
@@ -241,8 +311,9 @@
                     of.peer_listen, of.metrics_listen, of.platform_kind,
                     of.platform_address, of.instances_address,
                     of.policy_address, of.worker_connections,
-                    of.max_open_requests, of.max_body_bytes, of.holder_interval,
-                    of.instance_move_s, of.instance_maintenance_s);
+                    of.max_open_requests, of.memory_mb, of.max_body_bytes,
+                    of.holder_interval, of.instance_move_s,
+                    of.instance_maintenance_s);
   };
   const bool needs_restart = fixed(settings) != fixed(settings_);
   settings_.stop_grace_s = settings.stop_grace_s;
--- a/Source/Core/Http/http_server.cc
+++ b/Source/Core/Http/http_server.cc
@@ -5,12 +5,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include "Common/clock.h"
 #include "Http/close_watcher.h"
+#include "Http/connection_context.h"
+#include "Http/connection_limits.h"
 #include "Http/listen_address.h"
 #include "Http/server_exchange.h"
 #include "absl/container/flat_hash_set.h"
@@ -28,12 +31,18 @@
 // Between looks for requests that arrive while the server stops.
 constexpr std::chrono::milliseconds kAnswerInterval{20};
 
-// Per connection, in libmicrohttpd's socket context. The shared pointer comes
-// first: ServerExchange reads the context as a pointer to it.
-struct ConnectionContext {
-  std::shared_ptr<WatchedConnection> watched;
-  uint64_t watch_id = 0;
-};
+// New connections find room before the server takes no more.
+size_t CrowdedFrom(size_t max_connections) {
+  return max_connections - max_connections / 16;
+}
+
+ConnectionContext* ContextOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return info == nullptr
+             ? nullptr
+             : static_cast<ConnectionContext*>(info->socket_context);
+}
 
 }  // namespace
 
@@ -49,7 +58,11 @@
                         MHD_Connection* connection) {
     // The raw target: libmicrohttpd passes the handler a decoded path without
     // the query.
-    auto exchange = std::make_shared<ServerExchange>(connection, uri);
+    ConnectionContext* context = ContextOf(connection);
+    if (context != nullptr) {
+      context->Enter(ByteBudget::Phase::kHeader);
+    }
+    auto exchange = std::make_shared<ServerExchange>(connection, context, uri);
     ServerExchange* raw = exchange.get();
     raw->KeepAlive(std::move(exchange));
     return raw;
@@ -65,26 +78,37 @@
                               void** context) {
     auto* server = static_cast<HttpServer*>(cls);
     auto* exchange = static_cast<ServerExchange*>(*context);
-    const HttpServerOptions& options = server->options_;
     if (!exchange->head_read()) {
       FigflowAnswer refusal;
-      if (exchange->ReadHead(method, options.max_header_bytes,
-                             options.max_body_bytes, &refusal)) {
+      if (exchange->ReadHead(method, server->max_header_bytes_,
+                             server->max_body_bytes_, &refusal)) {
         return MHD_YES;
       }
       server->refused_.Add();
       return exchange->Send(MakeFigflowResponse(refusal), true);
     }
     if (*size > 0) {
-      const bool keep = exchange->ReadBody(data, *size, options.max_body_bytes);
-      *size = 0;
-      return keep ? MHD_YES : MHD_NO;
+      switch (exchange->ReadBody(data, *size)) {
+        case ServerExchange::BodyRead::kTaken:
+          *size = 0;
+          return MHD_YES;
+        case ServerExchange::BodyRead::kPaused:
+          return MHD_YES;
+        case ServerExchange::BodyRead::kRefused:
+          server->refused_.Add();
+          *size = 0;
+          return MHD_YES;
+        case ServerExchange::BodyRead::kClose:
+          break;
+      }
+      return MHD_NO;
     }
     if (exchange->dispatched()) {
       return exchange->SendStored(server->stopping_);
     }
-    if (exchange->body_too_large()) {
-      server->refused_.Add();
+    // Refused already, or to be closed.
+    if (exchange->body_too_large() || !exchange->MayHandle()) {
+      return MHD_NO;
     }
     server->requests_.Add();
     server->in_flight_.fetch_add(1);
@@ -104,7 +128,7 @@
   }
 
   static void OnCompleted(void* cls,
-                          MHD_Connection* /*connection*/,
+                          MHD_Connection* connection,
                           void** context,
                           MHD_RequestTerminationCode code) {
     auto* server = static_cast<HttpServer*>(cls);
@@ -113,6 +137,10 @@
       return;
     }
     *context = nullptr;
+    if (const ConnectionContext* connected = ContextOf(connection)) {
+      connected->Release();
+      connected->Enter(ByteBudget::Phase::kIdle);
+    }
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
       server->closed_early_.Add();
     }
@@ -139,6 +167,14 @@
       setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NODELAY, &no_delay,
                  sizeof(no_delay));
       auto* context = new ConnectionContext;
+      context->fd = info->connect_fd;
+      context->monitor = server->options_.monitor;
+      if (context->monitor != nullptr) {
+        context->budget_id = context->monitor->Open(
+            server->group_,
+            BytesPerConnection(server->options_.limits.max_header_bytes),
+            connection, context->fd);
+      }
       context->watched = std::make_shared<WatchedConnection>();
       context->watch_id =
           server->watcher_->Add(info->connect_fd, context->watched);
@@ -148,6 +184,9 @@
     auto* context = static_cast<ConnectionContext*>(*socket_context);
     if (context != nullptr) {
       server->watcher_->Remove(context->watch_id);
+      if (context->monitor != nullptr) {
+        context->monitor->Close(context->budget_id);
+      }
       delete context;
       *socket_context = nullptr;
     }
@@ -163,6 +202,8 @@
       refused_(metrics.GetCounter("figflow_http_refused_total")),
       closed_early_(metrics.GetCounter("figflow_http_closed_early_total")),
       watcher_(std::make_unique<CloseWatcher>()),
+      max_body_bytes_(options.limits.max_body_bytes),
+      max_header_bytes_(options.limits.max_header_bytes),
       open_(std::make_unique<OpenExchanges>()) {}
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Start(
@@ -187,6 +228,11 @@
   if (address->ss_family == AF_INET6) {
     flags |= MHD_USE_IPv6;
   }
+  if (options_.monitor != nullptr) {
+    group_ = options_.monitor->AddGroup(
+        options_.name,
+        {options_.limits.arrival, CrowdedFrom(options_.max_connections), 0});
+  }
   std::vector<MHD_OptionItem> items;
   // A pool of one thread is the plain single-thread mode.
   if (options_.threads > 1) {
@@ -201,7 +247,7 @@
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(options_.idle_timeout.count()),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      options_.max_header_bytes + kBlockBytes,
+      options_.limits.max_header_bytes + kBlockBytes,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_URI_LOG_CALLBACK,
       &HttpServerCallbacks::OnTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
       &HttpServerCallbacks::OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
@@ -211,6 +257,13 @@
     return Fail(ErrorCode::kUnavailable, "http.listen", options_.address,
                 "cannot listen on the address");
   }
+  if (options_.receive_buffer_bytes > 0) {
+    // Connections inherit it. The kernel sets twice as much, for its own use.
+    const auto bytes = static_cast<int>(options_.receive_buffer_bytes);
+    setsockopt(
+        MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd,
+        SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+  }
   port_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
   return {};
 }
@@ -219,6 +272,19 @@
   Stop();
 }
 
+size_t BytesPerConnection(size_t max_header_bytes) {
+  return max_header_bytes + kBlockBytes + kReceiveBufferBytes;
+}
+
+void HttpServer::SetLimits(const RequestLimits& limits) {
+  max_body_bytes_ = limits.max_body_bytes;
+  max_header_bytes_ =
+      std::min(limits.max_header_bytes, options_.limits.max_header_bytes);
+  if (options_.monitor != nullptr) {
+    options_.monitor->SetLimits(group_, limits.arrival);
+  }
+}
+
 void HttpServer::StopAccepting() {
   if (daemon_ == nullptr || stopping_.exchange(true)) {
     return;
@@ -263,6 +329,9 @@
   // libmicrohttpd must not be stopped with suspended connections. Requests that
   // open connections bring from now on do not reach the handler.
   closing_ = true;
+  if (options_.monitor != nullptr) {
+    options_.monitor->StopGroup(group_);
+  }
   const SystemClock clock;
   const MonoTime until = clock.Now() + kStopBound;
   do {
--- a/Source/Core/Http/http_server.h
+++ b/Source/Core/Http/http_server.h
@@ -9,6 +9,7 @@
 
 #include "Common/error.h"
 #include "Common/metrics.h"
+#include "Http/byte_budget.h"
 #include "Http/http_exchange.h"
 
 struct MHD_Daemon;
@@ -16,18 +17,37 @@
 namespace figflow {
 
 class CloseWatcher;
+class ConnectionMonitor;
 class ServerExchange;
 
+// Limits on requests that may change while the server runs.
+struct RequestLimits {
+  // A larger body is refused with 413.
+  size_t max_body_bytes = size_t{8} << 20;
+  // Larger header fields are refused with 431.
+  size_t max_header_bytes = size_t{16} << 10;
+  // Of servers with a monitor.
+  ArrivalLimits arrival;
+};
+
+// What a connection costs that has sent nothing but a header.
+size_t BytesPerConnection(size_t max_header_bytes);
+
 struct HttpServerOptions {
   // "ip:port"; port 0 picks a free one.
   std::string address = "127.0.0.1:0";
   unsigned threads = 4;
   // Further connections wait in the kernel's accept queue.
   unsigned max_connections = 8192;
-  // A larger body is refused with 413.
-  size_t max_body_bytes = size_t{8} << 20;
-  // Larger header fields are refused with 431.
-  size_t max_header_bytes = size_t{16} << 10;
+  // Later limits on header fields are not above this one.
+  RequestLimits limits;
+  // Bounds what all servers that share it buffer; null for no bound.
+  ConnectionMonitor* monitor = nullptr;
+  // For the monitor's log.
+  std::string name;
+  // What the kernel receives for a connection ahead of the server; 0: as the
+  // kernel sees fit.
+  size_t receive_buffer_bytes = 0;
   // A connection without progress for this long is closed, unless a request
   // waits for its response.
   std::chrono::seconds idle_timeout{60};
@@ -55,6 +75,9 @@
   // Requests passed to the handler whose response is not sent yet.
   int InFlight() const { return in_flight_.load(); }
 
+  // Holds for requests whose header is read from now on. Thread-safe.
+  void SetLimits(const RequestLimits& limits);
+
   // Refuses new connections. Open connections are closed after the response to
   // their current request.
   void StopAccepting();
@@ -81,6 +104,10 @@
   Counter& refused_;
   Counter& closed_early_;
   std::unique_ptr<CloseWatcher> watcher_;
+  std::atomic<size_t> max_body_bytes_;
+  std::atomic<size_t> max_header_bytes_;
+  // In the monitor.
+  int group_ = 0;
   MHD_Daemon* daemon_ = nullptr;
   uint16_t port_ = 0;
   int listen_fd_ = -1;
--- a/Source/Core/Http/server_exchange.cc
+++ b/Source/Core/Http/server_exchange.cc
@@ -1,5 +1,7 @@
 #include "Http/server_exchange.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -11,9 +13,10 @@
 namespace figflow {
 namespace {
 
-// A caller that sends more than this beyond the body limit is cut off: reading
-// on only to answer 413 would cost more than the answer is worth.
-constexpr size_t kDiscardLimit = size_t{16} << 20;
+// Read after a body was refused: the kernel drops a response that a caller has
+// not read yet when the connection closes with unread bytes.
+constexpr size_t kDiscardLimit = size_t{1} << 20;
+constexpr size_t kFirstBodyBytes = size_t{4} << 10;
 
 MHD_Result AppendHeader(void* headers,
                         MHD_ValueKind /*kind*/,
@@ -64,14 +67,13 @@
 
 }  // namespace
 
-ServerExchange::ServerExchange(MHD_Connection* connection, std::string target)
-    : connection_(connection) {
+ServerExchange::ServerExchange(MHD_Connection* connection,
+                               const ConnectionContext* context,
+                               std::string target)
+    : connection_(connection), context_(context) {
   request_.target = std::move(target);
-  const MHD_ConnectionInfo* info =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  if (info != nullptr && info->socket_context != nullptr) {
-    watched_ =
-        *static_cast<std::shared_ptr<WatchedConnection>*>(info->socket_context);
+  if (context_ != nullptr) {
+    watched_ = context_->watched;
   }
 }
 
@@ -126,6 +128,10 @@
                               size_t max_body_bytes,
                               FigflowAnswer* refusal) {
   head_read_ = true;
+  max_body_bytes_ = max_body_bytes;
+  if (context_ != nullptr) {
+    context_->Enter(ByteBudget::Phase::kBody);
+  }
   request_.method = method;
   head_request_ = request_.method == "HEAD";
   const MHD_ConnectionInfo* info = MHD_get_connection_info(
@@ -156,33 +162,89 @@
           absl::StrCat("the body exceeds ", max_body_bytes, " bytes"));
       return false;
     }
-    request_.body.reserve(length);
+    expected_ = length;
   }
   return true;
 }
 
-bool ServerExchange::ReadBody(const char* data,
-                              size_t size,
-                              size_t max_body_bytes) {
-  if (!body_too_large_ && request_.body.size() + size <= max_body_bytes) {
-    request_.body.append(data, size);
+bool ServerExchange::Grow(size_t size) {
+  const size_t needed = request_.body.size() + size;
+  const size_t present = request_.body.capacity();
+  if (needed <= present) {
     return true;
   }
-  // libmicrohttpd accepts a response only after it has read the whole body.
+  // In steps, so that a caller is charged for what it sends and not for what it
+  // says that it will send.
+  const size_t most = expected_ >= needed ? expected_ : max_body_bytes_;
+  const size_t capacity =
+      std::max(needed, std::min(most, std::max(2 * present, kFirstBodyBytes)));
+  const size_t wanted = capacity - present;
+  if (wanted > granted_) {
+    const size_t missing = wanted - granted_;
+    granted_ = wanted;
+    if (context_ != nullptr && !context_->ReserveOrPause(missing)) {
+      return false;
+    }
+  }
+  // A string that grows in place takes twice its size at least.
+  std::string grown;
+  grown.reserve(present + std::exchange(granted_, 0));
+  grown.append(request_.body);
+  request_.body.swap(grown);
+  return true;
+}
+
+void ServerExchange::RefuseBody() {
   body_too_large_ = true;
   request_.body = std::string();
-  discarded_ += size;
-  return discarded_ <= kDiscardLimit;
+  if (context_ == nullptr) {
+    return;
+  }
+  context_->Release();
+  const HttpResponse refusal = MakeFigflowResponse(
+      RefuseHead(413, "body-too-large",
+                 absl::StrCat("the body exceeds ", max_body_bytes_, " bytes")));
+  std::string text = absl::StrCat(
+      "HTTP/1.1 413 Content Too Large\r\n",
+      "Connection: close\r\nContent-Length: ", refusal.body.size(), "\r\n");
+  for (const auto& [name, value] : refusal.headers) {
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+  }
+  absl::StrAppend(&text, "\r\n", refusal.body);
+  // Nothing has been sent for this request, so the kernel takes it whole unless
+  // earlier responses have not been read.
+  (void)send(context_->fd, text.data(), text.size(),
+             MSG_NOSIGNAL | MSG_DONTWAIT);
+  shutdown(context_->fd, SHUT_WR);
+}
+
+ServerExchange::BodyRead ServerExchange::ReadBody(const char* data,
+                                                  size_t size) {
+  if (body_too_large_) {
+    discarded_ += size;
+    return discarded_ <= kDiscardLimit ? BodyRead::kTaken : BodyRead::kClose;
+  }
+  if (request_.body.size() + size > max_body_bytes_) {
+    RefuseBody();
+    return BodyRead::kRefused;
+  }
+  if (!Grow(size)) {
+    return BodyRead::kPaused;
+  }
+  request_.body.append(data, size);
+  if (context_ != nullptr) {
+    context_->Progress();
+  }
+  return BodyRead::kTaken;
+}
+
+bool ServerExchange::MayHandle() const {
+  return context_ == nullptr || context_->Enter(ByteBudget::Phase::kHandled);
 }
 
 MHD_Result ServerExchange::Dispatch(const HttpHandler& handler,
                                     bool close_after) {
   dispatched_ = true;
-  if (body_too_large_) {
-    return Send(MakeFigflowResponse(
-                    RefuseHead(413, "body-too-large", "the body is too large")),
-                true);
-  }
   handler(std::move(request_), self_);
   {
     absl::MutexLock lock(&mutex_);
@@ -209,6 +271,10 @@
 }
 
 MHD_Result ServerExchange::Send(HttpResponse response, bool close_after) {
+  if (context_ != nullptr) {
+    context_->Enter(ByteBudget::Phase::kResponse);
+    context_->Charge(response.body.size());
+  }
   auto* body = new std::string(std::move(response.body));
   MHD_Response* answer = MHD_create_response_from_buffer_with_free_callback_cls(
       body->size(), body->data(), &FreeBody, body);
--- a/Source/Core/Http/server_exchange.h
+++ b/Source/Core/Http/server_exchange.h
@@ -7,6 +7,7 @@
 #include <microhttpd.h>
 
 #include "Http/close_watcher.h"
+#include "Http/connection_context.h"
 #include "Http/figflow_response.h"
 #include "Http/http_exchange.h"
 #include "absl/base/thread_annotations.h"
@@ -18,7 +19,13 @@
 // its connection; Respond comes from any thread.
 class ServerExchange : public HttpExchange {
  public:
-  ServerExchange(MHD_Connection* connection, std::string target);
+  // What became of a piece of the body.
+  enum class BodyRead { kTaken, kPaused, kRefused, kClose };
+
+  // `context` is null once the connection is being closed.
+  ServerExchange(MHD_Connection* connection,
+                 const ConnectionContext* context,
+                 std::string target);
 
   void Respond(HttpResponse response) override;
   void SetCloseListener(std::function<void()> listener) override;
@@ -34,11 +41,13 @@
                 size_t max_header_bytes,
                 size_t max_body_bytes,
                 FigflowAnswer* refusal);
-  // Returns false if the body is so much too large that the connection must
-  // be closed.
-  bool ReadBody(const char* data, size_t size, size_t max_body_bytes);
+  // kPaused: nothing was read, and the connection is suspended. kRefused: the
+  // body is too large, and 413 has been sent. kClose: more came after that.
+  BodyRead ReadBody(const char* data, size_t size);
   bool body_too_large() const { return body_too_large_; }
 
+  // False if the connection is to be closed: the handler must not be called.
+  bool MayHandle() const;
   // Calls the handler, then sends its response or suspends the connection.
   MHD_Result Dispatch(const HttpHandler& handler, bool close_after);
   // Sends the response that Respond left before the connection was resumed.
@@ -49,9 +58,17 @@
   bool dispatched() const { return dispatched_; }
 
  private:
+  // Makes room for `size` more bytes of the body. Returns false if reading is
+  // paused.
+  bool Grow(size_t size);
+  // Sends the refusal past libmicrohttpd, which accepts a response only after
+  // the whole body, and ends the sending side.
+  void RefuseBody();
+
   enum class State { kOpen, kSuspended, kResponded };
 
   MHD_Connection* const connection_;
+  const ConnectionContext* const context_;
   std::shared_ptr<WatchedConnection> watched_;
   std::shared_ptr<ServerExchange> self_;
   HttpRequest request_;
@@ -60,6 +77,12 @@
   bool dispatched_ = false;
   bool body_too_large_ = false;
   size_t discarded_ = 0;
+  size_t max_body_bytes_ = 0;
+  // Of the body, as the header states it; 0: unknown.
+  size_t expected_ = 0;
+  // Reserved beyond the body's capacity; a paused connection goes on once it
+  // has them.
+  size_t granted_ = 0;
 
   absl::Mutex mutex_;
   State state_ ABSL_GUARDED_BY(mutex_) = State::kOpen;
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -56,6 +56,15 @@
   Resources cap;
 };
 
+// Limits on callers' HTTP requests. 0: the plan sets none, and the daemon's own
+// limit holds.
+struct CallLimits {
+  int64_t max_header_bytes = 0;
+  int64_t max_body_bytes = 0;
+  std::chrono::milliseconds header_timeout{0};
+  std::chrono::milliseconds idle_timeout{0};
+};
+
 struct PoolConfig {
   std::string name;
   // Workers refuse tasks that exceed their free capacity; otherwise they start
@@ -75,6 +84,7 @@
   // without a list of customers.
   bool requires_keys = false;
   std::vector<CustomerConfig> customers;
+  CallLimits call_limits;
 
   // Returns the queue of `host` with the longest prefix that `path` begins
   // with, or null if there is none.
--- a/Source/UnitTests/Http/http_server_test.cc
+++ b/Source/UnitTests/Http/http_server_test.cc
@@ -315,8 +315,8 @@
 
  private:
   void Start(HttpHandler handler, HttpServerOptions options = {}) {
-    options.max_body_bytes = 1000;
-    options.max_header_bytes = 4096;
+    options.limits.max_body_bytes = 1000;
+    options.limits.max_header_bytes = 4096;
     server_ = *HttpServer::Start(options, std::move(handler), metrics_);
   }
   // Keeps each exchange for the test to answer.
--- a/Source/UnitTests/Http/raw_socket.cc
+++ b/Source/UnitTests/Http/raw_socket.cc
@@ -40,6 +40,10 @@
   }
 }
 
+void RawClient::EndSending() const {
+  shutdown(fd_, SHUT_WR);
+}
+
 void RawClient::Send(const std::string& data) const {
   size_t done = 0;
   while (done < data.size()) {
--- a/Source/UnitTests/Http/raw_socket.h
+++ b/Source/UnitTests/Http/raw_socket.h
@@ -18,6 +18,8 @@
   void Send(const std::string& data) const;
   // Reads until the text holds `end`, the server closes, or 3 s have passed.
   std::string ReadUntil(const std::string& end) const;
+  // Ends the sending side only.
+  void EndSending() const;
   void Close();
 
  private:
--- a/Source/UnitTests/Process/untrusted_callers_test.cc
+++ b/Source/UnitTests/Process/untrusted_callers_test.cc
@@ -1,6 +1,7 @@
 // A daemon among callers that send much and end nothing: it stays alive, within
 // its memory and descriptors, and serves others.
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include <filesystem>
 #include <fstream>
@@ -114,6 +115,8 @@
 class UntrustedCallersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UntrustedCallersTest);
   CPPUNIT_TEST(UnfinishedRequestsLeaveRoomForOthers);
+  CPPUNIT_TEST(OtherAddressesHaveTheSameBounds);
+  CPPUNIT_TEST(DescriptorsAreLeftForTheStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,9 +129,13 @@
     platform_ = std::make_unique<StorePlatform>();
     const std::string settings = directory_ + "/settings.json";
     std::ofstream(settings) << Settings().dump(2);
+    StartDaemon();
+  }
+
+  void StartDaemon() {
     daemon_ = std::make_unique<ChildProcess>(
         absl::StrCat(FIGFLOW_BIN_DIR, "/figflowd"),
-        std::vector<std::string>{"--settings", settings},
+        std::vector<std::string>{"--settings", directory_ + "/settings.json"},
         directory_ + "/figflowd.log");
     for (milliseconds waited{0};
          OrdinaryCall() != kNoSuchJob && waited < kStartBound;
@@ -177,6 +184,52 @@
     CPPUNIT_ASSERT_EQUAL(kNoSuchJob, status);
   }
 
+  // Guards against a budget that holds for callers only. The crowd sends 51 MB
+  // to peers and 3 MB of headers to each of the others.
+  void OtherAddressesHaveTheSameBounds() {
+    const std::string host = platform_->host();
+    RawCrowd peers(kPeerPort);
+    peers.Add(60, ChunkedRequest(host, "/", 850'000, 65'536, false));
+    peers.Send(kStall, kSendBound);
+    RawCrowd admin(kAdminPort);
+    admin.Add(15, EndlessHeader(host, 200'000, 500));
+    admin.Send(kStall, kSendBound);
+    RawCrowd metrics(kMetricsPort);
+    metrics.Add(15, EndlessHeader(host, 200'000, 500));
+    metrics.Send(kStall, kSendBound);
+    const int status = OrdinaryCall();
+    const size_t peak = daemon_->PeakResidentBytes();
+    std::cout << "other addresses: peak " << peak << " of " << kMostMemory
+              << "; status " << status << std::endl;
+    CPPUNIT_ASSERT_MESSAGE("the daemon has ended", daemon_->Running());
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat("resident memory ", peak),
+                           peak > 0 && peak <= kMostMemory);
+    CPPUNIT_ASSERT_EQUAL(kNoSuchJob, status);
+  }
+
+  // Guards against callers that use up the descriptors, so that the daemon
+  // cannot reach the store or take calls any more.
+  void DescriptorsAreLeftForTheStore() {
+    constexpr rlim_t kFewDescriptors = 200;
+    daemon_.reset();
+    rlimit limit{};
+    CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &limit));
+    const rlimit lowered{kFewDescriptors, limit.rlim_max};
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &lowered));
+    StartDaemon();
+    CPPUNIT_ASSERT_EQUAL(0, setrlimit(RLIMIT_NOFILE, &limit));
+    RawCrowd crowd(kCallerPort);
+    crowd.Add(380, EndlessHeader(platform_->host(), 1'000, 500));
+    crowd.Send(kStall, kSendBound);
+    const size_t descriptors = daemon_->OpenDescriptors();
+    std::cout << "few descriptors: " << descriptors << " of " << kFewDescriptors
+              << std::endl;
+    // Connections to the store that are not open yet need one each.
+    CPPUNIT_ASSERT_MESSAGE(absl::StrCat("open descriptors ", descriptors),
+                           descriptors + 24 <= kFewDescriptors);
+    CPPUNIT_ASSERT_EQUAL(kNoSuchJob, OrdinaryCall());
+  }
+
  private:
   static constexpr int kNoSuchJob = 410;
 
--- a/Source/UnitTests/Wire/codec_test.cc
+++ b/Source/UnitTests/Wire/codec_test.cc
@@ -44,6 +44,8 @@
 class CodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CodecTest);
   CPPUNIT_TEST(PlanIsRead);
+  CPPUNIT_TEST(CallLimitsAreRead);
+  CPPUNIT_TEST(OddBodiesOfTheLargestSizeAreRefused);
   CPPUNIT_TEST(UnreadableQueueHidesNoOther);
   CPPUNIT_TEST(WorkerIsRead);
   CPPUNIT_TEST(BadWorkersAreRefused);
@@ -58,6 +60,53 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against limits that are lost, and against a plan that unreadable
+  // limits make unreadable.
+  void CallLimitsAreRead() {
+    const auto limits = [](const std::string& text) {
+      const Result<FleetPlan> plan = wire::ParsePlan(
+          R"({"Version":1,"Routes":[],"Services":[],"Limits":)" + text + "}");
+      CPPUNIT_ASSERT_MESSAGE(text, plan.has_value());
+      return plan->call_limits;
+    };
+    const CallLimits all =
+        limits(R"({"MaxHeaderBytes":16384,"MaxBodyBytes":262144,)"
+               R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000})");
+    CPPUNIT_ASSERT_EQUAL(int64_t{16'384}, all.max_header_bytes);
+    CPPUNIT_ASSERT_EQUAL(int64_t{262'144}, all.max_body_bytes);
+    CPPUNIT_ASSERT(all.header_timeout == std::chrono::seconds(3));
+    CPPUNIT_ASSERT(all.idle_timeout == std::chrono::seconds(15));
+    for (const char* none :
+         {"{}", "7", R"({"MaxBodyBytes":"x"})", R"({"MaxBodyBytes":-1})"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(none, int64_t{0},
+                                   limits(none).max_body_bytes);
+    }
+  }
+
+  // Guards against a document that exhausts the stack, or is taken for a job,
+  // by its shape alone.
+  void OddBodiesOfTheLargestSizeAreRefused() {
+    constexpr size_t kSize = 262'144;
+    std::string wide = "[";
+    while (wide.size() + 4 < kSize) {
+      wide += "[],";
+    }
+    wide += "0]";
+    std::string members = "{";
+    for (int i = 0; members.size() + 12 < kSize; ++i) {
+      members += "\"" + std::to_string(i) + "\":0,";
+    }
+    members += "\"x\":0}";
+    const FleetPlan plan = Plan();
+    for (const std::string& body :
+         {std::string(kSize, '['), std::string(kSize, '{'), wide, members,
+          std::string(kSize, '1'), "\"" + std::string(kSize - 2, 'a') + "\""}) {
+      const auto call =
+          wire::ParseCall(Request("POST", "/a/5c0e7a21d94b36f8", body), plan);
+      CPPUNIT_ASSERT_MESSAGE(body.substr(0, 10), !call.has_value());
+    }
+  }
+
   void PlanIsRead() {
     const FleetPlan plan = Plan();
     CPPUNIT_ASSERT_EQUAL(uint64_t{7}, plan.version);
