--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -59,6 +59,15 @@
   Resources cap;
 };
 
+// Limits on callers' HTTP requests. 0: the plan sets none, and the daemon's own
+// limit holds.
+struct CallLimits {
+  int64_t max_header_bytes = 0;
+  int64_t max_body_bytes = 0;
+  std::chrono::milliseconds header_timeout{0};
+  std::chrono::milliseconds idle_timeout{0};
+};
+
 struct PoolConfig {
   std::string name;
   // Workers refuse tasks that exceed their free capacity; otherwise they start
@@ -80,6 +89,7 @@
   std::vector<CustomerConfig> customers;
   // Table of the customers' keys; null if the plan has no list of customers.
   std::shared_ptr<const CustomerKeys> keys;
+  CallLimits call_limits;
 
   // Returns the queue of `host` with the longest prefix that `path` begins
   // with, or null if there is none.
