Request whole workers for tasks that fit no worker in use

Seven tasks of 52.5 cores waited for 21 s in a partition in which each worker of 64 cores ran a perpetual task, while 225 instances were spare: the move planner compares sums of millicores, which never showed that no worker had the required shape.

A report now has the number of whole further workers that such tasks need: a stage counts from when its task fits no worker in use even if all tasks there that end by themselves had ended, until none of its tasks waits. The planner provides them from idle and spare instances before it works off backlogs, and keeps idle instances while they are needed. Perpetual tasks ask by min_perpetual_workers and unplaced_tasks as before. The element is appended to the report; a report without it reads as 0.

--- a/Source/Core/Instances/instance_controller_moves.cc
+++ b/Source/Core/Instances/instance_controller_moves.cc
@@ -247,6 +247,7 @@
          {"offered_millicores", absl::StrCat(report.offered_millicores)},
          {"unplaced", absl::StrCat(report.unplaced_tasks)},
          {"spread", absl::StrCat(report.min_perpetual_workers)},
+         {"further", absl::StrCat(report.further_workers)},
          {"spare", absl::StrCat(input.spare.size())},
          {"pending", absl::StrCat(input.pending.size())},
          {"age_ms",
--- a/Source/Core/Instances/move_planner.cc
+++ b/Source/Core/Instances/move_planner.cc
@@ -88,9 +88,16 @@
     return std::max(0, report->min_perpetual_workers - size);
   }
 
+  // Returns the millicores that the pool has with the further workers that its
+  // large tasks need.
+  double CapacityForLargeTasks(double instance_capacity) const {
+    return capacity + report->further_workers * instance_capacity;
+  }
+
   // Returns whether work is waiting.
   bool HasWaitingWork() const {
-    return BacklogSeconds() > 0 || report->unplaced_tasks > 0;
+    return BacklogSeconds() > 0 || report->unplaced_tasks > 0 ||
+           report->further_workers > 0;
   }
 
   double BacklogSeconds() const {
@@ -133,6 +140,11 @@
       wanted = std::max(wanted, capacity + instance_capacity);
       wanted_in_time = std::max(wanted_in_time, capacity + instance_capacity);
     }
+    if (report->further_workers > 0) {
+      const double for_large_tasks = CapacityForLargeTasks(instance_capacity);
+      wanted = std::max(wanted, for_large_tasks);
+      wanted_in_time = std::max(wanted_in_time, for_large_tasks);
+    }
   }
 };
 
@@ -305,6 +317,12 @@
     const double missing = need->MissingWorkers() * round->instance_capacity;
     AssignInstances(need, need->capacity + missing, true, round, &planned);
   }
+  // Large tasks that no present worker can hold cannot run at all either. Work
+  // of other pools is not interrupted for them.
+  for (PoolNeed* need : by_need) {
+    AssignInstances(need, need->CapacityForLargeTasks(round->instance_capacity),
+                    false, round, &planned);
+  }
   for (PoolNeed* need : by_need) {
     if (need->IsShort()) {
       AssignInstances(need, need->wanted_in_time, true, round, &planned);
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -90,6 +90,9 @@
   std::map<std::string, MonoTime> failed_on;
   // Tickets of the queue's placement policy; unused if it has none.
   PlacementTickets advice;
+  // A report found that no worker in use could ever hold a waiting task; set
+  // until none waits, so that the workers that come for it are kept.
+  bool needs_further_worker = false;
   // When the reasons why tasks of the stage wait were last logged.
   MonoTime wait_logged_at;
   // Number of assigned tasks of the stage by worker, for the limit per worker.
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -25,7 +25,7 @@
       {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
        report.offered_millicores, report.perpetual_millicores,
        report.unplaced_tasks, std::move(workers), report.min_perpetual_workers,
-       report.late_backlog_millicore_ms}));
+       report.late_backlog_millicore_ms, report.further_workers}));
 }
 
 Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
@@ -41,6 +41,7 @@
     report.min_perpetual_workers = row.size() > 7 ? row.at(7).get<int>() : 0;
     report.late_backlog_millicore_ms =
         row.size() > 8 ? row.at(8).get<int64_t>() : 0;
+    report.further_workers = row.size() > 9 ? row.at(9).get<int>() : 0;
     for (const json& entry : row.at(6)) {
       WorkerLoad load;
       load.worker = entry.at(0).get<std::string>();
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -69,6 +69,10 @@
   // Minimum number of workers that the perpetual tasks need because of limits
   // per worker.
   int min_perpetual_workers = 0;
+  // Number of whole workers that waiting tasks need in addition: no worker in
+  // use could hold them even if all tasks there that end by themselves had
+  // ended. Does not count perpetual tasks.
+  int further_workers = 0;
   std::vector<WorkerLoad> workers;
 };
 
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -357,6 +357,10 @@
   bool MayStopPerpetual(const TaskRef& ref, MonoTime now);
   bool HasAlternativeWorker(const TaskRef& ref, MonoTime now);
 
+  // pool_scheduler_large_tasks.cc
+  // Returns the number of whole workers that waiting tasks need in addition.
+  int CountFurtherWorkersForLargeTasks(MonoTime now);
+
   // pool_scheduler_dispatch.cc
   struct CandidateWorkers;
   struct ReadyStage;
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -218,6 +218,7 @@
       }
     }
   }
+  report.further_workers = CountFurtherWorkersForLargeTasks(now);
   stats_->SetWaitingTasks(options_.pool, waiting_by_queue_);
   return report;
 }
