Reserve a worker for a large task that lacks capacity

On a pool with a steady flow of small tasks each takes the capacity that another one has left, so a task of nearly a worker's size waits as long as they arrive.

The first stage in the order of dispatch that lacks capacity gets a reservation if it has large tasks (two do not fit one worker) and has waited for 1 s: the worker on which the task is expected to fit first is kept from other stages, except for tasks that will have ended by then (EASY, Lifka 1995). There is one reservation for each scope. It ends when a task of the stage starts, none waits, the worker is lost, or its tasks take 2 s longer than expected. Stages with a policy, gangs and workers without the label or above the stage's limit reserve nothing. Work that can meet its objective may use a worker that is reserved for work that cannot, and perpetual tasks may always. Without a reservation, plans are unchanged. tasks_wait names the reserved worker.

--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -93,6 +94,8 @@
   // A report found that no worker in use could ever hold a waiting task; set
   // until none waits, so that the workers that come for it are kept.
   bool needs_further_worker = false;
+  // Since when tasks have lacked capacity and none has been placed.
+  std::optional<MonoTime> lacks_capacity_since;
   // When the reasons why tasks of the stage wait were last logged.
   MonoTime wait_logged_at;
   // Number of assigned tasks of the stage by worker, for the limit per worker.
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -14,6 +14,7 @@
 
 #include "Common/clock.h"
 #include "Common/error.h"
+#include "Scheduling/capacity_reservation.h"
 #include "Scheduling/customer_usage.h"
 #include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
@@ -178,6 +179,9 @@
   // never sent are refused, since they were certainly not accepted.
   void Abandon();
 
+  // Returns whether a worker is kept free for a large task.
+  bool HasReservation() const { return reservation_.current().has_value(); }
+
   // A worker has reported that a later owner controls it.
   bool deposed() const { return deposed_; }
   // Returns the number of listed workers, and of those among them that have
@@ -361,6 +365,9 @@
   // Returns the number of whole workers that waiting tasks need in addition.
   int CountFurtherWorkersForLargeTasks(MonoTime now);
 
+  // pool_scheduler_reservation.cc
+  struct ReservationScan;
+
   // pool_scheduler_dispatch.cc
   struct CandidateWorkers;
   struct ReadyStage;
@@ -380,6 +387,10 @@
   StagePlacement PlanStage(const ReadyStage& item,
                            CandidateWorkers& board,
                            MonoTime now);
+  // Same, without the worker that is reserved for another stage.
+  StagePlacement PlanBesideReservation(const ReadyStage& item,
+                                       CandidateWorkers& board,
+                                       ReservationScan& reservation);
   // Returns the number of tasks of the stage on each candidate worker.
   static std::vector<int> CountStageTasks(const ReadyStage& item,
                                           const CandidateWorkers& board);
@@ -430,6 +441,7 @@
   std::vector<std::shared_ptr<Job>> jobs_in_write_;
   WorkerMap workers_;
   CustomerUsage usage_;
+  CapacityReservation reservation_;
   // Workers that the instance controller has reported as ended.
   struct ReportedEnd {
     MonoTime first_reported_at;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -6,6 +6,7 @@
 #include "Scheduling/dispatch_order.h"
 #include "Scheduling/placement.h"
 #include "Scheduling/pool_scheduler.h"
+#include "Scheduling/pool_scheduler_reservation.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 
@@ -20,11 +21,14 @@
 constexpr std::chrono::milliseconds kStageWaitLogInterval{2'000};
 constexpr std::chrono::milliseconds kPoolWaitLogInterval{250};
 
+// Maximum number of stages for which one scan looks for a worker to reserve.
+constexpr int kMaxReservationTries = 8;
+// Less than any task requests.
+constexpr Resources kNoRoom{-1, -1, -1};
+
 // Maximum number of workers in one query to the policy service, which takes
 // time for each of them.
 constexpr size_t kMaxQueryWorkers = 30;
-// Delay before a query without a response is repeated.
-constexpr std::chrono::milliseconds kQueryRetryDelay{400};
 
 // Returns whether no member of a gang is assigned. A gang starts as a whole, so
 // none of its members may still have a worker.
@@ -149,6 +153,8 @@
 
 void PoolScheduler::Dispatch(MonoTime now) {
   CandidateWorkers board = FindCandidateWorkers(now);
+  ReservationScan reservation{*this, board.workers, now, kMaxReservationTries};
+  reservation.CheckReservation();
   if (board.options.empty()) {
     return;
   }
@@ -160,7 +166,8 @@
     // Stages that wait for a label, a limit or a ticket say nothing about the
     // free capacity, and perpetual ones start wherever they fit.
     const bool waits_for_capacity =
-        PlanStage(item, board, now) == StagePlacement::kWaitsForCapacity &&
+        PlanBesideReservation(item, board, reservation) ==
+            StagePlacement::kWaitsForCapacity &&
         !item.Spec().perpetual;
     without_capacity += waits_for_capacity ? 1 : 0;
     if (without_capacity > kMaxStagesWithoutCapacity && board.IsHalfUsed()) {
@@ -169,6 +176,27 @@
   }
 }
 
+PoolScheduler::StagePlacement PoolScheduler::PlanBesideReservation(
+    const ReadyStage& item,
+    CandidateWorkers& board,
+    ReservationScan& reservation) {
+  const TaskRef stage{item.job, item.occurrence, item.stage, 0};
+  const int kept = reservation.FindWorkerKeptFrom(stage, item.rank.urgency);
+  const int waiting = item.GetStage().waiting;
+  Resources room;
+  if (kept >= 0) {
+    room = std::exchange(board.options[kept].room, kNoRoom);
+  }
+  const StagePlacement placement = PlanStage(item, board, reservation.now);
+  if (kept >= 0) {
+    board.options[kept].room = room;
+  }
+  reservation.OnStagePlanned(stage, item.rank.urgency,
+                             item.GetStage().waiting < waiting,
+                             placement == StagePlacement::kWaitsForCapacity);
+  return placement;
+}
+
 std::vector<int> PoolScheduler::CountStageTasks(const ReadyStage& item,
                                                 const CandidateWorkers& board) {
   const Stage& stage = item.GetStage();
@@ -407,37 +435,6 @@
   output_.questions.push_back(std::move(question));
 }
 
-void PoolScheduler::OnPolicyResponse(const PolicyQuery& question,
-                                     const Result<PolicyResponse>& answer,
-                                     MonoTime sent_at,
-                                     MonoTime now) {
-  policy_query_in_flight_ = false;
-  dispatch_needed_ = true;
-  const std::optional<TaskRef> ref = FindTask(question.stage);
-  if (!ref) {
-    return;
-  }
-  PlacementTickets& advice = ref->GetStage().advice;
-  if (!answer) {
-    advice.next_query = now + kQueryRetryDelay;
-    return;
-  }
-  // Queries of other pools of this daemon may have been handled before this
-  // one.
-  MonoTime issued_at = sent_at;
-  const QueueConfig* queue = plan_->FindQueueByName(ref->job->spec.queue);
-  if (queue != nullptr && queue->policy) {
-    const auto workers = static_cast<int64_t>(question.workers.size());
-    issued_at =
-        std::max(issued_at, now - queue->policy->query_time -
-                                queue->policy->time_per_worker * workers);
-  }
-  advice.OnAnswer(question.workers, *answer, issued_at);
-  if (answer->allowed.empty()) {
-    advice.next_query = now;
-  }
-}
-
 void PoolScheduler::LogWaitReasons(const ReadyStage& item,
                                    const CandidateWorkers& board,
                                    const PlacementObstacles& obstacles,
@@ -462,7 +459,9 @@
             {"no_memory", absl::StrCat(obstacles.no_memory)},
             {"limit_per_worker", absl::StrCat(obstacles.limit_per_worker)},
             {"no_label", absl::StrCat(obstacles.no_label)},
-            {"no_ticket", absl::StrCat(obstacles.no_ticket)}});
+            {"no_ticket", absl::StrCat(obstacles.no_ticket)},
+            {"reserved_worker",
+             reservation_.current() ? reservation_.current()->worker.id : ""}});
 }
 
 }  // namespace figflow
