Limit what customers have running to their caps

Cause: the plan gives customers a cap over all workers, but each scope has an owner of its own and none sees all runs.

Change: the instance controller grants each scope an amount per customer (CustomerGrants) with the orders it already sends; the owner starts tasks only within its grant (CustomerLimits). Grants and loads are appended elements of WorkerOrders and PoolReport, null if no customer has a cap. Tasks that wait for a cap hold no other stage back, ask for no instances and are logged with the reason customer_cap. Gauges by customer, and rows in /state.

--- a/Source/Core/Fleet/fleet_engine_state.cc
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -28,6 +28,7 @@
   }
   nlohmann::json pools = nlohmann::json::array();
   nlohmann::json queues = nlohmann::json::array();
+  nlohmann::json scope_customers = nlohmann::json::array();
   for (const auto& [pool, runner] : runners_) {
     const auto [listed, reached] = runner->CountReachedWorkers();
     pools.push_back({{"pool", pool},
@@ -35,6 +36,17 @@
                      {"workers", listed},
                      {"reached", reached},
                      {"takes_calls", runner->AcceptsCalls()}});
+    for (const CustomerLoad& load : runner->CustomerLoads()) {
+      scope_customers.push_back(
+          {{"scope", pool},
+           {"customer", load.customer},
+           {"occupied_millicores", load.occupied.cpu_millicores},
+           {"waiting_millicores", load.waiting.cpu_millicores},
+           {"granted_millicores", load.granted.cpu_millicores},
+           {"occupied_mb", load.occupied.memory_mb},
+           {"granted_mb", load.granted.memory_mb},
+           {"tasks_over_grant", load.tasks_over_grant}});
+    }
     for (const auto& [queue, tasks] : runner->WaitingByQueue()) {
       queues.push_back(
           {{"pool", pool}, {"queue", queue}, {"waiting_tasks", tasks}});
@@ -51,6 +63,9 @@
           {"members", std::move(members)},
           {"pools", std::move(pools)},
           {"queues", std::move(queues)},
+          {"scope_customers", std::move(scope_customers)},
+          {"customers", controller_ == nullptr ? nlohmann::json::array()
+                                               : controller_->DumpCustomers()},
           {"waves", controller_ == nullptr ? nlohmann::json::array()
                                            : controller_->DumpWaves(now)}};
 }
--- a/Source/Core/Fleet/peer_calls.cc
+++ b/Source/Core/Fleet/peer_calls.cc
@@ -151,7 +151,8 @@
   // whichever incarnation runs.
   request.body = FormatCbor(
       json::array({sync.pool, sync.orders.evacuate, json::array(),
-                   sync.orders.later, sync.orders.lend, std::move(ended)}));
+                   sync.orders.later, sync.orders.lend, std::move(ended),
+                   FormatCustomerGrantOrders(sync.orders.customers)}));
   return request;
 }
 
@@ -176,6 +177,9 @@
             {worker.at(0).get<std::string>(), worker.at(1).get<int64_t>()});
       }
     }
+    if (row.size() > 6) {
+      sync.orders.customers = ReadCustomerGrantOrders(row.at(6));
+    }
     return sync;
   });
 }
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -345,6 +345,7 @@
       }
       scheduler.SetEvacuating(orders.evacuate, orders.lend, now);
       scheduler.SetEvacuatingLater(orders.later, now);
+      scheduler.SetCustomerGrants(orders.customers, now);
       report = scheduler.Report(now);
     }
   });
@@ -454,6 +455,13 @@
   return scheduler_ == nullptr ? std::make_pair(0, 0) : scheduler_->Reached();
 }
 
+std::vector<CustomerLoad> PoolRunner::CustomerLoads() const {
+  absl::MutexLock lock(&mutex_);
+  return scheduler_ == nullptr
+             ? std::vector<CustomerLoad>()
+             : scheduler_->ReportCustomers(deps_.clock.Now()).customers;
+}
+
 std::map<std::string, int> PoolRunner::WaitingByQueue() const {
   absl::MutexLock lock(&mutex_);
   return scheduler_ == nullptr ? std::map<std::string, int>()
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -98,6 +98,8 @@
   const Claim& claim() const { return claim_; }
   std::pair<int, int> CountReachedWorkers() const;
   std::map<std::string, int> WaitingByQueue() const;
+  // Loads of customers with a cap; empty unless the pool is active.
+  std::vector<CustomerLoad> CustomerLoads() const;
   MonoTime active_since() const;
 
  private:
--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -40,7 +40,8 @@
       sync_pool_(std::move(sync_pool)),
       wake_(std::move(wake)),
       created_at_(clock.Now()),
-      plan_(std::make_shared<FleetPlan>()) {}
+      plan_(std::make_shared<FleetPlan>()),
+      customer_grants_(options_.fence) {}
 
 void InstanceController::Start() {
   {
@@ -111,6 +112,7 @@
 void InstanceController::Stop() {
   absl::MutexLock lock(&mutex_);
   stopped_ = true;
+  ResetCustomerMetrics();
   if (writer_) {
     writer_->Stop();
   }
@@ -119,11 +121,13 @@
 void InstanceController::SetPlan(std::shared_ptr<const FleetPlan> plan) {
   absl::MutexLock lock(&mutex_);
   plan_ = std::move(plan);
+  SetCustomerScopes();
 }
 
 void InstanceController::SetLayout(const PoolLayout& layout) {
   absl::MutexLock lock(&mutex_);
   layout_ = layout;
+  SetCustomerScopes();
   move_planners_.resize(layout.partitions);
 }
 
@@ -418,6 +422,7 @@
         }
       }
     }
+    AddCustomerGrants(&to_sync, now);
   }
   for (const auto& [scope, orders] : to_sync) {
     sync_pool_(
@@ -437,6 +442,8 @@
     return;
   }
   const MonoTime now = clock_.Now();
+  customer_grants_.OnReport(scope, report->customers, sync_prepared_at_[scope],
+                            now);
   std::map<WorkerKey, MonoTime>& known = reported_since_[scope];
   std::map<WorkerKey, MonoTime> reported;
   for (const WorkerLoad& load : report->workers) {
--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -12,6 +12,7 @@
 #include "Common/clock.h"
 #include "Common/json.h"
 #include "Common/metrics.h"
+#include "Instances/customer_grants.h"
 #include "Instances/move_planner.h"
 #include "Instances/wave_planner.h"
 #include "Ownership/pool_layout.h"
@@ -75,6 +76,9 @@
   // the time left until its deadline.
   nlohmann::json DumpWaves(MonoTime now) const;
 
+  // Returns one row for each customer with a cap.
+  nlohmann::json DumpCustomers() const;
+
   bool deposed() const;
   uint64_t fence() const { return options_.fence; }
   MonoTime Step(MonoTime now);
@@ -136,6 +140,13 @@
                          const std::set<std::string>& to_evacuate,
                          const std::set<std::string>& to_lend) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // instance_controller_customers.cc
+  void SetCustomerScopes() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Adds the grants for customers with a cap to orders that are sent now.
+  void AddCustomerGrants(std::map<std::string, WorkerOrders>* orders,
+                         MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void ResetCustomerMetrics() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void SetCustomerMetrics(MonoTime now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // Records the workers that have certainly ended, by a list of the instances
   // that was requested at `sent_at`. A response to an order proves no end: an
   // order that was carried out before succeeds, too.
@@ -226,6 +237,12 @@
   std::map<std::string, std::map<WorkerKey, MonoTime>> reported_since_
       ABSL_GUARDED_BY(mutex_);
   std::set<std::string> syncing_ ABSL_GUARDED_BY(mutex_);
+  // When the orders whose response is awaited were prepared.
+  std::map<std::string, MonoTime> sync_prepared_at_ ABSL_GUARDED_BY(mutex_);
+  CustomerGrants customer_grants_ ABSL_GUARDED_BY(mutex_);
+  MonoTime next_customer_metrics_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
+  // Customers whose metrics have a label of their own.
+  std::set<std::string> labelled_customers_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Instance> instances_ ABSL_GUARDED_BY(mutex_);
   MonoTime next_list_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   bool listing_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/Core/Scheduling/pool_report.cc
+++ b/Source/Core/Scheduling/pool_report.cc
@@ -25,7 +25,8 @@
       {report.pool, report.waiting_millicores, report.backlog_millicore_ms,
        report.offered_millicores, report.perpetual_millicores,
        report.unplaced_tasks, std::move(workers), report.min_perpetual_workers,
-       report.late_backlog_millicore_ms}));
+       report.late_backlog_millicore_ms,
+       FormatCustomerLoadReport(report.customers)}));
 }
 
 Result<PoolReport> ParsePoolReport(absl::string_view bytes) {
@@ -41,6 +42,9 @@
     report.min_perpetual_workers = row.size() > 7 ? row.at(7).get<int>() : 0;
     report.late_backlog_millicore_ms =
         row.size() > 8 ? row.at(8).get<int64_t>() : 0;
+    if (row.size() > 9) {
+      report.customers = ReadCustomerLoadReport(row.at(9));
+    }
     for (const json& entry : row.at(6)) {
       WorkerLoad load;
       load.worker = entry.at(0).get<std::string>();
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/error.h"
+#include "Scheduling/customer_load.h"
 #include "Scheduling/worker.h"
 #include "absl/strings/string_view.h"
 
@@ -25,6 +26,8 @@
   // Workers that get no new tasks and whose instance leaves the pool once their
   // present tasks have ended. No task is stopped for it.
   std::set<std::string> lend;
+  // What customers with a cap may occupy.
+  CustomerGrantOrders customers;
 };
 
 // Load of one worker of a pool, as its owner sees it.
@@ -70,6 +73,8 @@
   // per worker.
   int min_perpetual_workers = 0;
   std::vector<WorkerLoad> workers;
+  // What customers with a cap occupy.
+  CustomerLoadReport customers;
 };
 
 std::string FormatPoolReport(const PoolReport& report);
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -14,6 +14,7 @@
 
 #include "Common/clock.h"
 #include "Common/error.h"
+#include "Scheduling/customer_limits.h"
 #include "Scheduling/customer_usage.h"
 #include "Scheduling/duration_model.h"
 #include "Scheduling/fleet_plan.h"
@@ -155,7 +156,11 @@
   // Makes perpetual tasks avoid these workers and no others, as long as this is
   // requested at least every 2 s.
   void SetEvacuatingLater(const std::set<std::string>& workers, MonoTime now);
+  // Applies the grants for customers with a cap.
+  void SetCustomerGrants(const CustomerGrantOrders& orders, MonoTime now);
   PoolReport Report(MonoTime now);
+  // Loads of customers with a cap; what waits is as of the last report.
+  CustomerLoadReport ReportCustomers(MonoTime now) const;
   // Number of waiting tasks that could start, by queue, as of the last report.
   const std::map<std::string, int>& waiting_by_queue() const {
     return waiting_by_queue_;
@@ -357,6 +362,20 @@
   bool MayStopPerpetual(const TaskRef& ref, MonoTime now);
   bool HasAlternativeWorker(const TaskRef& ref, MonoTime now);
 
+  // pool_scheduler_customers.cc
+  // Returns how many waiting tasks of a stage may start by the grant for the
+  // job's customer. A gang may start as a whole or not at all.
+  int CountWithinCap(const Job& job,
+                     const StageSpec& spec,
+                     int waiting,
+                     MonoTime now) const;
+  // Same for a report, beside the tasks that it has counted before.
+  int CountReportedWithinCap(const Job& job,
+                             const StageSpec& spec,
+                             int waiting,
+                             MonoTime now);
+  void LogCapWait(const TaskRef& stage, int waiting, MonoTime now);
+
   // pool_scheduler_dispatch.cc
   struct CandidateWorkers;
   struct ReadyStage;
@@ -397,6 +416,8 @@
   void QueryPolicy(const ReadyStage& item,
                    const CandidateWorkers& board,
                    MonoTime now);
+  // Returns whether the reasons why the stage waits may be logged now.
+  bool TakeWaitLogTurn(Stage& stage, MonoTime now);
   void LogWaitReasons(const ReadyStage& item,
                       const CandidateWorkers& board,
                       const PlacementObstacles& obstacles,
@@ -426,6 +447,7 @@
   std::vector<std::shared_ptr<Job>> jobs_in_write_;
   WorkerMap workers_;
   CustomerUsage usage_;
+  CustomerLimits limits_;
   // Workers that the instance controller has reported as ended.
   struct ReportedEnd {
     MonoTime first_reported_at;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -41,6 +41,9 @@
 struct PoolScheduler::CandidateWorkers {
   std::vector<WorkerState*> workers;
   std::vector<WorkerOption> options;
+  // Number of tasks of the present stage that may start by the cap of its
+  // customer.
+  int max_tasks = 0;
 
   void Add(WorkerState& worker, MonoTime now);
   // Returns whether half of the processors or of the memory is in use.
@@ -243,6 +246,9 @@
     if (task.phase != TaskPhase::kWaiting) {
       continue;
     }
+    if (static_cast<int>(chosen.size()) == board.max_tasks) {
+      break;
+    }
     const int worker = ChooseWorker({&spec, &task.failed_on, &allowed},
                                     board.options, stage_tasks);
     if (worker < 0) {
@@ -285,6 +291,11 @@
                                                        MonoTime now) {
   Stage& stage = item.GetStage();
   const StageSpec& spec = item.Spec();
+  board.max_tasks = CountWithinCap(*item.job, spec, stage.waiting, now);
+  if (board.max_tasks == 0) {
+    LogCapWait({item.job, item.occurrence, item.stage, 0}, stage.waiting, now);
+    return StagePlacement::kWaits;
+  }
   const bool has_policy =
       (item.queue != nullptr && item.queue->policy) || stage.advice.required();
   std::vector<bool> allowed(board.workers.size(), true);
@@ -311,7 +322,11 @@
   }
   const bool complete = static_cast<int>(chosen.size()) == stage.waiting;
   StagePlacement placement = StagePlacement::kPlaced;
-  if (!complete) {
+  if (!complete && static_cast<int>(chosen.size()) == board.max_tasks) {
+    placement = StagePlacement::kWaits;
+    LogCapWait({item.job, item.occurrence, item.stage, 0},
+               stage.waiting - board.max_tasks, now);
+  } else if (!complete) {
     if (has_policy) {
       QueryPolicy(item, board, now);
     }
@@ -438,18 +453,24 @@
   }
 }
 
+bool PoolScheduler::TakeWaitLogTurn(Stage& stage, MonoTime now) {
+  if (now - stage.wait_logged_at < kStageWaitLogInterval ||
+      now - wait_logged_at_ < kPoolWaitLogInterval) {
+    return false;
+  }
+  stage.wait_logged_at = now;
+  wait_logged_at_ = now;
+  return true;
+}
+
 void PoolScheduler::LogWaitReasons(const ReadyStage& item,
                                    const CandidateWorkers& board,
                                    const PlacementObstacles& obstacles,
                                    int waiting,
                                    MonoTime now) {
-  Stage& stage = item.GetStage();
-  if (now - stage.wait_logged_at < kStageWaitLogInterval ||
-      now - wait_logged_at_ < kPoolWaitLogInterval) {
+  if (!TakeWaitLogTurn(item.GetStage(), now)) {
     return;
   }
-  stage.wait_logged_at = now;
-  wait_logged_at_ = now;
   LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
            {{"job", item.job->spec.id},
             {"stage", absl::StrCat(item.stage)},
--- a/Source/Core/Scheduling/pool_scheduler_evacuate.cc
+++ b/Source/Core/Scheduling/pool_scheduler_evacuate.cc
@@ -94,7 +94,12 @@
       ++unavailable;
     }
   }
-  return unavailable < allowed && HasAlternativeWorker(ref, now);
+  // A task that is stopped while its customer is above its grant would not
+  // start again elsewhere.
+  const std::string& customer = ref.job->spec.customer;
+  const bool may_restart =
+      limits_.IsWithinGrant(customer, usage_.Of(customer), now);
+  return unavailable < allowed && may_restart && HasAlternativeWorker(ref, now);
 }
 
 void PoolScheduler::Evacuate(WorkerState& worker, MonoTime now) {
@@ -185,19 +190,23 @@
   for (auto& [queue, tasks] : waiting_by_queue_) {
     tasks = 0;
   }
+  limits_.BeginReport();
   for (const auto& [id, job] : open_jobs_) {
     for (const auto& [number, occurrence] : job->occurrences) {
       std::optional<bool> late;
       for (size_t i = 0; i < occurrence.stages.size(); ++i) {
         const StageSpec& spec = job->spec.stages[i];
-        const int waiting = occurrence.stages[i].waiting;
-        const int64_t requested =
-            waiting * ReservedResources(spec).cpu_millicores;
         report.min_perpetual_workers =
             std::max(report.min_perpetual_workers, MinWorkersOf(spec));
         if (IsStageReady(*job, occurrence, i)) {
+          const int all_waiting = occurrence.stages[i].waiting;
+          waiting_by_queue_[job->spec.queue] += all_waiting;
+          // Tasks above their customer's cap would not use more capacity.
+          const int waiting =
+              CountReportedWithinCap(*job, spec, all_waiting, now);
+          const int64_t requested =
+              waiting * ReservedResources(spec).cpu_millicores;
           report.waiting_millicores += requested;
-          waiting_by_queue_[job->spec.queue] += waiting;
           if (spec.perpetual || spec.gang) {
             report.unplaced_tasks += waiting;
           }
@@ -219,6 +228,7 @@
     }
   }
   stats_->SetWaitingTasks(options_.pool, waiting_by_queue_);
+  report.customers = ReportCustomers(now);
   return report;
 }
 
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -31,6 +31,7 @@
       stats_(std::make_unique<SchedulerMetrics>(metrics)),
       plan_(std::make_shared<FleetPlan>()),
       max_inherited_lease_(options_.bounds.max_lease),
+      limits_(options_.fence),
       activated_at_(now) {}
 
 PoolScheduler::~PoolScheduler() = default;
@@ -113,6 +114,7 @@
 
 void PoolScheduler::SetPlan(std::shared_ptr<const FleetPlan> plan) {
   plan_ = std::move(plan);
+  limits_.SetPlan(*plan_);
   dispatch_needed_ = true;
 }
 
