--- a/Source/Core/Scheduling/pool_scheduler_large_tasks.cc
+++ b/Source/Core/Scheduling/pool_scheduler_large_tasks.cc
@@ -79,7 +79,11 @@
         if (!stage.needs_further_worker || !labels_known) {
           continue;
         }
-        LargeTasks tasks{size, stage.waiting, spec.max_per_worker, {}};
+        // Tasks beyond their customer's cap could not use a further worker.
+        LargeTasks tasks{size,
+                         CountWithinCap(*job, spec, stage.waiting, now),
+                         spec.max_per_worker,
+                         {}};
         for (const WorkerState* worker : workers) {
           const auto count = stage.on_worker.find(worker);
           tasks.on_worker.push_back(
