Describe the keys of customers and tighten their tests

Cause: with the staleness guard taken out, two of its tests still passed: the daemon without a store refuses the call later for another reason, and the pause was covered by the confirmation that comes first.

Change: the test without a store counts refusals for unconfirmed keys, and a daemon without peers is paused as well. Peers' plans are used only while the store does not serve the daemon.

--- a/Source/Core/Fleet/call_router_keys.cc
+++ b/Source/Core/Fleet/call_router_keys.cc
@@ -143,7 +143,7 @@
 
 void CallRouter::OnPeerPlan(const HttpResponse& response, MonoTime sent_at) {
   const std::optional<PeerPlan> plan = ReportedPlan(response);
-  if (!plan) {
+  if (!plan || engine_.StoreResponseAge(clock_.Now()) <= kStoreTimeout) {
     return;
   }
   const auto staleness = std::chrono::duration_cast<MonoTime::duration>(
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -223,7 +223,7 @@
     record.push_back(std::move(lost_runs));
   }
   if (has_owner) {
-    // The record of a finished job is all that the store keeps of it.
+    // A daemon that is not the owner reads a job's state from this record only.
     record.push_back(json::array({job.spec.customer, job.spec.queue}));
   }
   return FormatCbor(record);
--- a/Source/UnitTests/Fleet/fleet_job_access_test.cc
+++ b/Source/UnitTests/Fleet/fleet_job_access_test.cc
@@ -35,8 +35,8 @@
     CPPUNIT_ASSERT_EQUAL(200, StatusOf(fleet, 0, "DELETE", "key-a"));
   }
 
-  // Guards against an ended job, of which the store holds only the progress,
-  // that all customers see, and one that its customer loses with a new key.
+  // Guards against an ended job that all customers see, and one that its
+  // customer loses with a new key.
   void JobStaysItsCustomersAfterItsEnd() {
     ModelFleet fleet(2);
     Start(fleet);
--- a/Source/UnitTests/Fleet/fleet_keys_test.cc
+++ b/Source/UnitTests/Fleet/fleet_keys_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(KeyOfAnEarlierPlanIsRefusedWhileTheStoreIsAway);
   CPPUNIT_TEST(WithdrawnKeyIsRefusedAfterAPause);
   CPPUNIT_TEST(PausedDaemonServesItsNextCall);
+  CPPUNIT_TEST(PausedDaemonWithoutPeersConfirmsItsPlan);
   CPPUNIT_TEST(WithdrawnKeyIsRefusedAfterALostWatch);
   CPPUNIT_TEST(WithoutABoundADaemonThatIsCutOffServesItsKeys);
   CPPUNIT_TEST(DaemonThatIsCutOffConfirmsKeysThroughPeers);
@@ -120,6 +121,8 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 503,
                                    StatusOf(fleet, owner, path, "key-a"));
     }
+    // Without the check, calls fail later, after they were decided by the key.
+    CPPUNIT_ASSERT_EQUAL(5, RefusalsFor(fleet, "unconfirmed"));
     fleet.store.faults.silent = false;
     fleet.Run(seconds(3));
     CPPUNIT_ASSERT_EQUAL(401, StatusOf(fleet, owner, "status", "key-a"));
@@ -156,6 +159,17 @@
     CPPUNIT_ASSERT_EQUAL(200, *response);
   }
 
+  // Guards against the same by a daemon that has no peers to ask.
+  void PausedDaemonWithoutPeersConfirmsItsPlan() {
+    ModelFleet fleet(16);
+    StartWithKeys(fleet, kWithdrawal, 1);
+    fleet.Suspend(0, seconds(7));
+    fleet.Run(milliseconds(6'990));
+    Send(fleet, 0, "status", "key-a");
+    fleet.Run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, RefusalsFor(fleet, "unconfirmed"));
+  }
+
   // Guards against a pending watch that counts as proof of the plan.
   void WithdrawnKeyIsRefusedAfterALostWatch() {
     ModelFleet fleet(8);
@@ -277,6 +291,7 @@
       ModelFleet fleet(15);
       StartWithKeys(fleet);
       std::vector<std::string> list;
+      list.reserve(keys);
       for (int i = 0; i < keys; ++i) {
         list.push_back(absl::StrCat("key", i));
       }
@@ -306,15 +321,17 @@
     fleet.SetPlan(PlanWithKeys(version, keys));
   }
 
-  // Starts three daemons, of which one owns pool "p0", with job "known" of
+  // Starts daemons, of which one owns pool "p0", with job "known" of
   // customer a.
-  void StartWithKeys(ModelFleet& fleet, milliseconds withdrawal = kWithdrawal) {
+  void StartWithKeys(ModelFleet& fleet,
+                     milliseconds withdrawal = kWithdrawal,
+                     int daemons = 3) {
     ExecutionBounds bounds;
     bounds.key_withdrawal = withdrawal;
     fleet.SetBounds(bounds);
     SetKeys(fleet, 1, {{"a", {"key-a"}}, {"b", {"key-b"}}});
     AddInstances(fleet, 1, 4, 0);
-    fleet.AddDaemons(3);
+    fleet.AddDaemons(daemons);
     fleet.Run(seconds(3));
     CPPUNIT_ASSERT_EQUAL(200, StatusOf(fleet, 0, "retry", "key-a"));
   }
