--- a/Source/UnitTests/Fleet/fleet_keys_test.cc
+++ b/Source/UnitTests/Fleet/fleet_keys_test.cc
@@ -291,6 +291,7 @@
       ModelFleet fleet(15);
       StartWithKeys(fleet);
       std::vector<std::string> list;
+      list.reserve(keys);
       for (int i = 0; i < keys; ++i) {
         list.push_back(absl::StrCat("key", i));
       }
