--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -47,6 +47,9 @@
 // A hand-over is two writes.
 constexpr std::chrono::milliseconds kHandOverBound{2'500};
 
+// Of the callers' address in the log.
+constexpr char kCallers[] = "callers";
+
 // Text that no other process of the fleet uses.
 std::string NewProcessId(const std::string& entry) {
   std::random_device random;
@@ -232,7 +235,6 @@
 
 Result<void> FleetDaemon::Listen() {
   Parts& parts = *parts_;
-  static constexpr char kCallers[] = "callers";
   const auto listen = [&](const char* name, const std::string& address,
                           size_t connections, HttpHandler handler,
                           std::unique_ptr<HttpServer>* server) -> Result<void> {
--- a/Source/Core/Http/byte_budget.cc
+++ b/Source/Core/Http/byte_budget.cc
@@ -238,6 +238,9 @@
 
 ByteBudget::Id ByteBudget::FirstPaused() const {
   Id first = 0;
+  if (paused_ == 0) {
+    return first;
+  }
   for (const auto& [id, connection] : connections_) {
     if (connection.paused &&
         (first == 0 || std::tie(connection.held, connection.paused_at) <
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -83,8 +83,9 @@
        "own more pools (kind fleet)."},
       {"limits.memory_mb", &Settings::memory_mb, kDefaultMemoryMb, 0, 1e6,
        false,
-       "Memory of the instance; 0 for the default, otherwise at least 32 (kind "
-       "fleet)."},
+       "Memory of the instance; 0 for the default, otherwise at least 32. Two "
+       "fifths of it bound what is buffered for callers and peers, with their "
+       "connections (kind fleet)."},
       {"stop.grace_s", &Settings::stop_grace_s, 60, 1, 3600, false,
        "Time from SIGTERM until the platform kills the process (kind fleet)."},
       {"jobs.status_retention_s", &Settings::status_retention_s, 120, 1, 1e7,
--- a/Source/Core/Settings/settings_table.h
+++ b/Source/Core/Settings/settings_table.h
@@ -20,8 +20,8 @@
                                    int64_t Settings::*,
                                    double Settings::*>;
 
-// Of limits.memory_mb. No limit that follows from it is below those that are
-// set by themselves.
+// Of limits.memory_mb. No number of connections that follows from it is below
+// that of the platform's template.
 inline constexpr int64_t kDefaultMemoryMb = 2'048;
 
 struct SettingInfo {
--- a/Source/UnitTests/Process/child_process.cc
+++ b/Source/UnitTests/Process/child_process.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kWaitStep{10};
+constexpr char kPeakField[] = "VmHWM:";
 
 std::string ReadProcFile(pid_t pid, const char* name) {
   std::ifstream file("/proc/" + std::to_string(pid) + "/" + name);
@@ -114,9 +115,8 @@
   std::istringstream lines(ReadProcFile(pid_, "status"));
   std::string line;
   while (std::getline(lines, line)) {
-    constexpr char kName[] = "VmHWM:";
-    if (line.rfind(kName, 0) == 0) {
-      return std::stoul(line.substr(sizeof(kName) - 1)) * 1024;
+    if (line.rfind(kPeakField, 0) == 0) {
+      return std::stoul(line.substr(sizeof(kPeakField) - 1)) * 1024;
     }
   }
   return 0;
