Send peers more than an instance's memory in the process test

Cause: the test of the other addresses passed on the code without a budget (38,666,240 bytes): it measured before the daemon had read what the kernel had taken, and sent less than the limit.

The bound is the same.

--- a/Source/UnitTests/Process/untrusted_callers_test.cc
+++ b/Source/UnitTests/Process/untrusted_callers_test.cc
@@ -187,12 +187,12 @@
     CPPUNIT_ASSERT_EQUAL(kNoSuchJob, status);
   }
 
-  // Guards against a budget that holds for callers only. The crowd sends 51 MB
+  // Guards against a budget that holds for callers only. The crowd sends 97 MB
   // to peers and 3 MB of headers to each of the others.
   void OtherAddressesHaveTheSameBounds() {
     const std::string host = platform_->host();
     RawCrowd peers(kPeerPort);
-    peers.Add(60, ChunkedRequest(host, "/", 850'000, 65'536, false));
+    peers.Add(120, ChunkedRequest(host, "/", 850'000, 65'536, false));
     peers.Send(kStall, kSendBound);
     RawCrowd admin(kAdminPort);
     admin.Add(15, EndlessHeader(host, 200'000, 500));
@@ -200,6 +200,7 @@
     RawCrowd metrics(kMetricsPort);
     metrics.Add(15, EndlessHeader(host, 200'000, 500));
     metrics.Send(kStall, kSendBound);
+    WaitUntilRead();
     const int status = OrdinaryCall();
     const size_t peak = daemon_->PeakResidentBytes();
     std::cout << "other addresses: peak " << peak << " of " << kMostMemory
@@ -297,6 +298,18 @@
         {"requests", {{"max_open", kMaxOpen}}}};
   }
 
+  // The kernel takes what the crowd sends before the daemon reads it.
+  void WaitUntilRead() const {
+    size_t peak = 0;
+    for (milliseconds steady{0}; steady < kStall; steady += kPoll) {
+      std::this_thread::sleep_for(kPoll);
+      if (const size_t now = daemon_->PeakResidentBytes(); now > peak) {
+        peak = now;
+        steady = milliseconds(0);
+      }
+    }
+  }
+
   // Asks for a job that does not exist.
   int OrdinaryCall() const {
     return Call("GET",
