Dispatch customers' work by weighted fair shares

Cause: under full load a customer with many or early jobs took the pool from the others, as stages were planned by rank alone.

Change: among ready stages of one urgency class and priority, the customer with the least dominant share over its weight is planned first (FairSequence). Plans without customers use the present sequence. DispatchRank can place work beyond a customer's rate behind other work of its class; nothing sets it yet, since the rates of submissions are not implemented.

--- a/Source/Core/Scheduling/dispatch_order.cc
+++ b/Source/Core/Scheduling/dispatch_order.cc
@@ -17,8 +17,6 @@
 // Late work is at its last chance if its result becomes useless within this
 // time.
 constexpr std::chrono::milliseconds kLastChanceWindow{700};
-// One of this many places goes to work at its last chance.
-constexpr int kLastChanceInterval = 5;
 // A result is useful until this multiple of the objective (platform contract).
 constexpr int kUsefulFactor = 3;
 
@@ -73,6 +71,7 @@
                                  MonoTime now) {
   using std::chrono::milliseconds;
   DispatchRank rank;
+  rank.beyond_rate = job.beyond_rate;
   rank.priority = queue == nullptr ? 0 : queue->priority;
   rank.key = occurrence.due;
   if (job.perpetual()) {
--- a/Source/Core/Scheduling/dispatch_order.h
+++ b/Source/Core/Scheduling/dispatch_order.h
@@ -45,17 +45,23 @@
 
 absl::string_view UrgencyName(Urgency urgency);
 
+// Of the places of work in time, one of this many goes to work at its last
+// chance.
+constexpr int kLastChanceInterval = 5;
+
 // Sort key of a job's waiting tasks; lower ranks are placed first.
 struct DispatchRank {
   Urgency urgency = Urgency::kPerpetual;
+  // The job was submitted beyond its customer's rate.
+  bool beyond_rate = false;
   int priority = 0;
   // Latest start time that meets the limit of the urgency class, or the due
   // time if the class has no limit.
   MonoTime key;
 
   friend bool operator<(const DispatchRank& a, const DispatchRank& b) {
-    return std::tie(a.urgency, a.priority, a.key) <
-           std::tie(b.urgency, b.priority, b.key);
+    return std::tie(a.urgency, a.beyond_rate, a.priority, a.key) <
+           std::tie(b.urgency, b.beyond_rate, b.priority, b.key);
   }
 };
 
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -121,6 +121,9 @@
   std::map<int, Occurrence> occurrences;
   int next_occurrence = 0;
   bool started = false;
+  // The job was submitted beyond its customer's rate. Not stored: the next
+  // owner counts the job as within the rate.
+  bool beyond_rate = false;
 
   // Incremented whenever the durable state of the job changes.
   uint64_t version = 1;
--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -90,6 +90,11 @@
   return *this;
 }
 
+Resources operator*(const Resources& each, int64_t count) {
+  return {each.cpu_millicores * count, each.memory_mb * count,
+          each.accelerators * count};
+}
+
 bool operator==(const Resources& a, const Resources& b) {
   return a.cpu_millicores == b.cpu_millicores && a.memory_mb == b.memory_mb &&
          a.accelerators == b.accelerators;
--- a/Source/Core/Scheduling/job_spec.h
+++ b/Source/Core/Scheduling/job_spec.h
@@ -28,6 +28,7 @@
 };
 
 bool operator==(const Resources& a, const Resources& b);
+Resources operator*(const Resources& each, int64_t count);
 
 // A set of identical tasks of a job.
 struct StageSpec {
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -27,9 +27,11 @@
 
 namespace figflow {
 
+class FairSequence;
 class MetricsRegistry;
 struct PlacementObstacles;
 struct SchedulerMetrics;
+struct WaitingStage;
 
 // Records of one job in the store.
 struct JobRecords {
@@ -357,13 +359,22 @@
   bool MayStopPerpetual(const TaskRef& ref, MonoTime now);
   bool HasAlternativeWorker(const TaskRef& ref, MonoTime now);
 
+  // pool_scheduler_shares.cc
+  // Returns the sequence in which the stages are planned. It refers to the
+  // names of customers in `stages`.
+  FairSequence SequenceOf(std::vector<WaitingStage> stages) const;
+  // Returns what each customer occupies, and jobs without a customer under the
+  // empty name.
+  std::map<std::string, Resources> OccupiedByCustomer() const;
+  // Returns the capacity of the workers in use.
+  Resources TotalCapacity() const;
+
   // pool_scheduler_dispatch.cc
   struct CandidateWorkers;
   struct ReadyStage;
   void Dispatch(MonoTime now);
   CandidateWorkers FindCandidateWorkers(MonoTime now);
-  // Returns the ready stages in placement sequence.
-  std::vector<ReadyStage> SortedReadyStages(MonoTime now);
+  std::vector<ReadyStage> ReadyStages(MonoTime now);
   enum class StagePlacement {
     // All tasks have a worker.
     kPlaced,
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -4,6 +4,7 @@
 
 #include "Common/log.h"
 #include "Scheduling/dispatch_order.h"
+#include "Scheduling/fair_share.h"
 #include "Scheduling/placement.h"
 #include "Scheduling/pool_scheduler.h"
 #include "absl/strings/str_cat.h"
@@ -83,8 +84,14 @@
     return job->occurrences.at(occurrence).stages[stage];
   }
   const StageSpec& Spec() const { return job->spec.stages[stage]; }
+  // Requested by the waiting tasks together.
+  Resources Demand() const;
 };
 
+Resources PoolScheduler::ReadyStage::Demand() const {
+  return ReservedResources(Spec()) * GetStage().waiting;
+}
+
 PoolScheduler::CandidateWorkers PoolScheduler::FindCandidateWorkers(
     MonoTime now) {
   CandidateWorkers board;
@@ -115,7 +122,7 @@
   return board;
 }
 
-std::vector<PoolScheduler::ReadyStage> PoolScheduler::SortedReadyStages(
+std::vector<PoolScheduler::ReadyStage> PoolScheduler::ReadyStages(
     MonoTime now) {
   std::vector<ReadyStage> ready;
   for (const auto& [id, job] : open_jobs_) {
@@ -134,17 +141,7 @@
       }
     }
   }
-  std::vector<DispatchRank> ranks;
-  ranks.reserve(ready.size());
-  for (const ReadyStage& item : ready) {
-    ranks.push_back(item.rank);
-  }
-  std::vector<ReadyStage> sorted;
-  sorted.reserve(ready.size());
-  for (const size_t index : DispatchSequence(ranks)) {
-    sorted.push_back(std::move(ready[index]));
-  }
-  return sorted;
+  return ready;
 }
 
 void PoolScheduler::Dispatch(MonoTime now) {
@@ -153,14 +150,27 @@
     return;
   }
   int without_capacity = 0;
-  for (const ReadyStage& item : SortedReadyStages(now)) {
+  const std::vector<ReadyStage> ready = ReadyStages(now);
+  std::vector<WaitingStage> waiting;
+  waiting.reserve(ready.size());
+  for (const ReadyStage& item : ready) {
+    waiting.push_back({item.rank, item.job->spec.customer, item.Demand()});
+  }
+  FairSequence sequence = SequenceOf(std::move(waiting));
+  while (const std::optional<size_t> next = sequence.Next()) {
+    const ReadyStage& item = ready[*next];
     if (item.Spec().gang && !GangIsFree(item.GetStage())) {
+      sequence.DiscountLast();
       continue;
     }
     // Stages that wait for a label, a limit or a ticket say nothing about the
     // free capacity, and perpetual ones start wherever they fit.
+    const StagePlacement placement = PlanStage(item, board, now);
+    if (placement == StagePlacement::kWaits) {
+      sequence.DiscountLast();
+    }
     const bool waits_for_capacity =
-        PlanStage(item, board, now) == StagePlacement::kWaitsForCapacity &&
+        placement == StagePlacement::kWaitsForCapacity &&
         !item.Spec().perpetual;
     without_capacity += waits_for_capacity ? 1 : 0;
     if (without_capacity > kMaxStagesWithoutCapacity && board.IsHalfUsed()) {
