Merge the fair order of customers, off by default

A test of reservations has a bound on its wait, so that it fails instead of running for ever without a reservation.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -89,6 +89,7 @@
   bounds.cap_overage = settings.cap_overage;
   bounds.submission_window = ToMilliseconds(settings.submission_window_s);
   bounds.submission_burst = static_cast<int>(settings.submission_burst);
+  bounds.fair_shares = settings.fair_shares == 1;
   return bounds;
 }
 
--- a/Source/Core/Scheduling/dispatch_order.h
+++ b/Source/Core/Scheduling/dispatch_order.h
@@ -45,6 +45,10 @@
 
 absl::string_view UrgencyName(Urgency urgency);
 
+// Of the places of work in time, one of this many goes to work at its last
+// chance.
+constexpr int kLastChanceInterval = 5;
+
 // Sort key of a job's waiting tasks; lower ranks are placed first.
 struct DispatchRank {
   Urgency urgency = Urgency::kPerpetual;
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -136,6 +136,8 @@
   // `submission_burst` jobs.
   std::chrono::milliseconds submission_window{5'000};
   int submission_burst = 20;
+  // Customers share a full pool by their weights.
+  bool fair_shares = false;
   // Factor by which a gang on several racks, or a task away from its data,
   // takes longer.
   double far_factor = 2.0;
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -199,6 +199,13 @@
 Result<std::vector<RecordedAssignment>> ApplyProgress(absl::string_view bytes,
                                                       Job& job);
 
+// A look-up by a daemon that may have submitted the job to another pool.
+struct SubmittedElsewhere {
+  // Latest plan by which the job was looked up.
+  uint64_t plan_version = 0;
+  MonoTime looked_up_at;
+};
+
 // State of a job as reported to callers.
 struct JobView {
   JobStatus status = JobStatus::kLive;
--- a/Source/Core/Scheduling/orders.h
+++ b/Source/Core/Scheduling/orders.h
@@ -88,6 +88,13 @@
   WorkerStatus status;
 };
 
+// Records of one job in the store.
+struct JobRecords {
+  std::string accepted;
+  // Later than the progress in `accepted`; empty if there is none.
+  std::string progress;
+};
+
 // A record of a job to write or to remove.
 struct RecordWrite {
   enum class Kind { kAccepted, kProgress };
--- a/Source/Core/Scheduling/pool_report.h
+++ b/Source/Core/Scheduling/pool_report.h
@@ -27,7 +27,7 @@
   // present tasks have ended. No task is stopped for it.
   std::set<std::string> lend;
   // What customers with a cap may occupy.
-  CustomerGrantOrders customers;
+  CustomerGrantOrders customers = {};
 };
 
 // Load of one worker of a pool, as its owner sees it.
@@ -78,7 +78,7 @@
   int further_workers = 0;
   std::vector<WorkerLoad> workers;
   // What customers with a cap occupy.
-  CustomerLoadReport customers;
+  CustomerLoadReport customers = {};
 };
 
 std::string FormatPoolReport(const PoolReport& report);
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -29,16 +29,11 @@
 
 namespace figflow {
 
+class FairSequence;
 class MetricsRegistry;
 struct PlacementObstacles;
 struct SchedulerMetrics;
-
-// Records of one job in the store.
-struct JobRecords {
-  std::string accepted;
-  // Later than the progress in `accepted`; empty if there is none.
-  std::string progress;
-};
+struct WaitingStage;
 
 // Schedules the work of one pool: holds its jobs and workers and decides which
 // task runs where. Exists while this daemon owns the pool.
@@ -394,13 +389,22 @@
                              MonoTime now);
   void LogCapWait(const TaskRef& stage, int waiting, MonoTime now);
 
+  // pool_scheduler_shares.cc
+  // Returns the sequence in which the stages are planned. It refers to the
+  // names of customers in `stages`.
+  FairSequence SequenceOf(std::vector<WaitingStage> stages) const;
+  // Returns what each customer occupies, and jobs without a customer under the
+  // empty name.
+  std::map<std::string, Resources> OccupiedByCustomer() const;
+  // Returns the capacity of the workers in use.
+  Resources TotalCapacity() const;
+
   // pool_scheduler_dispatch.cc
   struct CandidateWorkers;
   struct ReadyStage;
   void Dispatch(MonoTime now);
   CandidateWorkers FindCandidateWorkers(MonoTime now);
-  // Returns the ready stages in placement sequence.
-  std::vector<ReadyStage> SortedReadyStages(MonoTime now);
+  std::vector<ReadyStage> ReadyStages(MonoTime now);
   enum class StagePlacement {
     // All tasks have a worker.
     kPlaced,
@@ -452,11 +456,6 @@
   // Maximum lease that any owner can have granted.
   std::chrono::milliseconds max_inherited_lease_;
   JobMap jobs_;
-  struct SubmittedElsewhere {
-    // Latest plan by which the job was looked up.
-    uint64_t plan_version = 0;
-    MonoTime looked_up_at;
-  };
   // Jobs that were looked up and not found, by id.
   std::map<std::string, SubmittedElsewhere> submitted_elsewhere_;
   // Jobs that may have waiting tasks, and scheduled ones with more occurrences
@@ -472,12 +471,6 @@
   CapacityReservation reservation_;
   CustomerLimits limits_;
   // Workers that the instance controller has reported as ended.
-  struct ReportedEnd {
-    MonoTime first_reported_at;
-    MonoTime last_reported_at;
-    // The worker has responded since.
-    bool refuted = false;
-  };
   std::map<WorkerKey, ReportedEnd> reported_ends_;
   OpenOrders open_orders_;
   // Duration models by queue.
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -4,6 +4,7 @@
 
 #include "Common/log.h"
 #include "Scheduling/dispatch_order.h"
+#include "Scheduling/fair_share.h"
 #include "Scheduling/placement.h"
 #include "Scheduling/pool_scheduler.h"
 #include "Scheduling/pool_scheduler_reservation.h"
@@ -90,8 +91,14 @@
     return job->occurrences.at(occurrence).stages[stage];
   }
   const StageSpec& Spec() const { return job->spec.stages[stage]; }
+  // Requested by the waiting tasks together.
+  Resources Demand() const;
 };
 
+Resources PoolScheduler::ReadyStage::Demand() const {
+  return ReservedResources(Spec()) * GetStage().waiting;
+}
+
 PoolScheduler::CandidateWorkers PoolScheduler::FindCandidateWorkers(
     MonoTime now) {
   CandidateWorkers board;
@@ -122,7 +129,7 @@
   return board;
 }
 
-std::vector<PoolScheduler::ReadyStage> PoolScheduler::SortedReadyStages(
+std::vector<PoolScheduler::ReadyStage> PoolScheduler::ReadyStages(
     MonoTime now) {
   std::vector<ReadyStage> ready;
   for (const auto& [id, job] : open_jobs_) {
@@ -141,17 +148,7 @@
       }
     }
   }
-  std::vector<DispatchRank> ranks;
-  ranks.reserve(ready.size());
-  for (const ReadyStage& item : ready) {
-    ranks.push_back(item.rank);
-  }
-  std::vector<ReadyStage> sorted;
-  sorted.reserve(ready.size());
-  for (const size_t index : DispatchSequence(ranks)) {
-    sorted.push_back(std::move(ready[index]));
-  }
-  return sorted;
+  return ready;
 }
 
 void PoolScheduler::Dispatch(MonoTime now) {
@@ -162,15 +159,28 @@
     return;
   }
   int without_capacity = 0;
-  for (const ReadyStage& item : SortedReadyStages(now)) {
+  const std::vector<ReadyStage> ready = ReadyStages(now);
+  std::vector<WaitingStage> waiting;
+  waiting.reserve(ready.size());
+  for (const ReadyStage& item : ready) {
+    waiting.push_back({item.rank, item.job->spec.customer, item.Demand()});
+  }
+  FairSequence sequence = SequenceOf(std::move(waiting));
+  while (const std::optional<size_t> next = sequence.Next()) {
+    const ReadyStage& item = ready[*next];
     if (item.Spec().gang && !GangIsFree(item.GetStage())) {
+      sequence.DiscountLast();
       continue;
     }
     // Stages that wait for a label, a limit or a ticket say nothing about the
     // free capacity, and perpetual ones start wherever they fit.
+    const StagePlacement placement =
+        PlanBesideReservation(item, board, reservation);
+    if (placement == StagePlacement::kWaits) {
+      sequence.DiscountLast();
+    }
     const bool waits_for_capacity =
-        PlanBesideReservation(item, board, reservation) ==
-            StagePlacement::kWaitsForCapacity &&
+        placement == StagePlacement::kWaitsForCapacity &&
         !item.Spec().perpetual;
     without_capacity += waits_for_capacity ? 1 : 0;
     if (without_capacity > kMaxStagesWithoutCapacity && board.IsHalfUsed()) {
--- a/Source/Core/Scheduling/worker_state.h
+++ b/Source/Core/Scheduling/worker_state.h
@@ -44,6 +44,14 @@
   uint64_t version = 0;
 };
 
+// Report of the instance controller that a worker has ended.
+struct ReportedEnd {
+  MonoTime first_reported_at;
+  MonoTime last_reported_at;
+  // The worker has responded since.
+  bool refuted = false;
+};
+
 // State that an owner holds of one incarnation of a worker of its pool.
 struct WorkerState {
   WorkerReport report;
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -63,6 +63,7 @@
   double cap_overage = 0;
   double submission_window_s = 0;
   int64_t submission_burst = 0;
+  int64_t fair_shares = 0;
   // From the signal to stop until the process is killed.
   double stop_grace_s = 0;
   int64_t worker_connections = 0;
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -119,6 +119,9 @@
        false,
        "Jobs that a customer may submit in such a span beyond its rate (kind "
        "fleet)."},
+      {"customers.fair_shares", &Settings::fair_shares, 0, 0, 1, false,
+       "1: customers share a full pool by their weights; 0: the work of all "
+       "goes by its deadlines (kind fleet)."},
       {"instances.move_s", &Settings::instance_move_s, 1.5, 0, 3600, false,
        "Time that an instance takes to move to another pool."},
       {"instances.maintenance_s", &Settings::instance_maintenance_s, 2, 0,
--- a/Source/UnitTests/Scheduling/reservation_test.cc
+++ b/Source/UnitTests/Scheduling/reservation_test.cc
@@ -163,7 +163,9 @@
     LoadedPool pool(kNearlyFull);
     pool.Run(milliseconds(1'000));
     pool.driver().Submit(Task("large", 900));
-    while (!pool.driver().scheduler().HasReservation()) {
+    for (milliseconds waited{0}; !pool.driver().scheduler().HasReservation();
+         waited += kTick) {
+      CPPUNIT_ASSERT(waited < milliseconds(5'000));
       pool.Run(kTick);
       CPPUNIT_ASSERT(!pool.HasStarted("large"));
     }
