--- a/Source/Core/Fleet/call_router.cc
+++ b/Source/Core/Fleet/call_router.cc
@@ -27,8 +27,6 @@
 constexpr std::chrono::milliseconds kCallRetryDelay{40};
 // Reserved for the response to reach the caller within its deadline.
 constexpr std::chrono::milliseconds kResponseMargin{150};
-// Limit on a caller's host and path in the log.
-constexpr size_t kMaxLoggedBytes = 100;
 
 }  // namespace
 
--- a/Source/Core/Fleet/call_router.h
+++ b/Source/Core/Fleet/call_router.h
@@ -139,6 +139,9 @@
   // waiting gains nothing.
   static constexpr std::chrono::milliseconds kStoreTimeout{1'000};
 
+  // Limit on a caller's host and path in the log.
+  static constexpr size_t kMaxLoggedBytes = 100;
+
   // Default time limit of a call.
   static constexpr std::chrono::milliseconds kCallTimeout{3'000};
 
--- a/Source/Core/Fleet/call_router_keys.cc
+++ b/Source/Core/Fleet/call_router_keys.cc
@@ -21,8 +21,6 @@
 // The clocks of two instances may differ by 2%. A peer reports whole
 // milliseconds.
 constexpr double kClockDrift = 0.02;
-// Limit on a caller's host and path in the log.
-constexpr size_t kMaxLoggedBytes = 100;
 
 constexpr char kUnconfirmedReason[] = "keys-unconfirmed";
 
--- a/Source/Core/Scheduling/customer_limits.cc
+++ b/Source/Core/Scheduling/customer_limits.cc
@@ -29,18 +29,6 @@
          within(granted.accelerators, cap.accelerators);
 }
 
-// Returns the largest part of a limit of the cap that `size` takes.
-double DominantShare(const Resources& size, const Resources& cap) {
-  const auto share = [](int64_t amount, int64_t limit) {
-    return limit == 0
-               ? 0.0
-               : static_cast<double>(amount) / static_cast<double>(limit);
-  };
-  return std::max({share(size.cpu_millicores, cap.cpu_millicores),
-                   share(size.memory_mb, cap.memory_mb),
-                   share(size.accelerators, cap.accelerators)});
-}
-
 }  // namespace
 
 CustomerLimits::CustomerLimits(uint64_t owner_fence)
--- a/Source/Core/Scheduling/fair_share.cc
+++ b/Source/Core/Scheduling/fair_share.cc
@@ -8,24 +8,12 @@
 namespace figflow {
 namespace {
 
-double Fraction(int64_t amount, int64_t capacity) {
-  return capacity > 0
-             ? static_cast<double>(amount) / static_cast<double>(capacity)
-             : 0;
-}
-
 bool InOneGroup(const DispatchRank& a, const DispatchRank& b) {
   return std::tie(a.urgency, a.priority) == std::tie(b.urgency, b.priority);
 }
 
 }  // namespace
 
-double DominantShare(const Resources& amount, const Resources& capacity) {
-  return std::max({Fraction(amount.cpu_millicores, capacity.cpu_millicores),
-                   Fraction(amount.memory_mb, capacity.memory_mb),
-                   Fraction(amount.accelerators, capacity.accelerators), 0.0});
-}
-
 double AverageWeight(const std::vector<CustomerConfig>& customers) {
   double sum = 0;
   int count = 0;
--- a/Source/Core/Scheduling/fair_share.h
+++ b/Source/Core/Scheduling/fair_share.h
@@ -26,9 +26,6 @@
   Resources demand;
 };
 
-// Returns the largest fraction that `amount` is of any resource in `capacity`.
-double DominantShare(const Resources& amount, const Resources& capacity);
-
 // Returns the mean of the customers' positive weights, or 1 without any.
 double AverageWeight(const std::vector<CustomerConfig>& customers);
 
--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -74,6 +74,12 @@
   return stage;
 }
 
+double Fraction(int64_t amount, int64_t capacity) {
+  return capacity > 0
+             ? static_cast<double>(amount) / static_cast<double>(capacity)
+             : 0;
+}
+
 }  // namespace
 
 Resources& Resources::operator+=(const Resources& other) {
@@ -100,6 +106,12 @@
          a.accelerators == b.accelerators;
 }
 
+double DominantShare(const Resources& amount, const Resources& capacity) {
+  return std::max({Fraction(amount.cpu_millicores, capacity.cpu_millicores),
+                   Fraction(amount.memory_mb, capacity.memory_mb),
+                   Fraction(amount.accelerators, capacity.accelerators), 0.0});
+}
+
 bool JobSpec::perpetual() const {
   return std::any_of(stages.begin(), stages.end(),
                      [](const StageSpec& stage) { return stage.perpetual; });
--- a/Source/Core/Scheduling/job_spec.h
+++ b/Source/Core/Scheduling/job_spec.h
@@ -28,6 +28,10 @@
 };
 
 bool operator==(const Resources& a, const Resources& b);
+
+// Returns the largest fraction that `amount` is of any resource in `capacity`.
+// Resources of which the capacity is 0 do not count.
+double DominantShare(const Resources& amount, const Resources& capacity);
 Resources operator*(const Resources& each, int64_t count);
 
 // A set of identical tasks of a job.
--- a/Source/Core/Scheduling/pool_scheduler_shares.cc
+++ b/Source/Core/Scheduling/pool_scheduler_shares.cc
@@ -7,9 +7,9 @@
 namespace figflow {
 
 FairSequence PoolScheduler::SequenceOf(std::vector<WaitingStage> stages) const {
-  static const std::vector<CustomerConfig> kNoCustomers;
+  static const std::vector<CustomerConfig> no_customers;
   FairSequence::Scope scope{
-      {}, {}, options_.bounds.fair_shares ? plan_->customers : kNoCustomers};
+      {}, {}, options_.bounds.fair_shares ? plan_->customers : no_customers};
   if (!scope.customers.empty()) {
     scope.capacity = TotalCapacity();
     scope.occupied = OccupiedByCustomer();
--- a/Source/UnitTests/Instances/caps_model.h
+++ b/Source/UnitTests/Instances/caps_model.h
@@ -183,8 +183,9 @@
       for (const char* customer : {"a", "b"}) {
         // A customer may also be removed, and limited in one resource only.
         if (!Chance(0.15)) {
-          caps[customer] = {Random(2, 20) * 1'000,
-                            Chance(0.3) ? 0 : Random(2, 20) * 1'000, 0};
+          caps[customer] = {int64_t{1'000} * Random(2, 20),
+                            Chance(0.3) ? 0 : int64_t{1'000} * Random(2, 20),
+                            0};
         }
       }
       SetPlan(caps);
--- a/Source/UnitTests/Instances/customer_grants_test.cc
+++ b/Source/UnitTests/Instances/customer_grants_test.cc
@@ -33,7 +33,8 @@
       const std::string scope = absl::StrCat("p", model.Random(0, scopes - 1));
       if (model.CountWaiting(scope, customer) < 40) {
         model.Submit(scope, customer,
-                     {model.Random(1, 8) * 250, model.Random(1, 8) * 250, 0},
+                     {int64_t{250} * model.Random(1, 8),
+                      int64_t{250} * model.Random(1, 8), 0},
                      model.Random(1, 10), model.Random(50, 3'000));
       }
     }
--- a/Source/UnitTests/Instances/large_tasks_test.cc
+++ b/Source/UnitTests/Instances/large_tasks_test.cc
@@ -130,7 +130,7 @@
     input.pools["peak"] = input.pools["p"];
     input.pools["peak"].pool = "peak";
     input.pools["peak"].further_workers = 0;
-    input.pools["peak"].backlog_millicore_ms = 100 * 1'000 * 1'000;
+    input.pools["peak"].backlog_millicore_ms = 100'000'000;
     MovePlanner planner;
     const MovePlan plan = planner.Plan(input, driver.now());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, plan.moves.size());
--- a/Source/UnitTests/Scheduling/fair_share_test.cc
+++ b/Source/UnitTests/Scheduling/fair_share_test.cc
@@ -13,14 +13,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Scheduling/fair_share.h"
+#include "Scheduling/scheduler_driver.h"
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
 namespace {
 
 using std::chrono::milliseconds;
-
-const MonoTime kStart = MonoTime(std::chrono::hours(1));
+using test::kStart;
 
 CustomerConfig Customer(const std::string& name, double weight) {
   CustomerConfig customer;
