Share the label check, compute instances in use only for due orders

Found in a last reading of the change.

Cause: the check of a worker's label stood in three places. Each step of the instance controller computed which instances are in use, now also over the list of all instances, although most steps have no order to send. Reports compared labels for stages that need no further worker.

Change: WorkerReport::HasLabel; the instances in use are computed for the first order that is due; labels are compared only where needed; a function that only returned a field is gone; one set-up. No decision and no assertion changes.

--- a/Source/Core/Instances/instance_controller_waves.cc
+++ b/Source/Core/Instances/instance_controller_waves.cc
@@ -1,6 +1,8 @@
 // Maintenance waves: plans the next instances, writes the records that make the
 // plan durable, and sends the orders.
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "Common/log.h"
@@ -199,7 +201,15 @@
       return;
     }
     send_by = lease_valid_until_;
-    const std::set<std::string> in_use = InstancesInUse(now);
+    // Most steps have no order to send.
+    std::optional<std::set<std::string>> in_use;
+    const auto is_in_use = [&](const std::string& instance) {
+      mutex_.AssertHeld();
+      if (!in_use) {
+        in_use = InstancesInUse(now);
+      }
+      return in_use->count(instance) > 0;
+    };
     for (auto& [number, wave] : waves_) {
       if (!wave.loaded) {
         continue;
@@ -214,7 +224,7 @@
         const auto retry = wave.retry_at.find(instance);
         const bool due = retry == wave.retry_at.end() || retry->second <= now;
         // A new owner of the pool may have placed tasks on the instance since.
-        if (recorded && due && in_use.count(instance) == 0 &&
+        if (recorded && due && !is_in_use(instance) &&
             !HasRecentEarlierOrder(instance, now) &&
             wave.in_flight.insert(instance).second) {
           to_send.emplace_back(number, instance);
--- a/Source/Core/Scheduling/placement.cc
+++ b/Source/Core/Scheduling/placement.cc
@@ -8,11 +8,6 @@
 namespace figflow {
 namespace {
 
-bool HasLabel(const WorkerReport& report, const std::string& label) {
-  return std::find(report.labels.begin(), report.labels.end(), label) !=
-         report.labels.end();
-}
-
 // Returns the fraction of the worker's scarcer resource that is left after a
 // task of `size` is placed there.
 double FractionLeft(const WorkerOption& option, const Resources& size) {
@@ -45,7 +40,7 @@
         !size.FitsIn(option.room) ||
         (stage.max_per_worker > 0 && stage_tasks[i] >= stage.max_per_worker) ||
         (!stage.required_label.empty() &&
-         !HasLabel(*option.report, stage.required_label))) {
+         !option.report->HasLabel(stage.required_label))) {
       continue;
     }
     const bool failed =
@@ -79,7 +74,7 @@
     if (request.allowed != nullptr && !(*request.allowed)[i]) {
       ++obstacles.no_ticket;
     } else if (!stage.required_label.empty() &&
-               !HasLabel(*option.report, stage.required_label)) {
+               !option.report->HasLabel(stage.required_label)) {
       ++obstacles.no_label;
     } else if (stage.max_per_worker > 0 &&
                stage_tasks[i] >= stage.max_per_worker) {
--- a/Source/Core/Scheduling/pool_scheduler_customers.cc
+++ b/Source/Core/Scheduling/pool_scheduler_customers.cc
@@ -4,14 +4,6 @@
 #include "absl/strings/str_cat.h"
 
 namespace figflow {
-namespace {
-
-// Returns whether the waiting tasks of the stage start together.
-bool StartsAsAWhole(const StageSpec& spec) {
-  return spec.gang;
-}
-
-}  // namespace
 
 void PoolScheduler::SetCustomerGrants(const CustomerGrantOrders& orders,
                                       MonoTime now) {
@@ -33,7 +25,7 @@
   }
   const int fitting = limits_.CountFitting(
       customer, usage_.Of(customer), ReservedResources(spec), waiting, now);
-  return StartsAsAWhole(spec) && fitting < waiting ? 0 : fitting;
+  return spec.gang && fitting < waiting ? 0 : fitting;
 }
 
 int PoolScheduler::CountReportedWithinCap(const Job& job,
@@ -45,8 +37,7 @@
     return waiting;
   }
   return limits_.CountWaiting(customer, usage_.Of(customer),
-                              ReservedResources(spec), waiting,
-                              StartsAsAWhole(spec), now);
+                              ReservedResources(spec), waiting, spec.gang, now);
 }
 
 void PoolScheduler::LogCapWait(const TaskRef& stage,
--- a/Source/Core/Scheduling/pool_scheduler_large_tasks.cc
+++ b/Source/Core/Scheduling/pool_scheduler_large_tasks.cc
@@ -12,11 +12,6 @@
 // workers need it for their first response, and after a take-over all do.
 constexpr std::chrono::milliseconds kUnreachedWorkerCounts{1'000};
 
-bool HasLabel(const WorkerState& worker, const std::string& label) {
-  const std::vector<std::string>& labels = worker.report.labels;
-  return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 // Returns the capacity that is free once all tasks that end by themselves have
 // ended.
 Resources CapacityBesidePerpetualTasks(const WorkerState& worker) {
@@ -69,14 +64,17 @@
               reachable.begin(), reachable.end(),
               [&](const Resources& room) { return size.FitsIn(room); });
         }
+        if (!stage.needs_further_worker) {
+          continue;
+        }
         // Whether a further worker has the label is known only if all have it.
         const bool labels_known =
             spec.required_label.empty() ||
             std::all_of(workers.begin(), workers.end(),
                         [&](const WorkerState* worker) {
-                          return HasLabel(*worker, spec.required_label);
+                          return worker->report.HasLabel(spec.required_label);
                         });
-        if (!stage.needs_further_worker || !labels_known) {
+        if (!labels_known) {
           continue;
         }
         // Tasks beyond their customer's cap could not use a further worker.
--- a/Source/Core/Scheduling/pool_scheduler_reservation.cc
+++ b/Source/Core/Scheduling/pool_scheduler_reservation.cc
@@ -26,10 +26,8 @@
 
 bool MayRunOn(const TaskRef& stage, const WorkerState& worker) {
   const StageSpec& spec = stage.Spec();
-  const std::vector<std::string>& labels = worker.report.labels;
   if (!spec.required_label.empty() &&
-      std::find(labels.begin(), labels.end(), spec.required_label) ==
-          labels.end()) {
+      !worker.report.HasLabel(spec.required_label)) {
     return false;
   }
   const auto count = stage.GetStage().on_worker.find(&worker);
--- a/Source/Core/Scheduling/worker.cc
+++ b/Source/Core/Scheduling/worker.cc
@@ -1,5 +1,6 @@
 #include "Scheduling/worker.h"
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 
@@ -39,4 +40,8 @@
   return kStartAnswerNames[static_cast<size_t>(answer)];
 }
 
+bool WorkerReport::HasLabel(const std::string& label) const {
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 }  // namespace figflow
--- a/Source/Core/Scheduling/worker.h
+++ b/Source/Core/Scheduling/worker.h
@@ -43,6 +43,8 @@
   // The worker's steady clock when it wrote the report.
   std::chrono::milliseconds clock{0};
   // The maximum number of concurrent connections is a property of the pool.
+
+  bool HasLabel(const std::string& label) const;
 };
 
 // Name of one task: job, occurrence of a scheduled job, stage and index, all
--- a/Source/UnitTests/Fleet/instance_controller_test.cc
+++ b/Source/UnitTests/Fleet/instance_controller_test.cc
@@ -41,12 +41,7 @@
     ControllerDriver driver;
     const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
     const MaintenanceWave wave = driver.AddWave(instance);
-    WaveRecord record;
-    record.due = driver.time.WallNow() + seconds(30);
-    record.instances[instance] = MaintenanceStep::kOrdered;
-    driver.store.Put(WaveKey(1), FormatWaveRecord(record));
-    // The earlier controller handed over and had ordered nothing recently.
-    driver.store.Put(HandOverKey(), FormatHandOverRecord(HandOverRecord()));
+    RecordOrderedMaintenance(driver, instance);
     WorkerLoad load = driver.LoadOn(instance);
     load.tasks = 1;
     load.perpetual_tasks = 1;
@@ -67,11 +62,7 @@
     ControllerDriver driver;
     const std::string instance = driver.instances.Add("p", {1'000, 1'000, 0});
     const MaintenanceWave wave = driver.AddWave(instance);
-    WaveRecord record;
-    record.due = driver.time.WallNow() + seconds(30);
-    record.instances[instance] = MaintenanceStep::kOrdered;
-    driver.store.Put(WaveKey(1), FormatWaveRecord(record));
-    driver.store.Put(HandOverKey(), FormatHandOverRecord(HandOverRecord()));
+    RecordOrderedMaintenance(driver, instance);
     driver.pools_without_owner = {"p"};
     driver.Start({"p"});
     driver.controller->OnWaveRequested(wave, driver.time.Now());
@@ -326,6 +317,18 @@
   }
 
  private:
+  // Lets an earlier controller have recorded an order of wave 1 for the
+  // instance that it never sent. It handed over and had ordered nothing
+  // recently.
+  static void RecordOrderedMaintenance(ControllerDriver& driver,
+                                       const std::string& instance) {
+    WaveRecord record;
+    record.due = driver.time.WallNow() + seconds(30);
+    record.instances[instance] = MaintenanceStep::kOrdered;
+    driver.store.Put(WaveKey(1), FormatWaveRecord(record));
+    driver.store.Put(HandOverKey(), FormatHandOverRecord(HandOverRecord()));
+  }
+
   // Lets a controller take over after `first` and hand over 0.5 s later.
   // Returns its record.
   static HandOverRecord HandOverAgain(const HandOverRecord& first) {
