Bound the memory of accepted jobs as a total

Cause: all due occurrences were opened at once with all their tasks, also by each next owner. Limits of tasks for one occurrence and of occurrences for one job say nothing about their product or about several jobs. Finished occurrences and finished jobs kept their tasks, and all start orders to a worker were in flight at once.

Change: WorkMemory counts what accepted jobs take, for a pool (16 MiB) and for the process (a quarter of its memory). Submissions beyond it are refused before anything is stored, with a retry delay. Occurrences beside the first one of a job open while there is room, and are closed once finished. Records of earlier versions with all occurrences open are read without the last ones that have not begun. A worker has at most 128 start orders in flight.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -101,6 +101,8 @@
   options.millicores =
       static_cast<int64_t>(std::lround(settings.processor_cores * 1'000));
   options.bounds = BoundsOf(settings);
+  // A quarter of the memory, beside two fifths for buffers of connections.
+  options.work_memory = (static_cast<size_t>(settings.memory_mb) << 20) / 4;
   options.instances.holder_interval = settings.holder_interval;
   options.instances.move_duration = ToMilliseconds(settings.instance_move_s);
   options.instances.maintenance_duration =
--- a/Source/Core/Fleet/fleet_engine.cc
+++ b/Source/Core/Fleet/fleet_engine.cc
@@ -39,6 +39,7 @@
       clock_(clock),
       metrics_(metrics),
       options_(std::move(options)),
+      work_memory_(std::make_shared<WorkMemory>(options_.work_memory)),
       bounds_(options_.bounds),
       claim_policy_(options_.entry) {
   session_ =
--- a/Source/Core/Fleet/fleet_engine.h
+++ b/Source/Core/Fleet/fleet_engine.h
@@ -41,6 +41,9 @@
   // Processor share of this daemon, in thousandths of a core.
   int64_t millicores = 1'000;
   ExecutionBounds bounds;
+  // Memory that the accepted jobs of all pools of this daemon may take before
+  // it refuses further ones.
+  size_t work_memory = size_t{512} << 20;
   StoreSessionOptions session;
   // Holder, nonce and fence are unset; each claim fills them in.
   InstanceControllerOptions instances;
@@ -233,6 +236,7 @@
   const Clock& clock_;
   MetricsRegistry& metrics_;
   const FleetEngineOptions options_;
+  const std::shared_ptr<WorkMemory> work_memory_;
   InstanceController::SyncPool sync_pool_;
   std::function<MonoTime::duration()> lag_probe_;
   std::shared_ptr<StoreSession> session_;
--- a/Source/Core/Fleet/fleet_engine_ownership.cc
+++ b/Source/Core/Fleet/fleet_engine_ownership.cc
@@ -231,8 +231,12 @@
   {
     absl::MutexLock lock(&mutex_);
     PoolRunner::Dependencies parts{
-        platform_, clock_, metrics_, [this](MonoTime at) { WakeAt(at); },
-        [this](const StoreItem& item) { OnRoutesItem(item); }};
+        platform_,
+        clock_,
+        metrics_,
+        [this](MonoTime at) { WakeAt(at); },
+        [this](const StoreItem& item) { OnRoutesItem(item); },
+        work_memory_};
     runner = std::make_shared<PoolRunner>(
         parts, PoolRunner::Claim{scope, nonce, revision}, bounds_);
     runners_[scope] = runner;
--- a/Source/Core/Fleet/fleet_engine_state.cc
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -35,7 +35,8 @@
                      {"fence", runner->claim().revision},
                      {"workers", listed},
                      {"reached", reached},
-                     {"takes_calls", runner->AcceptsCalls()}});
+                     {"takes_calls", runner->AcceptsCalls()},
+                     {"work_bytes", runner->WorkMemoryInUse()}});
     for (const CustomerLoad& load : runner->CustomerLoads()) {
       scope_customers.push_back(
           {{"scope", pool},
@@ -56,6 +57,7 @@
           {"plan_version", plan_ == nullptr ? 0 : plan_->version},
           {"store_silent_ms", StoreResponseAge(now).count()},
           {"owners_age_ms", WholeMilliseconds(OwnersStaleness(now)).count()},
+          {"work_bytes", work_memory_->used()},
           {"workers", reports_.size()},
           {"peers", PeerCount()},
           {"releasing", releasing_},
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -28,8 +28,9 @@
       bounds_(bounds),
       plan_(std::make_shared<FleetPlan>()) {}
 
-void PoolRunner::Activate(const Recovery& recovery) {
+void PoolRunner::Activate(Recovery& recovery) {
   const MonoTime now = deps_.clock.Now();
+  const size_t jobs = recovery.records.size();
   {
     absl::MutexLock lock(&mutex_);
     if (state_ != State::kLoading) {
@@ -41,10 +42,11 @@
     options.fence = claim_.revision;
     options.earlier_owner_grace = kRenewalGrace;
     options.handed_over_leases = recovery.leases;
+    options.process_memory = deps_.work_memory;
     clears_leases_ = recovery.has_lease_record;
     scheduler_ = std::make_unique<PoolScheduler>(options, deps_.metrics, now);
     scheduler_->SetPlan(plan_);
-    scheduler_->Load(recovery.records, now, deps_.clock.WallNow());
+    scheduler_->Load(std::move(recovery.records), now, deps_.clock.WallNow());
     for (const auto& [id, report] : reports_) {
       scheduler_->OnWorkerListed(report, now);
     }
@@ -64,7 +66,8 @@
   LogEvent(LogLevel::kInfo, LogCategory::kJobs, "pool_owned",
            {{"pool", claim_.pool},
             {"fence", absl::StrCat(claim_.revision)},
-            {"jobs", absl::StrCat(recovery.records.size())}});
+            {"jobs", absl::StrCat(jobs)},
+            {"work_bytes", absl::StrCat(WorkMemoryInUse())}});
   RunOnScheduler([](PoolScheduler&, MonoTime) {});
 }
 
@@ -470,6 +473,11 @@
                                : scheduler_->waiting_by_queue();
 }
 
+size_t PoolRunner::WorkMemoryInUse() const {
+  absl::MutexLock lock(&mutex_);
+  return scheduler_ == nullptr ? 0 : scheduler_->WorkMemoryInUse();
+}
+
 MonoTime PoolRunner::active_since() const {
   absl::MutexLock lock(&mutex_);
   return active_since_;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -36,6 +36,8 @@
     std::function<void(MonoTime)> wake_at;
     // Receives the history of the routes, read after the claim.
     std::function<void(const StoreItem&)> on_routes;
+    // Counts what the accepted jobs of all pools of this process take.
+    std::shared_ptr<WorkMemory> work_memory;
   };
   struct Claim {
     std::string pool;
@@ -101,6 +103,8 @@
   const Claim& claim() const { return claim_; }
   std::pair<int, int> CountReachedWorkers() const;
   std::map<std::string, int> WaitingByQueue() const;
+  // Returns the memory that the accepted jobs count for, in bytes.
+  size_t WorkMemoryInUse() const;
   // Loads of customers with a cap; empty unless the pool is active.
   std::vector<CustomerLoad> CustomerLoads() const;
   MonoTime active_since() const;
@@ -128,7 +132,7 @@
   void OnReadCompleted(const std::shared_ptr<Recovery>& recovery);
   void ReadRecords(const std::shared_ptr<Recovery>& recovery, bool progress);
   void RetryRead(std::function<void()> read);
-  void Activate(const Recovery& recovery);
+  void Activate(Recovery& recovery);
 
   // Runs `change` and then a step on the scheduler, and executes the resulting
   // actions. Returns false, without running it, if there is no scheduler or the
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -119,10 +120,44 @@
   return rows;
 }
 
+bool HasFinished(const json& stages) {
+  return std::all_of(stages.begin(), stages.end(), [](const json& stage) {
+    return stage.at(0).is_boolean();
+  });
+}
+
+bool HasBegun(const json& stages) {
+  return std::any_of(stages.begin(), stages.end(), [](const json& stage) {
+    return stage.at(0).is_boolean() || !stage.at(0).empty() ||
+           !stage.at(1).empty();
+  });
+}
+
+// Returns how many of the occurrences in a record are applied. Those after
+// them are the last ones of the job so far, and none of their tasks has begun.
+size_t CountToApply(const json& occurrences, int next_occurrence) {
+  size_t count = occurrences.size();
+  while (count > 0) {
+    const json& last = occurrences[count - 1];
+    if (last.at(0).get<int>() != next_occurrence - 1 || HasBegun(last.at(1))) {
+      break;
+    }
+    --next_occurrence;
+    --count;
+  }
+  return count;
+}
+
 void ApplyLostRuns(const json& rows, Job& job) {
   for (const json& row : rows) {
-    Stage& stage = job.occurrences.at(row.at(0).get<int>())
-                       .stages.at(row.at(1).get<size_t>());
+    const int number = row.at(0).get<int>();
+    const bool is_closed =
+        number < job.next_occurrence && job.occurrences.count(number) == 0;
+    if (is_closed) {
+      continue;
+    }
+    Stage& stage =
+        job.occurrences.at(number).stages.at(row.at(1).get<size_t>());
     Task& task = stage.tasks.at(row.at(2).get<size_t>());
     for (size_t i = 3; i < row.size(); ++i) {
       task.lost_runs.push_back(row.at(i).get<uint32_t>());
@@ -163,6 +198,12 @@
   return occurrence;
 }
 
+void Job::CloseFinishedOccurrences() {
+  for (auto it = occurrences.begin(); it != occurrences.end();) {
+    it = it->second.finished() ? occurrences.erase(it) : std::next(it);
+  }
+}
+
 bool Job::AllDone() const {
   return next_occurrence >= std::max(1, spec.occurrences) &&
          std::all_of(occurrences.begin(), occurrences.end(),
@@ -246,15 +287,24 @@
           job.spec.customer = owner.customer;
           job.spec.queue = owner.queue;
         }
-        for (const json& item : row.at(2)) {
-          const int number = item.at(0).get<int>();
-          Occurrence& occurrence = job.OpenOccurrence(number, job.arrived);
-          const json& stages = item.at(1);
-          if (stages.size() != occurrence.stages.size()) {
+        const json& occurrences = row.at(2);
+        const size_t count =
+            job.spec.scheduled()
+                ? CountToApply(occurrences, job.next_occurrence)
+                : occurrences.size();
+        job.next_occurrence -= static_cast<int>(occurrences.size() - count);
+        for (size_t k = 0; k < occurrences.size(); ++k) {
+          const int number = occurrences[k].at(0).get<int>();
+          const json& stages = occurrences[k].at(1);
+          if (stages.size() != job.spec.stages.size()) {
             return Fail(
                 ErrorCode::kInvalid, kProgressStep, job.spec.id,
                 "the record and the job differ in their number of stages");
           }
+          if (k >= count || (job.spec.scheduled() && HasFinished(stages))) {
+            continue;
+          }
+          Occurrence& occurrence = job.OpenOccurrence(number, job.arrived);
           for (size_t i = 0; i < stages.size(); ++i) {
             const TaskName name{job.spec.id, number, static_cast<int>(i), 0};
             try {
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -14,6 +14,7 @@
 #include "Scheduling/job_access.h"
 #include "Scheduling/job_spec.h"
 #include "Scheduling/placement_tickets.h"
+#include "Scheduling/work_memory.h"
 #include "Scheduling/worker.h"
 #include "absl/strings/string_view.h"
 
@@ -117,7 +118,7 @@
 // A job and the state that its owner holds of it.
 struct Job {
   JobSpec spec;
-  // FormatJobSpec(spec), the form in the store.
+  // FormatJobSpec(spec), the form in the store; empty once the store holds it.
   std::string spec_bytes;
   // Time of the first submission.
   WallTime submitted;
@@ -143,6 +144,9 @@
   JobStatus durable_status = JobStatus::kLive;
   MonoTime finished_at;
 
+  // What the job takes of the pool's memory.
+  MemoryCharge memory;
+
   // Tokens of submissions that get a response once the job is durable.
   std::vector<uint64_t> submit_tokens;
   // Tokens of cancellations that get a response once the cancellation is
@@ -156,6 +160,8 @@
 
   // Creates the state of occurrence `number`, due at `due`.
   Occurrence& OpenOccurrence(int number, MonoTime due);
+  // Drops the state of finished occurrences of a scheduled job.
+  void CloseFinishedOccurrences();
   // Returns whether all tasks that the job requests are done.
   bool AllDone() const;
 
@@ -194,8 +200,9 @@
 std::string FormatProgress(const Job& job);
 
 // Applies a progress record to `job`, whose spec is set. Returns the
-// assignments, whose tasks are set to kStarting without a worker. Error
-// kInvalid.
+// assignments, whose tasks are set to kStarting without a worker. Occurrences
+// that have finished, and the last ones if no task of them has begun, are left
+// closed. Error kInvalid.
 Result<std::vector<RecordedAssignment>> ApplyProgress(absl::string_view bytes,
                                                       Job& job);
 
--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -1,6 +1,7 @@
 #include "Scheduling/job_spec.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "Common/json.h"
 
@@ -117,6 +118,12 @@
                      [](const StageSpec& stage) { return stage.perpetual; });
 }
 
+int64_t JobSpec::task_count() const {
+  return std::accumulate(
+      stages.begin(), stages.end(), int64_t{0},
+      [](int64_t sum, const StageSpec& stage) { return sum + stage.count; });
+}
+
 Result<void> CheckJobSpec(const JobSpec& spec) {
   const auto fail = [&](const std::string& message) {
     return Fail(ErrorCode::kInvalid, kStep, spec.id, message);
@@ -129,7 +136,6 @@
       spec.interval.count() < 0) {
     return fail("occurrences or interval out of range");
   }
-  int64_t tasks = 0;
   for (size_t i = 0; i < spec.stages.size(); ++i) {
     const StageSpec& stage = spec.stages[i];
     const Resources& size = stage.per_task;
@@ -138,7 +144,6 @@
         size.accelerators < 0 || stage.max_per_worker < 0) {
       return fail(absl::StrCat("stage ", i, " has a number out of range"));
     }
-    tasks += stage.count;
     for (const int earlier : stage.after) {
       if (earlier < 0 || earlier >= static_cast<int>(i)) {
         return fail(absl::StrCat("stage ", i,
@@ -146,7 +151,7 @@
       }
     }
   }
-  if (tasks > kMaxTasks) {
+  if (spec.task_count() > kMaxTasks) {
     return fail("too many tasks");
   }
   return {};
--- a/Source/Core/Scheduling/job_spec.h
+++ b/Source/Core/Scheduling/job_spec.h
@@ -93,6 +93,8 @@
 
   bool scheduled() const { return occurrences > 0; }
   bool perpetual() const;
+  // Returns the number of tasks of one occurrence.
+  int64_t task_count() const;
 };
 
 // Validates a spec. Error kInvalid: a stage refers to a later one or has no
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -61,6 +61,9 @@
     // Leases that the last owner has handed over, as of the start of this one.
     // They replace the longest possible lease for these workers.
     RemainingLeases handed_over_leases;
+    // Counts what the accepted jobs of all pools of this process take; null if
+    // nothing bounds them beside the limit of this pool.
+    std::shared_ptr<WorkMemory> process_memory;
   };
 
   PoolScheduler(Options options, MetricsRegistry& metrics, MonoTime now);
@@ -69,8 +72,8 @@
   PoolScheduler& operator=(const PoolScheduler&) = delete;
 
   // Loads the pool's jobs at a take-over. Records that cannot be read are
-  // logged and left unchanged in the store.
-  void Load(const std::map<std::string, JobRecords>& records,
+  // logged and left unchanged in the store. Releases each record as it is read.
+  void Load(std::map<std::string, JobRecords> records,
             MonoTime now,
             WallTime wall);
 
@@ -93,7 +96,8 @@
   void OnWorkerReportedEnded(const WorkerKey& worker, MonoTime now);
 
   // Submits a job. The response is part of the output once the outcome is
-  // certain.
+  // certain. A job for which the pool or the process lacks memory is refused at
+  // once.
   void Submit(JobSpec spec,
               std::string spec_bytes,
               uint64_t token,
@@ -186,6 +190,9 @@
   // never sent are refused, since they were certainly not accepted.
   void Abandon();
 
+  // Returns the memory that the accepted jobs count for, in bytes.
+  size_t WorkMemoryInUse() const { return work_memory_->used(); }
+
   // Returns whether a worker is kept free for a large task.
   bool HasReservation() const { return reservation_.current().has_value(); }
 
@@ -204,12 +211,17 @@
 
   // pool_scheduler_jobs.cc
   void LoadJob(const std::string& id,
-               const JobRecords& record,
+               JobRecords record,
                MonoTime now,
                WallTime wall);
   void MarkChanged(const std::shared_ptr<Job>& job);
   void Finish(const std::shared_ptr<Job>& job, JobStatus status, MonoTime now);
+  // Opens the occurrences that are due, as far as the tasks of all open ones
+  // stay within a limit. Each job may have one open.
   void OpenDueOccurrences(MonoTime now, WallTime wall);
+  // Updates what the job counts for in `work_memory_`.
+  static void CountMemory(Job& job);
+  void RefuseForMemory(const JobSpec& spec, uint64_t token, MonoTime now);
   void RemoveFinishedJobs(MonoTime now);
   void CompleteTask(const TaskRef& ref, MonoTime now);
   // Returns a task to the waiting ones. Its run cannot exist any more.
@@ -300,6 +312,9 @@
                     MonoTime now);
   void AdvanceAcknowledged(WorkerState& worker);
   std::optional<TaskRef> FindTask(const TaskName& name) const;
+  // Returns what a run of the task reserves on its worker, also if its
+  // occurrence is closed; nothing if the job is unknown.
+  Resources SizeOfTask(const TaskName& name) const;
 
   // pool_scheduler_ends.cc
   // Ends a worker whose next incarnation, or the next worker on whose instance,
@@ -455,6 +470,8 @@
   std::shared_ptr<const FleetPlan> plan_;
   // Maximum lease that any owner can have granted.
   std::chrono::milliseconds max_inherited_lease_;
+  // Memory of this pool's jobs.
+  const std::shared_ptr<WorkMemory> work_memory_;
   JobMap jobs_;
   // Jobs that were looked up and not found, by id.
   std::map<std::string, SubmittedElsewhere> submitted_elsewhere_;
@@ -482,6 +499,8 @@
   MonoTime next_wake_ = MonoTime::max();
   const MonoTime activated_at_;
   std::map<std::string, int> waiting_by_queue_;
+  // When a refusal for lack of memory was last logged.
+  MonoTime refusal_logged_at_;
   // When the reasons why any stage waits were last logged.
   MonoTime wait_logged_at_;
   // A change may allow a waiting task to be placed.
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -21,6 +21,13 @@
 // How long a job is known to be submitted to another pool: longer than a caller
 // waits, and than daemons decide by different plans.
 constexpr std::chrono::seconds kSubmittedElsewhereRetention{30};
+// Tasks of the occurrences that are open beside the first one of each job. They
+// keep a large pool busy while the next ones are opened.
+constexpr int64_t kMaxOverlappingTasks = 10'000;
+// Retry delay for callers whose job was refused for lack of memory: finished
+// jobs make room within seconds.
+constexpr std::chrono::milliseconds kMemoryRetryDelay{2'000};
+constexpr std::chrono::seconds kRefusalLogInterval{1};
 
 }  // namespace
 
@@ -31,25 +38,27 @@
       stats_(std::make_unique<SchedulerMetrics>(metrics)),
       plan_(std::make_shared<FleetPlan>()),
       max_inherited_lease_(options_.bounds.max_lease),
+      work_memory_(std::make_shared<WorkMemory>(kPoolWorkMemory,
+                                                options_.process_memory)),
       limits_(options_.fence),
       activated_at_(now) {}
 
 PoolScheduler::~PoolScheduler() = default;
 
-void PoolScheduler::Load(const std::map<std::string, JobRecords>& records,
+void PoolScheduler::Load(std::map<std::string, JobRecords> records,
                          MonoTime now,
                          WallTime wall) {
-  for (const auto& [id, record] : records) {
-    LoadJob(id, record, now, wall);
+  for (auto& [id, record] : records) {
+    LoadJob(id, std::move(record), now, wall);
   }
 }
 
 void PoolScheduler::LoadJob(const std::string& id,
-                            const JobRecords& record,
+                            JobRecords record,
                             MonoTime now,
                             WallTime wall) {
   std::shared_ptr<Job> job;
-  std::string progress = record.progress;
+  std::string progress = std::move(record.progress);
   if (record.accepted.empty()) {
     // The store holds only the final progress of a finished job.
     job = std::make_shared<Job>();
@@ -81,6 +90,12 @@
   }
   job->durable_version = job->version;
   job->durable_status = job->status;
+  job->spec_bytes = std::string();
+  if (!job->live()) {
+    job->spec.payload = std::string();
+  }
+  job->memory = MemoryCharge(work_memory_);
+  CountMemory(*job);
   jobs_[id] = job;
   if (!job->live()) {
     job->finished_at = now;
@@ -137,9 +152,16 @@
     }
     return;
   }
+  const size_t memory = EstimateJobMemory(spec, spec_bytes.size()) +
+                        EstimateOccurrenceMemory(spec);
+  if (!work_memory_->HasRoom(memory)) {
+    RefuseForMemory(spec, token, now);
+    return;
+  }
   auto job = std::make_shared<Job>();
   job->SetSpec(std::move(spec));
   job->spec_bytes = std::move(spec_bytes);
+  job->memory = MemoryCharge(work_memory_);
   job->submitted = wall;
   job->arrived = now;
   job->submit_tokens.push_back(token);
@@ -155,6 +177,7 @@
     }
     AddOfferedLoad(work, now);
   }
+  CountMemory(*job);
   jobs_[job->spec.id] = job;
   open_jobs_[job->spec.id] = job;
   job->queued_for_write = true;
@@ -162,6 +185,35 @@
   dispatch_needed_ = true;
 }
 
+void PoolScheduler::RefuseForMemory(const JobSpec& spec,
+                                    uint64_t token,
+                                    MonoTime now) {
+  output_.submit_responses.push_back(
+      {token, SubmitOutcome::kRefused, kMemoryRetryDelay, "memory-full"});
+  stats_->refused.Add();
+  if (now - refusal_logged_at_ < kRefusalLogInterval) {
+    return;
+  }
+  refusal_logged_at_ = now;
+  LogEvent(
+      LogLevel::kWarning, LogCategory::kJobs, "job_refused",
+      {{"job", spec.id},
+       {"pool", options_.pool},
+       {"cause", "memory-full"},
+       {"tasks", absl::StrCat(spec.task_count())},
+       {"pool_bytes", absl::StrCat(work_memory_->used())},
+       {"process_bytes", absl::StrCat(options_.process_memory == nullptr
+                                          ? work_memory_->used()
+                                          : options_.process_memory->used())}});
+}
+
+void PoolScheduler::CountMemory(Job& job) {
+  const size_t of_job = EstimateJobMemory(job.spec, job.spec_bytes.size());
+  const size_t occurrences =
+      job.live() ? std::max<size_t>(job.occurrences.size(), 1) : 0;
+  job.memory.Set(of_job + occurrences * EstimateOccurrenceMemory(job.spec));
+}
+
 void PoolScheduler::Cancel(const std::string& id,
                            const JobParty& call,
                            uint64_t token,
@@ -251,10 +303,23 @@
 }
 
 void PoolScheduler::OpenDueOccurrences(MonoTime now, WallTime wall) {
+  int64_t overlapping_tasks = 0;
+  for (const auto& [id, job] : open_jobs_) {
+    if (!job->spec.scheduled()) {
+      continue;
+    }
+    job->CloseFinishedOccurrences();
+    if (job->occurrences.size() > 1) {
+      overlapping_tasks += static_cast<int64_t>(job->occurrences.size() - 1) *
+                           job->spec.task_count();
+    }
+  }
   for (const auto& [id, job] : open_jobs_) {
     if (!job->spec.scheduled() || job->durable_version == 0) {
       continue;
     }
+    const int64_t tasks = job->spec.task_count();
+    const size_t memory = EstimateOccurrenceMemory(job->spec);
     while (job->next_occurrence < job->spec.occurrences) {
       const WallTime due =
           job->spec.first_due + job->next_occurrence * job->spec.interval;
@@ -262,10 +327,19 @@
         Wake(now + std::chrono::duration_cast<MonoTime::duration>(due - wall));
         break;
       }
+      if (!job->occurrences.empty()) {
+        if (overlapping_tasks + tasks > kMaxOverlappingTasks ||
+            !work_memory_->HasRoom(memory)) {
+          break;
+        }
+        overlapping_tasks += tasks;
+      }
       job->OpenOccurrence(job->next_occurrence, now);
+      CountMemory(*job);
       MarkChanged(job);
       dispatch_needed_ = true;
     }
+    CountMemory(*job);
   }
 }
 
@@ -323,6 +397,15 @@
   return TaskRef{job, name.occurrence, name.stage, name.index};
 }
 
+Resources PoolScheduler::SizeOfTask(const TaskName& name) const {
+  const auto known = jobs_.find(name.job);
+  if (known == jobs_.end() || name.stage < 0 ||
+      name.stage >= static_cast<int>(known->second->spec.stages.size())) {
+    return {};
+  }
+  return ReservedResources(known->second->spec.stages[name.stage]);
+}
+
 void PoolScheduler::AttachTask(const TaskRef& ref, WorkerState& worker) {
   ref.Get().worker = &worker;
   worker.tasks.insert(ref);
--- a/Source/Core/Scheduling/pool_scheduler_records.cc
+++ b/Source/Core/Scheduling/pool_scheduler_records.cc
@@ -64,6 +64,10 @@
     stats_->time_to_accept.Record(now - job->arrived);
   }
   job->submit_tokens.clear();
+  if (!job->spec_bytes.empty()) {
+    job->spec_bytes = std::string();
+    CountMemory(*job);
+  }
   if (job->durable_version < job->version && !job->live()) {
     // The final status of the job is in a later write.
     return;
@@ -87,6 +91,9 @@
         stats_->time_to_complete.Record(now - job->arrived);
       }
       StopJobTasks(job, now);
+      // Only the status is still needed, and the sizes of runs that stop.
+      job->occurrences.clear();
+      CountMemory(*job);
     }
     for (const uint64_t token : job->cancel_tokens) {
       output_.cancel_responses.push_back({token, CancelOutcome::kCancelled});
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -195,8 +195,8 @@
         ref->Get().run == running.run && ref->Get().phase != TaskPhase::kDone;
     present.insert({FormatTaskName(running.name), running.run});
     if (!wanted) {
-      const Resources size = ref ? ReservedResources(ref->Spec()) : Resources();
-      RequestStop(worker, running.name, running.run, size, now);
+      RequestStop(worker, running.name, running.run, SizeOfTask(running.name),
+                  now);
       continue;
     }
     Task& task = ref->Get();
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -35,6 +35,9 @@
 constexpr std::chrono::milliseconds kMaxHoldDelay{100};
 // Within this time a start order that is not late is carried out.
 constexpr std::chrono::milliseconds kOrderResponseTime{400};
+// Orders to one worker beyond its few connections only wait, and each holds a
+// request in memory.
+constexpr int kMaxStartsInFlight = 128;
 // Maximum interval between two steps.
 constexpr std::chrono::milliseconds kMaxStepInterval{250};
 
@@ -226,6 +229,9 @@
     return;
   }
   for (const TaskRef& ref : worker.tasks) {
+    if (worker.starts_in_flight >= kMaxStartsInFlight) {
+      return;
+    }
     Task& task = ref.Get();
     if (task.phase != TaskPhase::kStarting || task.order_in_flight ||
         task.order_outdated || task.inherited || !ref.job->live()) {
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -85,7 +85,8 @@
        false,
        "Memory of the instance; 0 for the default, otherwise at least 32. Two "
        "fifths of it bound what is buffered for callers and peers, with their "
-       "connections (kind fleet)."},
+       "connections, and a quarter what accepted jobs take: beyond it, further "
+       "ones are refused (kind fleet)."},
       {"stop.grace_s", &Settings::stop_grace_s, 60, 1, 3600, false,
        "Time from SIGTERM until the platform kills the process (kind fleet)."},
       {"jobs.status_retention_s", &Settings::status_retention_s, 120, 1, 1e7,
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/metrics.h"
@@ -46,10 +47,15 @@
 // triggers it, and workers whose responses the test writes.
 class SchedulerDriver {
  public:
-  explicit SchedulerDriver(MonoTime now, uint64_t fence = 1) : now_(now) {
+  // The memory of the process is unbounded if `process_memory` is null.
+  explicit SchedulerDriver(MonoTime now,
+                           uint64_t fence = 1,
+                           std::shared_ptr<WorkMemory> process_memory = nullptr)
+      : now_(now) {
     PoolScheduler::Options options;
     options.pool = "p";
     options.fence = fence;
+    options.process_memory = std::move(process_memory);
     scheduler_ = std::make_unique<PoolScheduler>(options, metrics_, now_);
     auto plan = std::make_shared<FleetPlan>();
     QueueConfig queue;
@@ -119,6 +125,9 @@
     for (PolicyQuery& query : output.questions) {
       queries.push_back(std::move(query));
     }
+    for (SubmitResponse& response : output.submit_responses) {
+      submit_responses.push_back(std::move(response));
+    }
   }
 
   // Lets the store accept all pending writes. Returns the records.
@@ -247,6 +256,7 @@
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::vector<PolicyQuery> queries;
+  std::vector<SubmitResponse> submit_responses;
 
  private:
   struct SentHold {
