Treat final refusals of the store as such

Cause: the store client reported a 400 as an outage, and the pool's only writer repeats a write until it succeeds.

Change: responses that would be the same again are the error kRefused. The writer ends such a write; RecordQueue sends its records in smaller writes until one is refused alone. A job that is not stored yet is then refused; the changes of a stored one wait 2 s, with its planned assignments withdrawn. Related paths: the records of waves are written in transactions within the store's limit, one by one after a refusal, and a refused renewal of a lease ends it. Refusals are logged and counted, and /state shows them.

--- a/Source/Core/Admin/admin_router.cc
+++ b/Source/Core/Admin/admin_router.cc
@@ -353,6 +353,7 @@
       return 429;
     case ErrorCode::kPermissionDenied:
       return 403;
+    case ErrorCode::kRefused:
     case ErrorCode::kInternal:
       return 500;
   }
--- a/Source/Core/Common/error.cc
+++ b/Source/Core/Common/error.cc
@@ -14,6 +14,8 @@
       return "conflict";
     case ErrorCode::kUnavailable:
       return "unavailable";
+    case ErrorCode::kRefused:
+      return "refused";
     case ErrorCode::kUnknownOutcome:
       return "unknown-outcome";
     case ErrorCode::kDeadlineExceeded:
--- a/Source/Core/Common/error.h
+++ b/Source/Core/Common/error.h
@@ -18,6 +18,9 @@
   // The peer was not reached or answered that it is out of service; the
   // operation had no effect.
   kUnavailable,
+  // The peer refused the operation as it is and would refuse it again; it had
+  // no effect.
+  kRefused,
   // The operation may or may not have taken effect: its answer was lost.
   kUnknownOutcome,
   kDeadlineExceeded,
--- a/Source/Core/Fleet/fleet_engine_state.cc
+++ b/Source/Core/Fleet/fleet_engine_state.cc
@@ -36,7 +36,8 @@
                      {"workers", listed},
                      {"reached", reached},
                      {"takes_calls", runner->AcceptsCalls()},
-                     {"work_bytes", runner->WorkMemoryInUse()}});
+                     {"work_bytes", runner->WorkMemoryInUse()},
+                     {"refused_records", runner->RefusedRecords()}});
     for (const CustomerLoad& load : runner->CustomerLoads()) {
       scope_customers.push_back(
           {{"scope", pool},
--- a/Source/Core/Fleet/pool_runner.cc
+++ b/Source/Core/Fleet/pool_runner.cc
@@ -18,6 +18,8 @@
 // renew the leases of running tasks. An outage of the whole store must not end
 // all work, and no daemon can take over during it.
 constexpr std::chrono::milliseconds kRenewalGrace{3'000};
+// Delay before the next write after a refused one, which may be refused too.
+constexpr std::chrono::milliseconds kRefusedWriteDelay{50};
 
 }  // namespace
 
@@ -199,9 +201,14 @@
     deps_.wake_at(deps_.clock.Now());
     return;
   }
-  RunOnScheduler([this](PoolScheduler& scheduler, MonoTime now) {
+  RunOnScheduler([this, outcome](PoolScheduler& scheduler, MonoTime now) {
     mutex_.AssertHeld();
     write_in_flight_ = false;
+    if (outcome == RecordWriter::Outcome::kRefused) {
+      next_write_at_ = now + kRefusedWriteDelay;
+      scheduler.OnWriteRefused(now);
+      return;
+    }
     clears_leases_ = false;
     scheduler.OnWritten(now);
   });
@@ -478,6 +485,11 @@
   return scheduler_ == nullptr ? 0 : scheduler_->WorkMemoryInUse();
 }
 
+size_t PoolRunner::RefusedRecords() const {
+  absl::MutexLock lock(&mutex_);
+  return scheduler_ == nullptr ? 0 : scheduler_->RefusedRecords();
+}
+
 MonoTime PoolRunner::active_since() const {
   absl::MutexLock lock(&mutex_);
   return active_since_;
--- a/Source/Core/Fleet/pool_runner.h
+++ b/Source/Core/Fleet/pool_runner.h
@@ -105,6 +105,8 @@
   std::map<std::string, int> WaitingByQueue() const;
   // Returns the memory that the accepted jobs count for, in bytes.
   size_t WorkMemoryInUse() const;
+  // Returns the number of jobs whose changes the store refuses.
+  size_t RefusedRecords() const;
   // Loads of customers with a cap; empty unless the pool is active.
   std::vector<CustomerLoad> CustomerLoads() const;
   MonoTime active_since() const;
@@ -170,6 +172,8 @@
   bool write_in_flight_ ABSL_GUARDED_BY(mutex_) = false;
   // Start of the last write.
   MonoTime write_started_at_ ABSL_GUARDED_BY(mutex_);
+  // Earliest start of the next write.
+  MonoTime next_write_at_ ABSL_GUARDED_BY(mutex_);
   bool deposed_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime next_step_ ABSL_GUARDED_BY(mutex_) = MonoTime::max();
   MonoTime last_step_at_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Fleet/pool_runner_writes.cc
+++ b/Source/Core/Fleet/pool_runner_writes.cc
@@ -31,9 +31,8 @@
   const bool due = scheduler_->HasWrites() || clears_leases_;
   if (!write_in_flight_ && due) {
     // One write carries all changes of a busy pool within the interval.
-    const MonoTime write_at = write_started_at_ + kMinWriteInterval;
-    if (now < write_at) {
-      next_step_ = std::min(next_step_, write_at);
+    if (now < next_write_at_) {
+      next_step_ = std::min(next_step_, next_write_at_);
     } else {
       AddJobRecords(scheduler_->TakeWrites(RecordWriter::kMaxRecords), work);
       if (clears_leases_) {
@@ -90,6 +89,7 @@
 
 void PoolRunner::BeginWrite(MonoTime now, PendingActions* work) {
   write_started_at_ = now;
+  next_write_at_ = now + kMinWriteInterval;
   write_in_flight_ = true;
   work->writer = writer_;
 }
--- a/Source/Core/Instances/instance_controller.cc
+++ b/Source/Core/Instances/instance_controller.cc
@@ -209,7 +209,7 @@
     absl::MutexLock lock(&mutex_);
     PlanWaves(now);
   }
-  WriteRecords();
+  WriteRecords(now);
   if (open) {
     SendMaintenanceOrders(now);
   }
--- a/Source/Core/Instances/instance_controller.h
+++ b/Source/Core/Instances/instance_controller.h
@@ -105,6 +105,8 @@
     bool completed = false;
     // True if the state has changed since the record was last written.
     bool changed = false;
+    // After a refusal by the store, the record is not written before.
+    MonoTime write_at = MonoTime::min();
     std::set<std::string> evacuating;
     // Instances whose maintenance is planned, but not yet durable.
     std::vector<std::string> to_order;
@@ -189,7 +191,10 @@
   void OnMoveResponse(const InstanceMove& move,
                       const Result<InstanceAnswer>& response);
   bool HasOpenWave() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  void WriteRecords();
+  void WriteRecords(MonoTime now);
+  // Queues the records of a refused write again.
+  void OnRecordsRefused(const std::vector<uint64_t>& waves, MonoTime now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void OnRecordsWritten(const std::vector<uint64_t>& waves,
                         RecordWriter::Outcome outcome);
   void SendMaintenanceOrders(MonoTime now);
@@ -225,6 +230,8 @@
   bool started_ ABSL_GUARDED_BY(mutex_) = false;
   bool reading_ ABSL_GUARDED_BY(mutex_) = false;
   bool writing_ ABSL_GUARDED_BY(mutex_) = false;
+  // Waves are written one by one after a refusal, until a write succeeds.
+  bool single_writes_ ABSL_GUARDED_BY(mutex_) = false;
   MonoTime lease_valid_until_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   MonoTime next_sync_at_ ABSL_GUARDED_BY(mutex_) = MonoTime::min();
   std::shared_ptr<const FleetPlan> plan_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Core/Instances/instance_controller_waves.cc
+++ b/Source/Core/Instances/instance_controller_waves.cc
@@ -16,6 +16,10 @@
 
 // Delay before a rejected or lost order is repeated.
 constexpr std::chrono::milliseconds kOrderRetryDelay{300};
+// Delay before a record that the store has refused is written again.
+constexpr std::chrono::seconds kRefusedRecordDelay{5};
+// Each wave has a record and a status; the hand-over record may come first.
+constexpr size_t kMaxWavesInWrite = (RecordWriter::kMaxRecords - 1) / 2;
 
 }  // namespace
 
@@ -121,7 +125,7 @@
   return rows;
 }
 
-void InstanceController::WriteRecords() {
+void InstanceController::WriteRecords(MonoTime now) {
   std::vector<StoreWrite> writes;
   std::vector<uint64_t> written;
   std::shared_ptr<RecordWriter> writer;
@@ -135,10 +139,14 @@
       record.active = true;
       writes.push_back({HandOverKey(), FormatHandOverRecord(record), 0});
     }
+    const size_t limit = single_writes_ ? 1 : kMaxWavesInWrite;
     for (auto& [number, wave] : waves_) {
-      if (!wave.changed) {
+      if (!wave.changed || now < wave.write_at) {
         continue;
       }
+      if (written.size() == limit) {
+        break;
+      }
       wave.changed = false;
       WaveRecord record;
       record.due = wave.due;
@@ -169,8 +177,11 @@
     writing_ = false;
     if (outcome == RecordWriter::Outcome::kDeposed) {
       deposed_ = true;
+    } else if (outcome == RecordWriter::Outcome::kRefused) {
+      OnRecordsRefused(waves, clock_.Now());
     } else {
       active_written_ = true;
+      single_writes_ = false;
       for (const uint64_t number : waves) {
         Wave& wave = waves_[number];
         // What was planned during this write is part of the next one.
@@ -192,6 +203,22 @@
   wake_();
 }
 
+void InstanceController::OnRecordsRefused(const std::vector<uint64_t>& waves,
+                                          MonoTime now) {
+  for (const uint64_t number : waves) {
+    waves_[number].changed = true;
+  }
+  single_writes_ = true;
+  if (waves.size() != 1) {
+    return;
+  }
+  Wave& wave = waves_[waves.front()];
+  wave.write_at = now + kRefusedRecordDelay;
+  LogEvent(LogLevel::kError, LogCategory::kMaintenance, "wave_record_refused",
+           {{"wave", absl::StrCat(waves.front())},
+            {"instances", absl::StrCat(wave.state.instances.size())}});
+}
+
 void InstanceController::SendMaintenanceOrders(MonoTime now) {
   std::vector<std::pair<uint64_t, std::string>> to_send;
   MonoTime send_by;
--- a/Source/Core/Ownership/record_writer.cc
+++ b/Source/Core/Ownership/record_writer.cc
@@ -83,6 +83,15 @@
 void RecordWriter::OnCommitResponse(MonoTime sent_at,
                                     const Result<TransactionResult>& result) {
   const MonoTime now = clock_.Now();
+  if (!result && result.error().code == ErrorCode::kRefused) {
+    LogEvent(LogLevel::kError, LogCategory::kPlatform, "store_write_refused",
+             {{"pool", ownership_.pool},
+              {"writes", absl::StrCat(transaction_.writes.size())},
+              {"removals", absl::StrCat(transaction_.removals.size())},
+              {"error", ToString(result.error())}});
+    FinishWrite(Outcome::kRefused);
+    return;
+  }
   if (!result) {
     const bool no_response = result.error().code != ErrorCode::kUnavailable;
     retries_.Add();
--- a/Source/Core/Ownership/record_writer.h
+++ b/Source/Core/Ownership/record_writer.h
@@ -37,7 +37,13 @@
     uint64_t sequence_revision = 0;
   };
 
-  enum class Outcome { kWritten, kDeposed };
+  enum class Outcome {
+    kWritten,
+    kDeposed,
+    // The store has refused the transaction and would refuse it again; nothing
+    // of it was written.
+    kRefused,
+  };
   using Done = std::function<void(Outcome)>;
 
   // Maximum number of records in one transaction, which also holds the
--- a/Source/Core/Ownership/store_session.cc
+++ b/Source/Core/Ownership/store_session.cc
@@ -123,9 +123,11 @@
     return;
   }
   next_request_at_ = sent_at + kLeaseRetryDelay;
-  probing_ = ttl.error().code != ErrorCode::kNotFound &&
-             ttl.error().code != ErrorCode::kUnavailable;
-  if (ttl.error().code == ErrorCode::kNotFound) {
+  const ErrorCode code = ttl.error().code;
+  const bool ended =
+      code == ErrorCode::kNotFound || code == ErrorCode::kRefused;
+  probing_ = !ended && code != ErrorCode::kUnavailable;
+  if (ended) {
     LogEvent(LogLevel::kWarning, LogCategory::kPlatform, "lease_ended",
              {{"lease", absl::StrCat(lease)}});
     lease_ = 0;
--- a/Source/Core/Platform/transactional_store.h
+++ b/Source/Core/Platform/transactional_store.h
@@ -103,7 +103,8 @@
 //
 // Errors: kUnavailable, the call certainly had no effect; kUnknownOutcome and
 // kDeadlineExceeded, a write may have taken effect or may do so seconds later
-// if its conditions still hold; kNotFound, no such key or lease; kInvalid, the
+// if its conditions still hold; kRefused, the call had no effect and would be
+// refused again; kNotFound, no such key or lease; kInvalid, the
 // answer cannot be read; kResourceExhausted, it is too large; kCancelled, of
 // reads only: by EndIfSilent or the end of the client.
 class TransactionalStore {
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -140,6 +140,10 @@
   // never runs.
   bool write_sent = false;
   bool queued_for_write = false;
+  // The store has refused the last record: the next one waits until then.
+  std::optional<MonoTime> record_held_until;
+  // Bytes of the record in the write in progress.
+  size_t record_bytes = 0;
   // Status that the store holds, which is the one reported to callers.
   JobStatus durable_status = JobStatus::kLive;
   MonoTime finished_at;
--- a/Source/Core/Scheduling/placement.h
+++ b/Source/Core/Scheduling/placement.h
@@ -9,6 +9,16 @@
 
 namespace figflow {
 
+// What became of the waiting tasks of a stage.
+enum class StagePlacement {
+  // All tasks have a worker.
+  kPlaced,
+  // A worker lacks free capacity for a task that it may run.
+  kWaitsForCapacity,
+  // No worker may run the tasks that wait.
+  kWaits,
+};
+
 // A worker that can take tasks now.
 struct WorkerOption {
   const WorkerReport* report = nullptr;
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -18,12 +18,11 @@
 #include "Scheduling/customer_limits.h"
 #include "Scheduling/customer_usage.h"
 #include "Scheduling/duration_model.h"
-#include "Scheduling/fleet_plan.h"
-#include "Scheduling/job.h"
-#include "Scheduling/lease_record.h"
 #include "Scheduling/open_orders.h"
 #include "Scheduling/orders.h"
 #include "Scheduling/pool_report.h"
+#include "Scheduling/pool_scheduler_options.h"
+#include "Scheduling/record_queue.h"
 #include "Scheduling/worker_state.h"
 #include "absl/container/flat_hash_map.h"
 
@@ -31,6 +30,7 @@
 
 class FairSequence;
 class MetricsRegistry;
+enum class StagePlacement;
 struct PlacementObstacles;
 struct SchedulerMetrics;
 struct WaitingStage;
@@ -49,22 +49,7 @@
 //   lease has certainly run out.
 class PoolScheduler {
  public:
-  struct Options {
-    std::string pool;
-    ExecutionBounds bounds;
-    // Fence of this owner. Workers that have seen it refuse orders of earlier
-    // owners.
-    uint64_t fence = 0;
-    // How long an earlier owner may continue to renew leases after this one
-    // took over, on workers that only the earlier one reaches.
-    std::chrono::milliseconds earlier_owner_grace{0};
-    // Leases that the last owner has handed over, as of the start of this one.
-    // They replace the longest possible lease for these workers.
-    RemainingLeases handed_over_leases;
-    // Counts what the accepted jobs of all pools of this process take; null if
-    // nothing bounds them beside the limit of this pool.
-    std::shared_ptr<WorkMemory> process_memory;
-  };
+  using Options = PoolSchedulerOptions;
 
   PoolScheduler(Options options, MetricsRegistry& metrics, MonoTime now);
   ~PoolScheduler();
@@ -86,7 +71,6 @@
   // Handles the removal of a worker from the registry, which proves nothing
   // about its runs.
   void OnWorkerUnlisted(const std::string& id, MonoTime now);
-
   // Handles a registry entry of a later worker on the instance of `worker`,
   // which proves that this incarnation, and all before it, have ended.
   void OnWorkerSuperseded(const WorkerKey& worker, MonoTime now);
@@ -119,8 +103,8 @@
   Result<JobView> LookUp(const std::string& job,
                          uint64_t plan_version,
                          MonoTime now);
-  // Returns whether a daemon with a later plan has looked the job up and may
-  // have submitted it to another pool.
+  // Returns whether a daemon with a later plan may have submitted the job to
+  // another pool.
   bool IsSubmittedElsewhere(const std::string& id,
                             uint64_t plan_version,
                             MonoTime now) const;
@@ -150,9 +134,15 @@
   // Returns up to `limit` records to write; empty if there are none. The write
   // must be carried out before the next call.
   std::vector<RecordWrite> TakeWrites(size_t limit);
-  bool HasWrites() const;
+  bool HasWrites() const { return records_.HasWrites(); }
   // Handles the completed write of the records of the last TakeWrites.
   void OnWritten(MonoTime now);
+  // Handles the final refusal of that write by the store. Once the refused
+  // record is known, a job that is not stored yet is refused; the changes of
+  // another one wait, and those of other jobs are written.
+  void OnWriteRefused(MonoTime now);
+  // Number of jobs whose changes the store refuses.
+  size_t RefusedRecords() const { return records_.held_back(); }
 
   // Evacuates these workers and no others, as long as the evacuation is
   // requested at least every 2 s. Tasks of the workers in `lent` are not
@@ -190,7 +180,6 @@
   // never sent are refused, since they were certainly not accepted.
   void Abandon();
 
-  // Returns the memory that the accepted jobs count for, in bytes.
   size_t WorkMemoryInUse() const { return work_memory_->used(); }
 
   // Returns whether a worker is kept free for a large task.
@@ -216,10 +205,8 @@
                WallTime wall);
   void MarkChanged(const std::shared_ptr<Job>& job);
   void Finish(const std::shared_ptr<Job>& job, JobStatus status, MonoTime now);
-  // Opens the occurrences that are due, as far as the tasks of all open ones
-  // stay within a limit. Each job may have one open.
+  // Opens due occurrences: one of each job, and more as far as they fit.
   void OpenDueOccurrences(MonoTime now, WallTime wall);
-  // Updates what the job counts for in `work_memory_`.
   static void CountMemory(Job& job);
   void RefuseForMemory(const JobSpec& spec, uint64_t token, MonoTime now);
   void RemoveFinishedJobs(MonoTime now);
@@ -239,6 +226,12 @@
 
   // pool_scheduler_records.cc
   void OnJobDurable(const std::shared_ptr<Job>& job, MonoTime now);
+  // Refuses a job that is certainly not in the store, and forgets it.
+  void RefuseUnwrittenJob(const std::shared_ptr<Job>& job,
+                          std::chrono::milliseconds retry_after,
+                          const char* reason,
+                          MonoTime now);
+  void HoldBackRecord(const std::shared_ptr<Job>& job, MonoTime now);
 
   // pool_scheduler_workers.cc
   WorkerState* FindWorker(const WorkerKey& key);
@@ -420,14 +413,6 @@
   void Dispatch(MonoTime now);
   CandidateWorkers FindCandidateWorkers(MonoTime now);
   std::vector<ReadyStage> ReadyStages(MonoTime now);
-  enum class StagePlacement {
-    // All tasks have a worker.
-    kPlaced,
-    // A worker lacks free capacity for a task that it may run.
-    kWaitsForCapacity,
-    // No worker may run the tasks that wait.
-    kWaits,
-  };
   // Plans the waiting tasks of a stage as far as the free capacity allows.
   StagePlacement PlanStage(const ReadyStage& item,
                            CandidateWorkers& board,
@@ -480,9 +465,7 @@
   std::map<std::string, std::shared_ptr<Job>> open_jobs_;
   // Finished jobs by the time at which they finished.
   std::deque<std::shared_ptr<Job>> finished_jobs_;
-  std::deque<std::string> removals_;
-  std::deque<std::shared_ptr<Job>> changed_jobs_;
-  std::vector<std::shared_ptr<Job>> jobs_in_write_;
+  RecordQueue records_;
   WorkerMap workers_;
   CustomerUsage usage_;
   CapacityReservation reservation_;
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -133,6 +133,10 @@
     MonoTime now) {
   std::vector<ReadyStage> ready;
   for (const auto& [id, job] : open_jobs_) {
+    if (job->record_held_until) {
+      // An assignment could not become durable.
+      continue;
+    }
     const QueueConfig* queue = plan_->FindQueueByName(job->spec.queue);
     for (const auto& [number, occurrence] : job->occurrences) {
       std::optional<DispatchRank> rank;
@@ -189,7 +193,7 @@
   }
 }
 
-PoolScheduler::StagePlacement PoolScheduler::PlanBesideReservation(
+StagePlacement PoolScheduler::PlanBesideReservation(
     const ReadyStage& item,
     CandidateWorkers& board,
     ReservationScan& reservation) {
@@ -324,9 +328,9 @@
   return {};
 }
 
-PoolScheduler::StagePlacement PoolScheduler::PlanStage(const ReadyStage& item,
-                                                       CandidateWorkers& board,
-                                                       MonoTime now) {
+StagePlacement PoolScheduler::PlanStage(const ReadyStage& item,
+                                        CandidateWorkers& board,
+                                        MonoTime now) {
   Stage& stage = item.GetStage();
   const StageSpec& spec = item.Spec();
   board.max_tasks = CountWithinCap(*item.job, spec, stage.waiting, now);
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -180,8 +180,7 @@
   CountMemory(*job);
   jobs_[job->spec.id] = job;
   open_jobs_[job->spec.id] = job;
-  job->queued_for_write = true;
-  changed_jobs_.push_back(job);
+  records_.Add(job);
   dispatch_needed_ = true;
 }
 
@@ -286,10 +285,7 @@
 
 void PoolScheduler::MarkChanged(const std::shared_ptr<Job>& job) {
   ++job->version;
-  if (!job->queued_for_write) {
-    job->queued_for_write = true;
-    changed_jobs_.push_back(job);
-  }
+  records_.Add(job);
 }
 
 void PoolScheduler::Finish(const std::shared_ptr<Job>& job,
@@ -297,6 +293,10 @@
                            MonoTime now) {
   job->status = status;
   job->finished_at = now;
+  // The last record of a job is far smaller than the refused one.
+  if (job->record_held_until) {
+    job->record_held_until = now;
+  }
   MarkChanged(job);
   open_jobs_.erase(job->spec.id);
   finished_jobs_.push_back(job);
@@ -350,7 +350,7 @@
         job->durable_status == JobStatus::kLive) {
       return;
     }
-    removals_.push_back(job->spec.id);
+    records_.AddRemoval(job->spec.id);
     jobs_.erase(job->spec.id);
     finished_jobs_.pop_front();
   }
--- a/Source/Core/Scheduling/pool_scheduler_records.cc
+++ b/Source/Core/Scheduling/pool_scheduler_records.cc
@@ -1,5 +1,6 @@
 // Writes the records of jobs and applies the effects of durable ones.
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "Common/log.h"
@@ -9,45 +10,22 @@
 
 namespace figflow {
 
-std::vector<RecordWrite> PoolScheduler::TakeWrites(size_t limit) {
-  std::vector<RecordWrite> writes;
-  // A job that changes again during its write waits for the next write.
-  while (writes.size() < limit && !changed_jobs_.empty()) {
-    std::shared_ptr<Job> job = std::move(changed_jobs_.front());
-    changed_jobs_.pop_front();
-    job->queued_for_write = false;
-    job->writing_version = job->version;
-    job->write_sent = true;
-    RecordWrite write;
-    write.job = job->spec.id;
-    if (job->durable_version == 0) {
-      write.kind = RecordWrite::Kind::kAccepted;
-      write.value = FormatAcceptedJob(*job);
-    } else {
-      write.value = FormatProgress(*job);
-    }
-    writes.push_back(std::move(write));
-    jobs_in_write_.push_back(std::move(job));
-  }
-  while (writes.size() + 1 < limit && !removals_.empty()) {
-    for (const auto kind :
-         {RecordWrite::Kind::kAccepted, RecordWrite::Kind::kProgress}) {
-      writes.push_back({kind, removals_.front(), "", true});
-    }
-    removals_.pop_front();
-  }
-  return writes;
-}
+namespace {
+
+// Delay before the next record of a job whose last one the store has refused.
+constexpr std::chrono::seconds kRefusedRecordDelay{2};
+// Retry delay for callers whose job the store refuses: its record will be the
+// same, unless the store's limits are changed.
+constexpr std::chrono::milliseconds kRefusedJobRetryDelay{10'000};
 
-bool PoolScheduler::HasWrites() const {
-  return !changed_jobs_.empty() || !removals_.empty();
+}  // namespace
+
+std::vector<RecordWrite> PoolScheduler::TakeWrites(size_t limit) {
+  return records_.Take(limit, std::numeric_limits<size_t>::max());
 }
 
 void PoolScheduler::OnWritten(MonoTime now) {
-  std::vector<std::shared_ptr<Job>> written = std::move(jobs_in_write_);
-  jobs_in_write_.clear();
-  for (const std::shared_ptr<Job>& job : written) {
-    job->durable_version = std::exchange(job->writing_version, 0);
+  for (const std::shared_ptr<Job>& job : records_.TakeWritten()) {
     OnJobDurable(job, now);
   }
   for (auto& [key, worker] : workers_) {
@@ -55,6 +33,53 @@
   }
 }
 
+void PoolScheduler::OnWriteRefused(MonoTime now) {
+  const RecordQueue::Refused refused = records_.TakeRefused();
+  const auto report = [&](const std::string& job, const char* kind,
+                          size_t bytes) {
+    stats_->records_refused.Add();
+    LogEvent(LogLevel::kError, LogCategory::kJobs, "record_refused",
+             {{"job", job},
+              {"pool", options_.pool},
+              {"kind", kind},
+              {"bytes", absl::StrCat(bytes)}});
+  };
+  if (!refused.removal.empty()) {
+    // The next owner tries to remove the records again.
+    report(refused.removal, "removal", 0);
+  }
+  const std::shared_ptr<Job>& job = refused.job;
+  if (job == nullptr) {
+    return;
+  }
+  const bool stored = job->durable_version > 0;
+  report(job->spec.id, stored ? "progress" : "accepted", job->record_bytes);
+  if (stored) {
+    HoldBackRecord(job, now);
+    return;
+  }
+  records_.Remove(job);
+  RefuseUnwrittenJob(job, kRefusedJobRetryDelay, "record-refused", now);
+}
+
+void PoolScheduler::HoldBackRecord(const std::shared_ptr<Job>& job,
+                                   MonoTime now) {
+  // No order was sent for planned tasks, so their runs never existed.
+  for (auto& [number, occurrence] : job->occurrences) {
+    for (size_t i = 0; i < occurrence.stages.size(); ++i) {
+      std::vector<Task>& tasks = occurrence.stages[i].tasks;
+      for (size_t k = 0; k < tasks.size(); ++k) {
+        if (tasks[k].phase == TaskPhase::kPlanned) {
+          ReturnTask({job, number, static_cast<int>(i), static_cast<int>(k)},
+                     now);
+          --tasks[k].run;
+        }
+      }
+    }
+  }
+  records_.HoldBack(job, now + kRefusedRecordDelay);
+}
+
 void PoolScheduler::OnJobDurable(const std::shared_ptr<Job>& job,
                                  MonoTime now) {
   for (const uint64_t token : job->submit_tokens) {
@@ -117,30 +142,33 @@
 
 void PoolScheduler::RefuseUnwrittenJobs(std::chrono::milliseconds retry_after,
                                         MonoTime now) {
-  std::deque<std::shared_ptr<Job>> kept;
-  for (const std::shared_ptr<Job>& job : changed_jobs_) {
-    if (job->durable_version > 0 || job->write_sent) {
-      kept.push_back(job);
-      continue;
-    }
-    for (const uint64_t token : job->submit_tokens) {
-      output_.submit_responses.push_back(
-          {token, SubmitOutcome::kRefused, retry_after, "store-silent"});
-      stats_->refused.Add();
-    }
-    for (const uint64_t token : job->cancel_tokens) {
-      output_.cancel_responses.push_back({token, CancelOutcome::kNotFound});
-    }
-    // No order was sent for planned tasks.
-    job->status = JobStatus::kCancelled;
-    StopJobTasks(job, now);
-    open_jobs_.erase(job->spec.id);
-    finished_jobs_.erase(
-        std::remove(finished_jobs_.begin(), finished_jobs_.end(), job),
-        finished_jobs_.end());
-    jobs_.erase(job->spec.id);
+  for (const std::shared_ptr<Job>& job : records_.TakeNeverSent()) {
+    RefuseUnwrittenJob(job, retry_after, "store-silent", now);
+  }
+}
+
+void PoolScheduler::RefuseUnwrittenJob(const std::shared_ptr<Job>& job,
+                                       std::chrono::milliseconds retry_after,
+                                       const char* reason,
+                                       MonoTime now) {
+  for (const uint64_t token : job->submit_tokens) {
+    output_.submit_responses.push_back(
+        {token, SubmitOutcome::kRefused, retry_after, reason});
+    stats_->refused.Add();
+  }
+  job->submit_tokens.clear();
+  for (const uint64_t token : job->cancel_tokens) {
+    output_.cancel_responses.push_back({token, CancelOutcome::kNotFound});
   }
-  changed_jobs_ = std::move(kept);
+  job->cancel_tokens.clear();
+  // No order was sent for planned tasks.
+  job->status = JobStatus::kCancelled;
+  StopJobTasks(job, now);
+  open_jobs_.erase(job->spec.id);
+  finished_jobs_.erase(
+      std::remove(finished_jobs_.begin(), finished_jobs_.end(), job),
+      finished_jobs_.end());
+  jobs_.erase(job->spec.id);
 }
 
 }  // namespace figflow
--- a/Source/Core/Scheduling/pool_scheduler_step.cc
+++ b/Source/Core/Scheduling/pool_scheduler_step.cc
@@ -78,6 +78,7 @@
 
 MonoTime PoolScheduler::Step(MonoTime now, WallTime wall) {
   next_wake_ = now + kMaxStepInterval;
+  Wake(records_.ReleaseDue(now, &dispatch_needed_));
   OpenDueOccurrences(now, wall);
   RemoveFinishedJobs(now);
   CheckWorkers(now);
--- a/Source/Core/Scheduling/scheduler_metrics.cc
+++ b/Source/Core/Scheduling/scheduler_metrics.cc
@@ -25,6 +25,7 @@
       stops(metrics.GetCounter("figflow_stop_orders_total")),
       holds(metrics.GetCounter("figflow_hold_orders_total")),
       workers_lost(metrics.GetCounter("figflow_workers_lost_total")),
+      records_refused(metrics.GetCounter("figflow_records_refused_total")),
       time_to_accept(metrics.GetHistogram("figflow_job_accept")),
       time_to_start(metrics.GetHistogram("figflow_job_start")),
       time_to_complete(metrics.GetHistogram("figflow_job_complete")),
--- a/Source/Core/Scheduling/scheduler_metrics.h
+++ b/Source/Core/Scheduling/scheduler_metrics.h
@@ -33,6 +33,7 @@
   Counter& stops;
   Counter& holds;
   Counter& workers_lost;
+  Counter& records_refused;
   LatencyHistogram& time_to_accept;
   LatencyHistogram& time_to_start;
   LatencyHistogram& time_to_complete;
--- a/Source/StandIns/Fleet/model_store.cc
+++ b/Source/StandIns/Fleet/model_store.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "StandIns/Fleet/model_store_sizes.h"
 #include "absl/strings/match.h"
 
 namespace figflow::model {
@@ -11,32 +12,6 @@
 constexpr size_t kPageItems = 500;
 constexpr std::chrono::milliseconds kStoreLeaseCheck{50};
 
-// On the wire values are text, and each item has some fields beside them.
-constexpr size_t kItemOverhead = 100;
-
-size_t AnswerBytes(const std::vector<StoreItem>& items) {
-  size_t bytes = 0;
-  for (const StoreItem& item : items) {
-    bytes += item.key.size() + item.value.size() * 4 / 3 + kItemOverhead;
-  }
-  return bytes;
-}
-
-template <typename T>
-size_t AnswerBytes(const T& /*answer*/) {
-  return kItemOverhead;
-}
-
-template <>
-size_t AnswerBytes(const RangePage& page) {
-  return AnswerBytes(page.items);
-}
-
-template <>
-size_t AnswerBytes(const std::optional<StoreItem>& item) {
-  return item ? AnswerBytes(std::vector<StoreItem>{*item}) : kItemOverhead;
-}
-
 Error Lost(const char* step) {
   return {ErrorCode::kUnknownOutcome, step, "store", "no answer"};
 }
@@ -59,6 +34,11 @@
     Call<TransactionResult>(
         "model.commit", true, timeout,
         [this, transaction]() -> Result<TransactionResult> {
+          if (!IsWithinLimits(transaction, store_.faults.max_value_bytes)) {
+            ++store_.refused_;
+            return Fail(ErrorCode::kRefused, "model.commit", "store",
+                        "a limit is exceeded");
+          }
           bool lease_missing = false;
           TransactionResult result = store_.Apply(transaction, &lease_missing);
           if (lease_missing) {
@@ -201,6 +181,9 @@
     Call<std::chrono::milliseconds>(
         "model.keep", false, timeout,
         [this, lease]() -> Result<std::chrono::milliseconds> {
+          if (store_.faults.refuse_renewals) {
+            return Fail(ErrorCode::kRefused, "model.keep", "store", "refused");
+          }
           const auto known = store_.leases_.find(lease);
           if (known == store_.leases_.end()) {
             return Fail(ErrorCode::kNotFound, "model.keep", "store",
--- a/Source/StandIns/Fleet/model_store.h
+++ b/Source/StandIns/Fleet/model_store.h
@@ -26,6 +26,10 @@
   // they are carried out 1 to 6 s later.
   double lost_share = 0;
   bool lost_late = false;
+  // A write of a larger value is refused.
+  size_t max_value_bytes = 1'048'576;
+  // Lease renewals are refused.
+  bool refuse_renewals = false;
 };
 
 // The platform's store in memory, as its contract says.
@@ -45,6 +49,8 @@
   void SwallowWatches();
   // Takes away the keys that carry a lease of this daemon.
   void Revoke(const std::string& key);
+  // Transactions that were refused since the start.
+  uint64_t refused() const { return refused_; }
   // Writes that were carried out since the start.
   uint64_t commits() const { return commits_; }
   const StoreItem* Find(const std::string& key) const;
@@ -77,6 +83,7 @@
   std::mt19937_64 random_;
   uint64_t revision_ = 1;
   uint64_t commits_ = 0;
+  uint64_t refused_ = 0;
   uint64_t forgotten_ = 0;
   LeaseId next_lease_ = 1;
   std::map<std::string, StoreItem> items_;
--- a/Source/UnitTests/Ownership/ownership_test.cc
+++ b/Source/UnitTests/Ownership/ownership_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(WriteSurvivesLostResponses);
   CPPUNIT_TEST(LateCopyOfAWriteChangesNothing);
   CPPUNIT_TEST(DeposedOwnerWritesNothing);
+  CPPUNIT_TEST(RefusedWriteIsNotRepeated);
+  CPPUNIT_TEST(RefusedRenewalTakesNewLease);
   CPPUNIT_TEST(StoppedWriterReleasesCallback);
   CPPUNIT_TEST(LeaseValidityCountsFromSendTime);
   CPPUNIT_TEST(ExpiredLeaseIsReplaced);
@@ -71,6 +73,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("new"), store_.Find("k")->value);
   }
 
+  // Guards against a pool that repeats a write which the store will never take,
+  // and writes nothing else.
+  void RefusedWriteIsNotRepeated() {
+    auto writer = MakeWriter("n1");
+    store_.faults.max_value_bytes = 100;
+    int ended = 0;
+    writer->Write({{"k", std::string(101, 'v'), 0}}, {},
+                  [&](RecordWriter::Outcome result) {
+                    ++ended;
+                    CPPUNIT_ASSERT(result == RecordWriter::Outcome::kRefused);
+                  });
+    StepFor(*writer, seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, ended);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, store_.refused());
+    int written = 0;
+    Write(*writer, "k", "v", &written);
+    StepFor(*writer, seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1, written);
+    CPPUNIT_ASSERT_EQUAL(std::string("v"), store_.Find("k")->value);
+  }
+
+  // Same failure for the lease of a daemon, which could own nothing any more.
+  void RefusedRenewalTakesNewLease() {
+    auto session = std::make_shared<StoreSession>(*view_, SessionOptions());
+    RunSession(*session, seconds(1));
+    const LeaseId first = session->lease();
+    CPPUNIT_ASSERT(first != 0);
+    store_.faults.refuse_renewals = true;
+    RunSession(*session, seconds(1));
+    store_.faults.refuse_renewals = false;
+    RunSession(*session, seconds(1));
+    CPPUNIT_ASSERT(session->lease() != 0);
+    CPPUNIT_ASSERT(session->lease() != first);
+    CPPUNIT_ASSERT(session->lease_valid_until() > time_.Now());
+  }
+
   // Guards against a memory leak: a callback that is never called would keep
   // the state of a pool that is released during a write.
   void StoppedWriterReleasesCallback() {
--- a/Source/UnitTests/Scheduling/scheduler_driver.h
+++ b/Source/UnitTests/Scheduling/scheduler_driver.h
@@ -131,8 +131,18 @@
   }
 
   // Lets the store accept all pending writes. Returns the records.
-  std::vector<RecordWrite> Write() {
+  std::vector<RecordWrite> Write() { return WriteUnless(""); }
+  // Same, but lets the store refuse the write if it has a record of this job.
+  std::vector<RecordWrite> WriteUnless(const std::string& refused) {
     std::vector<RecordWrite> writes = scheduler_->TakeWrites(28);
+    const bool refuse = std::any_of(
+        writes.begin(), writes.end(),
+        [&](const RecordWrite& write) { return write.job == refused; });
+    if (refuse) {
+      scheduler_->OnWriteRefused(now_);
+      Step();
+      return {};
+    }
     for (const RecordWrite& write : writes) {
       JobRecords& record = records_[write.job];
       if (write.kind == RecordWrite::Kind::kAccepted) {
--- a/Source/UnitTests/Wire/store_calls_test.cc
+++ b/Source/UnitTests/Wire/store_calls_test.cc
@@ -59,6 +59,11 @@
     const Case cases[] = {
         {503, true, "", ErrorCode::kUnavailable},
         {429, true, "", ErrorCode::kUnavailable},
+        {408, true, "", ErrorCode::kUnavailable},
+        // The same call would get the same response.
+        {400, true, "", ErrorCode::kRefused},
+        {403, true, "", ErrorCode::kRefused},
+        {413, true, "", ErrorCode::kRefused},
         {0, false, "", ErrorCode::kUnavailable},
         {0, true, "", ErrorCode::kUnknownOutcome},
         {404, true, "", ErrorCode::kNotFound},
