--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -2,14 +2,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "Common/log.h"
-#include "Scheduling/dispatch_order.h"
 #include "Scheduling/fair_share.h"
-#include "Scheduling/placement.h"
 #include "Scheduling/pool_scheduler.h"
+#include "Scheduling/pool_scheduler_dispatch.h"
 #include "Scheduling/pool_scheduler_reservation.h"
-#include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 
 namespace figflow {
 namespace {
@@ -17,11 +13,6 @@
 // A pool of which half is in use counts as full after this many stages that
 // wait for free capacity; the next ended run or step scans the stages again.
 constexpr int kMaxStagesWithoutCapacity = 32;
-// Minimum intervals between two logs of wait reasons for one stage, and for the
-// whole pool: at a peak hundreds of stages wait for the same reason.
-constexpr std::chrono::milliseconds kStageWaitLogInterval{2'000};
-constexpr std::chrono::milliseconds kPoolWaitLogInterval{250};
-
 // Maximum number of stages for which one scan looks for a worker to reserve.
 constexpr int kMaxReservationTries = 8;
 // Less than any task requests.
@@ -41,20 +32,6 @@
 
 }  // namespace
 
-// Workers that can take tasks now, and their free capacity while stages are
-// planned.
-struct PoolScheduler::CandidateWorkers {
-  std::vector<WorkerState*> workers;
-  std::vector<WorkerOption> options;
-  // Number of tasks of the present stage that may start by the cap of its
-  // customer.
-  int max_tasks = 0;
-
-  void Add(WorkerState& worker, MonoTime now);
-  // Returns whether half of the processors or of the memory is in use.
-  bool IsHalfUsed() const;
-};
-
 void PoolScheduler::CandidateWorkers::Add(WorkerState& worker, MonoTime now) {
   WorkerOption option;
   option.report = &worker.report;
@@ -80,21 +57,6 @@
          half_used(room.memory_mb, capacity.memory_mb);
 }
 
-struct PoolScheduler::ReadyStage {
-  DispatchRank rank;
-  std::shared_ptr<Job> job;
-  int occurrence = 0;
-  int stage = 0;
-  const QueueConfig* queue = nullptr;
-
-  Stage& GetStage() const {
-    return job->occurrences.at(occurrence).stages[stage];
-  }
-  const StageSpec& Spec() const { return job->spec.stages[stage]; }
-  // Requested by the waiting tasks together.
-  Resources Demand() const;
-};
-
 Resources PoolScheduler::ReadyStage::Demand() const {
   return ReservedResources(Spec()) * GetStage().waiting;
 }
@@ -405,32 +367,6 @@
   return placement;
 }
 
-void PoolScheduler::LogPlacement(const ReadyStage& item,
-                                 const CandidateWorkers& board,
-                                 const std::vector<std::pair<int, int>>& chosen,
-                                 MonoTime now) const {
-  std::map<std::string, int> on_worker;
-  for (const auto& [index, worker] : chosen) {
-    ++on_worker[board.workers[worker]->report.key.id];
-  }
-  const std::string workers =
-      absl::StrJoin(on_worker, ",", absl::PairFormatter(":"));
-  const Occurrence& occurrence = item.job->occurrences.at(item.occurrence);
-  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "stage_placed",
-           {{"job", item.job->spec.id},
-            {"occurrence", absl::StrCat(item.occurrence)},
-            {"stage", absl::StrCat(item.stage)},
-            {"pool", options_.pool},
-            {"fence", absl::StrCat(options_.fence)},
-            {"tasks", absl::StrCat(chosen.size())},
-            {"left", absl::StrCat(item.GetStage().waiting)},
-            {"urgency", std::string(UrgencyName(item.rank.urgency))},
-            {"since_due_ms",
-             absl::StrCat(WholeMilliseconds(now - occurrence.due).count())},
-            {"usable_workers", absl::StrCat(board.options.size())},
-            {"workers", workers}});
-}
-
 void PoolScheduler::QueryPolicy(const ReadyStage& item,
                                 const CandidateWorkers& board,
                                 MonoTime now) {
@@ -464,39 +400,4 @@
   output_.questions.push_back(std::move(question));
 }
 
-bool PoolScheduler::TakeWaitLogTurn(Stage& stage, MonoTime now) {
-  if (now - stage.wait_logged_at < kStageWaitLogInterval ||
-      now - wait_logged_at_ < kPoolWaitLogInterval) {
-    return false;
-  }
-  stage.wait_logged_at = now;
-  wait_logged_at_ = now;
-  return true;
-}
-
-void PoolScheduler::LogWaitReasons(const ReadyStage& item,
-                                   const CandidateWorkers& board,
-                                   const PlacementObstacles& obstacles,
-                                   int waiting,
-                                   MonoTime now) {
-  if (!TakeWaitLogTurn(item.GetStage(), now)) {
-    return;
-  }
-  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
-           {{"job", item.job->spec.id},
-            {"stage", absl::StrCat(item.stage)},
-            {"pool", options_.pool},
-            {"waiting", absl::StrCat(waiting)},
-            {"urgency", std::string(UrgencyName(item.rank.urgency))},
-            {"workers", absl::StrCat(workers_.size())},
-            {"usable", absl::StrCat(board.options.size())},
-            {"no_processor", absl::StrCat(obstacles.no_processor)},
-            {"no_memory", absl::StrCat(obstacles.no_memory)},
-            {"limit_per_worker", absl::StrCat(obstacles.limit_per_worker)},
-            {"no_label", absl::StrCat(obstacles.no_label)},
-            {"no_ticket", absl::StrCat(obstacles.no_ticket)},
-            {"reserved_worker",
-             reservation_.current() ? reservation_.current()->worker.id : ""}});
-}
-
 }  // namespace figflow
