Keep records and writes within the store's limits

Cause: a record names all tasks that have begun. Only the tasks of one occurrence were limited, not those of all, nor the lengths of checkpoints, workers' names and lost runs; a write held up to 28 records of any size.

Change: platform.max_value_bytes, from the platform's ValueBytes, bounds a record: a task begins if the record has room for it, longer checkpoints are kept if they fit, and a write holds the bytes of one value. A refused record lowers its job's own limit. Gangs above 5,000 tasks, ids above 64 bytes and jobs above 512 KiB are refused as malformed.

--- a/Source/Core/Daemon/fleet_daemon.cc
+++ b/Source/Core/Daemon/fleet_daemon.cc
@@ -76,6 +76,7 @@
 ExecutionBounds BoundsOf(const Settings& settings) {
   ExecutionBounds bounds;
   bounds.max_lease = settings.max_lease;
+  bounds.max_record_bytes = static_cast<size_t>(settings.max_value_bytes);
   bounds.stop_time = settings.stop_time;
   bounds.gang_wait = settings.gang_wait;
   bounds.status_retention = ToMilliseconds(settings.status_retention_s);
--- a/Source/Core/Fleet/call_router_resolve.cc
+++ b/Source/Core/Fleet/call_router_resolve.cc
@@ -59,14 +59,15 @@
     return;
   }
   if (routed->call.kind == CallKind::kSubmit) {
-    if (const Result<void> valid = CheckJobSpec(routed->call.spec); !valid) {
+    const Result<void> valid = CheckJobSpec(routed->call.spec);
+    routed->spec_bytes = FormatJobSpec(routed->call.spec);
+    if (!valid || routed->spec_bytes.size() > kMaxSpecBytes) {
       CallerReply response;
       response.outcome = CallOutcome::kMalformed;
-      response.reason = valid.error().message;
+      response.reason = valid ? "the job is too large" : valid.error().message;
       FinishCall(routed, response);
       return;
     }
-    routed->spec_bytes = FormatJobSpec(routed->call.spec);
   }
   const QueueConfig* queue = plan->FindQueueByName(routed->call.queue);
   const std::optional<std::vector<std::string>> former_pools =
--- a/Source/Core/Scheduling/fleet_plan.h
+++ b/Source/Core/Scheduling/fleet_plan.h
@@ -111,6 +111,9 @@
   std::chrono::milliseconds stop_time{500};
   // How long a gang member waits for the other members.
   std::chrono::milliseconds gang_wait{3'000};
+  // Largest record that the store takes, in bytes. A transaction holds no more
+  // in total, beside a single record.
+  size_t max_record_bytes = size_t{1} << 20;
   // How long the status of a finished job can be queried.
   std::chrono::milliseconds status_retention{120'000};
   // How long before its due time an occurrence may start.
--- a/Source/Core/Scheduling/job.cc
+++ b/Source/Core/Scheduling/job.cc
@@ -71,6 +71,7 @@
 void ApplyStageProgress(const json& row,
                         const TaskName& stage_name,
                         Stage& stage,
+                        Job& job,
                         std::vector<RecordedAssignment>& assignments) {
   if (row.at(0).is_boolean()) {
     for (size_t i = 0; i < stage.tasks.size(); ++i) {
@@ -86,7 +87,7 @@
     Task& task = stage.tasks.at(index);
     task.run = entry.at(1).get<uint32_t>();
     task.failures = entry.at(2).get<uint16_t>();
-    task.checkpoint = entry.at(3).get<std::string>();
+    job.SetCheckpoint(task, entry.at(3).get<std::string>());
     if (entry.size() > 4) {
       task.phase = TaskPhase::kStarting;
       --stage.waiting;
@@ -198,6 +199,15 @@
   return occurrence;
 }
 
+void Job::SetCheckpoint(Task& task, std::string value) {
+  const auto long_bytes = [](const std::string& checkpoint) {
+    return checkpoint.size() > kShortCheckpoint ? checkpoint.size() : 0;
+  };
+  checkpoint_bytes -= long_bytes(task.checkpoint);
+  checkpoint_bytes += long_bytes(value);
+  task.checkpoint = std::move(value);
+}
+
 void Job::CloseFinishedOccurrences() {
   for (auto it = occurrences.begin(); it != occurrences.end();) {
     it = it->second.finished() ? occurrences.erase(it) : std::next(it);
@@ -308,7 +318,7 @@
           for (size_t i = 0; i < stages.size(); ++i) {
             const TaskName name{job.spec.id, number, static_cast<int>(i), 0};
             try {
-              ApplyStageProgress(stages[i], name, occurrence.stages[i],
+              ApplyStageProgress(stages[i], name, occurrence.stages[i], job,
                                  assignments);
             } catch (const std::out_of_range&) {
               return Fail(ErrorCode::kInvalid, kProgressStep, job.spec.id,
--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -2,6 +2,7 @@
 #define SCHEDULING_JOB_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +23,9 @@
 
 struct WorkerState;
 
+// Longest checkpoint that is kept in any case.
+inline constexpr size_t kShortCheckpoint = 64;
+
 enum class JobStatus {
   kLive,
   kCompleted,
@@ -144,6 +148,11 @@
   std::optional<MonoTime> record_held_until;
   // Bytes of the record in the write in progress.
   size_t record_bytes = 0;
+  // Largest record that may be written, lower than the store's limit after a
+  // refusal.
+  size_t record_limit = std::numeric_limits<size_t>::max();
+  // Bytes of the long checkpoints of all tasks.
+  size_t checkpoint_bytes = 0;
   // Status that the store holds, which is the one reported to callers.
   JobStatus durable_status = JobStatus::kLive;
   MonoTime finished_at;
@@ -164,6 +173,8 @@
 
   // Creates the state of occurrence `number`, due at `due`.
   Occurrence& OpenOccurrence(int number, MonoTime due);
+  // Replaces the checkpoint of a task.
+  void SetCheckpoint(Task& task, std::string value);
   // Drops the state of finished occurrences of a scheduled job.
   void CloseFinishedOccurrences();
   // Returns whether all tasks that the job requests are done.
--- a/Source/Core/Scheduling/job_spec.cc
+++ b/Source/Core/Scheduling/job_spec.cc
@@ -18,6 +18,9 @@
 // into one value of the store.
 constexpr int kMaxTasks = 20'000;
 constexpr size_t kMaxStages = 256;
+// The members of a gang begin together, and all are named in one record.
+constexpr int kMaxGangTasks = 5'000;
+constexpr size_t kMaxIdBytes = 64;
 constexpr int kMaxOccurrences = 100'000;
 
 enum StageFlag : uint32_t {
@@ -128,6 +131,9 @@
   const auto fail = [&](const std::string& message) {
     return Fail(ErrorCode::kInvalid, kStep, spec.id, message);
   };
+  if (spec.id.size() > kMaxIdBytes) {
+    return fail("the id is too long");
+  }
   if (spec.id.empty() || spec.stages.empty() ||
       spec.stages.size() > kMaxStages) {
     return fail("no id, no stage or too many stages");
@@ -144,6 +150,9 @@
         size.accelerators < 0 || stage.max_per_worker < 0) {
       return fail(absl::StrCat("stage ", i, " has a number out of range"));
     }
+    if (stage.gang && stage.count > kMaxGangTasks) {
+      return fail(absl::StrCat("stage ", i, " is too large a gang"));
+    }
     for (const int earlier : stage.after) {
       if (earlier < 0 || earlier >= static_cast<int>(i)) {
         return fail(absl::StrCat("stage ", i,
--- a/Source/Core/Scheduling/job_spec.h
+++ b/Source/Core/Scheduling/job_spec.h
@@ -2,6 +2,7 @@
 #define SCHEDULING_JOB_SPEC_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,6 +13,10 @@
 
 namespace figflow {
 
+// Largest FormatJobSpec that is accepted, in bytes. It leaves the rest of the
+// job's record to its first progress.
+inline constexpr size_t kMaxSpecBytes = size_t{512} << 10;
+
 // Resources that a task requests or a worker offers.
 struct Resources {
   int64_t cpu_millicores = 0;
--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -138,10 +138,8 @@
   // Handles the completed write of the records of the last TakeWrites.
   void OnWritten(MonoTime now);
   // Handles the final refusal of that write by the store. Once the refused
-  // record is known, a job that is not stored yet is refused; the changes of
-  // another one wait, and those of other jobs are written.
+  // record is known, its job is refused, or waits if it is stored.
   void OnWriteRefused(MonoTime now);
-  // Number of jobs whose changes the store refuses.
   size_t RefusedRecords() const { return records_.held_back(); }
 
   // Evacuates these workers and no others, as long as the evacuation is
@@ -259,6 +257,8 @@
                              const TaskRef& ref,
                              const EndedRun& ended,
                              MonoTime now);
+  // Keeps a reported checkpoint, unless it is too long for the job's record.
+  void SaveCheckpoint(const TaskRef& ref, const std::string& checkpoint);
   // Completes the task, or the whole gang, whatever the state of later runs.
   void CompleteByEarlierRun(const TaskRef& ref, MonoTime now);
   // Logs an ended run that is acknowledged to the worker although its result
@@ -444,6 +444,7 @@
                    MonoTime now);
   // Returns whether the reasons why the stage waits may be logged now.
   bool TakeWaitLogTurn(Stage& stage, MonoTime now);
+  void LogRecordWait(const ReadyStage& item, int waiting, MonoTime now);
   void LogWaitReasons(const ReadyStage& item,
                       const CandidateWorkers& board,
                       const PlacementObstacles& obstacles,
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -6,6 +6,7 @@
 #include "Scheduling/pool_scheduler.h"
 #include "Scheduling/pool_scheduler_dispatch.h"
 #include "Scheduling/pool_scheduler_reservation.h"
+#include "Scheduling/record_size.h"
 
 namespace figflow {
 namespace {
@@ -30,6 +31,12 @@
       [](const Task& task) { return task.phase == TaskPhase::kWaiting; });
 }
 
+int CountNewTasks(const Stage& stage) {
+  return static_cast<int>(
+      std::count_if(stage.tasks.begin(), stage.tasks.end(),
+                    [](const Task& task) { return task.run == 0; }));
+}
+
 }  // namespace
 
 void PoolScheduler::CandidateWorkers::Add(WorkerState& worker, MonoTime now) {
@@ -245,9 +252,12 @@
   const StageSpec& spec = item.Spec();
   std::vector<int> stage_tasks = CountStageTasks(item, board);
   std::vector<std::pair<int, int>> chosen;
+  int new_tasks = 0;
   for (int k = 0; k < spec.count; ++k) {
     const Task& task = stage.tasks[k];
-    if (task.phase != TaskPhase::kWaiting) {
+    const bool is_new = task.run == 0;
+    if (task.phase != TaskPhase::kWaiting ||
+        (is_new && new_tasks == board.max_new_tasks)) {
       continue;
     }
     if (static_cast<int>(chosen.size()) == board.max_tasks) {
@@ -262,6 +272,7 @@
     board.options[worker].perpetual_tasks += spec.perpetual ? 1 : 0;
     ++stage_tasks[worker];
     chosen.emplace_back(k, worker);
+    new_tasks += is_new ? 1 : 0;
   }
   return chosen;
 }
@@ -300,6 +311,10 @@
     LogCapWait({item.job, item.occurrence, item.stage, 0}, stage.waiting, now);
     return StagePlacement::kWaits;
   }
+  const int new_tasks = CountNewTasks(stage);
+  board.max_new_tasks = CountTasksThatFitRecord(
+      *item.job, spec,
+      std::min(options_.bounds.max_record_bytes, item.job->record_limit));
   const bool has_policy =
       (item.queue != nullptr && item.queue->policy) || stage.advice.required();
   std::vector<bool> allowed(board.workers.size(), true);
@@ -330,6 +345,9 @@
     placement = StagePlacement::kWaits;
     LogCapWait({item.job, item.occurrence, item.stage, 0},
                stage.waiting - board.max_tasks, now);
+  } else if (!complete && new_tasks > board.max_new_tasks) {
+    placement = StagePlacement::kWaits;
+    LogRecordWait(item, stage.waiting - static_cast<int>(chosen.size()), now);
   } else if (!complete) {
     if (has_policy) {
       QueryPolicy(item, board, now);
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.h
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.h
@@ -18,6 +18,8 @@
   // Number of tasks of the present stage that may start by the cap of its
   // customer.
   int max_tasks = 0;
+  // Number of its tasks that may begin by the size of their job's record.
+  int max_new_tasks = 0;
 
   void Add(WorkerState& worker, MonoTime now);
   // Returns whether half of the processors or of the memory is in use.
--- a/Source/Core/Scheduling/pool_scheduler_dispatch_log.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch_log.cc
@@ -53,6 +53,20 @@
   return true;
 }
 
+void PoolScheduler::LogRecordWait(const ReadyStage& item,
+                                  int waiting,
+                                  MonoTime now) {
+  if (!TakeWaitLogTurn(item.GetStage(), now)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, LogCategory::kJobs, "tasks_wait",
+           {{"job", item.job->spec.id},
+            {"stage", absl::StrCat(item.stage)},
+            {"pool", options_.pool},
+            {"waiting", absl::StrCat(waiting)},
+            {"reason", "record_size"}});
+}
+
 void PoolScheduler::LogWaitReasons(const ReadyStage& item,
                                    const CandidateWorkers& board,
                                    const PlacementObstacles& obstacles,
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -24,10 +24,6 @@
 // Tasks of the occurrences that are open beside the first one of each job. They
 // keep a large pool busy while the next ones are opened.
 constexpr int64_t kMaxOverlappingTasks = 10'000;
-// Retry delay for callers whose job was refused for lack of memory: finished
-// jobs make room within seconds.
-constexpr std::chrono::milliseconds kMemoryRetryDelay{2'000};
-constexpr std::chrono::seconds kRefusalLogInterval{1};
 
 }  // namespace
 
@@ -184,35 +180,6 @@
   dispatch_needed_ = true;
 }
 
-void PoolScheduler::RefuseForMemory(const JobSpec& spec,
-                                    uint64_t token,
-                                    MonoTime now) {
-  output_.submit_responses.push_back(
-      {token, SubmitOutcome::kRefused, kMemoryRetryDelay, "memory-full"});
-  stats_->refused.Add();
-  if (now - refusal_logged_at_ < kRefusalLogInterval) {
-    return;
-  }
-  refusal_logged_at_ = now;
-  LogEvent(
-      LogLevel::kWarning, LogCategory::kJobs, "job_refused",
-      {{"job", spec.id},
-       {"pool", options_.pool},
-       {"cause", "memory-full"},
-       {"tasks", absl::StrCat(spec.task_count())},
-       {"pool_bytes", absl::StrCat(work_memory_->used())},
-       {"process_bytes", absl::StrCat(options_.process_memory == nullptr
-                                          ? work_memory_->used()
-                                          : options_.process_memory->used())}});
-}
-
-void PoolScheduler::CountMemory(Job& job) {
-  const size_t of_job = EstimateJobMemory(job.spec, job.spec_bytes.size());
-  const size_t occurrences =
-      job.live() ? std::max<size_t>(job.occurrences.size(), 1) : 0;
-  job.memory.Set(of_job + occurrences * EstimateOccurrenceMemory(job.spec));
-}
-
 void PoolScheduler::Cancel(const std::string& id,
                            const JobParty& call,
                            uint64_t token,
@@ -478,7 +445,7 @@
     --stage.waiting;
   }
   task.phase = TaskPhase::kDone;
-  task.checkpoint.clear();
+  ref.job->SetCheckpoint(task, "");
   task.failed_on.clear();
   task.lost_runs.clear();
   stage.failed_on.clear();
--- a/Source/Core/Scheduling/pool_scheduler_records.cc
+++ b/Source/Core/Scheduling/pool_scheduler_records.cc
@@ -1,6 +1,5 @@
 // Writes the records of jobs and applies the effects of durable ones.
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "Common/log.h"
@@ -21,7 +20,7 @@
 }  // namespace
 
 std::vector<RecordWrite> PoolScheduler::TakeWrites(size_t limit) {
-  return records_.Take(limit, std::numeric_limits<size_t>::max());
+  return records_.Take(limit, options_.bounds.max_record_bytes);
 }
 
 void PoolScheduler::OnWritten(MonoTime now) {
@@ -77,6 +76,7 @@
       }
     }
   }
+  job->record_limit = job->record_bytes / 4 * 3;
   records_.HoldBack(job, now + kRefusedRecordDelay);
 }
 
@@ -118,6 +118,7 @@
       StopJobTasks(job, now);
       // Only the status is still needed, and the sizes of runs that stop.
       job->occurrences.clear();
+      job->checkpoint_bytes = 0;
       CountMemory(*job);
     }
     for (const uint64_t token : job->cancel_tokens) {
--- a/Source/Core/Scheduling/pool_scheduler_status.cc
+++ b/Source/Core/Scheduling/pool_scheduler_status.cc
@@ -135,9 +135,7 @@
                                           const EndedRun& ended,
                                           MonoTime now) {
   Task& task = ref.Get();
-  if (!ended.checkpoint.empty()) {
-    task.checkpoint = ended.checkpoint;
-  }
+  SaveCheckpoint(ref, ended.checkpoint);
   switch (ended.end) {
     case RunResult::kDone:
       stats_->runs_done.Add();
@@ -210,9 +208,7 @@
     task.listed_by_worker = true;
     task.confirmed = true;
     task.percent = running.percent;
-    if (!running.checkpoint.empty()) {
-      task.checkpoint = running.checkpoint;
-    }
+    SaveCheckpoint(*ref, running.checkpoint);
   }
   if (status.more_ended) {
     // A run that is in neither list may have an end that is not listed yet.
--- a/Source/Core/Settings/settings.h
+++ b/Source/Core/Settings/settings.h
@@ -44,6 +44,7 @@
   // "ip:port", empty if there is none. For the kind "fleet" only.
   std::string instances_address;
   std::string policy_address;
+  int64_t max_value_bytes = 0;
   std::string metrics_listen;
 
   std::chrono::milliseconds max_lease{0};
--- a/Source/Core/Settings/settings_table.cc
+++ b/Source/Core/Settings/settings_table.cc
@@ -65,6 +65,10 @@
        false, "Address of the API for instances (kind fleet)."},
       {"platform.policy_address", &Settings::policy_address, 0, 0, 0, false,
        "Address of the placement policy service (kind fleet)."},
+      {"platform.max_value_bytes", &Settings::max_value_bytes, 1'048'576,
+       65'536, 1e9, false,
+       "Largest value that the platform's store takes; no record is larger "
+       "(kind fleet)."},
       {"listen.metrics", &Settings::metrics_listen, 0, 0, 0, false,
        "Address of /metrics alone, without credential (kind fleet)."},
       {"workers.longest_lease_ms", &Settings::max_lease, 6000, 1000, 600000,
