Refuse gangs that no record can hold, look at records more cheaply

Callers saw: nothing yet; found in reading. A gang whose members do not fit into one record of a store with small values would be accepted and never begin, and the size of a job with many open occurrences was computed anew for each of them.

Cause: only the product's fixed limit of a gang was checked, and the estimate visits each task of the job.

Change: such a gang is refused (record-size). Jobs whose tasks fit in any case skip the estimate, and overlapping occurrences have at most 5,000 tasks, which do.

--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -63,8 +63,7 @@
             WallTime wall);
 
   void SetPlan(std::shared_ptr<const FleetPlan> plan);
-  // Sets the platform's time limits. Longer leases that an earlier owner gave
-  // under the previous limits are still waited for.
+  // Leases that an earlier owner gave under longer limits are still waited for.
   void SetBounds(const ExecutionBounds& bounds);
   // Handles an incarnation of a worker that the registry lists now.
   void OnWorkerListed(const WorkerReport& report, MonoTime now);
@@ -74,9 +73,9 @@
   // Handles a registry entry of a later worker on the instance of `worker`,
   // which proves that this incarnation, and all before it, have ended.
   void OnWorkerSuperseded(const WorkerKey& worker, MonoTime now);
-  // Handles a report of the instance controller that a worker has ended. It
-  // gets no new tasks. Its runs end by its own responses or with its lease: a
-  // report of another daemon proves nothing about them.
+  // Handles a report that a worker has ended. It gets no new tasks. Its runs
+  // end by its own responses or with its lease: the report proves nothing about
+  // them.
   void OnWorkerReportedEnded(const WorkerKey& worker, MonoTime now);
 
   // Submits a job. The response is part of the output once the outcome is
@@ -185,8 +184,7 @@
 
   // A worker has reported that a later owner controls it.
   bool deposed() const { return deposed_; }
-  // Returns the number of listed workers, and of those among them that have
-  // responded to this owner.
+  // Number of listed workers, and of those that have responded to this owner.
   std::pair<int, int> Reached() const;
   // Returns the leases of the workers that have tasks and do not respond. Valid
   // for the next owner if no lease is granted after `now`.
@@ -206,7 +204,10 @@
   // Opens due occurrences: one of each job, and more as far as they fit.
   void OpenDueOccurrences(MonoTime now, WallTime wall);
   static void CountMemory(Job& job);
-  void RefuseForMemory(const JobSpec& spec, uint64_t token, MonoTime now);
+  void RefuseForSize(const JobSpec& spec,
+                     const char* reason,
+                     uint64_t token,
+                     MonoTime now);
   void RemoveFinishedJobs(MonoTime now);
   void CompleteTask(const TaskRef& ref, MonoTime now);
   // Returns a task to the waiting ones. Its run cannot exist any more.
@@ -259,7 +260,7 @@
                              MonoTime now);
   // Keeps a reported checkpoint, unless it is too long for the job's record.
   void SaveCheckpoint(const TaskRef& ref, const std::string& checkpoint);
-  // Completes the task, or the whole gang, whatever the state of later runs.
+  // Completes the task or the whole gang, whatever the state of later runs.
   void CompleteByEarlierRun(const TaskRef& ref, MonoTime now);
   // Logs an ended run that is acknowledged to the worker although its result
   // has no effect.
@@ -390,7 +391,7 @@
                      const StageSpec& spec,
                      int waiting,
                      MonoTime now) const;
-  // Same for a report, beside the tasks that it has counted before.
+  // Same for a report, beside the tasks that it has counted.
   int CountReportedWithinCap(const Job& job,
                              const StageSpec& spec,
                              int waiting,
--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -6,6 +6,7 @@
 
 #include "Common/log.h"
 #include "Scheduling/pool_scheduler.h"
+#include "Scheduling/record_size.h"
 #include "Scheduling/scheduler_metrics.h"
 #include "absl/strings/str_cat.h"
 
@@ -23,7 +24,7 @@
 constexpr std::chrono::seconds kSubmittedElsewhereRetention{30};
 // Tasks of the occurrences that are open beside the first one of each job. They
 // keep a large pool busy while the next ones are opened.
-constexpr int64_t kMaxOverlappingTasks = 10'000;
+constexpr int64_t kMaxOverlappingTasks = 5'000;
 
 }  // namespace
 
@@ -151,7 +152,11 @@
   const size_t memory = EstimateJobMemory(spec, spec_bytes.size()) +
                         EstimateOccurrenceMemory(spec);
   if (!work_memory_->HasRoom(memory)) {
-    RefuseForMemory(spec, token, now);
+    RefuseForSize(spec, "memory-full", token, now);
+    return;
+  }
+  if (!MayFitRecord(spec, options_.bounds.max_record_bytes)) {
+    RefuseForSize(spec, "record-size", token, now);
     return;
   }
   auto job = std::make_shared<Job>();
--- a/Source/Core/Scheduling/pool_scheduler_memory.cc
+++ b/Source/Core/Scheduling/pool_scheduler_memory.cc
@@ -17,11 +17,12 @@
 
 }  // namespace
 
-void PoolScheduler::RefuseForMemory(const JobSpec& spec,
-                                    uint64_t token,
-                                    MonoTime now) {
+void PoolScheduler::RefuseForSize(const JobSpec& spec,
+                                  const char* reason,
+                                  uint64_t token,
+                                  MonoTime now) {
   output_.submit_responses.push_back(
-      {token, SubmitOutcome::kRefused, kMemoryRetryDelay, "memory-full"});
+      {token, SubmitOutcome::kRefused, kMemoryRetryDelay, reason});
   stats_->refused.Add();
   if (now - refusal_logged_at_ < kRefusalLogInterval) {
     return;
@@ -31,7 +32,7 @@
       LogLevel::kWarning, LogCategory::kJobs, "job_refused",
       {{"job", spec.id},
        {"pool", options_.pool},
-       {"cause", "memory-full"},
+       {"cause", reason},
        {"tasks", absl::StrCat(spec.task_count())},
        {"pool_bytes", absl::StrCat(work_memory_->used())},
        {"process_bytes", absl::StrCat(options_.process_memory == nullptr
--- a/Source/Core/Scheduling/record_size.cc
+++ b/Source/Core/Scheduling/record_size.cc
@@ -20,6 +20,9 @@
 // Names of the lost runs of a task, which may come to be.
 constexpr size_t kLostRunsBytes = 56;
 constexpr size_t kRunNumberBytes = 5;
+// Of a task without a long checkpoint.
+constexpr size_t kLongestTaskRow =
+    kTaskNumberBytes + kWorkerIdBytes + kShortCheckpoint + kLostRunsBytes;
 
 size_t ReservedForCheckpoint(const StageSpec& spec) {
   return spec.saves_progress ? kShortCheckpoint : 1;
@@ -66,9 +69,35 @@
   return bytes;
 }
 
+bool MayFitRecord(const JobSpec& spec, size_t max_bytes) {
+  size_t others = kRecordBytes + spec.customer.size() + spec.queue.size() +
+                  kOccurrenceBytes + spec.stages.size() * kStageBytes;
+  others += static_cast<size_t>(spec.task_count()) * kDoneTaskBytes;
+  return std::all_of(
+      spec.stages.begin(), spec.stages.end(), [&](const StageSpec& stage) {
+        const size_t members =
+            stage.gang ? static_cast<size_t>(stage.count) : 0;
+        return members * NewTaskRowSize(stage) + others <= max_bytes;
+      });
+}
+
 int CountTasksThatFitRecord(const Job& job,
                             const StageSpec& spec,
                             size_t max_bytes) {
+  const size_t open_tasks =
+      job.occurrences.size() * static_cast<size_t>(job.spec.task_count());
+  // Spares a look at each task of most jobs.
+  const bool all_fit =
+      job.checkpoint_bytes == 0 &&
+      kRecordBytes + job.spec_bytes.size() + job.spec.customer.size() +
+              job.spec.queue.size() +
+              job.occurrences.size() *
+                  (kOccurrenceBytes + job.spec.stages.size() * kStageBytes) +
+              open_tasks * kLongestTaskRow <=
+          max_bytes;
+  if (all_fit) {
+    return std::numeric_limits<int>::max();
+  }
   const size_t bytes = EstimateRecordSize(job);
   if (bytes >= max_bytes) {
     return 0;
--- a/Source/Core/Scheduling/record_size.h
+++ b/Source/Core/Scheduling/record_size.h
@@ -17,6 +17,10 @@
                             const StageSpec& spec,
                             size_t max_bytes);
 
+// Returns whether each gang of the job fits into a record, whatever else the
+// job has done. Other tasks begin in parts that fit.
+bool MayFitRecord(const JobSpec& spec, size_t max_bytes);
+
 // Returns the longest checkpoint that each task of the job may have.
 size_t LongestCheckpoint(const Job& job, size_t max_bytes);
 
--- a/Source/UnitTests/Scheduling/record_size_test.cc
+++ b/Source/UnitTests/Scheduling/record_size_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(LongCheckpointsStayWithinTheRecord);
   CPPUNIT_TEST(WritesStayWithinTheLimit);
   CPPUNIT_TEST(RefusedRecordBecomesSmaller);
+  CPPUNIT_TEST(GangThatNeverFitsIsRefused);
   CPPUNIT_TEST(JobsThatNeverFitAreMalformed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +168,25 @@
     CPPUNIT_ASSERT(!driver.starts.empty());
   }
 
+  // Guards against a gang that is accepted and can never begin.
+  void GangThatNeverFitsIsRefused() {
+    ExecutionBounds bounds;
+    bounds.max_record_bytes = 65'536;
+    SchedulerDriver driver(kStart);
+    driver.scheduler().SetBounds(bounds);
+    JobSpec spec = TinyTasks("a", 2'000);
+    spec.stages[0].gang = true;
+    driver.Submit(spec);
+    CPPUNIT_ASSERT(driver.submit_responses.at(0).outcome ==
+                   SubmitOutcome::kRefused);
+    spec.id = "b";
+    spec.stages[0].count = 200;
+    driver.Submit(spec);
+    driver.Write();
+    CPPUNIT_ASSERT(driver.submit_responses.at(1).outcome ==
+                   SubmitOutcome::kAccepted);
+  }
+
   void JobsThatNeverFitAreMalformed() {
     JobSpec spec = TinyTasks("a", 20'000);
     CPPUNIT_ASSERT(CheckJobSpec(spec).has_value());
