--- a/Source/Core/Scheduling/pool_scheduler.h
+++ b/Source/Core/Scheduling/pool_scheduler.h
@@ -107,8 +107,7 @@
   bool IsSubmittedElsewhere(const std::string& id,
                             uint64_t plan_version,
                             MonoTime now) const;
-  // Returns the number of accepted jobs of a queue of which no task has
-  // started, without scheduled jobs.
+  // Number of unstarted accepted jobs of a queue, without scheduled ones.
   int64_t CountPending(const std::string& queue) const;
 
   void OnStartResponse(const StartOrder& order,
