Mend what the linter found

Cause: names of a constant and of a type clash in joined files, a parameter looks copied. Change: renamed; Load takes each record out of its argument, so that it is released as it is read.

--- a/Source/Core/Scheduling/pool_scheduler_jobs.cc
+++ b/Source/Core/Scheduling/pool_scheduler_jobs.cc
@@ -45,8 +45,9 @@
 void PoolScheduler::Load(std::map<std::string, JobRecords> records,
                          MonoTime now,
                          WallTime wall) {
-  for (auto& [id, record] : records) {
-    LoadJob(id, std::move(record), now, wall);
+  while (!records.empty()) {
+    auto record = records.extract(records.begin());
+    LoadJob(record.key(), std::move(record.mapped()), now, wall);
   }
 }
 
--- a/Source/UnitTests/Scheduling/record_size_test.cc
+++ b/Source/UnitTests/Scheduling/record_size_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 
 // Largest value that the store of the deployments takes.
-constexpr size_t kValueBytes = 1'048'576;
+constexpr size_t kStoreValueBytes = 1'048'576;
 
 // Returns a job whose tasks all fit into one worker.
 JobSpec TinyTasks(const std::string& id, int tasks) {
@@ -83,7 +83,7 @@
                           : records.progress,
                       job)
             .has_value());
-    for (Task& task : job.occurrences.at(0).stages[0].tasks) {
+    for (auto& task : job.occurrences.at(0).stages[0].tasks) {
       task.phase = TaskPhase::kWaiting;
     }
     JobRecords stopped = records;
@@ -138,7 +138,7 @@
         bytes += write.value.size();
         ++records;
       }
-      CPPUNIT_ASSERT(bytes <= kValueBytes);
+      CPPUNIT_ASSERT(bytes <= kStoreValueBytes);
     }
     CPPUNIT_ASSERT_EQUAL(28, records);
   }
@@ -238,7 +238,7 @@
   static void WriteRecords(SchedulerDriver& driver) {
     while (driver.scheduler().HasWrites()) {
       for (const RecordWrite& write : driver.Write()) {
-        CPPUNIT_ASSERT(write.value.size() <= kValueBytes);
+        CPPUNIT_ASSERT(write.value.size() <= kStoreValueBytes);
       }
     }
   }
--- a/Source/UnitTests/Scheduling/work_memory_test.cc
+++ b/Source/UnitTests/Scheduling/work_memory_test.cc
@@ -110,7 +110,7 @@
     }
     for (const int number : {0, 2, 4'000}) {
       Stage& stage = job.occurrences.at(number).stages[0];
-      for (Task& task : stage.tasks) {
+      for (auto& task : stage.tasks) {
         task.phase = TaskPhase::kDone;
       }
       stage.done = stage.waiting;
