Restore the limit of a job's record some time after a refusal

Callers saw: nothing yet; found in reading. After a time in which the store refused all writes, jobs would never begin further tasks: their limit stayed at three quarters of a small refused record until the next change of the owner.

Cause: a refusal was taken as one for the size of the record, for good. Change: the lower limit holds for 30 s and is at least 64 KiB; the dispatch wakes at its end. Result: JobsGoOnAfterRefusalsOfAllRecords started none of 2 jobs before and both after; 135 scheduling and 83 fleet tests pass.

--- a/Source/Core/Scheduling/job.h
+++ b/Source/Core/Scheduling/job.h
@@ -148,9 +148,10 @@
   std::optional<MonoTime> record_held_until;
   // Bytes of the record in the write in progress.
   size_t record_bytes = 0;
-  // Largest record that may be written, lower than the store's limit after a
-  // refusal.
+  // Largest record that may be written, lower than the store's limit for some
+  // time after a refusal.
   size_t record_limit = std::numeric_limits<size_t>::max();
+  MonoTime record_limited_until;
   // Bytes of the long checkpoints of all tasks.
   size_t checkpoint_bytes = 0;
   // Status that the store holds, which is the one reported to callers.
--- a/Source/Core/Scheduling/pool_scheduler_dispatch.cc
+++ b/Source/Core/Scheduling/pool_scheduler_dispatch.cc
@@ -1,5 +1,6 @@
 // Places waiting tasks on workers.
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "Scheduling/fair_share.h"
@@ -312,6 +313,9 @@
     return StagePlacement::kWaits;
   }
   const int new_tasks = CountNewTasks(stage);
+  if (now >= item.job->record_limited_until) {
+    item.job->record_limit = std::numeric_limits<size_t>::max();
+  }
   board.max_new_tasks = CountTasksThatFitRecord(
       *item.job, spec,
       std::min(options_.bounds.max_record_bytes, item.job->record_limit));
@@ -347,6 +351,10 @@
                stage.waiting - board.max_tasks, now);
   } else if (!complete && new_tasks > board.max_new_tasks) {
     placement = StagePlacement::kWaits;
+    if (now < item.job->record_limited_until) {
+      Wake(item.job->record_limited_until);
+      dispatch_needed_ = true;
+    }
     LogRecordWait(item, stage.waiting - static_cast<int>(chosen.size()), now);
   } else if (!complete) {
     if (has_policy) {
--- a/Source/Core/Scheduling/pool_scheduler_records.cc
+++ b/Source/Core/Scheduling/pool_scheduler_records.cc
@@ -13,6 +13,10 @@
 
 // Delay before the next record of a job whose last one the store has refused.
 constexpr std::chrono::seconds kRefusedRecordDelay{2};
+// A refusal may have another cause than the size of the record, so it lowers
+// the job's limit not below this, and for this time only.
+constexpr size_t kLeastRecordLimit = size_t{64} << 10;
+constexpr std::chrono::seconds kRecordLimitTime{30};
 // Retry delay for callers whose job the store refuses: its record will be the
 // same, unless the store's limits are changed.
 constexpr std::chrono::milliseconds kRefusedJobRetryDelay{10'000};
@@ -76,7 +80,8 @@
       }
     }
   }
-  job->record_limit = job->record_bytes / 4 * 3;
+  job->record_limit = std::max(job->record_bytes / 4 * 3, kLeastRecordLimit);
+  job->record_limited_until = now + kRecordLimitTime;
   records_.HoldBack(job, now + kRefusedRecordDelay);
 }
 
--- a/Source/UnitTests/Scheduling/record_size_test.cc
+++ b/Source/UnitTests/Scheduling/record_size_test.cc
@@ -1,4 +1,5 @@
 // Tests that each record and each write stays within the limits of the store.
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +34,7 @@
   CPPUNIT_TEST(LongCheckpointsStayWithinTheRecord);
   CPPUNIT_TEST(WritesStayWithinTheLimit);
   CPPUNIT_TEST(RefusedRecordBecomesSmaller);
+  CPPUNIT_TEST(JobsGoOnAfterRefusalsOfAllRecords);
   CPPUNIT_TEST(GangThatNeverFitsIsRefused);
   CPPUNIT_TEST(JobsThatNeverFitAreMalformed);
   CPPUNIT_TEST_SUITE_END();
@@ -168,6 +170,37 @@
     CPPUNIT_ASSERT(!driver.starts.empty());
   }
 
+  // Guards against jobs that never go on after a time in which the store has
+  // refused all writes, however small their records are.
+  void JobsGoOnAfterRefusalsOfAllRecords() {
+    SchedulerDriver driver(kStart);
+    JobSpec gang = TinyTasks("gang", 1'000);
+    gang.stages[0].gang = true;
+    driver.Submit(gang);
+    driver.Submit(TinyTasks("small", 10));
+    driver.Write();
+    driver.ListWorker(kWorker);
+    driver.RespondToHold(kWorker, WorkerStatus());
+    for (int i = 0; i < 20; ++i) {
+      driver.scheduler().TakeWrites(28);
+      driver.scheduler().OnWriteRefused(driver.now());
+      driver.Advance(milliseconds(700));
+    }
+    CPPUNIT_ASSERT(driver.starts.empty());
+    std::set<std::string> started;
+    for (int i = 0; i < 60 && started.size() < 2; ++i) {
+      WriteRecords(driver);
+      driver.Advance(milliseconds(1'000));
+      if (driver.Hold(kWorker)) {
+        driver.RespondToHold(kWorker, WorkerStatus());
+      }
+      for (const StartOrder& start : driver.starts) {
+        started.insert(start.task.job);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, started.size());
+  }
+
   // Guards against a gang that is accepted and can never begin.
   void GangThatNeverFitsIsRefused() {
     ExecutionBounds bounds;
